--- /dev/null
+++ b/src/eelgrasswalk/__init__.py
@@ -0,0 +1,1 @@
+"""Overload control for service call graphs."""
--- /dev/null
+++ b/src/eelgrasswalk/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiments."""
--- /dev/null
+++ b/src/eelgrasswalk/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line programs."""
--- /dev/null
+++ b/src/eelgrasswalk/console/__init__.py
@@ -0,0 +1,1 @@
+"""Web forms for operators."""
--- /dev/null
+++ b/src/eelgrasswalk/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Controllers that keep a node's state up to date."""
--- /dev/null
+++ b/src/eelgrasswalk/document/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration document: schema, validation, differences."""
--- /dev/null
+++ b/src/eelgrasswalk/filters/__init__.py
@@ -0,0 +1,1 @@
+"""The filters that a request passes through, in order."""
--- /dev/null
+++ b/src/eelgrasswalk/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's table service and object store."""
--- /dev/null
+++ b/src/eelgrasswalk/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without I/O, clocks or randomness of their own."""
--- /dev/null
+++ b/src/eelgrasswalk/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, for tests and the demo."""
--- /dev/null
+++ b/src/eelgrasswalk/transport/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP entry and exit, and the links between nodes."""
--- /dev/null
+++ b/src/eelgrasswalk/verdict.py
@@ -0,0 +1,92 @@
+"""What became of a request: answered, not run, or possibly run."""
+
+import dataclasses
+import enum
+import typing
+
+
+class Reason(enum.Enum):
+    """Why a request has no answer. The value appears in problem documents."""
+
+    BAD_REQUEST = 'bad-request'
+    KEY_MISSING = 'key-missing'
+    KEY_UNKNOWN = 'key-unknown'
+    NO_CONTEXT = 'no-context'
+    NO_ROUTE = 'no-route'
+    BODY_TOO_LARGE = 'body-too-large'
+    HEADERS_TOO_LARGE = 'headers-too-large'
+    QUOTA = 'quota'
+    DEADLINE = 'deadline'
+    OVERLOAD = 'overload'
+    MEMORY = 'memory'
+    NO_UPSTREAM = 'no-upstream'
+    LEAVING = 'leaving'
+    DUPLICATE = 'duplicate'
+    NO_CONFIGURATION = 'no-configuration'
+    STORE_UNAVAILABLE = 'store-unavailable'
+    TARGET_REFUSED = 'target-refused'
+    TARGET_UNREACHABLE = 'target-unreachable'
+    FENCED = 'fenced'
+    LINK_LOST = 'link-lost'
+    TARGET_LOST = 'target-lost'
+    ANSWER_INCOMPLETE = 'answer-incomplete'
+    ANSWER_TOO_LARGE = 'answer-too-large'
+    CALLER_GONE = 'caller-gone'
+    INTERNAL = 'internal'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Response:
+    """A whole HTTP answer.
+
+    Args:
+        status: HTTP status code.
+        headers: Name and value pairs, names in lower case.
+        body: The whole body.
+    """
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """The target ran the request and its whole answer is here."""
+
+    response: Response
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotRun:
+    """The request certainly did not run.
+
+    Args:
+        reason: Why.
+        retry_after_s: Seconds after which the caller may try again, if a
+            later try could succeed.
+        detail: One sentence for the caller.
+        retry_elsewhere: Whether another upstream may be tried within the
+            same request.
+    """
+
+    reason: Reason
+    retry_after_s: float | None = None
+    detail: str = ''
+    retry_elsewhere: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MayHaveRun:
+    """Nobody can prove whether the request ran.
+
+    Args:
+        reason: Why.
+        detail: One sentence for the caller.
+    """
+
+    reason: Reason
+    detail: str = ''
+
+
+Verdict: typing.TypeAlias = Answered | NotRun | MayHaveRun
