--- a/src/eelgrasswalk/document/model.py
+++ b/src/eelgrasswalk/document/model.py
@@ -65,12 +65,15 @@
         connections: Connections that one upstream's target accepts.
         refusal_means_not_run: Whether a 503 of the target itself proves
             that the request did not run.
+        upstreams: Upstreams that operators plan for; 0 where not stated.
+            Nodes announce themselves whatever it says.
     """
 
     name: str
     slots: int
     connections: int
     refusal_means_not_run: bool = False
+    upstreams: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -106,6 +109,25 @@
     retry_allowance: int = 2
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds that no other part of the document may exceed.
+
+    Args:
+        total_rate: Sum of the accounts' rates, in requests a second.
+        total_slots: Sum over services of slots times planned upstreams.
+        deadline_s: Longest deadline of a route, in seconds.
+        body_bytes: Longest body of a request or an answer.
+        retry_allowance: Largest retry allowance of a route.
+    """
+
+    total_rate: float = 120_000.0
+    total_slots: int = 200_000
+    deadline_s: float = 120.0
+    body_bytes: int = 67_108_864
+    retry_allowance: int = 5
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Document:
     """One mesh's whole configuration.
@@ -116,6 +138,7 @@
         accounts: Its client accounts.
         services: Its services.
         routes: Its routes.
+        limits: Bounds on the rest.
     """
 
     schema: int
@@ -123,3 +146,4 @@
     accounts: tuple[ClientAccount, ...]
     services: tuple[Service, ...]
     routes: tuple[Route, ...]
+    limits: Limits = Limits()
