Decide admission, levels, retries, balance and deadlines without I/O

Change: policy/admission with its queue, adaptive limit and level; levels and their table at the caller's side; ledger, retry decision and storm breaker; balancer; deadlines. Property tests over random trees and random offers.

--- /dev/null
+++ b/src/eelgrasswalk/policy/concurrency.py
@@ -0,0 +1,198 @@
+"""Adaptive concurrency limit of one target."""
+
+import dataclasses
+import math
+
+MIN_SAMPLES = 10
+MAX_LATE_WINDOWS = 10
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConcurrencySettings:
+    """Settings of the adaptive limit.
+
+    Args:
+        window_s: Shortest time between two changes, in seconds.
+        tolerance: Service time over its minimum that counts as overload.
+        hinted_tolerance: The same while the target reports that it is full.
+        decrease: Factor of the limit on overload.
+        min_fraction: Share of the slots below which the limit never falls.
+        start_fraction: Share of the slots that a cold target gets.
+        ramp_s: Seconds over which a cold target gets all slots.
+        failure_ratio: Share of failures that counts as overload.
+        report_max_age_s: Seconds for which a load report is a hint.
+    """
+
+    window_s: float = 0.1
+    tolerance: float = 2.0
+    hinted_tolerance: float = 1.5
+    decrease: float = 0.8
+    min_fraction: float = 0.1
+    start_fraction: float = 0.2
+    ramp_s: float = 1.0
+    failure_ratio: float = 0.1
+    report_max_age_s: float = 2.0
+
+
+class ConcurrencyLimit:
+    """Follows what a target can run at a time, never above its slots.
+
+    Service times that grow while the limit is in use lower it, unless the
+    throughput falls along with it: then the target, or something below it,
+    is slower as such, fewer calls at a time would not help, and the longer
+    service time becomes the new minimum.
+
+    Args:
+        settings: The settings.
+        slots: Calls that the target runs at a time.
+    """
+
+    def __init__(self, settings: ConcurrencySettings, *, slots: int) -> None:
+        self._settings = settings
+        self._slots = max(1, slots)
+        self._limit = max(1.0, settings.start_fraction * self._slots)
+        self._started_at: float | None = None
+        self._base_s = math.inf
+        self._mean_s = 0.0
+        self._low_s = 0.0
+        self._previous: tuple[float, float] | None = None
+        self._full_until = -math.inf
+        self._last_report: tuple[int, int] | None = None
+        self._window_began_at = 0.0
+        self._window_ends_at = 0.0
+        self._sum_s = 0.0
+        self._min_s = math.inf
+        self._count = 0
+        self._failures = 0
+        self._saturated = False
+
+    @property
+    def limit(self) -> int:
+        """Calls that may run at a time."""
+        return max(1, min(int(self._limit), self._slots))
+
+    @property
+    def service_s(self) -> float:
+        """Recent mean service time in seconds; 0 if unknown."""
+        return self._mean_s
+
+    @property
+    def expected_s(self) -> float:
+        """Seconds that a call needs unless it is among the fastest."""
+        return (self._low_s + self._mean_s) / 2.0
+
+    def resize(self, slots: int) -> None:
+        """Change the number of slots."""
+        slots = max(1, slots)
+        self._limit *= slots / self._slots
+        self._slots = slots
+
+    def observe_start(self, in_flight: int, now: float) -> None:
+        """Note that a call started.
+
+        Args:
+            in_flight: Calls running, this one included.
+            now: The time, in seconds.
+        """
+        if self._started_at is None:
+            self._started_at = now
+            self._begin_window(now)
+        if in_flight >= self.limit:
+            self._saturated = True
+
+    def observe_finish(self, service_s: float, now: float, ok: bool) -> None:
+        """Note that a call finished.
+
+        Args:
+            service_s: Seconds that the target took.
+            now: The time, in seconds.
+            ok: False if the target refused the call or was lost.
+        """
+        self._count += 1
+        if ok:
+            self._sum_s += service_s
+            if service_s < self._min_s:
+                self._min_s = service_s
+        else:
+            self._failures += 1
+        wait_s = 0.0
+        if self._count < MIN_SAMPLES:
+            wait_s = MAX_LATE_WINDOWS * self._settings.window_s
+        if now >= self._window_ends_at + wait_s:
+            self._end_window(now)
+
+    def observe_report(self, in_flight: int, slots: int, now: float) -> None:
+        """Note the target's own report, which only narrows the tolerance.
+
+        A report that never changes is stuck and says nothing.
+        """
+        report = (in_flight, slots)
+        if report != self._last_report and in_flight >= slots:
+            self._full_until = now + self._settings.report_max_age_s
+        elif in_flight < slots:
+            self._full_until = now
+        self._last_report = report
+
+    def _begin_window(self, now: float) -> None:
+        self._window_began_at = now
+        self._window_ends_at = now + self._settings.window_s
+        self._sum_s = 0.0
+        self._min_s = math.inf
+        self._count = 0
+        self._failures = 0
+        self._saturated = False
+
+    def _end_window(self, now: float) -> None:
+        successes = self._count - self._failures
+        elapsed = max(now - self._window_began_at, 1e-6)
+        if successes:
+            self._mean_s = self._sum_s / successes
+            self._low_s = self._min_s
+        self._adjust(successes / elapsed, now)
+        self._begin_window(now)
+
+    def _adjust(self, rate: float, now: float) -> None:
+        settings = self._settings
+        if self._failures >= max(3.0, settings.failure_ratio * self._count):
+            self._previous = None
+            self._decrease()
+            return
+        self._learn_base(rate)
+        tolerance = settings.tolerance
+        if now < self._full_until:
+            tolerance = settings.hinted_tolerance
+        if self._saturated and self._mean_s > tolerance * self._base_s:
+            self._previous = (self._limit, rate)
+            self._decrease()
+            return
+        self._previous = None
+        self._increase(now)
+
+    def _learn_base(self, rate: float) -> None:
+        if self._mean_s <= self._base_s:
+            self._base_s = self._mean_s
+            return
+        # Drifts up, so that a minimum from another mix of calls is left.
+        self._base_s += 0.01 * (self._mean_s - self._base_s)
+        if self._previous is None:
+            return
+        limit, previous_rate = self._previous
+        shrink = 1.0 - self._limit / limit
+        if rate < previous_rate * (1.0 - 0.5 * shrink):
+            self._base_s = self._mean_s
+
+    def _decrease(self) -> None:
+        floor = max(1.0, self._settings.min_fraction * self._slots)
+        self._limit = max(floor, self._limit * self._settings.decrease)
+
+    def _increase(self, now: float) -> None:
+        began_at = self._started_at
+        age = 0.0 if began_at is None else now - began_at
+        settings = self._settings
+        share = settings.start_fraction + age / settings.ramp_s
+        ceiling = max(1.0, min(1.0, share) * self._slots)
+        step = max(1.0, self._limit * 0.25)
+        self._limit = max(
+            min(self._limit, self._slots),
+            min(ceiling, self._limit + step),
+        )
--- /dev/null
+++ b/tests/policy/test_levels.py
@@ -0,0 +1,113 @@
+"""Tests of levels and of the table at the caller's side."""
+
+import math
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from eelgrasswalk.document import model
+from eelgrasswalk.policy import levels
+from eelgrasswalk.policy import shedding
+
+STRICT = levels.Level(model.Importance.NORMAL, 0.25, 0.05)
+
+
+class LevelTest(unittest.TestCase):
+    def test_sheds_by_importance_then_hash(self) -> None:
+        admits = levels.admits
+        self.assertTrue(admits(STRICT, model.Importance.HIGH, 0.99))
+        self.assertTrue(admits(STRICT, model.Importance.NORMAL, 0.2))
+        self.assertFalse(admits(STRICT, model.Importance.NORMAL, 0.25))
+        self.assertFalse(admits(STRICT, model.Importance.LOW, 0.0))
+
+    @hypothesis.settings(derandomize=True, max_examples=100)
+    @hypothesis.given(
+        strict=strategies.floats(0.0, 4.0),
+        loose=strategies.floats(0.0, 4.0),
+        importance=strategies.integers(0, 3),
+        root_hash=strategies.floats(0.0, 1.0, exclude_max=True),
+    )
+    def test_stricter_level_keeps_a_subset_of_roots(
+        self, strict: float, loose: float, importance: int, root_hash: float
+    ) -> None:
+        strict, loose = sorted((strict, loose))
+        if levels.admits(
+            levels.make_level(strict, 0.0), importance, root_hash
+        ):
+            level = levels.make_level(loose, 0.0)
+            self.assertTrue(levels.admits(level, importance, root_hash))
+
+    def test_combined_level_is_the_strictest(self) -> None:
+        level = levels.combine_levels(levels.OPEN, [None, STRICT])
+        self.assertEqual(level, STRICT)
+
+
+class LevelTableTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.table = levels.LevelTable()
+
+    def admits(self, now: float, *, begun: bool = False) -> bool:
+        decision = self.table.admits(
+            'leaf', model.Importance.NORMAL, 0.5, now, begun=begun
+        )
+        return isinstance(decision, levels.Admit)
+
+    def test_sheds_early_by_the_returned_level(self) -> None:
+        self.assertTrue(self.admits(0.0))
+        self.table.observe('leaf', 'n1', STRICT, 0.0)
+        self.assertFalse(self.admits(0.1))
+        self.assertTrue(self.admits(0.1, begun=True))
+
+    def test_stale_level_recovers_within_a_second(self) -> None:
+        closed = levels.Level(0, 0.0, 1.0)
+        self.table.observe('leaf', 'n1', closed, 0.0)
+        self.assertFalse(self.admits(0.1))
+        self.assertTrue(self.admits(1.0))
+
+    def test_one_wrong_upstream_moves_nothing(self) -> None:
+        for name in ('n1', 'n2', 'n3'):
+            self.table.observe('leaf', name, levels.OPEN, 0.0)
+        for index in range(100):
+            now = index * 0.1
+            self.table.observe('leaf', 'n1', STRICT, now)
+            self.assertTrue(self.admits(now))
+
+    def test_level_that_is_no_number_admits_everything(self) -> None:
+        self.table.observe('leaf', 'n1', levels.Level(0, math.nan, 0.0), 0.0)
+        self.assertTrue(self.admits(0.0))
+
+    def test_departed_upstream_is_forgotten(self) -> None:
+        self.table.observe('leaf', 'n1', STRICT, 0.0)
+        self.table.forget('leaf', 'n1')
+        self.assertTrue(self.admits(0.0))
+
+
+class LevelControlTest(unittest.TestCase):
+    def run_window(
+        self, control: shedding.LevelControl, now: float, capacity: int
+    ) -> None:
+        for index in range(100):
+            importance, root_hash = index % 4, (index // 4) / 25
+            control.observe_offer(importance, root_hash)
+            if index < capacity:
+                control.observe_start(0.0)
+            else:
+                control.observe_refusal()
+        control.roll(now)
+
+    def test_falls_to_capacity_and_recovers_within_two_seconds(self) -> None:
+        control = shedding.LevelControl(shedding.SheddingSettings())
+        control.roll(0.0)
+        now = 0.0
+        for _ in range(5):
+            now += 0.1
+            self.run_window(control, now, 50)
+        level = control.level()
+        self.assertTrue(levels.admits(level, 0, 0.99))
+        self.assertFalse(levels.admits(level, 2, 0.1))
+        self.assertGreater(levels.compute_cutoff(level), 1.5)
+        for _ in range(20):
+            now += 0.1
+            self.run_window(control, now, 100)
+        self.assertEqual(levels.compute_cutoff(control.level()), 4.0)
