--- a/src/eelgrasswalk/cli/standin.py
+++ b/src/eelgrasswalk/cli/standin.py
@@ -9,6 +9,8 @@
 import click
 import uvloop
 
+from ..standins import asgi
+from ..standins import platform as platforms
 from ..standins import serving
 from ..standins import target as targets
 
@@ -99,5 +101,23 @@
     await wait_for_stop()
 
 
+@main.command()
+@click.option('--listen', default='127.0.0.1:0', show_default=True)
+@click.option('--writes-per-s', default=400.0, show_default=True)
+@click.option('--reads-per-s', default=2000.0, show_default=True)
+@click.option('--seed', default=0)
+def platform(
+    listen: str, writes_per_s: float, reads_per_s: float, seed: int
+) -> None:
+    """Run the platform's table service and object store."""
+    behaviour = platforms.Behaviour(
+        writes_per_s=writes_per_s, reads_per_s=reads_per_s
+    )
+    standin = platforms.PlatformStandin(behaviour, seed=seed)
+    listener = asgi.bind_socket(*parse_address(listen))
+    announce([asgi.get_address(listener)])
+    uvloop.run(asgi.serve(standin.make_application(), listener, wait_for_stop))
+
+
 if __name__ == '__main__':
     main()
