--- a/src/eelgrasswalk/document/difference.py
+++ b/src/eelgrasswalk/document/difference.py
@@ -199,8 +199,8 @@
     if isinstance(value, enum.Enum):
         return str(value.value)
     if isinstance(value, tuple):
-        joined: str = ' '.join(value)
-        return joined or 'all'
+        joined = ' '.join(value)
+        return str(joined or 'all')
     text = f'{value:.12g}' if isinstance(value, float) else str(value)
     return text + (_UNITS.get(field, '') if with_unit else '')
 
--- /dev/null
+++ b/src/eelgrasswalk/operations/__init__.py
@@ -0,0 +1,1 @@
+"""What operators do: read, edit and publish revisions, ask nodes."""
