--- a/src/eelgrasswalk/document/difference.py
+++ b/src/eelgrasswalk/document/difference.py
@@ -146,7 +146,7 @@
     text = f"account {change.account}: key '{change.label}' "
     if change.action is KeyAction.RELABELLED:
         return f"{text}relabelled '{change.new_label}'"
-    return text + change.action.value
+    return f'{text}{change.action.value}'
 
 
 def _compare_items(
