--- /dev/null
+++ b/src/eelgrasswalk/app.py
@@ -0,0 +1,73 @@
+"""The application object: owns parts, starts and stops them in order."""
+
+import asyncio
+import contextlib
+import signal
+import typing
+
+import anyio
+
+
+class Part(typing.Protocol):
+    """Something with a life of its own."""
+
+    async def start(self) -> None:
+        """Begin to work; everything started before is there."""
+
+    async def stop(self) -> None:
+        """End; everything started before is still there."""
+
+
+class Application:
+    """Starts parts in order and stops them in reverse.
+
+    Args:
+        parts: What the application owns.
+    """
+
+    def __init__(self, parts: typing.Sequence[Part]) -> None:
+        self._parts = tuple(parts)
+        self._stopping = asyncio.Event()
+
+    def request_stop(self) -> None:
+        """Ask the application to stop gracefully."""
+        self._stopping.set()
+
+    async def run(
+        self, on_ready: typing.Callable[[], None] | None = None
+    ) -> None:
+        """Run until a stop is requested, then stop every part.
+
+        Args:
+            on_ready: Called when every part has started.
+        """
+        async with contextlib.AsyncExitStack() as stack:
+            for part in self._parts:
+                await part.start()
+                stack.push_async_callback(part.stop)
+            if on_ready is not None:
+                on_ready()
+            await self._stopping.wait()
+
+    def handle_signals(self) -> None:
+        """Stop gracefully on SIGTERM and SIGINT."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.request_stop)
+
+
+def run_application(
+    build: typing.Callable[[], tuple[Application, typing.Callable[[], None]]],
+) -> None:
+    """Build and run an application on anyio's asyncio backend with uvloop.
+
+    Args:
+        build: Returns the application and what to call when it is ready.
+    """
+
+    async def run() -> None:
+        application, on_ready = build()
+        application.handle_signals()
+        await application.run(on_ready)
+
+    anyio.run(run, backend='asyncio', backend_options={'use_uvloop': True})
--- /dev/null
+++ b/src/eelgrasswalk/cli/node.py
@@ -0,0 +1,65 @@
+"""eelgrasswalk-node: the process beside each target."""
+
+import json
+import os
+import pathlib
+import sys
+import typing
+
+import click
+
+from .. import app
+from .. import events
+from .. import settings
+from .. import wiring
+
+EXIT_BAD_SETTINGS = 2
+
+
+@click.command()
+@click.argument(
+    'path', type=click.Path(path_type=pathlib.Path, dir_okay=False)
+)
+def main(path: pathlib.Path) -> None:
+    """Run a node with the settings in PATH.
+
+    Prints one JSON line with the addresses once it listens. SIGTERM stops
+    it gracefully.
+    """
+    # The event loop's library reads this when it is loaded.
+    os.environ['UV_USE_IO_URING'] = '0'
+    try:
+        config = settings.load_settings(path)
+    except settings.SettingsError as error:
+        click.echo(str(error), err=True)
+        sys.exit(EXIT_BAD_SETTINGS)
+    events.configure_logging(config.log_level, node_id=config.node_id)
+
+    def build() -> tuple[app.Application, typing.Callable[[], None]]:
+        node = wiring.Node(config)
+        return wiring.build_application(node), lambda: announce(node)
+
+    app.run_application(build)
+
+
+def announce(node: wiring.Node) -> None:
+    """Print where the node listens."""
+    addresses = node.addresses
+    assert addresses is not None
+    line = {
+        'ready': True,
+        'node_id': node.config.node_id,
+        'callers': _join_address(addresses.callers),
+        'target_calls': _join_address(addresses.target_calls),
+        'links': _join_address(addresses.links),
+    }
+    click.echo(json.dumps(line))
+    sys.stdout.flush()
+
+
+def _join_address(address: tuple[str, int]) -> str:
+    return f'{address[0]}:{address[1]}'
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/eelgrasswalk/events.py
@@ -0,0 +1,88 @@
+"""Numbered log events, written as JSON."""
+
+import dataclasses
+import logging
+import sys
+import typing
+
+import pythonjsonlogger.json
+
+_LOGGER = logging.getLogger('eelgrasswalk')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Event:
+    """A kind of log record.
+
+    Args:
+        number: Its number, never used again for another kind.
+        level: Level of the logging module.
+        text: What has happened; the fields of a record say to what.
+        remedy: What an operator can do about it; empty when nothing is due.
+    """
+
+    number: int
+    level: int
+    text: str
+    remedy: str = ''
+
+
+NODE_STARTED = Event(1001, logging.INFO, 'node started')
+NODE_DRAINING = Event(1002, logging.INFO, 'node draining')
+NODE_STOPPED = Event(1003, logging.INFO, 'node stopped')
+LINK_OPENED = Event(2001, logging.INFO, 'link opened')
+LINK_LOST = Event(
+    2002,
+    logging.WARNING,
+    'link lost with calls outstanding',
+    'look for lost connections between the two hosts',
+)
+CONFIGURATION_APPLIED = Event(3001, logging.INFO, 'configuration in force')
+CONFIGURATION_REJECTED = Event(
+    3002,
+    logging.ERROR,
+    'configuration could not be read',
+    'validate the document with the same release as the node',
+)
+TARGET_UNREACHABLE = Event(
+    4001,
+    logging.WARNING,
+    'target unreachable',
+    'check that the target listens at the address in the settings',
+)
+REQUEST_FAILED = Event(
+    5001,
+    logging.ERROR,
+    'request failed inside the node',
+    'report the traceback to the developers',
+)
+
+
+def configure_logging(level: str, *, node_id: str) -> None:
+    """Write every record as one JSON object a line to standard error."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        pythonjsonlogger.json.JsonFormatter(
+            '%(levelname)s %(message)s',
+            rename_fields={'levelname': 'level'},
+            timestamp='time',
+            static_fields={'node_id': node_id},
+        )
+    )
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(logging.WARNING)
+    _LOGGER.setLevel(level.upper())
+
+
+def log(event: Event, **fields: typing.Any) -> None:
+    """Write one record of an event."""
+    if _LOGGER.isEnabledFor(event.level):
+        fields['event'] = event.number
+        _LOGGER.log(event.level, event.text, extra=fields)
+
+
+def list_events() -> tuple[Event, ...]:
+    """Return every event, in the order of their numbers."""
+    found = [item for item in globals().values() if isinstance(item, Event)]
+    return tuple(sorted(found, key=lambda item: item.number))
--- /dev/null
+++ b/src/eelgrasswalk/filters/admit.py
@@ -0,0 +1,163 @@
+"""Drives the admission policy: futures and a timer around its decisions."""
+
+import asyncio
+import dataclasses
+import itertools
+import random
+import time
+
+from .. import verdict
+from ..document import model
+from ..policy import admission
+from ..policy import levels
+from ..policy import retries
+from ..transport import frames
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admitted:
+    """The call may start now.
+
+    Args:
+        call_id: Handed back when it has ended.
+    """
+
+    call_id: int
+
+
+class Admitter:
+    """Lets calls wait for their turn at the target.
+
+    Args:
+        policy: Decides which call starts.
+        source: Random numbers for jitter.
+    """
+
+    def __init__(
+        self, policy: admission.Admission, *, source: random.Random
+    ) -> None:
+        self.policy = policy
+        self._random = source
+        self._loop = asyncio.get_running_loop()
+        # The loop's own time is too coarse for service times.
+        self._clock = time.monotonic
+        self._ids = itertools.count(1)
+        self._waiting: dict[
+            int, asyncio.Future[admission.Start | admission.Refuse]
+        ] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = float('inf')
+
+    async def admit(
+        self, context: frames.Context, *, deadline: float
+    ) -> Admitted | verdict.NotRun:
+        """Wait until the call may start, or return why it may not."""
+        now = self._clock()
+        call_id = next(self._ids)
+        candidate = admission.Candidate(
+            call_id=call_id,
+            importance=_clamp_importance(context.importance),
+            account=context.account,
+            root_hash=context.root_hash,
+            root_started_at=now - context.root_age_s,
+            deadline=deadline,
+            depth=context.depth,
+        )
+        actions = self.policy.offer(candidate, now)
+        for action in actions:
+            if action.call_id == call_id:
+                self._carry_out(actions, but=call_id)
+                return self._judge(action)
+        self._carry_out(actions)
+        return await self._wait(call_id)
+
+    def finish(self, call_id: int, *, ok: bool) -> None:
+        """Report that an admitted call has ended."""
+        now = self._clock()
+        self._carry_out(self.policy.finish(call_id, now, ok=ok))
+
+    def drain(self) -> None:
+        """Refuse what waits."""
+        self._carry_out(self.policy.drain(self._clock()))
+
+    def stop(self) -> None:
+        """Stop the timer."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def get_level(self) -> levels.Level:
+        """Return the level that answers carry."""
+        return self.policy.level(self._clock())
+
+    async def _wait(self, call_id: int) -> Admitted | verdict.NotRun:
+        future: asyncio.Future[admission.Start | admission.Refuse] = (
+            self._loop.create_future()
+        )
+        self._waiting[call_id] = future
+        self._set_timer()
+        try:
+            action = await future
+        except asyncio.CancelledError:
+            self._waiting.pop(call_id, None)
+            if future.done() and not future.cancelled():
+                self._return_unused(call_id, future.result())
+            else:
+                now = self._clock()
+                self._carry_out(self.policy.cancel(call_id, now))
+            raise
+        return self._judge(action)
+
+    def _return_unused(
+        self, call_id: int, action: admission.Start | admission.Refuse
+    ) -> None:
+        if isinstance(action, admission.Start):
+            self.finish(call_id, ok=False)
+
+    def _judge(
+        self, action: admission.Start | admission.Refuse
+    ) -> Admitted | verdict.NotRun:
+        if isinstance(action, admission.Start):
+            return Admitted(action.call_id)
+        return verdict.NotRun(
+            action.reason,
+            retry_after_s=retries.compute_retry_after(
+                action.retry_after_s, self._random.random()
+            ),
+            retry_elsewhere=action.reason is verdict.Reason.LEAVING,
+        )
+
+    def _carry_out(
+        self,
+        actions: list[admission.Start | admission.Refuse],
+        *,
+        but: int = 0,
+    ) -> None:
+        for action in actions:
+            if action.call_id == but:
+                continue
+            future = self._waiting.pop(action.call_id, None)
+            if future is not None and not future.done():
+                future.set_result(action)
+        if self._waiting:
+            self._set_timer()
+
+    def _set_timer(self) -> None:
+        at = self.policy.next_event_at()
+        if at is None or at >= self._timer_at:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_at = at
+        self._timer = self._loop.call_later(
+            max(0.0, at - self._clock()), self._expire
+        )
+
+    def _expire(self) -> None:
+        self._timer = None
+        self._timer_at = float('inf')
+        self._carry_out(self.policy.expire(self._clock()))
+        self._set_timer()
+
+
+def _clamp_importance(value: int) -> model.Importance:
+    return model.Importance(min(value, max(model.Importance)))
--- /dev/null
+++ b/src/eelgrasswalk/filters/context.py
@@ -0,0 +1,107 @@
+"""Builds what a call inherits: importance, deadline, root and allowance."""
+
+import secrets
+
+import xxhash
+
+from .. import verdict
+from ..policy import deadline
+from ..policy import retries
+from ..transport import frames
+from ..transport import message
+from . import exchange
+
+MAX_IDEMPOTENCY_KEY_BYTES = 128
+MAX_DEPTH = 32
+_HASH_RANGE = float(1 << 64)
+
+
+class ContextCheck:
+    """Sets deadline, idempotency key, context and ledger."""
+
+    def check(self, item: exchange.Exchange) -> verdict.NotRun | None:
+        """Fill in what the upstream is to know of the call."""
+        return (
+            self._read_deadline(item)
+            or self._read_idempotency_key(item)
+            or self._build_context(item)
+        )
+
+    def _read_deadline(self, item: exchange.Exchange) -> verdict.NotRun | None:
+        value = message.find_header(
+            item.request.headers, message.DEADLINE_HEADER
+        )
+        timeout = deadline.parse_timeout(
+            None if value is None else value.decode('latin-1')
+        )
+        if isinstance(timeout, deadline.Malformed):
+            return verdict.NotRun(
+                verdict.Reason.BAD_REQUEST, detail=timeout.detail
+            )
+        item.deadline = deadline.compute_deadline(
+            item.arrived_at,
+            item.get_route().deadline_s,
+            timeout=timeout,
+            parent=item.served.deadline if item.served else None,
+        )
+        if item.deadline <= item.arrived_at:
+            return verdict.NotRun(verdict.Reason.DEADLINE)
+        return None
+
+    def _read_idempotency_key(
+        self, item: exchange.Exchange
+    ) -> verdict.NotRun | None:
+        value = message.find_header(
+            item.request.headers, message.IDEMPOTENCY_HEADER
+        )
+        if value is None:
+            return None
+        if not 0 < len(value) <= MAX_IDEMPOTENCY_KEY_BYTES or any(
+            not 0x21 <= byte <= 0x7E for byte in value
+        ):
+            return verdict.NotRun(
+                verdict.Reason.BAD_REQUEST,
+                detail='an idempotency key is 1 to '
+                f'{MAX_IDEMPOTENCY_KEY_BYTES} printable ASCII characters '
+                'without spaces',
+            )
+        item.idempotency_key = value.decode('ascii')
+        return None
+
+    def _build_context(self, item: exchange.Exchange) -> verdict.NotRun | None:
+        if item.served is not None:
+            return self._inherit_context(item, item.served)
+        route = item.get_route()
+        root_id = secrets.token_bytes(frames.ATTEMPT_BYTES)
+        item.root_started_at = item.arrived_at
+        item.ledger = retries.Ledger(route.retry_allowance)
+        item.context = frames.Context(
+            account=item.account,
+            importance=int(route.importance),
+            root_id=root_id,
+            root_hash=xxhash.xxh3_64_intdigest(root_id) / _HASH_RANGE,
+            root_age_s=0.0,
+            depth=0,
+        )
+        return None
+
+    def _inherit_context(
+        self, item: exchange.Exchange, parent: exchange.ServedCall
+    ) -> verdict.NotRun | None:
+        inherited = parent.context
+        if inherited.depth >= MAX_DEPTH:
+            return verdict.NotRun(
+                verdict.Reason.BAD_REQUEST,
+                detail=f'calls nest deeper than {MAX_DEPTH}',
+            )
+        item.root_started_at = parent.root_started_at
+        item.ledger = parent.ledger
+        item.context = frames.Context(
+            account=inherited.account,
+            importance=inherited.importance,
+            root_id=inherited.root_id,
+            root_hash=inherited.root_hash,
+            root_age_s=max(0.0, item.arrived_at - parent.root_started_at),
+            depth=inherited.depth + 1,
+        )
+        return None
--- /dev/null
+++ b/src/eelgrasswalk/filters/deliver.py
@@ -0,0 +1,108 @@
+"""Hands a call to the target and turns its outcome into a verdict."""
+
+import asyncio
+
+from .. import verdict
+from ..document import model
+from ..transport import http_client
+from ..transport import message
+
+MIN_REMAINING_S = 0.001
+
+
+class Deliverer:
+    """Sends requests to this node's target.
+
+    Args:
+        pool: Connections to the target.
+        removed_headers: Headers that no target may see, in lower case.
+    """
+
+    def __init__(
+        self,
+        pool: http_client.TargetPool,
+        *,
+        removed_headers: frozenset[bytes],
+    ) -> None:
+        self._pool = pool
+        self._removed = removed_headers
+        self._loop = asyncio.get_running_loop()
+
+    async def deliver(
+        self,
+        request: message.Request,
+        *,
+        token: bytes,
+        route: model.Route,
+        service: model.Service,
+        deadline: float,
+    ) -> verdict.Verdict:
+        """Run a request at the target.
+
+        Args:
+            request: The request as its caller sent it.
+            token: Context token for the target's own calls.
+            route: The route it takes.
+            service: The service that the target belongs to.
+            deadline: Loop time at which the target's connection is closed.
+        """
+        now = self._loop.time()
+        if deadline - now < MIN_REMAINING_S:
+            return verdict.NotRun(verdict.Reason.DEADLINE)
+        outbound = self._prepare(request, token, deadline - now)
+        try:
+            async with asyncio.timeout_at(deadline):
+                outcome = await self._pool.send(
+                    outbound, max_answer_bytes=route.max_answer_bytes
+                )
+        except TimeoutError:
+            return verdict.MayHaveRun(verdict.Reason.DEADLINE)
+        return self._judge(outcome, service)
+
+    def _prepare(
+        self, request: message.Request, token: bytes, remaining_s: float
+    ) -> message.Request:
+        headers = message.strip_headers(request.headers, remove=self._removed)
+        return message.Request(
+            method=request.method,
+            target=request.target,
+            headers=(
+                *headers,
+                (message.CONTEXT_HEADER, token),
+                (message.DEADLINE_HEADER, b'%.3f' % remaining_s),
+            ),
+            body=request.body,
+        )
+
+    def _judge(
+        self, outcome: http_client.Outcome, service: model.Service
+    ) -> verdict.Verdict:
+        if isinstance(outcome, http_client.NotSent):
+            return verdict.NotRun(
+                verdict.Reason.TARGET_UNREACHABLE,
+                retry_after_s=1.0,
+                detail=outcome.detail,
+                retry_elsewhere=True,
+            )
+        if isinstance(outcome, http_client.Broken):
+            return verdict.MayHaveRun(outcome.reason, outcome.detail)
+        response = outcome.response
+        if response.status == 503 and service.refusal_means_not_run:
+            return verdict.NotRun(
+                verdict.Reason.TARGET_REFUSED,
+                retry_after_s=_read_retry_after(response),
+                retry_elsewhere=True,
+            )
+        headers = message.strip_headers(
+            response.headers, remove=frozenset((b'content-length',))
+        )
+        return verdict.Answered(
+            verdict.Response(response.status, headers, response.body)
+        )
+
+
+def _read_retry_after(response: verdict.Response) -> float:
+    value = message.find_header(response.headers, b'retry-after')
+    if value is None or not value.isdigit():
+        return 1.0
+    return float(value)
--- /dev/null
+++ b/src/eelgrasswalk/filters/dispatch.py
@@ -0,0 +1,238 @@
+"""Sends a request to an upstream, and once more where that is safe."""
+
+import asyncio
+import dataclasses
+import random
+import secrets
+import time
+import typing
+
+from .. import verdict
+from ..policy import balance
+from ..policy import breaker
+from ..policy import levels
+from ..policy import retries
+from ..transport import dialler
+from ..transport import frames
+from ..transport import link
+from . import exchange
+
+
+class AddressBook(typing.Protocol):
+    """Knows where upstreams' nodes accept links."""
+
+    def find_address(self, node_id: str) -> dialler.Address | None:
+        """Return a node's address, or None when it is not a member."""
+
+
+class Runner(typing.Protocol):
+    """Runs an attempt at this node's own target."""
+
+    async def run(self, call: frames.Call) -> dialler.Reply:
+        """Run one attempt."""
+
+
+_UNREACHABLE = frozenset(
+    (
+        verdict.Reason.NO_UPSTREAM,
+        verdict.Reason.TARGET_UNREACHABLE,
+        verdict.Reason.FENCED,
+    )
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Attempt:
+    upstream: balance.Upstream
+    call: frames.Call
+    started_at: float
+
+
+class Dispatcher:
+    """The last step of the chain.
+
+    Args:
+        node_id: This node; attempts to itself need no link.
+        book: Addresses of the upstreams' nodes.
+        links: Sends attempts to other nodes.
+        runner: Runs attempts at this node's own target.
+        balancer: Chooses upstreams.
+        level_table: Levels that upstreams have answered with.
+        storm: Stops retries of a service that fails as a whole.
+        source: Random numbers for choice and jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        book: AddressBook,
+        links: dialler.Dialler,
+        runner: Runner,
+        balancer: balance.Balancer,
+        level_table: levels.LevelTable,
+        storm: breaker.StormBreaker,
+        source: random.Random,
+    ) -> None:
+        self._node_id = node_id
+        self._book = book
+        self._links = links
+        self._runner = runner
+        self._balancer = balancer
+        self._levels = level_table
+        self._storm = storm
+        self._random = source
+        # The loop's own time is too coarse for latencies.
+        self._clock = time.monotonic
+
+    async def send(self, item: exchange.Exchange) -> verdict.Verdict:
+        """Return what became of a request after at most its allowance."""
+        service = item.get_route().service
+        self._storm.count_request(service, self._clock())
+        tried: set[str] = set()
+        while True:
+            outcome = await self._send_once(item, tried)
+            decision = self._decide(item, outcome, len(tried))
+            if isinstance(decision, retries.GiveUp):
+                return decision.verdict
+            self._storm.count_retry(service, self._clock())
+            await asyncio.sleep(decision.delay_s)
+
+    def _decide(
+        self, item: exchange.Exchange, outcome: verdict.Verdict, attempt: int
+    ) -> retries.Retry | retries.GiveUp:
+        if isinstance(outcome, verdict.Answered):
+            return retries.GiveUp(outcome)
+        route = item.get_route()
+        now = self._clock()
+        return retries.decide_retry(
+            outcome,
+            idempotent=route.idempotent,
+            ledger=item.get_ledger(),
+            breaker_open=self._storm.is_open(route.service, now),
+            now=now,
+            deadline=item.deadline,
+            attempt=attempt,
+            random_value=self._random.random(),
+        )
+
+    async def _send_once(
+        self, item: exchange.Exchange, tried: set[str]
+    ) -> verdict.Verdict:
+        now = self._clock()
+        upstream = self._balancer.choose(
+            item.get_route().service,
+            now,
+            (self._random.random(), self._random.random()),
+            excluded=tried,
+        )
+        if upstream is None:
+            return verdict.NotRun(
+                verdict.Reason.NO_UPSTREAM,
+                retry_after_s=retries.compute_retry_after(
+                    1.0, self._random.random()
+                ),
+                detail='no upstream of the service is known',
+            )
+        tried.add(upstream.node_id)
+        ledger = item.get_ledger()
+        attempt = secrets.token_bytes(frames.ATTEMPT_BYTES)
+        lent = ledger.borrow(
+            int.from_bytes(attempt), retries.compute_loan(ledger.remaining)
+        )
+        call = self._build_call(item, attempt, lent, now)
+        reply = await self._run(_Attempt(upstream, call, now), item)
+        return reply.outcome
+
+    async def _run(
+        self, attempt: _Attempt, item: exchange.Exchange
+    ) -> dialler.Reply:
+        upstream = attempt.upstream
+        returned: int | None = None
+        outcome = balance.Outcome.CANCELLED
+        queue_delay_s = 0.0
+        self._balancer.start(upstream.node_id, attempt.started_at)
+        try:
+            reply = await self._transmit(attempt, item)
+            outcome = _classify(reply.outcome)
+            if reply.feedback is not None:
+                returned = reply.feedback.unspent
+                queue_delay_s = reply.feedback.queue_delay_s
+                self._observe_level(upstream, reply.feedback)
+        finally:
+            now = self._clock()
+            item.get_ledger().settle(
+                int.from_bytes(attempt.call.attempt), returned=returned
+            )
+            self._balancer.finish(
+                upstream.node_id,
+                now,
+                outcome=outcome,
+                latency_s=now - attempt.started_at,
+                queue_delay_s=queue_delay_s,
+            )
+        return reply
+
+    async def _transmit(
+        self, attempt: _Attempt, item: exchange.Exchange
+    ) -> dialler.Reply:
+        if attempt.upstream.node_id == self._node_id:
+            return await self._runner.run(attempt.call)
+        address = self._book.find_address(attempt.upstream.node_id)
+        if address is None:
+            return dialler.Reply(
+                verdict.NotRun(
+                    verdict.Reason.NO_UPSTREAM, retry_elsewhere=True
+                ),
+                None,
+            )
+        return await self._links.call(
+            address, attempt.call, deadline=item.deadline
+        )
+
+    def _observe_level(
+        self, upstream: balance.Upstream, feedback: frames.Feedback
+    ) -> None:
+        if feedback.importance >= levels.CLASSES:
+            return
+        self._levels.observe(
+            upstream.service,
+            upstream.node_id,
+            levels.Level(
+                feedback.importance,
+                feedback.fraction,
+                feedback.queue_delay_s,
+            ),
+            self._clock(),
+        )
+
+    def _build_call(
+        self, item: exchange.Exchange, attempt: bytes, lent: int, now: float
+    ) -> frames.Call:
+        body = item.request.body
+        context = item.get_context()
+        return frames.Call(
+            attempt=attempt,
+            route=item.get_route().name,
+            context=dataclasses.replace(
+                context, root_age_s=max(0.0, now - item.root_started_at)
+            ),
+            remaining_s=max(0.0, item.deadline - now),
+            allowance=lent,
+            idempotency_key=item.idempotency_key,
+            request=item.request,
+            body_length=len(body),
+            digest=link.compute_digest(body),
+        )
+
+
+def _classify(outcome: verdict.Verdict) -> balance.Outcome:
+    if isinstance(outcome, verdict.Answered):
+        return balance.Outcome.ANSWERED
+    if isinstance(outcome, verdict.MayHaveRun):
+        return balance.Outcome.FAILED
+    if outcome.reason is verdict.Reason.LEAVING:
+        return balance.Outcome.LEAVING
+    if outcome.reason in _UNREACHABLE:
+        return balance.Outcome.FAILED
+    return balance.Outcome.REFUSED
--- /dev/null
+++ b/src/eelgrasswalk/filters/entry.py
@@ -0,0 +1,70 @@
+"""Turns HTTP requests into exchanges and their verdicts into answers."""
+
+import asyncio
+import traceback
+import typing
+
+from .. import counters
+from .. import events
+from .. import verdict
+from ..policy import routing
+from ..transport import message
+from ..transport import problem
+from . import exchange
+
+
+class Entry:
+    """Handles the requests of one listener.
+
+    Args:
+        source: Which listener it is.
+        chain: The filters.
+        get_table: Returns the configuration in force, or None.
+        counts: Counts verdicts.
+    """
+
+    def __init__(
+        self,
+        source: exchange.Source,
+        chain: exchange.Chain,
+        *,
+        get_table: typing.Callable[[], routing.RoutingTable | None],
+        counts: counters.Counters,
+    ) -> None:
+        self._source = source
+        self._chain = chain
+        self._get_table = get_table
+        self._counts = counts
+        self._loop = asyncio.get_running_loop()
+
+    async def handle(self, request: message.Request) -> verdict.Response:
+        """Answer one request."""
+        table = self._get_table()
+        if table is None:
+            refusal = verdict.NotRun(
+                verdict.Reason.NO_CONFIGURATION, retry_after_s=1.0
+            )
+            self._counts.count(self._source, None, refusal)
+            return problem.render_verdict(refusal)
+        item = exchange.Exchange(
+            request=request,
+            source=self._source,
+            arrived_at=self._loop.time(),
+            table=table,
+        )
+        outcome = await self._run(item)
+        self._counts.count(self._source, item, outcome)
+        return problem.render_verdict(outcome)
+
+    async def _run(self, item: exchange.Exchange) -> verdict.Verdict:
+        task = asyncio.current_task()
+        try:
+            return await self._chain.run(item)
+        except Exception as error:
+            events.log(events.REQUEST_FAILED, traceback=traceback.format_exc())
+            return verdict.MayHaveRun(
+                verdict.Reason.INTERNAL, type(error).__name__
+            )
+        finally:
+            if item.served is not None and task is not None:
+                item.served.children.discard(task)
--- /dev/null
+++ b/src/eelgrasswalk/filters/guard.py
@@ -0,0 +1,165 @@
+"""The filters at the upstream's node, in front of its target."""
+
+import asyncio
+import typing
+
+from .. import verdict
+from ..document import model
+from ..policy import levels
+from ..policy import retries
+from ..policy import routing
+from ..transport import budget
+from ..transport import dialler
+from ..transport import frames
+from . import admit
+from . import deliver
+from . import exchange
+from . import served
+
+
+class Claims(typing.Protocol):
+    """Makes a non-idempotent request run at most once."""
+
+    async def run_once(
+        self,
+        call: frames.Call,
+        route: model.Route,
+        proceed: typing.Callable[[], typing.Awaitable[verdict.Verdict]],
+    ) -> verdict.Verdict:
+        """Run a request, replay its answer, or refuse it."""
+
+
+class Guard:
+    """Admits attempts and delivers them to the target.
+
+    Args:
+        get_table: Returns the configuration in force, or None.
+        admitter: Decides which call starts.
+        deliverer: Hands calls to the target.
+        calls: The calls that the target is serving.
+        bodies: Budget for bodies.
+        claims: At-most-once claims, where routes ask for them.
+    """
+
+    def __init__(
+        self,
+        *,
+        get_table: typing.Callable[[], routing.RoutingTable | None],
+        admitter: admit.Admitter,
+        deliverer: deliver.Deliverer,
+        calls: served.ServedCalls,
+        bodies: budget.ByteBudget,
+        claims: Claims | None = None,
+    ) -> None:
+        self.leaving = False
+        self._get_table = get_table
+        self._admitter = admitter
+        self._deliverer = deliverer
+        self._calls = calls
+        self._bodies = bodies
+        self._claims = claims
+        self._loop = asyncio.get_running_loop()
+
+    async def run(self, call: frames.Call) -> dialler.Reply:
+        """Run one attempt and tell the upstream's level with its outcome."""
+        ledger = retries.Ledger(call.allowance)
+        outcome = await self._check_and_run(call, ledger)
+        return dialler.Reply(outcome, self._build_feedback(ledger))
+
+    async def _check_and_run(
+        self, call: frames.Call, ledger: retries.Ledger
+    ) -> verdict.Verdict:
+        deadline = self._loop.time() + call.remaining_s
+        if call.remaining_s <= 0:
+            return verdict.NotRun(verdict.Reason.DEADLINE)
+        if self.leaving:
+            return verdict.NotRun(verdict.Reason.LEAVING, retry_elsewhere=True)
+        if not self._bodies.admits(call.body_length):
+            return verdict.NotRun(
+                verdict.Reason.MEMORY, retry_after_s=1.0, retry_elsewhere=True
+            )
+        table = self._get_table()
+        route = table.routes.get(call.route) if table else None
+        service = (
+            table.services.get(route.service) if table and route else None
+        )
+        if route is None or service is None:
+            return verdict.NotRun(
+                verdict.Reason.NO_CONFIGURATION, retry_elsewhere=True
+            )
+        return await self._admit(call, ledger, route, service, deadline)
+
+    async def _admit(
+        self,
+        call: frames.Call,
+        ledger: retries.Ledger,
+        route: model.Route,
+        service: model.Service,
+        deadline: float,
+    ) -> verdict.Verdict:
+        admitted = await self._admitter.admit(call.context, deadline=deadline)
+        if isinstance(admitted, verdict.NotRun):
+            return admitted
+        ok = False
+        try:
+            outcome = await self._claim(call, ledger, route, service, deadline)
+            ok = isinstance(outcome, verdict.Answered)
+        finally:
+            self._admitter.finish(admitted.call_id, ok=ok)
+        return outcome
+
+    async def _claim(
+        self,
+        call: frames.Call,
+        ledger: retries.Ledger,
+        route: model.Route,
+        service: model.Service,
+        deadline: float,
+    ) -> verdict.Verdict:
+        async def proceed() -> verdict.Verdict:
+            return await self._deliver(call, ledger, route, service, deadline)
+
+        if (
+            self._claims is None
+            or route.idempotent
+            or route.once is model.OnceMode.NONE
+            or not call.idempotency_key
+        ):
+            return await proceed()
+        return await self._claims.run_once(call, route, proceed)
+
+    async def _deliver(
+        self,
+        call: frames.Call,
+        ledger: retries.Ledger,
+        route: model.Route,
+        service: model.Service,
+        deadline: float,
+    ) -> verdict.Verdict:
+        token = self._calls.add(
+            exchange.ServedCall(
+                context=call.context,
+                root_started_at=self._loop.time() - call.context.root_age_s,
+                deadline=deadline,
+                ledger=ledger,
+            )
+        )
+        try:
+            return await self._deliverer.deliver(
+                call.request,
+                token=token,
+                route=route,
+                service=service,
+                deadline=deadline,
+            )
+        finally:
+            self._calls.remove(token)
+
+    def _build_feedback(self, ledger: retries.Ledger) -> frames.Feedback:
+        level: levels.Level = self._admitter.get_level()
+        return frames.Feedback(
+            importance=level.importance,
+            fraction=level.fraction,
+            queue_delay_s=level.queue_delay_s,
+            unspent=ledger.remaining,
+        )
--- /dev/null
+++ b/src/eelgrasswalk/filters/identify.py
@@ -0,0 +1,50 @@
+"""Finds the client account of a request, or the call that it belongs to."""
+
+from .. import verdict
+from ..transport import message
+from . import exchange
+from . import served
+
+
+class IdentifyCheck:
+    """Goes by the key, or by the context token of the target's own calls.
+
+    The key is checked on every request, so that a withdrawn key stops at
+    once for callers that stay connected.
+
+    Args:
+        calls: The calls that this node's target is serving.
+        key_header: Header that carries the key, in lower case.
+    """
+
+    def __init__(self, calls: served.ServedCalls, *, key_header: str) -> None:
+        self._calls = calls
+        self._key_header = key_header.encode('ascii')
+
+    def check(self, item: exchange.Exchange) -> verdict.NotRun | None:
+        """Set the account or the served call of an exchange."""
+        headers = item.request.headers
+        if item.source is exchange.Source.TARGET:
+            token = message.find_header(headers, message.CONTEXT_HEADER)
+            if token is not None:
+                return self._adopt_context(item, token)
+        key = message.find_header(headers, self._key_header)
+        if key is None:
+            return None
+        account = item.table.find_account(key)
+        if account is None:
+            return verdict.NotRun(verdict.Reason.KEY_UNKNOWN)
+        item.account = account
+        return None
+
+    def _adopt_context(
+        self, item: exchange.Exchange, token: bytes
+    ) -> verdict.NotRun | None:
+        item.served = self._calls.find(token)
+        if item.served is None:
+            return verdict.NotRun(
+                verdict.Reason.NO_CONTEXT,
+                detail='the call that this token belongs to has ended',
+            )
+        item.account = item.served.context.account
+        return None
--- /dev/null
+++ b/src/eelgrasswalk/filters/quota.py
@@ -0,0 +1,59 @@
+"""Holds client accounts to their rate and burst across all hosts."""
+
+import dataclasses
+import typing
+
+from .. import verdict
+from . import exchange
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admitted:
+    """The account had a token."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """The account has no token.
+
+    Args:
+        retry_after_s: Seconds after which one may be there.
+    """
+
+    retry_after_s: float
+
+
+class Quota(typing.Protocol):
+    """Admits requests of client accounts."""
+
+    def try_admit(self, account: str) -> Admitted | Refused | None:
+        """Decide at once, or return None when that takes a message."""
+
+    async def admit(self, account: str, deadline: float) -> Admitted | Refused:
+        """Decide, waiting shortly for tokens."""
+
+
+class QuotaFilter:
+    """Charges each request once, where it enters the system.
+
+    Args:
+        quota: Admits requests.
+    """
+
+    def __init__(self, quota: Quota) -> None:
+        self._quota = quota
+
+    async def apply(
+        self, item: exchange.Exchange, proceed: exchange.Proceed
+    ) -> verdict.Verdict:
+        """Refuse a request whose account is over its rate."""
+        if item.served is not None or not item.account:
+            return await proceed(item)
+        decision = self._quota.try_admit(item.account)
+        if decision is None:
+            decision = await self._quota.admit(item.account, item.deadline)
+        if isinstance(decision, Refused):
+            return verdict.NotRun(
+                verdict.Reason.QUOTA, retry_after_s=decision.retry_after_s
+            )
+        return await proceed(item)
--- /dev/null
+++ b/src/eelgrasswalk/filters/route.py
@@ -0,0 +1,31 @@
+"""Finds the route of a request and holds the request to its terms."""
+
+from .. import verdict
+from ..policy import routing
+from . import exchange
+
+
+class RouteCheck:
+    """Sets the route; refuses what no route allows."""
+
+    def check(self, item: exchange.Exchange) -> verdict.NotRun | None:
+        """Set the route of an exchange."""
+        request = item.request
+        match = item.table.find_route(request.method, request.path)
+        if isinstance(match, routing.BadPath):
+            return verdict.NotRun(
+                verdict.Reason.BAD_REQUEST,
+                detail='the path has dot segments, empty segments or '
+                'encoded slashes',
+            )
+        if isinstance(match, routing.NoRoute):
+            return verdict.NotRun(verdict.Reason.NO_ROUTE)
+        item.route = match
+        if not item.account and not match.open_to_all:
+            return verdict.NotRun(verdict.Reason.KEY_MISSING)
+        if len(request.body) > match.max_request_bytes:
+            return verdict.NotRun(
+                verdict.Reason.BODY_TOO_LARGE,
+                detail=f'send at most {match.max_request_bytes} bytes',
+            )
+        return None
--- /dev/null
+++ b/src/eelgrasswalk/filters/served.py
@@ -0,0 +1,38 @@
+"""The calls that this node's target is serving now, by context token."""
+
+import asyncio
+import secrets
+
+from . import exchange
+
+TOKEN_BYTES = 16
+
+
+class ServedCalls:
+    """Hands out context tokens and finds the calls behind them."""
+
+    def __init__(self) -> None:
+        self._calls: dict[bytes, exchange.ServedCall] = {}
+
+    def __len__(self) -> int:
+        return len(self._calls)
+
+    def add(self, call: exchange.ServedCall) -> bytes:
+        """Register a call and return its token."""
+        token = secrets.token_urlsafe(TOKEN_BYTES).encode('ascii')
+        self._calls[token] = call
+        return token
+
+    def find(self, token: bytes) -> exchange.ServedCall | None:
+        """Return the call of a token, or None when it has ended."""
+        return self._calls.get(token)
+
+    def remove(self, token: bytes) -> None:
+        """End a call and cancel its child calls that still run."""
+        call = self._calls.pop(token, None)
+        if call is None:
+            return
+        current = asyncio.current_task()
+        for task in list(call.children):
+            if task is not current:
+                task.cancel()
--- /dev/null
+++ b/src/eelgrasswalk/filters/shed.py
@@ -0,0 +1,36 @@
+"""Sheds at the caller's node what the upstreams would refuse anyway."""
+
+import asyncio
+
+from .. import verdict
+from ..policy import levels
+from . import exchange
+
+
+class ShedCheck:
+    """Goes by the levels that upstreams have answered with.
+
+    Args:
+        level_table: Levels by service and upstream.
+    """
+
+    def __init__(self, level_table: levels.LevelTable) -> None:
+        self._levels = level_table
+        self._loop = asyncio.get_running_loop()
+
+    def check(self, item: exchange.Exchange) -> verdict.NotRun | None:
+        """Refuse a request that its service does not admit now."""
+        context = item.get_context()
+        decision = self._levels.admits(
+            item.get_route().service,
+            context.importance,
+            context.root_hash,
+            self._loop.time(),
+            begun=item.served is not None,
+        )
+        if isinstance(decision, levels.Shed):
+            return verdict.NotRun(
+                verdict.Reason.OVERLOAD,
+                retry_after_s=decision.retry_after_s,
+            )
+        return None
--- /dev/null
+++ b/src/eelgrasswalk/transport/budget.py
@@ -0,0 +1,77 @@
+"""A bound on the bytes of bodies that a node holds in memory."""
+
+import asyncio
+import collections
+
+# Calls are refused from this share on, which leaves the rest to bodies of
+# calls that already run.
+ADMIT_SHARE = 0.5
+
+
+class ByteBudget:
+    """Counts the bytes of bodies held, and makes the next ones wait.
+
+    Args:
+        limit: Most bytes held at a time.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self.used = 0
+        self._waiters: collections.deque[tuple[int, asyncio.Future[None]]] = (
+            collections.deque()
+        )
+
+    def admits(self, length: int) -> bool:
+        """Tell whether a new call with a body of this length may start."""
+        if self._waiters:
+            return False
+        return self.used + length <= self.limit * ADMIT_SHARE
+
+    def try_reserve(self, length: int) -> bool:
+        """Reserve bytes if they are free and nobody waits for them."""
+        if self._waiters or self.used + length > self.limit:
+            return False
+        self.used += length
+        return True
+
+    async def reserve(self, length: int) -> None:
+        """Reserve bytes, first come first served.
+
+        Raises:
+            ValueError: The length is over the whole limit.
+        """
+        if length > self.limit:
+            raise ValueError(
+                f'{length} bytes are over the limit of {self.limit}; '
+                'raise memory.body_bytes or lower max_answer_bytes'
+            )
+        if self.try_reserve(length):
+            return
+        waiter = asyncio.get_running_loop().create_future()
+        entry = (length, waiter)
+        self._waiters.append(entry)
+        try:
+            await waiter
+        except asyncio.CancelledError:
+            if waiter.done() and not waiter.cancelled():
+                self.release(length)
+            else:
+                self._waiters.remove(entry)
+                self._serve_waiters()
+            raise
+
+    def release(self, length: int) -> None:
+        """Give reserved bytes back."""
+        self.used -= length
+        self._serve_waiters()
+
+    def _serve_waiters(self) -> None:
+        while self._waiters:
+            length, waiter = self._waiters[0]
+            if self.used + length > self.limit:
+                return
+            self._waiters.popleft()
+            if not waiter.done():
+                self.used += length
+                waiter.set_result(None)
--- /dev/null
+++ b/src/eelgrasswalk/transport/dialler.py
@@ -0,0 +1,367 @@
+"""The caller's side of links: sends attempts and resolves doubt.
+
+When a link dies with attempts outstanding, a new link is dialled to the same
+incarnation of the peer, which is asked about each of them. Only a changed
+incarnation, or the deadline, leaves doubt.
+"""
+
+import asyncio
+import dataclasses
+import typing
+
+from .. import verdict
+from . import budget
+from . import frames
+from . import link
+
+DIAL_TIMEOUT_S = 1.5
+DIAL_BACKOFF_S = 0.05
+MAX_DIAL_BACKOFF_S = 0.5
+ACK_INTERVAL_S = 0.1
+# The upstream's own verdict at the deadline is worth a short wait.
+DEADLINE_GRACE_S = 0.1
+IDLE_CLOSE_S = 60.0
+
+_NO_FEEDBACK = frames.Feedback(
+    importance=255, fraction=1.0, queue_delay_s=0.0, unspent=0
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Address:
+    """Where a peer's links are accepted."""
+
+    node_id: str
+    host: str
+    port: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """The outcome of an attempt and what came with it.
+
+    Args:
+        outcome: The verdict.
+        feedback: The upstream's level and unspent attempts; None when the
+            upstream said nothing.
+    """
+
+    outcome: verdict.Verdict
+    feedback: frames.Feedback | None
+
+
+class ControlHandler(typing.Protocol):
+    """Receives controllers' messages from peers."""
+
+    def __call__(self, node_id: str, topic: str, payload: bytes) -> None:
+        """Take one message."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Pending:
+    call: frames.Call
+    future: asyncio.Future[Reply]
+    deadline: float
+    sent: bool = False
+
+
+class Dialler:
+    """Keeps at most one outgoing link to each peer.
+
+    Args:
+        identity: This node.
+        secret: The mesh secret.
+        bodies: Budget for bodies that arrive in parts.
+        on_control: Receives controllers' messages.
+    """
+
+    def __init__(
+        self,
+        identity: link.Identity,
+        *,
+        secret: bytes,
+        bodies: budget.ByteBudget,
+        on_control: ControlHandler,
+    ) -> None:
+        self.identity = identity
+        self.secret = secret
+        self.bodies = bodies
+        self.on_control = on_control
+        self._peers: dict[str, _Peer] = {}
+
+    async def call(
+        self, address: Address, call: frames.Call, *, deadline: float
+    ) -> Reply:
+        """Run one attempt at a peer.
+
+        Args:
+            address: The peer.
+            call: The attempt.
+            deadline: Loop time by which the caller must have its verdict.
+        """
+        return await self._get_peer(address).call(call, deadline)
+
+    def send_control(
+        self, address: Address, topic: str, payload: bytes
+    ) -> None:
+        """Send a controller's message; lost when the peer is unreachable."""
+        self._get_peer(address).send_control(frames.Control(topic, payload))
+
+    def count_links(self) -> int:
+        """Return how many links are open."""
+        return sum(1 for peer in self._peers.values() if peer.is_open)
+
+    def count_bytes(self) -> tuple[int, int]:
+        """Return the bytes received and sent on all links."""
+        received = sum(peer.bytes_in for peer in self._peers.values())
+        sent = sum(peer.bytes_out for peer in self._peers.values())
+        return received, sent
+
+    async def stop(self) -> None:
+        """Close every link."""
+        for peer in list(self._peers.values()):
+            await peer.stop()
+        self._peers.clear()
+
+    def _get_peer(self, address: Address) -> '_Peer':
+        peer = self._peers.get(address.node_id)
+        if peer is None:
+            peer = _Peer(self, address)
+            self._peers[address.node_id] = peer
+        peer.address = address
+        return peer
+
+
+class _Peer:
+    """Everything about one peer: its link, attempts and questions."""
+
+    def __init__(self, dialler: Dialler, address: Address) -> None:
+        self.address = address
+        self._dialler = dialler
+        self._loop = asyncio.get_running_loop()
+        self._link: link.Link | None = None
+        self._sequence = 0
+        self._incarnation: int | None = None
+        self._pending: dict[bytes, _Pending] = {}
+        self._dialling: asyncio.Task[bool] | None = None
+        self._resolving: asyncio.Task[None] | None = None
+        self._opened: asyncio.Future[bool] | None = None
+        self._acks: list[bytes] = []
+        self._ack_timer: asyncio.TimerHandle | None = None
+        self._past_bytes_in = 0
+        self._past_bytes_out = 0
+
+    @property
+    def is_open(self) -> bool:
+        return self._link is not None
+
+    @property
+    def bytes_in(self) -> int:
+        current = self._link.bytes_in if self._link else 0
+        return self._past_bytes_in + current
+
+    @property
+    def bytes_out(self) -> int:
+        current = self._link.bytes_out if self._link else 0
+        return self._past_bytes_out + current
+
+    async def call(self, call: frames.Call, deadline: float) -> Reply:
+        pending = _Pending(call, self._loop.create_future(), deadline)
+        if self._link is None and not await self._dial(deadline):
+            return Reply(
+                verdict.NotRun(
+                    verdict.Reason.NO_UPSTREAM,
+                    retry_after_s=1.0,
+                    detail='the upstream could not be reached',
+                    retry_elsewhere=True,
+                ),
+                None,
+            )
+        self._pending[call.attempt] = pending
+        timer = self._loop.call_at(
+            deadline + DEADLINE_GRACE_S, self._expire, pending
+        )
+        try:
+            self._send(pending)
+            return await pending.future
+        except asyncio.CancelledError:
+            self._abandon(call.attempt)
+            raise
+        finally:
+            timer.cancel()
+            if self._pending.pop(call.attempt, None) and self._link:
+                self._link.outstanding = len(self._pending)
+
+    def send_control(self, item: frames.Control) -> None:
+        if self._link is not None:
+            self._link.send(item)
+        elif self._dialling is None:
+            task = self._start_dialling()
+            task.add_done_callback(lambda _: self._send_late(item))
+
+    async def stop(self) -> None:
+        for task in (self._resolving, self._dialling):
+            if task is not None:
+                task.cancel()
+        if self._ack_timer is not None:
+            self._ack_timer.cancel()
+            self._flush_acks()
+        if self._link is not None:
+            self._link.close_gracefully()
+
+    # link.Owner
+
+    def on_open(self, opened: link.Link) -> None:
+        if self._opened is not None and not self._opened.done():
+            self._opened.set_result(True)
+
+    def on_closed(self, closed: link.Link) -> None:
+        self._past_bytes_in += closed.bytes_in
+        self._past_bytes_out += closed.bytes_out
+        if self._opened is not None and not self._opened.done():
+            self._opened.set_result(False)
+        if closed is not self._link:
+            return
+        self._link = None
+        if any(pending.sent for pending in self._pending.values()):
+            self._resolving = self._loop.create_task(self._resolve())
+
+    def on_message(self, source: link.Link, item: frames.Message) -> None:
+        if isinstance(item, frames.Answer):
+            outcome: verdict.Verdict = verdict.Answered(item.response)
+            self._settle(item.attempt, Reply(outcome, item.feedback))
+        elif isinstance(item, frames.Failure):
+            self._settle(item.attempt, Reply(item.outcome, item.feedback))
+        elif isinstance(item, frames.Control):
+            self._dialler.on_control(
+                source.peer.node_id, item.topic, item.payload
+            )
+
+    # Attempts
+
+    def _send(self, pending: _Pending) -> None:
+        pending.sent = True
+        if self._link is not None:
+            self._link.outstanding = len(self._pending)
+            self._link.send(pending.call)
+
+    def _settle(self, attempt: bytes, reply: Reply) -> None:
+        self._acks.append(attempt)
+        if self._ack_timer is None:
+            self._ack_timer = self._loop.call_later(
+                ACK_INTERVAL_S, self._flush_acks
+            )
+        pending = self._pending.get(attempt)
+        if pending is not None and not pending.future.done():
+            pending.future.set_result(reply)
+
+    def _flush_acks(self) -> None:
+        self._ack_timer = None
+        limit = frames.MAX_ATTEMPTS_IN_ACK
+        acks, self._acks = self._acks, []
+        if self._link is None:
+            return
+        for start in range(0, len(acks), limit):
+            self._link.send(frames.Ack(tuple(acks[start : start + limit])))
+
+    def _expire(self, pending: _Pending) -> None:
+        if pending.future.done():
+            return
+        self._abandon(pending.call.attempt)
+        pending.future.set_result(
+            Reply(verdict.MayHaveRun(verdict.Reason.DEADLINE), None)
+        )
+
+    def _abandon(self, attempt: bytes) -> None:
+        if self._link is not None:
+            self._link.stop_sending(attempt)
+            self._link.send(frames.Cancel(attempt))
+
+    # Dialling
+
+    async def _dial(self, deadline: float) -> bool:
+        task = self._dialling or self._start_dialling()
+        try:
+            async with asyncio.timeout_at(deadline):
+                return await asyncio.shield(task)
+        except TimeoutError:
+            return False
+
+    def _start_dialling(self) -> asyncio.Task[bool]:
+        task = self._loop.create_task(self._open_link())
+        self._dialling = task
+        return task
+
+    async def _open_link(self) -> bool:
+        try:
+            async with asyncio.timeout(DIAL_TIMEOUT_S):
+                return await self._connect()
+        except (OSError, TimeoutError):
+            return False
+        finally:
+            self._dialling = None
+
+    async def _connect(self) -> bool:
+        self._sequence += 1
+        candidate = link.Link(
+            self,
+            self._dialler.identity,
+            secret=self._dialler.secret,
+            bodies=self._dialler.bodies,
+            dialled=True,
+            peer_id=self.address.node_id,
+            sequence=self._sequence,
+        )
+        self._opened = self._loop.create_future()
+        try:
+            await self._loop.create_connection(
+                lambda: candidate, self.address.host, self.address.port
+            )
+            opened = await self._opened
+        except BaseException:
+            candidate.close()
+            raise
+        if not opened or candidate.state is not link.State.OPEN:
+            return False
+        self._adopt(candidate)
+        return True
+
+    def _adopt(self, opened: link.Link) -> None:
+        self._link = opened
+        changed = self._incarnation not in (None, opened.peer.incarnation)
+        self._incarnation = opened.peer.incarnation
+        sent = [item for item in self._pending.values() if item.sent]
+        if changed:
+            for pending in sent:
+                self._doubt(pending)
+        elif sent:
+            self._ask([pending.call.attempt for pending in sent])
+        opened.outstanding = len(self._pending)
+
+    def _send_late(self, item: frames.Control) -> None:
+        if self._link is not None:
+            self._link.send(item)
+
+    # Doubt
+
+    async def _resolve(self) -> None:
+        backoff = DIAL_BACKOFF_S
+        while self._pending and self._link is None:
+            if await self._dial(self._loop.time() + DIAL_TIMEOUT_S):
+                return
+            await asyncio.sleep(backoff)
+            backoff = min(2 * backoff, MAX_DIAL_BACKOFF_S)
+
+    def _ask(self, attempts: list[bytes]) -> None:
+        assert self._link is not None
+        limit = frames.MAX_ATTEMPTS_IN_ACK
+        for start in range(0, len(attempts), limit):
+            self._link.send(frames.Ask(tuple(attempts[start : start + limit])))
+
+    def _doubt(self, pending: _Pending) -> None:
+        if pending.future.done():
+            return
+        outcome = verdict.MayHaveRun(
+            verdict.Reason.LINK_LOST, 'the upstream was restarted'
+        )
+        pending.future.set_result(Reply(outcome, None))
--- /dev/null
+++ b/src/eelgrasswalk/transport/http_client.py
@@ -0,0 +1,321 @@
+"""A bounded pool of HTTP connections to one target."""
+
+import asyncio
+import collections
+import dataclasses
+import typing
+
+import httptools
+
+from .. import verdict
+from . import message
+
+MAX_ANSWER_HEADERS = 256
+CONNECT_TIMEOUT_S = 2.0
+# A target may close an idle connection at any moment; a connection that has
+# been idle for longer than this is replaced rather than risked.
+MAX_IDLE_S = 4.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Received:
+    """The whole answer arrived."""
+
+    response: verdict.Response
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotSent:
+    """No byte of the request left this process."""
+
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Broken:
+    """The connection ended after the request was sent, before the answer.
+
+    Args:
+        reason: What was seen.
+        detail: One sentence.
+    """
+
+    reason: verdict.Reason
+    detail: str
+
+
+Outcome: typing.TypeAlias = Received | NotSent | Broken
+
+
+class TargetPool:
+    """Sends requests to one target over kept connections.
+
+    Args:
+        host: IP address of the target.
+        port: TCP port of the target.
+        connections: Most connections open at a time.
+    """
+
+    def __init__(self, host: str, port: int, *, connections: int) -> None:
+        self.connections = connections
+        self.open_connections = 0
+        self._host = host
+        self._port = port
+        self._idle: collections.deque[_Connection] = collections.deque()
+        self._waiters: collections.deque[asyncio.Future[None]] = (
+            collections.deque()
+        )
+
+    async def send(
+        self, request: message.Request, *, max_answer_bytes: int
+    ) -> Outcome:
+        """Send a request and wait for the whole answer.
+
+        Cancelling the call closes its connection, so that the target sees
+        that nobody waits any more.
+        """
+        connection = await self._acquire()
+        if isinstance(connection, NotSent):
+            return connection
+        try:
+            outcome = await connection.exchange(request, max_answer_bytes)
+        finally:
+            self._release(connection)
+        return outcome
+
+    async def close(self) -> None:
+        """Close every idle connection."""
+        while self._idle:
+            self._idle.pop().close()
+
+    async def _acquire(self) -> '_Connection | NotSent':
+        while True:
+            connection = self._pop_idle()
+            if connection is not None:
+                return connection
+            if self.open_connections < self.connections:
+                return await self._connect()
+            waiter = asyncio.get_running_loop().create_future()
+            self._waiters.append(waiter)
+            try:
+                await waiter
+            except asyncio.CancelledError:
+                if waiter.done() and not waiter.cancelled():
+                    self._wake_one()
+                raise
+
+    def _pop_idle(self) -> '_Connection | None':
+        now = asyncio.get_running_loop().time()
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.usable and now - connection.idle_since < MAX_IDLE_S:
+                return connection
+            connection.close()
+        return None
+
+    async def _connect(self) -> '_Connection | NotSent':
+        loop = asyncio.get_running_loop()
+        self.open_connections += 1
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(
+                    lambda: _Connection(loop, self._forget),
+                    self._host,
+                    self._port,
+                )
+        except (OSError, TimeoutError) as error:
+            self._forget()
+            return NotSent(f'connecting to the target failed: {error!r}')
+        except BaseException:
+            self._forget()
+            raise
+        return connection
+
+    def _release(self, connection: '_Connection') -> None:
+        if connection.usable:
+            connection.idle_since = asyncio.get_running_loop().time()
+            self._idle.append(connection)
+            self._wake_one()
+        else:
+            connection.close()
+
+    def _forget(self) -> None:
+        self.open_connections -= 1
+        self._wake_one()
+
+    def _wake_one(self) -> None:
+        while self._waiters:
+            waiter = self._waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                return
+
+
+class _Connection(asyncio.Protocol):
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        on_lost: typing.Callable[[], None],
+    ) -> None:
+        self.usable = True
+        self.idle_since = 0.0
+        self._loop = loop
+        self._on_lost = on_lost
+        self._transport: asyncio.Transport | None = None
+        self._waiter: asyncio.Future[Outcome] | None = None
+        self._clean_end = False
+        self._head = False
+        self._limit = 0
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = typing.cast(asyncio.Transport, transport)
+
+    def eof_received(self) -> bool:
+        self._clean_end = True
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.usable = False
+        self._transport = None
+        self._on_lost()
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(self._judge_loss(exc))
+
+    def data_received(self, data: bytes) -> None:
+        if self._waiter is None or self._waiter.done():
+            # Bytes outside an exchange belong to no request of ours.
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._fail('the target switched protocols')
+        except (httptools.HttpParserError, ValueError):
+            self._fail('the target sent bad HTTP')
+
+    # Exchange
+
+    async def exchange(
+        self, request: message.Request, max_answer_bytes: int
+    ) -> Outcome:
+        """Send one request and return what came of it."""
+        if self._transport is None:
+            return NotSent('the connection was closed before use')
+        self._begin(request, max_answer_bytes)
+        assert self._waiter is not None
+        try:
+            return await self._waiter
+        except asyncio.CancelledError:
+            self.close()
+            raise
+        finally:
+            self._waiter = None
+
+    def close(self) -> None:
+        """Close at once."""
+        self.usable = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _begin(self, request: message.Request, limit: int) -> None:
+        assert self._transport is not None
+        self._waiter = self._loop.create_future()
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._body_length = 0
+        self._headers_done = False
+        self._limit = limit
+        self._head = request.method == 'HEAD'
+        self._transport.write(_render_request(request))
+
+    # httptools callbacks
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers.append((name.lower(), value))
+        if len(self._headers) > MAX_ANSWER_HEADERS:
+            raise ValueError('too many headers')
+
+    def on_headers_complete(self) -> None:
+        if self._parser.get_status_code() < 200:
+            return
+        self._headers_done = True
+        if self._head:
+            # The parser would wait for a body that a HEAD answer never has.
+            self.usable = False
+            self._complete()
+
+    def on_body(self, body: bytes) -> None:
+        self._body_length += len(body)
+        if self._body_length > self._limit:
+            self._fail(
+                f'the answer is longer than {self._limit} bytes',
+                verdict.Reason.ANSWER_TOO_LARGE,
+            )
+            return
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        if self._parser.get_status_code() < 200:
+            self._headers.clear()
+            return
+        if not self._parser.should_keep_alive():
+            self.usable = False
+        self._complete()
+
+    def _complete(self) -> None:
+        if self._waiter is None or self._waiter.done():
+            return
+        answer = verdict.Response(
+            status=self._parser.get_status_code(),
+            headers=tuple(self._headers),
+            body=b''.join(self._body),
+        )
+        self._waiter.set_result(Received(answer))
+
+    def _fail(
+        self,
+        detail: str,
+        reason: verdict.Reason = verdict.Reason.ANSWER_INCOMPLETE,
+    ) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(Broken(reason, detail))
+        self.close()
+
+    def _judge_loss(self, exc: Exception | None) -> Outcome:
+        if not self._headers_done:
+            return Broken(
+                verdict.Reason.TARGET_LOST,
+                'the target closed the connection before answering',
+            )
+        framed = any(
+            name in (b'content-length', b'transfer-encoding')
+            for name, _ in self._headers
+        )
+        if framed or exc is not None or not self._clean_end:
+            return Broken(
+                verdict.Reason.ANSWER_INCOMPLETE,
+                'the target closed the connection within its answer',
+            )
+        answer = verdict.Response(
+            status=self._parser.get_status_code(),
+            headers=tuple(self._headers),
+            body=b''.join(self._body),
+        )
+        return Received(answer)
+
+
+def _render_request(request: message.Request) -> bytes:
+    parts = [
+        f'{request.method} {request.target} HTTP/1.1\r\n'.encode('latin-1')
+    ]
+    for name, value in request.headers:
+        if name != b'content-length':
+            parts.append(b'%b: %b\r\n' % (name, value))
+    if request.body or request.method in ('POST', 'PUT', 'PATCH'):
+        parts.append(b'content-length: %d\r\n' % len(request.body))
+    parts.append(b'\r\n')
+    parts.append(request.body)
+    return b''.join(parts)
--- /dev/null
+++ b/src/eelgrasswalk/transport/http_server.py
@@ -0,0 +1,339 @@
+"""The HTTP listener for callers and for the target's own calls."""
+
+import asyncio
+import collections
+import dataclasses
+import http
+import typing
+
+import httptools
+
+from .. import verdict
+from . import message
+from . import problem
+
+MAX_HEADER_BYTES = 32_768
+MAX_HEADERS = 128
+MAX_PIPELINED_REQUESTS = 16
+REQUEST_TIMEOUT_S = 30.0
+IDLE_TIMEOUT_S = 75.0
+SWEEP_INTERVAL_S = 1.0
+
+_STATUS_LINES = {
+    status.value: f'HTTP/1.1 {status.value} {status.phrase}\r\n'.encode()
+    for status in http.HTTPStatus
+}
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+
+class Handler(typing.Protocol):
+    """Turns a request into an answer."""
+
+    async def __call__(self, request: message.Request) -> verdict.Response:
+        """Answer one request; cancelled when its caller has gone."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """What the listener accepts.
+
+    Args:
+        body_bytes: Longest body of a request.
+        header_bytes: Longest request line and headers together.
+        headers: Most headers in a request.
+        request_timeout_s: Seconds in which a request must arrive whole.
+        idle_timeout_s: Seconds a connection may stay without a request.
+    """
+
+    body_bytes: int = 8_388_608
+    header_bytes: int = MAX_HEADER_BYTES
+    headers: int = MAX_HEADERS
+    request_timeout_s: float = REQUEST_TIMEOUT_S
+    idle_timeout_s: float = IDLE_TIMEOUT_S
+
+
+class HttpServer:
+    """Accepts connections and hands whole requests to a handler.
+
+    Args:
+        handler: Answers each request.
+        limits: What is accepted.
+    """
+
+    def __init__(self, handler: Handler, *, limits: Limits) -> None:
+        self.handler = handler
+        self.limits = limits
+        self.leaving = False
+        self.connections: set[_Connection] = set()
+        self._server: asyncio.Server | None = None
+        self._sweeper: asyncio.TimerHandle | None = None
+
+    async def start(self, host: str, port: int) -> tuple[str, int]:
+        """Listen, and return the address that was bound."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _Connection(self, loop), host, port, backlog=1024
+        )
+        self._sweeper = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+        address = self._server.sockets[0].getsockname()
+        return address[0], address[1]
+
+    async def drain(self) -> None:
+        """Take no new connection and wait until every request is answered."""
+        self.leaving = True
+        if self._server is not None:
+            self._server.close()
+        tasks = []
+        for connection in list(self.connections):
+            task = connection.finish_up()
+            if task is not None:
+                tasks.append(task)
+        if tasks:
+            await asyncio.wait(tasks)
+
+    async def stop(self) -> None:
+        """Drain, then close what is left."""
+        await self.drain()
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        for connection in list(self.connections):
+            connection.close()
+
+    def _sweep(self) -> None:
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        for connection in list(self.connections):
+            connection.check_timeouts(now)
+        self._sweeper = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+
+
+class _Connection(asyncio.Protocol):
+    def __init__(
+        self, server: HttpServer, loop: asyncio.AbstractEventLoop
+    ) -> None:
+        self._server = server
+        self._loop = loop
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._waiting: collections.deque[tuple[message.Request, bool]] = (
+            collections.deque()
+        )
+        self._task: asyncio.Task[None] | None = None
+        self._last_activity = loop.time()
+        self._receiving = False
+        self._closing = False
+        self._reset_request()
+
+    def _reset_request(self) -> None:
+        self._target = b''
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._body_length = 0
+        self._header_length = 0
+        self._in_headers = True
+        self._rejected = False
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = typing.cast(asyncio.Transport, transport)
+        self._server.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._closing = True
+        self._transport = None
+        self._waiting.clear()
+        self._server.connections.discard(self)
+        if self._task is not None:
+            self._task.cancel()
+
+    def data_received(self, data: bytes) -> None:
+        if self._closing:
+            return
+        self._last_activity = self._loop.time()
+        if self._in_headers:
+            self._header_length += len(data)
+        try:
+            self._parser.feed_data(data)
+        except _Rejected as rejected:
+            self._reject(rejected.answer)
+        except httptools.HttpParserUpgrade:
+            self._reject(
+                problem.describe_bad_request('protocol upgrade not offered')
+            )
+        except httptools.HttpParserCallbackError as error:
+            cause = error.__context__
+            if isinstance(cause, _Rejected):
+                self._reject(cause.answer)
+            else:
+                raise
+        except httptools.HttpParserError:
+            self._reject(
+                problem.describe_bad_request('request is not valid HTTP/1.1')
+            )
+        else:
+            self._check_header_length()
+
+    # httptools callbacks
+
+    def on_message_begin(self) -> None:
+        self._reset_request()
+        self._receiving = True
+
+    def on_url(self, url: bytes) -> None:
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers.append((name.lower(), value))
+        if len(self._headers) > self._server.limits.headers:
+            raise _Rejected(problem.describe_headers_too_large())
+
+    def on_headers_complete(self) -> None:
+        self._in_headers = False
+        headers = tuple(self._headers)
+        length = message.find_header(headers, b'content-length')
+        if length is not None and (
+            int(length) > self._server.limits.body_bytes
+        ):
+            raise _Rejected(
+                problem.describe_body_too_large(self._server.limits.body_bytes)
+            )
+        expect = message.find_header(headers, b'expect')
+        if expect is None:
+            return
+        if expect.lower() != b'100-continue':
+            raise _Rejected(problem.describe_expectation_failed())
+        if self._task is None and self._transport is not None:
+            self._transport.write(_CONTINUE)
+
+    def on_body(self, body: bytes) -> None:
+        self._body_length += len(body)
+        if self._body_length > self._server.limits.body_bytes:
+            raise _Rejected(
+                problem.describe_body_too_large(self._server.limits.body_bytes)
+            )
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        self._receiving = False
+        request = message.Request(
+            method=self._parser.get_method().decode('ascii'),
+            target=self._target.decode('latin-1'),
+            headers=tuple(self._headers),
+            body=b''.join(self._body),
+        )
+        keep_alive = self._parser.should_keep_alive()
+        self._in_headers = True
+        self._header_length = 0
+        if len(self._waiting) >= MAX_PIPELINED_REQUESTS:
+            raise _Rejected(
+                problem.describe_bad_request('too many pipelined requests')
+            )
+        self._waiting.append((request, keep_alive))
+        if self._task is None:
+            self._start_next()
+
+    # Life of a request
+
+    def _start_next(self) -> None:
+        request, keep_alive = self._waiting.popleft()
+        self._task = self._loop.create_task(self._run(request, keep_alive))
+
+    async def _run(self, request: message.Request, keep_alive: bool) -> None:
+        try:
+            answer = await self._server.handler(request)
+        except asyncio.CancelledError:
+            if self._transport is None:
+                return
+            raise
+        except Exception as error:
+            answer = problem.describe_internal_error(error)
+        self._finish(request, answer, keep_alive)
+
+    def _finish(
+        self, request: message.Request, answer: verdict.Response, keep: bool
+    ) -> None:
+        self._task = None
+        if self._transport is None:
+            return
+        keep = keep and not self._server.leaving
+        self._write_answer(answer, head=request.method == 'HEAD', keep=keep)
+        self._last_activity = self._loop.time()
+        if not keep:
+            self._closing = True
+            self._transport.close()
+        elif self._waiting:
+            self._start_next()
+
+    def _write_answer(
+        self, answer: verdict.Response, *, head: bool, keep: bool
+    ) -> None:
+        assert self._transport is not None
+        parts = [
+            _STATUS_LINES.get(answer.status)
+            or f'HTTP/1.1 {answer.status} Unknown\r\n'.encode()
+        ]
+        for name, value in answer.headers:
+            if head or name != b'content-length':
+                parts.append(b'%b: %b\r\n' % (name, value))
+        if not head and answer.status not in (204, 304):
+            parts.append(b'content-length: %d\r\n' % len(answer.body))
+        if not keep:
+            parts.append(b'connection: close\r\n')
+        parts.append(b'\r\n')
+        if not head:
+            parts.append(answer.body)
+        self._transport.write(b''.join(parts))
+
+    def _reject(self, answer: verdict.Response) -> None:
+        self._closing = True
+        if self._transport is None:
+            return
+        if self._task is None:
+            self._write_answer(answer, head=False, keep=False)
+            self._transport.close()
+            return
+        self._waiting.clear()
+        self._task.add_done_callback(lambda _: self._write_rejection(answer))
+
+    def _write_rejection(self, answer: verdict.Response) -> None:
+        if self._transport is not None:
+            self._write_answer(answer, head=False, keep=False)
+            self._transport.close()
+
+    def _check_header_length(self) -> None:
+        if not self._in_headers:
+            return
+        if self._header_length > self._server.limits.header_bytes:
+            self._reject(problem.describe_headers_too_large())
+
+    # Closing
+
+    def check_timeouts(self, now: float) -> None:
+        """Close a connection that has been idle or slow for too long."""
+        if self._task is not None or self._transport is None:
+            return
+        idle = now - self._last_activity
+        limits = self._server.limits
+        if self._receiving and idle > limits.request_timeout_s:
+            self._reject(problem.describe_request_timeout())
+        elif not self._receiving and idle > limits.idle_timeout_s:
+            self._transport.close()
+
+    def finish_up(self) -> asyncio.Task[None] | None:
+        """Return the task of the running request; close when there is none."""
+        if self._task is None and not self._receiving:
+            self.close()
+        return self._task
+
+    def close(self) -> None:
+        """Close the connection once what was written has been sent."""
+        self._closing = True
+        if self._transport is not None:
+            self._transport.close()
+
+
+class _Rejected(Exception):
+    def __init__(self, answer: verdict.Response) -> None:
+        super().__init__(answer.status)
+        self.answer = answer
--- /dev/null
+++ b/src/eelgrasswalk/transport/link.py
@@ -0,0 +1,542 @@
+"""One authenticated websocket between two nodes, carrying many calls."""
+
+import asyncio
+import collections
+import dataclasses
+import enum
+import hashlib
+import hmac
+import secrets
+import typing
+
+import websockets.client
+import websockets.exceptions
+import websockets.frames
+import websockets.http11
+import websockets.protocol
+import websockets.server
+import websockets.uri
+import xxhash
+
+from . import budget
+from . import frames
+
+HANDSHAKE_TIMEOUT_S = 2.0
+WRITE_HIGH_WATER_BYTES = 131_072
+WINDOW_BYTES = 262_144
+# A link that is silent this long with a call outstanding is probed, and
+# abandoned when the probe stays unanswered for as long again.
+SILENCE_S = 0.6
+LIVENESS_INTERVAL_S = 0.2
+
+_PATH = '/link'
+
+
+class State(enum.Enum):
+    """Life of a link."""
+
+    CONNECTING = 'connecting'
+    OPEN = 'open'
+    CLOSED = 'closed'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Identity:
+    """Who a node is.
+
+    Args:
+        node_id: Its id.
+        incarnation: Grows with every start of the node.
+    """
+
+    node_id: str
+    incarnation: int
+
+
+class Owner(typing.Protocol):
+    """What a link tells the part of the node that owns it."""
+
+    def on_open(self, link: 'Link') -> None:
+        """Both sides have proved the mesh secret."""
+
+    def on_message(self, link: 'Link', item: frames.Message) -> None:
+        """A message has arrived, with its whole body."""
+
+    def on_closed(self, link: 'Link') -> None:
+        """The link is gone."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Outgoing:
+    body: memoryview
+    offset: int
+    credit: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _Incoming:
+    item: frames.Call | frames.Answer
+    chunks: list[bytes]
+    received: int
+    hasher: typing.Any
+    reserved: int = 0
+    granted: int = 0
+    waiter: asyncio.Task[None] | None = None
+
+
+class Link(asyncio.Protocol):
+    """Drives one websocket connection.
+
+    Args:
+        owner: Receives messages and the link's end.
+        identity: This node.
+        secret: The mesh secret.
+        bodies: Budget for bodies that arrive in parts.
+        dialled: Whether this side opened the connection.
+        peer_id: The node that was dialled; empty on the accepting side.
+        sequence: Number of this link among those dialled to the peer.
+    """
+
+    def __init__(
+        self,
+        owner: Owner,
+        identity: Identity,
+        *,
+        secret: bytes,
+        bodies: budget.ByteBudget,
+        dialled: bool,
+        peer_id: str = '',
+        sequence: int = 0,
+    ) -> None:
+        self.peer = Identity(peer_id, 0)
+        self.sequence = sequence
+        self.state = State.CONNECTING
+        self.outstanding = 0
+        self.bytes_in = 0
+        self.bytes_out = 0
+        self._owner = owner
+        self._identity = identity
+        self._secret = secret
+        self._bodies = bodies
+        self._dialled = dialled
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._nonce = secrets.token_bytes(frames.NONCE_BYTES)
+        self._last_received = self._loop.time()
+        self._probed_at: float | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._paused = False
+        self._outgoing: collections.OrderedDict[bytes, _Outgoing] = (
+            collections.OrderedDict()
+        )
+        self._incoming: dict[bytes, _Incoming] = {}
+        self._websocket: (
+            websockets.client.ClientProtocol | websockets.server.ServerProtocol
+        )
+        if dialled:
+            self._websocket = websockets.client.ClientProtocol(
+                websockets.uri.parse_uri(f'ws://{peer_id or "node"}{_PATH}'),
+                max_size=frames.MAX_MESSAGE_BYTES,
+            )
+        else:
+            self._websocket = websockets.server.ServerProtocol(
+                max_size=frames.MAX_MESSAGE_BYTES
+            )
+
+    # Sending
+
+    def send(self, item: frames.Message) -> None:
+        """Send a message; without effect once the link is closed.
+
+        The part of a body that does not fit inline follows as the receiver
+        gives credit.
+        """
+        if self._transport is None:
+            return
+        body = _get_body(item)
+        if body is not None and len(body) > frames.INLINE_BYTES:
+            assert isinstance(item, frames.Call | frames.Answer)
+            self._outgoing[item.attempt] = _Outgoing(
+                memoryview(body), frames.INLINE_BYTES
+            )
+        self._websocket.send_binary(frames.encode_message(item))
+        self._flush()
+
+    def stop_sending(self, attempt: bytes) -> None:
+        """Drop what is left to send of an attempt's body."""
+        self._outgoing.pop(attempt, None)
+
+    def close(self) -> None:
+        """Close the link at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close_gracefully(self) -> None:
+        """Close after what was written has been sent."""
+        if self._transport is not None:
+            self._transport.close()
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = typing.cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+        self._timer = self._loop.call_later(
+            HANDSHAKE_TIMEOUT_S, self._check_handshake
+        )
+        if isinstance(self._websocket, websockets.client.ClientProtocol):
+            self._websocket.send_request(self._websocket.connect())
+            self._flush()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
+        self.state = State.CLOSED
+        if self._timer is not None:
+            self._timer.cancel()
+        for attempt in list(self._incoming):
+            self._drop_incoming(attempt)
+        self._outgoing.clear()
+        self._owner.on_closed(self)
+
+    def data_received(self, data: bytes) -> None:
+        self.bytes_in += len(data)
+        self._last_received = self._loop.time()
+        self._probed_at = None
+        self._websocket.receive_data(data)
+        for event in self._websocket.events_received():
+            self._handle_event(event)
+        self._flush()
+
+    def eof_received(self) -> bool:
+        self._websocket.receive_eof()
+        return False
+
+    def pause_writing(self) -> None:
+        self._paused = True
+
+    def resume_writing(self) -> None:
+        self._paused = False
+        self._pump()
+
+    # Receiving
+
+    def _handle_event(self, event: websockets.protocol.Event) -> None:
+        if isinstance(event, websockets.frames.Frame):
+            if event.opcode is websockets.frames.Opcode.BINARY:
+                self._handle_binary(bytes(event.data), event.fin)
+            elif event.opcode in (
+                websockets.frames.Opcode.TEXT,
+                websockets.frames.Opcode.CONT,
+                websockets.frames.Opcode.CLOSE,
+            ):
+                self.close()
+        elif isinstance(event, websockets.http11.Request):
+            assert isinstance(
+                self._websocket, websockets.server.ServerProtocol
+            )
+            self._websocket.send_response(self._websocket.accept(event))
+            self._flush()
+            if self._websocket.state is websockets.protocol.State.OPEN:
+                self.send(frames.Challenge(self._nonce))
+            else:
+                self.close_gracefully()
+
+    def _handle_binary(self, data: bytes, fin: bool) -> None:
+        if not fin:
+            self.close()
+            return
+        try:
+            item = frames.decode_message(data)
+        except frames.DecodeError:
+            self.close()
+            return
+        if self.state is State.OPEN:
+            self._handle_message(item)
+        else:
+            self._handle_handshake(item)
+
+    def _handle_message(self, item: frames.Message) -> None:
+        if isinstance(item, frames.Call | frames.Answer):
+            self._receive_body(item)
+        elif isinstance(item, frames.Data):
+            self._receive_data(item)
+        elif isinstance(item, frames.Credit):
+            self._receive_credit(item)
+        elif isinstance(item, frames.Cancel):
+            self._drop_incoming(item.attempt)
+            self._owner.on_message(self, item)
+        elif isinstance(
+            item, frames.Challenge | frames.Hello | frames.Welcome
+        ):
+            self.close()
+        else:
+            self._owner.on_message(self, item)
+
+    # Handshake
+
+    def _handle_handshake(self, item: frames.Message) -> None:
+        if self._dialled and isinstance(item, frames.Challenge):
+            self._answer_challenge(item)
+        elif self._dialled and isinstance(item, frames.Welcome):
+            self._check_welcome(item)
+        elif not self._dialled and isinstance(item, frames.Hello):
+            self._check_hello(item)
+        else:
+            self.close()
+
+    def _answer_challenge(self, item: frames.Challenge) -> None:
+        self._peer_nonce = item.nonce
+        proof = _prove(
+            self._secret,
+            b'hello',
+            item.nonce,
+            self._nonce,
+            self._identity,
+            self.sequence,
+        )
+        self.send(
+            frames.Hello(
+                node_id=self._identity.node_id,
+                incarnation=self._identity.incarnation,
+                sequence=self.sequence,
+                nonce=self._nonce,
+                proof=proof,
+            )
+        )
+
+    def _check_hello(self, item: frames.Hello) -> None:
+        peer = Identity(item.node_id, item.incarnation)
+        expected = _prove(
+            self._secret,
+            b'hello',
+            self._nonce,
+            item.nonce,
+            peer,
+            item.sequence,
+        )
+        if not hmac.compare_digest(expected, item.proof):
+            self.close()
+            return
+        self.peer = peer
+        self.sequence = item.sequence
+        proof = _prove(
+            self._secret,
+            b'welcome',
+            self._nonce,
+            item.nonce,
+            self._identity,
+            item.sequence,
+        )
+        self.send(
+            frames.Welcome(
+                node_id=self._identity.node_id,
+                incarnation=self._identity.incarnation,
+                proof=proof,
+            )
+        )
+        self._open()
+
+    def _check_welcome(self, item: frames.Welcome) -> None:
+        peer = Identity(item.node_id, item.incarnation)
+        expected = _prove(
+            self._secret,
+            b'welcome',
+            self._peer_nonce,
+            self._nonce,
+            peer,
+            self.sequence,
+        )
+        if item.node_id != self.peer.node_id or not hmac.compare_digest(
+            expected, item.proof
+        ):
+            self.close()
+            return
+        self.peer = peer
+        self._open()
+
+    def _open(self) -> None:
+        self.state = State.OPEN
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._loop.call_later(
+            LIVENESS_INTERVAL_S, self._check_liveness
+        )
+        self._owner.on_open(self)
+
+    def _check_handshake(self) -> None:
+        if self.state is State.CONNECTING:
+            self.close()
+
+    # Liveness
+
+    def _check_liveness(self) -> None:
+        self._timer = self._loop.call_later(
+            LIVENESS_INTERVAL_S, self._check_liveness
+        )
+        if not self.outstanding and not self._outgoing:
+            self._probed_at = None
+            return
+        now = self._loop.time()
+        if self._probed_at is None:
+            if now - self._last_received >= SILENCE_S:
+                self._probed_at = now
+                self._websocket.send_ping(b'')
+                self._flush()
+        elif now - self._probed_at >= SILENCE_S:
+            self.close()
+
+    # Bodies
+
+    def _receive_body(self, item: frames.Call | frames.Answer) -> None:
+        body = _get_body(item)
+        assert body is not None
+        if item.body_length == len(body):
+            self._owner.on_message(self, item)
+            return
+        if item.attempt in self._incoming or item.body_length < len(body):
+            self.close()
+            return
+        incoming = _Incoming(item, [body], len(body), xxhash.xxh3_64(body))
+        self._incoming[item.attempt] = incoming
+        incoming.waiter = self._loop.create_task(self._reserve_body(incoming))
+
+    async def _reserve_body(self, incoming: _Incoming) -> None:
+        length = incoming.item.body_length
+        try:
+            await self._bodies.reserve(length)
+        except ValueError:
+            self._drop_incoming(incoming.item.attempt)
+            return
+        incoming.reserved = length
+        incoming.waiter = None
+        self._grant_credit(incoming)
+
+    def _grant_credit(self, incoming: _Incoming) -> None:
+        outstanding = incoming.granted
+        missing = incoming.item.body_length - incoming.received - outstanding
+        length = min(WINDOW_BYTES - outstanding, missing)
+        if length > 0 and (outstanding <= WINDOW_BYTES // 2):
+            incoming.granted += length
+            self.send(frames.Credit(incoming.item.attempt, length))
+
+    def _receive_data(self, item: frames.Data) -> None:
+        incoming = self._incoming.get(item.attempt)
+        if incoming is None:
+            return
+        length = len(item.payload)
+        if length > incoming.granted:
+            self.close()
+            return
+        incoming.granted -= length
+        incoming.received += length
+        incoming.chunks.append(item.payload)
+        incoming.hasher.update(item.payload)
+        if incoming.received < incoming.item.body_length:
+            self._grant_credit(incoming)
+            return
+        del self._incoming[item.attempt]
+        self._complete_body(incoming)
+
+    def _complete_body(self, incoming: _Incoming) -> None:
+        self._bodies.release(incoming.reserved)
+        if incoming.hasher.intdigest() != incoming.item.digest:
+            self.close()
+            return
+        body = b''.join(incoming.chunks)
+        self._owner.on_message(self, _replace_body(incoming.item, body))
+
+    def _drop_incoming(self, attempt: bytes) -> None:
+        incoming = self._incoming.pop(attempt, None)
+        if incoming is None:
+            return
+        if incoming.waiter is not None:
+            incoming.waiter.cancel()
+        if incoming.reserved:
+            self._bodies.release(incoming.reserved)
+
+    def _receive_credit(self, item: frames.Credit) -> None:
+        outgoing = self._outgoing.get(item.attempt)
+        if outgoing is not None:
+            outgoing.credit += item.length
+            self._pump()
+
+    def _pump(self) -> None:
+        """Send one part of each body in turn while the socket takes them."""
+        ready = collections.deque(self._outgoing)
+        while ready and not self._paused:
+            attempt = ready.popleft()
+            outgoing = self._outgoing.get(attempt)
+            if outgoing is not None and self._send_part(attempt, outgoing):
+                ready.append(attempt)
+
+    def _send_part(self, attempt: bytes, outgoing: _Outgoing) -> bool:
+        length = min(outgoing.credit, frames.DATA_BYTES)
+        if length <= 0 or self._transport is None:
+            return False
+        end = outgoing.offset + length
+        part = bytes(outgoing.body[outgoing.offset : end])
+        outgoing.offset += len(part)
+        outgoing.credit -= length
+        if outgoing.offset >= len(outgoing.body):
+            del self._outgoing[attempt]
+        self._websocket.send_binary(
+            frames.encode_message(frames.Data(attempt, part))
+        )
+        self._flush()
+        return True
+
+    def _flush(self) -> None:
+        if self._transport is None:
+            return
+        for data in self._websocket.data_to_send():
+            if data:
+                self.bytes_out += len(data)
+                self._transport.write(data)
+            else:
+                self._transport.close()
+                return
+
+
+def compute_digest(body: bytes) -> int:
+    """Return the digest that travels with a body sent in parts."""
+    if len(body) <= frames.INLINE_BYTES:
+        return 0
+    return xxhash.xxh3_64_intdigest(body)
+
+
+def _prove(
+    secret: bytes,
+    label: bytes,
+    server_nonce: bytes,
+    client_nonce: bytes,
+    identity: Identity,
+    sequence: int,
+) -> bytes:
+    fields = (
+        label,
+        server_nonce,
+        client_nonce,
+        identity.node_id.encode(),
+        b'%d' % identity.incarnation,
+        b'%d' % sequence,
+    )
+    text = b''.join(b'%d:%b,' % (len(field), field) for field in fields)
+    return hmac.new(secret, text, hashlib.sha256).digest()
+
+
+def _get_body(item: frames.Message) -> bytes | None:
+    if isinstance(item, frames.Call):
+        return item.request.body
+    if isinstance(item, frames.Answer):
+        return item.response.body
+    return None
+
+
+def _replace_body(
+    item: frames.Call | frames.Answer, body: bytes
+) -> frames.Call | frames.Answer:
+    if isinstance(item, frames.Call):
+        request = dataclasses.replace(item.request, body=body)
+        return dataclasses.replace(item, request=request)
+    response = dataclasses.replace(item.response, body=body)
+    return dataclasses.replace(item, response=response)
--- /dev/null
+++ b/src/eelgrasswalk/transport/message.py
@@ -0,0 +1,80 @@
+"""HTTP requests as the node handles them, and the headers it owns."""
+
+import dataclasses
+import typing
+
+Headers: typing.TypeAlias = tuple[tuple[bytes, bytes], ...]
+
+OWN_PREFIX = b'eelgrasswalk-'
+CONTEXT_HEADER = b'eelgrasswalk-context'
+VERDICT_HEADER = b'eelgrasswalk-verdict'
+DEADLINE_HEADER = b'eelgrasswalk-deadline'
+IDEMPOTENCY_HEADER = b'idempotency-key'
+
+HOP_BY_HOP = frozenset(
+    {
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'expect',
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A whole HTTP request.
+
+    Args:
+        method: Method in upper case.
+        target: Path with query, as received.
+        headers: Name and value pairs, names in lower case.
+        body: The whole body.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+
+    @property
+    def path(self) -> str:
+        """The target without its query."""
+        return self.target.partition('?')[0]
+
+
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of a header, or None."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
+
+
+def strip_headers(headers: Headers, *, remove: frozenset[bytes]) -> Headers:
+    """Drop hop-by-hop headers, the system's own, and the named ones.
+
+    Headers that the Connection header lists are hop-by-hop as well.
+    """
+    connection = find_header(headers, b'connection')
+    if connection is not None:
+        remove = remove | _list_connection_options(connection)
+    return tuple(
+        pair
+        for pair in headers
+        if pair[0] not in HOP_BY_HOP
+        and pair[0] not in remove
+        and not pair[0].startswith(OWN_PREFIX)
+    )
+
+
+def _list_connection_options(value: bytes) -> frozenset[bytes]:
+    return frozenset(
+        option.strip().lower() for option in value.split(b',')
+    ) - {b'close', b'keep-alive'}
--- /dev/null
+++ b/tests/integration/test_path.py
@@ -0,0 +1,127 @@
+"""One call through two nodes, as separate processes."""
+
+import hashlib
+import unittest
+
+import httpx
+import yaml
+
+from eelgrasswalk.bench import mesh
+
+KEY = 'test-key'
+
+
+class PathTest(unittest.TestCase):
+    """A caller's entry node, the upstream's node, and its target."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.mesh = cls.enterClassContext(mesh.Mesh())
+        targets = cls.mesh.start_standin(
+            'target', '--listen', '127.0.0.1:0', '--listen', '127.0.0.1:0'
+        )
+        cls.targets = targets.ready['addresses']
+        ports = mesh.find_free_ports(2)
+        document = cls.mesh.write_file('document.yaml', build_document())
+        members = [
+            {
+                'node_id': name,
+                'service': name,
+                'data_centre': 'test',
+                'links': f'127.0.0.1:{port}',
+            }
+            for name, port in zip(('front', 'back'), ports, strict=True)
+        ]
+        cls.nodes = [
+            cls.mesh.start_node(
+                {
+                    'node_id': member['node_id'],
+                    'data_centre': 'test',
+                    'service': member['service'],
+                    'mesh_secret': mesh.SECRET,
+                    'target': {'address': address},
+                    'document': str(document),
+                    'members': members,
+                    'listen': {'links': member['links']},
+                }
+            )
+            for member, address in zip(members, cls.targets, strict=True)
+        ]
+        cls.client = cls.enterClassContext(
+            httpx.Client(
+                base_url=f'http://{cls.nodes[0].ready["callers"]}',
+                headers={'x-api-key': KEY},
+                timeout=20,
+            )
+        )
+
+    def test_call_through_two_nodes_is_answered(self) -> None:
+        answer = self.client.get('/back/item')
+        self.assertEqual(200, answer.status_code)
+        self.assertEqual(self.targets[1], answer.json()['target'])
+
+    def test_large_answer_arrives_whole(self) -> None:
+        answer = self.client.get('/back/item?bytes=5000000')
+        self.assertEqual(5_000_000, len(answer.content))
+
+    def test_large_request_arrives_whole(self) -> None:
+        answer = self.client.post('/back/item', content=b'x' * 900_000)
+        self.assertEqual(200, answer.status_code)
+
+    def test_missing_key_is_refused(self) -> None:
+        answer = httpx.get(self.client.base_url.join('/back/item'))
+        self.assertEqual(401, answer.status_code)
+        self.assertEqual('not-run', answer.headers['eelgrasswalk-verdict'])
+
+    def test_unknown_key_is_refused(self) -> None:
+        answer = self.client.get('/back/item', headers={'x-api-key': 'no'})
+        self.assertEqual(403, answer.status_code)
+
+    def test_path_that_targets_may_normalise_is_refused(self) -> None:
+        answer = self.client.get('/back/%2e%2e/front')
+        self.assertEqual(400, answer.status_code)
+
+    def test_target_sees_neither_key_nor_forged_headers(self) -> None:
+        httpx.post(f'http://{self.targets[1]}/_standin/ledger')
+        self.client.get(
+            '/back/item',
+            headers={'x-request-id': 'seen', 'eelgrasswalk-context': 'forged'},
+        )
+        ledger = httpx.get(f'http://{self.targets[1]}/_standin/ledger')
+        self.assertIn('seen', ledger.text)
+        self.assertNotIn(KEY, ledger.text)
+        runs = ledger.json()
+        self.assertFalse(any(run['has_key'] for run in runs), runs)
+
+
+def build_document() -> str:
+    """Return a document with a front and a back service."""
+    names = ('front', 'back')
+    digest = hashlib.sha256(KEY.encode()).hexdigest()
+    return yaml.safe_dump(
+        {
+            'schema': 1,
+            'mesh': 'test',
+            'accounts': [
+                {
+                    'name': 'test',
+                    'rate': 1000,
+                    'burst': 1000,
+                    'keys': [{'label': 'test', 'digest': digest}],
+                }
+            ],
+            'services': [
+                {'name': name, 'slots': 20, 'connections': 40}
+                for name in names
+            ],
+            'routes': [
+                {
+                    'name': name,
+                    'service': name,
+                    'path_prefix': f'/{name}',
+                    'idempotent': True,
+                }
+                for name in names
+            ],
+        }
+    )
