Decide leases with a standby and quota grants without I/O

Cause: quotas must hold over all hosts under every fault, and an owner's death must not cost its slot's rate for the length of an outage limit. An exploration of two owners with lost answers and pauses, and property tests of every window. Conclusion: the exploration found that a standby which had taken over could still promise to its predecessor; promises now name the epoch.

--- /dev/null
+++ b/src/eelgrasswalk/policy/lease_keeper.py
@@ -0,0 +1,230 @@
+"""One process's part in one lease: what to write, and what is then known.
+
+The caller carries out one write at a time. A write whose outcome is unknown
+stays in doubt and is sent again as it was, until the table shows whether it
+took effect; a record never recurs, since its epoch or renewal grows.
+"""
+
+import dataclasses
+import enum
+import math
+import typing
+
+from . import lease
+
+Payload = typing.TypeVar('Payload')
+
+
+class Kind(enum.Enum):
+    """What a write is for."""
+
+    TAKE = 'take'
+    CHANGE = 'change'
+    RELEASE = 'release'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Write(typing.Generic[Payload]):
+    """A write of the record.
+
+    Args:
+        kind: What it is for.
+        expected: The record that must be there; None if there must be none.
+        record: The record to write.
+        sent_at: When it was first sent, in seconds.
+    """
+
+    kind: Kind
+    expected: lease.Record[Payload] | None
+    record: lease.Record[Payload]
+    sent_at: float
+
+
+class Keeper(typing.Generic[Payload]):
+    """One process's part in one lease.
+
+    Args:
+        process: The process.
+        timing: How long leases last.
+    """
+
+    def __init__(self, process: lease.Process, timing: lease.Timing) -> None:
+        self._process = process
+        self._promised_until = -math.inf
+        self._timing = timing
+        self._seen: lease.Observation[Payload] | None = None
+        self._tenure: lease.Tenure[Payload] | None = None
+        self._write: Write[Payload] | None = None
+        self._predecessor: lease.Record[Payload] | None = None
+
+    @property
+    def record(self) -> lease.Record[Payload] | None:
+        """The record as last seen."""
+        return None if self._seen is None else self._seen.record
+
+    @property
+    def is_observed(self) -> bool:
+        """Whether the record, or its absence, has been seen."""
+        return self._seen is not None
+
+    @property
+    def is_owner(self) -> bool:
+        """Whether this process has the lease, lapsed or not."""
+        return self._tenure is not None
+
+    @property
+    def predecessor(self) -> lease.Record[Payload] | None:
+        """The record that this process, as the owner, followed."""
+        return self._predecessor
+
+    @property
+    def write(self) -> Write[Payload] | None:
+        """The write whose outcome is not known."""
+        return self._write
+
+    def compute_end(self, promised_at: float) -> float:
+        """Return until when this process may act as owner, in seconds.
+
+        Args:
+            promised_at: When the last promise that the standby gave was
+                asked for, in seconds; minus infinity if there is none.
+        """
+        if self._tenure is None:
+            return -math.inf
+        return self._tenure.compute_end(promised_at)
+
+    def needs_renewal(self, now: float) -> bool:
+        """Tell whether the owner should write the record again."""
+        if self._tenure is None:
+            return False
+        age = now - self._tenure.sent_at
+        return age >= self._timing.outage_limit_s / 4
+
+    def may_take(self, now: float) -> bool:
+        """Tell whether this process may try to take the lease."""
+        if self._seen is None or self._write is not None:
+            return False
+        if self._tenure is not None:
+            return False
+        return lease.may_take(
+            self._seen,
+            self._process,
+            now=now,
+            promised_until=self._promised_until,
+            timing=self._timing,
+        )
+
+    def promise(self, epoch: int, *, now: float) -> bool:
+        """Promise an owner to stand back, unless it may be succeeded.
+
+        Args:
+            epoch: The owner's epoch.
+            now: Clock, in seconds.
+
+        Returns:
+            Whether this process stands back for the promise time. It must
+            not be forgotten what this lease's epoch was.
+        """
+        record = self.record
+        if record is not None and record.epoch > epoch:
+            return False
+        if self._write is not None and self._write.kind is Kind.TAKE:
+            return False
+        self._promised_until = now + self._timing.promise_s
+        return True
+
+    def begin_take(
+        self, standby: lease.Process | None, *, now: float
+    ) -> Write[Payload]:
+        """Return the write that takes the lease."""
+        record = lease.make_successor(self.record, self._process, standby)
+        return self._begin(Kind.TAKE, record, now)
+
+    def begin_change(
+        self, standby: lease.Process | None, *, now: float
+    ) -> Write[Payload]:
+        """Return the owner's write that renews and names a standby."""
+        assert self._tenure is not None
+        current = self._tenure.record
+        record = dataclasses.replace(
+            current, standby=standby, renewal=current.renewal + 1
+        )
+        self._tenure.begin_change(record, sent_at=now)
+        return self._begin(Kind.CHANGE, record, now)
+
+    def begin_release(self, payload: Payload, *, now: float) -> Write[Payload]:
+        """Return the owner's write that gives the lease up; it ends at once.
+
+        Args:
+            payload: What the next owner must know.
+            now: Clock, in seconds.
+        """
+        assert self._tenure is not None
+        current = self._tenure.record
+        self._tenure = None
+        record = lease.Record(
+            current.epoch, None, None, current.renewal + 1, payload
+        )
+        return self._begin(Kind.RELEASE, record, now)
+
+    def finish(self, *, now: float) -> None:
+        """Note that the write took effect."""
+        assert self._write is not None
+        write = self._write
+        self._see(write.record, now)
+        self._end_write(applied=True)
+
+    def observe(
+        self, record: lease.Record[Payload] | None, *, now: float
+    ) -> None:
+        """Note the record as it was read, or as it stood in the way.
+
+        A read must have been sent after the last write of this process.
+
+        Args:
+            record: The record; None if there is none.
+            now: Clock after the answer, in seconds.
+        """
+        write = self._write
+        if write is not None and record != write.expected:
+            self._see(record, now)
+            self._end_write(applied=record == write.record)
+            return
+        self._see(record, now)
+        tenure = self._tenure
+        if tenure is not None and record != tenure.record:
+            self._tenure = None
+
+    def _begin(
+        self, kind: Kind, record: lease.Record[Payload], now: float
+    ) -> Write[Payload]:
+        self._write = Write(kind, self.record, record, now)
+        return self._write
+
+    def _see(self, record: lease.Record[Payload] | None, now: float) -> None:
+        if self._seen is None or self._seen.record != record:
+            self._seen = lease.Observation(record, now)
+
+    def _end_write(self, *, applied: bool) -> None:
+        write = self._write
+        assert write is not None
+        self._write = None
+        if write.kind is Kind.TAKE and applied:
+            self._predecessor = write.expected
+            self._tenure = lease.Tenure(
+                write.record, sent_at=write.sent_at, timing=self._timing
+            )
+        elif write.kind is Kind.CHANGE and self._tenure is not None:
+            self._end_change(self._tenure, write, applied=applied)
+
+    def _end_change(
+        self,
+        tenure: lease.Tenure[Payload],
+        write: Write[Payload],
+        *,
+        applied: bool,
+    ) -> None:
+        tenure.end_change(write.record, sent_at=write.sent_at, applied=applied)
+        if not applied:
+            # Only another owner can have changed the record.
+            self._tenure = None
--- /dev/null
+++ b/src/eelgrasswalk/policy/quota_holder.py
@@ -0,0 +1,316 @@
+"""The holder's side of quotas: tokens at hand and whom to ask for more."""
+
+import dataclasses
+import math
+import typing
+import zlib
+
+from . import lease
+from . import quota
+from . import quota_messages
+
+# Time after which another slot is asked as well.
+HEDGE_S = 0.01
+# Time after which a request for tokens counts as lost.
+ASK_TIMEOUT_S = 0.04
+# Time for which a node that did not answer is asked last.
+SUSPECT_S = 0.25
+# Tokens asked for ahead of need, in seconds of the holder's demand.
+AHEAD_S = 0.2
+# The same, as a share of the time in which the rate fills the burst.
+AHEAD_BURST_SHARE = 0.2
+DEMAND_MEMORY_S = 0.5
+# Unused tokens go back after this time without demand.
+IDLE_S = 0.15
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pending:
+    """A request for tokens without an answer yet.
+
+    Args:
+        sequence: Its sequence number.
+        sent_at: When it was sent, in seconds.
+        node_id: Where it went.
+    """
+
+    sequence: int
+    sent_at: float
+    node_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Send:
+    """An action: send a message.
+
+    Args:
+        node_id: The node to send it to.
+        message: The message.
+    """
+
+    node_id: str
+    message: quota_messages.Message
+
+
+class Holding:
+    """Tokens of one slot at one holder.
+
+    Args:
+        slot: The slot.
+        holder: The holder.
+    """
+
+    def __init__(self, slot: quota.Slot, holder: lease.Process) -> None:
+        self.slot = slot
+        self.epoch = 0
+        self.pending: Pending | None = None
+        self.not_before = -math.inf
+        self.expected_level = 1.0
+        self._holder = holder
+        self._owner = ''
+        self._standby = ''
+        self._try_standby = False
+        self._sequence = 0
+        self._used = 0.0
+        self._balance = 0.0
+        self._expires_at = -math.inf
+
+    def count(self, now: float) -> float:
+        """Return the usable tokens."""
+        if now >= self._expires_at:
+            self._balance = 0.0
+        return self._balance
+
+    def use(self, tokens: float, *, now: float) -> float:
+        """Use up to so many tokens and return how many."""
+        used = min(tokens, self.count(now))
+        self._balance -= used
+        self._used += used
+        return used
+
+    def find_node(self) -> str:
+        """Return the node to ask; empty if unknown."""
+        if self._try_standby and self._standby:
+            return self._standby
+        return self._owner
+
+    def is_askable(self, now: float) -> bool:
+        """Tell whether a request now may bring tokens."""
+        return self.pending is None and now >= self.not_before
+
+    def is_fresh(self, now: float) -> bool:
+        """Tell whether an answer is still to be expected soon."""
+        pending = self.pending
+        return pending is not None and now < pending.sent_at + HEDGE_S
+
+    def ask(self, *, need: float, ahead: float, now: float) -> Send:
+        """Report to the owner and ask it for tokens."""
+        self._sequence += 1
+        held = self.count(now)
+        message = quota_messages.Ask(
+            self.slot,
+            self.epoch,
+            self._holder,
+            self._sequence,
+            self._used,
+            held,
+            need,
+            ahead,
+        )
+        node_id = self.find_node()
+        self.pending = Pending(self._sequence, now, node_id)
+        return Send(node_id, message)
+
+    def give_back(self, *, now: float) -> Send:
+        """Return all tokens to the owner."""
+        self._balance = 0.0
+        action = self.ask(need=0.0, ahead=0.0, now=now)
+        self.pending = None
+        return action
+
+    def accept(self, grant: quota_messages.Grant, *, now: float) -> bool:
+        """Take the tokens of an answer, if it is the one waited for."""
+        pending = self.pending
+        if pending is None or grant.epoch != self.epoch:
+            return False
+        if grant.sequence != pending.sequence:
+            return False
+        self.pending = None
+        self._balance = self.count(now) + grant.tokens
+        self._expires_at = pending.sent_at + grant.life_s
+        self.expected_level = grant.level
+        self.not_before = now + grant.wait_s
+        return True
+
+    def locate(self, location: quota_messages.Location, *, now: float) -> bool:
+        """Note where the slot is; return whether that is news."""
+        self._try_standby = False
+        known = (self.epoch, self._owner, self._standby)
+        found = (location.epoch, location.owner, location.standby)
+        if location.epoch < self.epoch or found == known:
+            return False
+        if location.epoch > self.epoch:
+            # Sequence and use are counted afresh for each epoch.
+            self.epoch = location.epoch
+            self._used = 0.0
+            self._balance = 0.0
+        self._owner = location.owner
+        self._standby = location.standby
+        self.pending = None
+        self.not_before = now
+        self.expected_level = 1.0
+        return True
+
+    def give_up(self, now: float) -> None:
+        """Count the pending request as lost; try the standby, then wait."""
+        self.pending = None
+        self._try_standby = not self._try_standby
+        self.not_before = now + SUSPECT_S
+        if self._try_standby and self._standby:
+            self.not_before = now
+            self.expected_level = 0.0
+
+    def postpone(self, seconds: float, *, now: float) -> None:
+        """Ask nobody for a while."""
+        self.not_before = max(self.not_before, now + seconds)
+
+
+class Account:
+    """Tokens of one client account at one holder.
+
+    Args:
+        holder: The holder.
+        account: Name of the account.
+        share: What each slot may admit.
+        slots: Number of slots.
+    """
+
+    def __init__(
+        self,
+        holder: lease.Process,
+        account: str,
+        share: quota.Share,
+        *,
+        slots: int,
+    ) -> None:
+        self._holdings = tuple(
+            Holding(quota.Slot(account, index), holder)
+            for index in range(slots)
+        )
+        self._share = share
+        self._demand = 0.0
+        self._demand_at = 0.0
+        # Holders begin with different slots, and so spread their load.
+        self._start = zlib.crc32(holder.node_id.encode()) % slots
+
+    @property
+    def holdings(self) -> tuple[Holding, ...]:
+        """The tokens by slot."""
+        return self._holdings
+
+    def change_share(self, share: quota.Share) -> None:
+        """Apply another rate and burst."""
+        self._share = share
+
+    def admit(self, now: float) -> quota.Decision:
+        """Decide on one new request."""
+        self._note_demand(now)
+        return self.take(now)
+
+    def take(self, now: float) -> quota.Decision:
+        """Use a token for a request that has been counted."""
+        if self.count(now) >= 1.0 - quota.TOLERANCE:
+            self._use_one(now)
+            return quota.Admitted()
+        if any(item.is_askable(now) for item in self._holdings):
+            return quota.NeedTokens()
+        if any(item.pending is not None for item in self._holdings):
+            return quota.NeedTokens()
+        return quota.Refused(self._compute_wait(now))
+
+    def count(self, now: float) -> float:
+        """Return the usable tokens."""
+        return sum(item.count(now) for item in self._holdings)
+
+    def plan(self, waiting: int, *, now: float) -> Send | None:
+        """Return the request for tokens to send now, if any.
+
+        Args:
+            waiting: Requests that wait for a token.
+            now: The holder's clock, in seconds.
+        """
+        if any(item.is_fresh(now) for item in self._holdings):
+            return None
+        held = self.count(now)
+        target = self._compute_target(now)
+        if waiting <= held and (target < 1.0 or held >= target / 2):
+            return None
+        holding = self._choose(now)
+        if holding is None:
+            return None
+        need = max(0.0, waiting - held)
+        ahead = max(0.0, target - max(0.0, held - waiting))
+        return holding.ask(need=need, ahead=ahead, now=now)
+
+    def expire(self, now: float) -> bool:
+        """Give up lost requests; return whether there was one."""
+        expired = False
+        for item in self._holdings:
+            pending = item.pending
+            if pending and now >= pending.sent_at + ASK_TIMEOUT_S:
+                item.give_up(now)
+                expired = True
+        return expired
+
+    def give_back(self, now: float, *, force: bool = False) -> list[Send]:
+        """Return unused tokens to their owners when there is no demand."""
+        if not force and now < self._demand_at + IDLE_S:
+            return []
+        return [
+            item.give_back(now=now)
+            for item in self._holdings
+            if item.pending is None and item.count(now) > 0.0
+        ]
+
+    def list_unknown(self) -> typing.Iterator[quota.Slot]:
+        """Iterate over the slots whose owners are not known."""
+        return (item.slot for item in self._holdings if not item.find_node())
+
+    def _use_one(self, now: float) -> None:
+        missing = 1.0
+        for item in sorted(self._holdings, key=lambda item: item.count(now)):
+            missing -= item.use(missing, now=now)
+
+    def _choose(self, now: float) -> Holding | None:
+        count = len(self._holdings)
+        order = [
+            self._holdings[(self._start + offset) % count]
+            for offset in range(count)
+        ]
+        candidates = [
+            item for item in order if item.is_askable(now) and item.find_node()
+        ]
+        if not candidates:
+            return None
+        return max(candidates, key=lambda item: item.expected_level)
+
+    def _compute_target(self, now: float) -> float:
+        rate = self._share.rate * len(self._holdings)
+        burst = self._share.burst * len(self._holdings)
+        horizon = AHEAD_S
+        if rate > 0:
+            horizon = min(AHEAD_S, AHEAD_BURST_SHARE * burst / rate)
+        demand = self._decay(now) / DEMAND_MEMORY_S
+        return min(demand, rate) * horizon
+
+    def _compute_wait(self, now: float) -> float:
+        first = min(item.not_before for item in self._holdings)
+        return max(0.0, first - now)
+
+    def _note_demand(self, now: float) -> None:
+        self._demand = self._decay(now) + 1.0
+        self._demand_at = now
+
+    def _decay(self, now: float) -> float:
+        age = max(0.0, now - self._demand_at)
+        return self._demand * math.exp(-age / DEMAND_MEMORY_S)
--- /dev/null
+++ b/tests/policy/lease_world.py
@@ -0,0 +1,102 @@
+"""A table with one lease and two processes, for tests of the policy."""
+
+import dataclasses
+
+from eelgrasswalk.policy import lease
+from eelgrasswalk.policy import lease_keeper
+
+TIMING = lease.Timing(promise_s=1.0, outage_limit_s=3.0)
+
+
+@dataclasses.dataclass
+class Request:
+    """An owner's request for a promise, then the standby's answer."""
+
+    standby: lease.Process
+    epoch: int
+    sent_at: float
+    granted: bool = False
+
+
+class Server:
+    """A process that may become owner or standby."""
+
+    def __init__(self, name, store, timing=TIMING):
+        self.process = lease.Process(name, 1)
+        self.keeper = lease_keeper.Keeper(self.process, timing)
+        self.store = store
+        self.flying = None
+        self.answer = None
+        self.request = None
+        self.promised = (None, float('-inf'))
+
+    def get_end(self):
+        record = self.keeper.record
+        standby, asked_at = self.promised
+        if record is None or record.standby != standby:
+            asked_at = float('-inf')
+        return self.keeper.compute_end(asked_at)
+
+    def read(self, now):
+        if self.flying is None and self.answer is None:
+            self.keeper.observe(self.store.record, now=now)
+
+    def take(self, standby, now):
+        if self.keeper.may_take(now):
+            self.flying = self.keeper.begin_take(standby, now=now)
+
+    def change(self, standby, now):
+        if self.keeper.is_owner and self.keeper.write is None:
+            self.flying = self.keeper.begin_change(standby, now=now)
+
+    def renew(self, now):
+        if self.keeper.needs_renewal(now):
+            self.change(self.keeper.record.standby, now)
+
+    def resend(self):
+        if self.flying is None and self.answer is None:
+            self.flying = self.keeper.write
+
+    def apply(self):
+        write, self.flying = self.flying, None
+        if write is None:
+            return
+        if self.store.record == write.expected:
+            self.store.record = write.record
+            self.answer = 'applied'
+        else:
+            self.answer = 'conflict'
+
+    def hear_answer(self, now):
+        answer, self.answer = self.answer, None
+        if self.keeper.write is None or answer is None:
+            return
+        if answer == 'applied':
+            self.keeper.finish(now=now)
+        else:
+            self.keeper.observe(self.store.record, now=now)
+
+    def lose_answer(self):
+        self.answer = None
+
+    def ask_promise(self, now):
+        record = self.keeper.record
+        if self.keeper.is_owner and record.standby is not None:
+            self.request = Request(record.standby, record.epoch, now)
+
+    def hear_request(self, owner, now):
+        request = owner.request
+        if request and request.standby == self.process:
+            request.granted = self.keeper.promise(request.epoch, now=now)
+
+    def hear_promise(self):
+        request, self.request = self.request, None
+        if request and request.granted:
+            self.promised = (request.standby, request.sent_at)
+
+
+class Store:
+    """The table's one row."""
+
+    def __init__(self):
+        self.record = None
--- /dev/null
+++ b/tests/policy/quota_world.py
@@ -0,0 +1,180 @@
+"""Two owners, two holders and one table under chosen faults."""
+
+from eelgrasswalk.policy import lease
+from eelgrasswalk.policy import quota
+from eelgrasswalk.policy import quota_holder
+from eelgrasswalk.policy import quota_messages
+from eelgrasswalk.policy import quota_owner
+from tests.policy import lease_world
+
+SLOT = quota.Slot('account', 0)
+
+
+def compute_overrun(times, rate, burst):
+    """Return the most tokens over rate * t + burst in any window.
+
+    Args:
+        times: When requests were admitted, in order, in seconds.
+        rate: Tokens a second.
+        burst: Tokens at once.
+    """
+    debt = 0.0
+    worst = 0.0
+    last = None
+    for time in times:
+        if last is not None:
+            debt = max(0.0, debt - (time - last) * rate)
+        debt += 1.0
+        worst = max(worst, debt - burst)
+        last = time
+    return worst
+
+
+class Clock:
+    """A clock with its own origin and rate."""
+
+    def __init__(self, offset, rate):
+        self._offset = offset
+        self._rate = rate
+
+    def read(self, time):
+        return self._offset + self._rate * time
+
+
+class QuotaServer(lease_world.Server):
+    """A process that may own the slot."""
+
+    def __init__(self, name, store, clock, share):
+        super().__init__(name, store)
+        self.clock = clock
+        self.share = share
+        self.owner = None
+
+    def sync(self, now):
+        record = self.keeper.record
+        if not self.keeper.is_owner:
+            self.owner = None
+        elif self.owner is None or self.owner.epoch != record.epoch:
+            handover = quota.inherit(
+                self.keeper.predecessor, self.process, self.share
+            )
+            self.owner = quota_owner.Owner(
+                SLOT,
+                record.epoch,
+                self.share,
+                now=now,
+                handover=handover,
+            )
+
+    def release(self, now):
+        if self.owner is None or self.keeper.write is not None:
+            return
+        handover = self.owner.release(now=now)
+        self.owner = None
+        self.flying = self.keeper.begin_release(handover, now=now)
+
+
+class World:
+    """The processes, and the messages between them.
+
+    Args:
+        share: Rate and burst of the slot.
+        rates: Rate of each process's clock.
+    """
+
+    def __init__(self, share, rates):
+        self.time = 0.0
+        self.store = lease_world.Store()
+        self.messages = []
+        self.admitted = []
+        clocks = [Clock(7.0 * index, rate) for index, rate in enumerate(rates)]
+        self.servers = [
+            QuotaServer(name, self.store, clock, share)
+            for name, clock in zip('ab', clocks[:2], strict=True)
+        ]
+        self.holders = [
+            quota_holder.Account(
+                lease.Process(name, 1), 'account', share, slots=1
+            )
+            for name in 'gh'
+        ]
+        self.clocks = clocks[2:]
+        self.paused = set()
+
+    def advance(self, ticks):
+        self.time += 0.05 * ticks
+
+    def request(self, index):
+        holder, now = self.holders[index], self.clocks[index].read(self.time)
+        if isinstance(holder.admit(now), quota.Admitted):
+            self.admitted.append(self.time)
+
+    def ask(self, index, count):
+        holder, now = self.holders[index], self.clocks[index].read(self.time)
+        holder.expire(now)
+        record = self.store.record
+        if record is not None and record.owner is not None:
+            location = quota_messages.Location(
+                SLOT, record.epoch, record.owner.node_id, ''
+            )
+            holder.holdings[0].locate(location, now=now)
+        action = holder.plan(count, now=now)
+        if action is not None:
+            self.messages.append((index, action.node_id, action.message))
+
+    def give_back(self, index):
+        now = self.clocks[index].read(self.time)
+        for action in self.holders[index].give_back(now, force=True):
+            self.messages.append((index, action.node_id, action.message))
+
+    def deliver(self, number, *, keep=False):
+        if not self.messages:
+            return
+        number %= len(self.messages)
+        index, node_id, message = self.messages[number]
+        if not keep:
+            del self.messages[number]
+        if isinstance(message, quota_messages.Grant):
+            now = self.clocks[index].read(self.time)
+            self.holders[index].holdings[0].accept(message, now=now)
+            return
+        server = next(
+            item for item in self.servers if item.process.node_id == node_id
+        )
+        if node_id not in self.paused and server.owner is not None:
+            now = server.clock.read(self.time)
+            grant = server.owner.answer(message, now=now, end=server.get_end())
+            if grant is not None:
+                self.messages.append((index, '', grant))
+
+    def act(self, index, name):
+        """Let a process act on its lease."""
+        server, other = self.servers[index], self.servers[1 - index]
+        now = server.clock.read(self.time)
+        if server.process.node_id in self.paused:
+            return
+        match name:
+            case 'take':
+                server.take(other.process, now)
+            case 'change':
+                standby = self.store.record and self.store.record.standby
+                server.change(None if standby else other.process, now)
+            case 'hear_request':
+                server.hear_request(other, now)
+            case 'read' | 'hear_answer' | 'ask_promise' | 'release' | 'renew':
+                getattr(server, name)(now)
+            case 'pause':
+                self.paused.add(server.process.node_id)
+            case _:
+                getattr(server, name)()
+        server.sync(now)
+
+    def resume(self, index):
+        self.paused.discard(self.servers[index].process.node_id)
+
+    def change_share(self, index, share):
+        server = self.servers[index]
+        server.share = share
+        if server.owner is not None:
+            now = server.clock.read(self.time)
+            server.owner.change_share(share, now=now)
--- /dev/null
+++ b/tests/policy/test_lease_keeper.py
@@ -0,0 +1,109 @@
+import collections
+import pickle
+import unittest
+
+from eelgrasswalk.policy import lease
+from tests.policy import lease_world
+
+MAX_DEPTH = 9
+START_DEPTH = 0
+TICK_S = 0.5
+
+
+class World:
+    """Two processes that compete for one lease."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.store = lease_world.Store()
+        self.servers = [
+            lease_world.Server(name, self.store) for name in ('a', 'b')
+        ]
+        first, second = self.servers
+        first.read(0.0)
+        first.take(second.process, 0.0)
+        first.apply()
+        first.hear_answer(0.0)
+        second.read(0.0)
+
+    def list_actions(self):
+        yield ('tick', None, None)
+        for index, server in enumerate(self.servers):
+            other = self.servers[1 - index].process
+            write = server.keeper.write
+            if server.flying is not None:
+                yield ('apply', index, None)
+            elif server.answer is not None:
+                yield ('hear_answer', index, 'now')
+                yield ('lose_answer', index, None)
+            elif write is not None:
+                yield ('resend', index, None)
+                yield ('read', index, 'now')
+            else:
+                if server.keeper.record != self.store.record:
+                    yield ('read', index, 'now')
+                if server.keeper.may_take(self.now):
+                    yield ('take', index, other)
+                if server.keeper.is_owner:
+                    standby = self.store.record.standby
+                    yield ('change', index, None if standby else other)
+            if server.request is not None:
+                yield ('hear_request', 1 - index, server)
+                if server.request.granted:
+                    yield ('hear_promise', index, None)
+            elif server.keeper.is_owner:
+                yield ('ask_promise', index, 'now')
+
+    def carry_out(self, action):
+        name, index, argument = action
+        if name == 'tick':
+            self.now += TICK_S
+            return
+        method = getattr(self.servers[index], name)
+        if name in ('take', 'change', 'hear_request'):
+            method(argument, self.now)
+        elif argument == 'now':
+            method(self.now)
+        else:
+            method()
+
+
+def explore(depth):
+    """Return the number of states, and the first trace with two owners."""
+    start = World()
+    queue = collections.deque([(pickle.dumps(start), ())])
+    seen = {queue[0][0]}
+    while queue:
+        content, trace = queue.popleft()
+        count = len(list(pickle.loads(content).list_actions()))
+        for number in range(count):
+            world = pickle.loads(content)
+            action = list(world.list_actions())[number]
+            world.carry_out(action)
+            acting = [
+                server
+                for server in world.servers
+                if server.get_end() > world.now
+            ]
+            steps = (*trace, action[:2])
+            if len(acting) > 1:
+                return len(seen), steps
+            state = pickle.dumps(world)
+            if state not in seen and len(steps) < depth:
+                seen.add(state)
+                queue.append((state, steps))
+    return len(seen), None
+
+
+class ExploreTest(unittest.TestCase):
+    def test_never_two_owners(self):
+        states, trace = explore(MAX_DEPTH)
+        self.assertIsNone(trace)
+        self.assertGreater(states, 5_000)
+
+    def test_finds_an_owner_that_ignores_its_standby(self):
+        original = lease.Tenure.compute_end
+        self.addCleanup(setattr, lease.Tenure, 'compute_end', original)
+        lease.Tenure.compute_end = lambda tenure, asked: tenure.sent_at + 2.9
+        _, trace = explore(MAX_DEPTH)
+        self.assertIsNotNone(trace)
--- /dev/null
+++ b/tests/policy/test_quota.py
@@ -0,0 +1,163 @@
+import unittest
+
+import hypothesis
+import hypothesis.strategies as st
+
+from eelgrasswalk.policy import lease
+from eelgrasswalk.policy import quota
+from tests.policy import quota_world
+
+LEASE_ACTIONS = (
+    'take',
+    'apply',
+    'hear_answer',
+    'lose_answer',
+    'resend',
+    'read',
+    'change',
+    'ask_promise',
+    'hear_request',
+    'hear_promise',
+    'pause',
+    'release',
+)
+INDEX = st.integers(0, 1)
+STEP = st.one_of(
+    st.tuples(st.just('advance'), st.integers(1, 12)),
+    st.tuples(st.just('request'), INDEX),
+    st.tuples(st.just('request'), INDEX),
+    st.tuples(st.just('ask'), INDEX, st.integers(0, 6)),
+    st.tuples(st.just('give_back'), INDEX),
+    st.tuples(st.just('deliver'), st.integers(0, 5)),
+    st.tuples(st.just('deliver'), st.integers(0, 5)),
+    st.tuples(st.just('repeat'), st.integers(0, 5)),
+    st.tuples(st.just('lose'), st.integers(0, 5)),
+    st.tuples(st.just('act'), INDEX, st.sampled_from(LEASE_ACTIONS)),
+    st.tuples(st.just('act'), INDEX, st.sampled_from(LEASE_ACTIONS)),
+    st.tuples(st.just('resume'), INDEX),
+    st.tuples(st.just('settle'), INDEX),
+    st.tuples(st.just('spend'), INDEX),
+    st.tuples(st.just('spend'), INDEX),
+    st.tuples(st.just('fetch'), INDEX),
+    st.tuples(st.just('fetch'), INDEX),
+    st.tuples(st.just('keep_up'), INDEX, st.integers(1, 20)),
+)
+
+
+def carry_out(world, step):
+    match step:
+        case ('repeat', number):
+            world.deliver(number, keep=True)
+        case ('lose', number):
+            del world.messages[number : number + 1]
+        case ('settle', index):
+            for name in ('read', 'take', 'renew', 'apply', 'hear_answer'):
+                world.act(index, name)
+            world.act(index, 'ask_promise')
+            world.act(1 - index, 'hear_request')
+            world.act(index, 'hear_promise')
+        case ('fetch', index):
+            world.ask(index, 9)
+            world.deliver(len(world.messages) - 1)
+            world.deliver(len(world.messages) - 1)
+        case ('keep_up', index, ticks):
+            for _ in range(ticks):
+                world.advance(1)
+                world.act(index, 'ask_promise')
+                world.act(1 - index, 'hear_request')
+                world.act(index, 'hear_promise')
+        case ('spend', index):
+            carry_out(world, ('fetch', index))
+            for _ in range(9):
+                world.request(index)
+        case (name, *arguments):
+            getattr(world, name)(*arguments)
+
+
+class WindowTest(unittest.TestCase):
+    @hypothesis.settings(
+        derandomize=True, max_examples=300, deadline=None, database=None
+    )
+    @hypothesis.given(
+        st.sampled_from((1.0, 8.0)),
+        st.sampled_from((2.5, 6.0)),
+        st.lists(st.sampled_from((0.992, 1.0, 1.008)), min_size=4, max_size=4),
+        st.lists(STEP, min_size=30, max_size=90),
+    )
+    def test_no_window_overruns(self, rate, burst, rates, steps):
+        world = quota_world.World(quota.Share(rate, burst), rates)
+        for step in [('settle', 0), ('keep_up', 0, 20), *steps]:
+            carry_out(world, step)
+        overrun = quota_world.compute_overrun(
+            world.admitted, rate * max(rates), burst
+        )
+        self.assertLessEqual(overrun, 1e-6)
+
+    @hypothesis.settings(
+        derandomize=True, max_examples=100, deadline=None, database=None
+    )
+    @hypothesis.given(
+        st.lists(
+            STEP | st.tuples(st.just('change'), st.integers(1, 4)),
+            min_size=30,
+            max_size=90,
+        )
+    )
+    def test_a_change_keeps_within_the_larger_share(self, steps):
+        world = quota_world.World(quota.Share(4.0, 8.0), [1.0] * 4)
+        for step in [('settle', 0), ('keep_up', 0, 20), *steps]:
+            if step[0] == 'change':
+                share = quota.Share(step[1], 2.0 * step[1])
+                world.change_share(0, share)
+                world.change_share(1, share)
+            else:
+                carry_out(world, step)
+        overrun = quota_world.compute_overrun(world.admitted, 4.0, 8.0)
+        self.assertLessEqual(overrun, 1e-6)
+
+    def test_all_tokens_can_be_used(self):
+        world = quota_world.World(quota.Share(10.0, 5.0), [1.0] * 4)
+        carry_out(world, ('settle', 0))
+        for _ in range(100):
+            world.advance(2)
+            carry_out(world, ('settle', 0))
+            carry_out(world, ('spend', 0))
+        self.assertGreaterEqual(len(world.admitted), 98)
+
+
+class OverrunTest(unittest.TestCase):
+    def test_counts_the_worst_window(self):
+        times = [0.0, 0.0, 0.0, 10.0, 10.0, 10.0, 10.0]
+        overrun = quota_world.compute_overrun(times, 1.0, 2.0)
+        self.assertAlmostEqual(2.0, overrun)
+
+
+class ShareTest(unittest.TestCase):
+    def test_slots_add_up(self):
+        share = quota.divide(10.0, 6.0, slots=4)
+        self.assertEqual(quota.Share(2.5, 1.5), share)
+
+    def test_nodes_agree_on_the_order(self):
+        slot = quota.Slot('account', 1)
+        self.assertEqual(
+            quota.rank(slot, 'abc'), quota.rank(slot, ('c', 'b', 'a'))
+        )
+
+
+class SuccessionTest(unittest.TestCase):
+    def test_handover_keeps_the_level(self):
+        world = quota_world.World(quota.Share(10.0, 5.0), [1.0] * 4)
+        carry_out(world, ('settle', 0))
+        carry_out(world, ('keep_up', 0, 20))
+        for name in ('release', 'apply', 'hear_answer'):
+            world.act(0, name)
+        carry_out(world, ('settle', 1))
+        self.assertAlmostEqual(5.0, world.servers[1].owner.level)
+
+    def test_new_process_waits_for_grants_of_the_old_one(self):
+        record = lease.Record(1, lease.Process('a', 0), None)
+        world = quota_world.World(quota.Share(10.0, 5.0), [1.0] * 4)
+        world.store.record = record
+        carry_out(world, ('settle', 0))
+        carry_out(world, ('spend', 0))
+        self.assertEqual([], world.admitted)
