Test listener, codec and links under bad input and lost links

Cause: nothing proved the refusal of bad framing or the resolving of doubt. Change: tests and fuzzing of the listener and the codec; a relay that cuts, holds and swallows; two faults that they found are mended: the length of unfinished headers was never counted, so 3,000 bytes without an end waited for the 30 s timeout; a request that asks for an upgrade was run and then refused. Conclusion: a running attempt survives a cut, a lost answer is fetched, an attempt that never arrived is fenced, a new incarnation leaves doubt.

--- a/src/eelgrasswalk/transport/http_server.py
+++ b/src/eelgrasswalk/transport/http_server.py
@@ -72,12 +72,16 @@
         """Listen, and return the address that was bound."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _Connection(self, loop), host, port, backlog=1024
+            self.build_protocol, host, port, backlog=1024
         )
         self._sweeper = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         address = self._server.sockets[0].getsockname()
         return address[0], address[1]
 
+    def build_protocol(self) -> asyncio.Protocol:
+        """Return the protocol of one new connection."""
+        return _Connection(self, asyncio.get_running_loop())
+
     async def drain(self) -> None:
         """Take no new connection and wait until every request is answered."""
         self.leaving = True
@@ -122,6 +126,8 @@
         self._last_activity = loop.time()
         self._receiving = False
         self._closing = False
+        self._header_length = 0
+        self._in_headers = True
         self._reset_request()
 
     def _reset_request(self) -> None:
@@ -129,9 +135,6 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
         self._body_length = 0
-        self._header_length = 0
-        self._in_headers = True
-        self._rejected = False
 
     # asyncio.Protocol
 
@@ -155,12 +158,6 @@
             self._header_length += len(data)
         try:
             self._parser.feed_data(data)
-        except _Rejected as rejected:
-            self._reject(rejected.answer)
-        except httptools.HttpParserUpgrade:
-            self._reject(
-                problem.describe_bad_request('protocol upgrade not offered')
-            )
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
             if isinstance(cause, _Rejected):
@@ -190,6 +187,10 @@
 
     def on_headers_complete(self) -> None:
         self._in_headers = False
+        if self._parser.should_upgrade():
+            raise _Rejected(
+                problem.describe_bad_request('protocol upgrade not offered')
+            )
         headers = tuple(self._headers)
         length = message.find_header(headers, b'content-length')
         if length is not None and (
--- /dev/null
+++ b/tests/transport/fakes.py
@@ -0,0 +1,33 @@
+"""Fakes at the transport's interfaces."""
+
+import asyncio
+import typing
+
+
+class FakeTransport(asyncio.Transport):
+    """Keeps what is written to it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written = bytearray()
+        self.closed = False
+
+    def write(self, data: typing.Any) -> None:
+        self.written += data
+
+    def close(self) -> None:
+        self.closed = True
+
+    def abort(self) -> None:
+        self.closed = True
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+    def set_write_buffer_limits(
+        self, high: int | None = None, low: int | None = None
+    ) -> None:
+        pass
+
+    def get_extra_info(self, name: str, default: typing.Any = None) -> None:
+        return default
--- /dev/null
+++ b/tests/transport/test_links.py
@@ -0,0 +1,188 @@
+"""Tests of links: bodies, doubt after a lost link, fencing, silence."""
+
+import asyncio
+import secrets
+import unittest
+
+from eelgrasswalk import verdict
+from eelgrasswalk.policy import attempts
+from eelgrasswalk.transport import acceptor
+from eelgrasswalk.transport import budget
+from eelgrasswalk.transport import dialler
+from eelgrasswalk.transport import frames
+from eelgrasswalk.transport import link
+from eelgrasswalk.transport import message
+from tests.transport import valve
+
+SECRET = b'secret of the tests'
+WAIT_S = 20.0
+
+
+class Runner:
+    """Runs attempts: echoes the body, after the gate has opened."""
+
+    def __init__(self) -> None:
+        self.runs: list[bytes] = []
+        self.started = asyncio.Event()
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.cancelled = asyncio.Event()
+
+    async def run(self, call: frames.Call) -> dialler.Reply:
+        self.runs.append(call.attempt)
+        self.started.set()
+        try:
+            await self.gate.wait()
+        except asyncio.CancelledError:
+            self.cancelled.set()
+            raise
+        response = verdict.Response(200, (), call.request.body)
+        return dialler.Reply(verdict.Answered(response), None)
+
+
+def ignore_control(node_id: str, topic: str, payload: bytes) -> None:
+    pass
+
+
+class LinkTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.runner = Runner()
+        self.acceptor = self.build_acceptor(incarnation=1)
+        host, port = await self.acceptor.start('127.0.0.1', 0)
+        self.valve = valve.Valve(host, port)
+        self.address = dialler.Address('up', *await self.valve.start())
+        self.dialler = self.build_dialler(SECRET)
+        self.addAsyncCleanup(self.acceptor.stop)
+        self.addAsyncCleanup(self.valve.stop)
+        self.addAsyncCleanup(self.dialler.stop)
+
+    def build_acceptor(self, *, incarnation: int) -> acceptor.Acceptor:
+        return acceptor.Acceptor(
+            link.Identity('up', incarnation),
+            secret=SECRET,
+            runner=self.runner,
+            bodies=budget.ByteBudget(50_000_000),
+            table=attempts.AttemptTable(max_answer_bytes=10_000_000),
+            on_control=ignore_control,
+        )
+
+    def build_dialler(self, secret: bytes) -> dialler.Dialler:
+        return dialler.Dialler(
+            link.Identity('down', 1),
+            secret=secret,
+            bodies=budget.ByteBudget(50_000_000),
+            on_control=ignore_control,
+        )
+
+    def build_call(self, body: bytes = b'x') -> frames.Call:
+        return frames.Call(
+            attempt=secrets.token_bytes(16),
+            route='r',
+            context=frames.Context('a', 0, bytes(16), 0.5, 0.0, 0),
+            remaining_s=WAIT_S,
+            allowance=0,
+            idempotency_key='',
+            request=message.Request('POST', '/x', (), body),
+            body_length=len(body),
+            digest=link.compute_digest(body),
+        )
+
+    def start_call(self, call: frames.Call) -> asyncio.Task[dialler.Reply]:
+        deadline = asyncio.get_running_loop().time() + WAIT_S
+        return asyncio.create_task(
+            self.dialler.call(self.address, call, deadline=deadline)
+        )
+
+    def get_body(self, reply: dialler.Reply) -> bytes:
+        assert isinstance(reply.outcome, verdict.Answered), reply
+        return reply.outcome.response.body
+
+    async def test_large_bodies_arrive_whole_both_ways(self) -> None:
+        body = secrets.token_bytes(3_000_000)
+        reply = await self.start_call(self.build_call(body))
+        self.assertEqual(body, self.get_body(reply))
+
+    async def test_crossed_answers_reach_their_own_callers(self) -> None:
+        bodies = [b'%d' % index * 40_000 for index in range(8)]
+        tasks = [self.start_call(self.build_call(body)) for body in bodies]
+        replies = await asyncio.gather(*tasks)
+        self.assertEqual(bodies, [self.get_body(reply) for reply in replies])
+
+    async def test_running_attempt_survives_a_cut(self) -> None:
+        self.runner.gate.clear()
+        task = self.start_call(self.build_call())
+        await self.runner.started.wait()
+        self.valve.cut()
+        self.runner.gate.set()
+        self.assertEqual(b'x', self.get_body(await task))
+        self.assertEqual(1, len(self.runner.runs))
+
+    async def test_answer_lost_on_a_silent_link_is_fetched(self) -> None:
+        await self.start_call(self.build_call())
+        self.valve.swallow_back = True
+        task = self.start_call(self.build_call(b'y'))
+        while len(self.runner.runs) < 2:
+            await asyncio.sleep(0)
+        while len(self.valve.pairs) < 2:
+            # The silent link is abandoned; the next one may speak again.
+            await asyncio.sleep(0.01)
+        self.valve.swallow_back = False
+        self.assertEqual(b'y', self.get_body(await task))
+        self.assertEqual(2, len(self.runner.runs))
+
+    async def test_attempt_that_never_arrived_is_fenced(self) -> None:
+        await self.start_call(self.build_call())
+        self.valve.hold_forth = True
+        task = self.start_call(self.build_call(b'y'))
+        while not self.valve.pairs[0].held:
+            await asyncio.sleep(0)
+        self.valve.hold_forth = False
+        self.valve.cut()
+        reply = await task
+        self.assertIsInstance(reply.outcome, verdict.NotRun)
+        self.assertIs(verdict.Reason.FENCED, reply.outcome.reason)
+        self.valve.release()
+        await self.start_call(self.build_call(b'z'))
+        self.assertEqual(2, len(self.runner.runs))
+
+    async def test_changed_incarnation_leaves_doubt(self) -> None:
+        self.runner.gate.clear()
+        task = self.start_call(self.build_call())
+        await self.runner.started.wait()
+        successor = self.build_acceptor(incarnation=2)
+        self.valve.far_address = await successor.start('127.0.0.1', 0)
+        self.addAsyncCleanup(successor.stop)
+        self.valve.cut()
+        reply = await task
+        self.assertEqual(
+            verdict.MayHaveRun(
+                verdict.Reason.LINK_LOST, 'the upstream was restarted'
+            ),
+            reply.outcome,
+        )
+        self.assertEqual(1, len(self.runner.runs))
+
+    async def test_caller_that_leaves_cancels_the_attempt(self) -> None:
+        self.runner.gate.clear()
+        task = self.start_call(self.build_call())
+        await self.runner.started.wait()
+        task.cancel()
+        await asyncio.wait_for(self.runner.cancelled.wait(), WAIT_S)
+
+    async def test_wrong_secret_opens_no_link(self) -> None:
+        self.dialler = self.build_dialler(b'another secret')
+        reply = await self.start_call(self.build_call())
+        self.assertIsInstance(reply.outcome, verdict.NotRun)
+        self.assertIs(verdict.Reason.NO_UPSTREAM, reply.outcome.reason)
+        self.assertEqual([], self.runner.runs)
+
+    async def test_deadline_ends_a_call_that_never_ends(self) -> None:
+        self.runner.gate.clear()
+        loop = asyncio.get_running_loop()
+        reply = await self.dialler.call(
+            self.address, self.build_call(), deadline=loop.time() + 0.2
+        )
+        self.assertEqual(
+            verdict.MayHaveRun(verdict.Reason.DEADLINE), reply.outcome
+        )
+        await asyncio.wait_for(self.runner.cancelled.wait(), WAIT_S)
