--- a/src/eelgrasswalk/policy/admission.py
+++ b/src/eelgrasswalk/policy/admission.py
@@ -116,7 +116,7 @@
             it waits.
         """
         control = self._control
-        control.roll(now)
+        control.roll(now, self._limit.service_s)
         if self._draining:
             reason = verdict.Reason.LEAVING
             return [Refuse(candidate.call_id, reason, 0.0)]
@@ -168,7 +168,7 @@
 
     def expire(self, now: float) -> list[Action]:
         """Refuse what has waited too long and start what can start."""
-        self._control.roll(now)
+        self._control.roll(now, self._limit.service_s)
         actions: list[Action] = [
             self._refuse_waiting(waiting, now)
             for waiting in self._queue.pop_expired(now)
@@ -198,7 +198,7 @@
 
     def level(self, now: float) -> levels.Level:
         """Return the level to put on answers."""
-        self._control.roll(now)
+        self._control.roll(now, self._limit.service_s)
         return self._control.level()
 
     def _is_late(self, candidate: Candidate, now: float) -> bool:
@@ -217,11 +217,8 @@
     def _enqueue(self, candidate: Candidate, now: float) -> list[Action]:
         settings = self._settings
         is_new = candidate.depth == 0
-        if is_new and not self._control.admits(
-            candidate.importance, candidate.root_hash
-        ):
-            return [self._refuse(candidate.call_id)]
         wait_s = settings.queue_s if is_new else settings.begun_queue_s
+        wait_s = max(wait_s, self._limit.service_s)
         latest = candidate.deadline - self._limit.expected_s
         self._queue.push(
             candidate, now=now, expires_at=min(now + wait_s, latest)
@@ -230,7 +227,7 @@
         while len(self._queue) > self._compute_capacity():
             worst = self._queue.pop_worst()
             if worst is not None:
-                actions.append(self._refuse(worst.candidate.call_id))
+                actions.append(self._refuse(worst.candidate))
         return actions
 
     def _compute_capacity(self) -> int:
@@ -238,13 +235,14 @@
         service_s = self._limit.service_s
         most = self._settings.max_queue_factor * limit
         if service_s > 0.0:
-            most = min(most, self._settings.queue_s * limit / service_s)
+            wait_s = max(self._settings.queue_s, service_s)
+            most = min(most, wait_s * limit / service_s)
         return max(self._settings.min_queue, int(most))
 
     def _start_waiting(self, waiting: queue.Waiting, now: float) -> Action:
         candidate = waiting.candidate
         if self._is_late(candidate, now):
-            self._control.observe_refusal()
+            self._observe_refusal(candidate)
             reason = verdict.Reason.DEADLINE
             return Refuse(candidate.call_id, reason, 0.0)
         self._start(candidate, now - waiting.queued_at, now)
@@ -253,15 +251,20 @@
     def _refuse_waiting(self, waiting: queue.Waiting, now: float) -> Refuse:
         candidate = waiting.candidate
         if now + self._limit.expected_s >= candidate.deadline:
-            self._control.observe_refusal()
+            self._observe_refusal(candidate)
             reason = verdict.Reason.DEADLINE
             return Refuse(candidate.call_id, reason, 0.0)
-        return self._refuse(candidate.call_id)
+        return self._refuse(candidate)
 
-    def _refuse(self, call_id: int) -> Refuse:
-        self._control.observe_refusal()
+    def _refuse(self, candidate: Candidate) -> Refuse:
+        self._observe_refusal(candidate)
         return Refuse(
-            call_id,
+            candidate.call_id,
             verdict.Reason.OVERLOAD,
             self._settings.retry_after_s,
         )
+
+    def _observe_refusal(self, candidate: Candidate) -> None:
+        self._control.observe_refusal(
+            candidate.importance, candidate.root_hash
+        )
--- a/src/eelgrasswalk/policy/concurrency.py
+++ b/src/eelgrasswalk/policy/concurrency.py
@@ -3,8 +3,10 @@
 import dataclasses
 import math
 
-MIN_SAMPLES = 10
+MIN_SAMPLES = 30
 MAX_LATE_WINDOWS = 10
+MAX_WINDOW_S = 1.0
+UNSATURATED_WEIGHT = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,7 +28,7 @@
     window_s: float = 0.1
     tolerance: float = 2.0
     hinted_tolerance: float = 1.5
-    decrease: float = 0.8
+    decrease: float = 0.7
     min_fraction: float = 0.1
     start_fraction: float = 0.2
     ramp_s: float = 1.0
@@ -51,7 +53,9 @@
         self._settings = settings
         self._slots = max(1, slots)
         self._limit = max(1.0, settings.start_fraction * self._slots)
-        self._started_at: float | None = None
+        self._started_at = math.inf
+        self._ramping = True
+        self._step = 1.0
         self._base_s = math.inf
         self._mean_s = 0.0
         self._low_s = 0.0
@@ -94,9 +98,11 @@
             in_flight: Calls running, this one included.
             now: The time, in seconds.
         """
-        if self._started_at is None:
+        if self._started_at == math.inf:
             self._started_at = now
             self._begin_window(now)
+        elif self._ramping:
+            self._advance_ramp(now)
         if in_flight >= self.limit:
             self._saturated = True
 
@@ -135,7 +141,8 @@
 
     def _begin_window(self, now: float) -> None:
         self._window_began_at = now
-        self._window_ends_at = now + self._settings.window_s
+        length_s = max(self._settings.window_s, 2.0 * self._mean_s)
+        self._window_ends_at = now + min(length_s, MAX_WINDOW_S)
         self._sum_s = 0.0
         self._min_s = math.inf
         self._count = 0
@@ -161,19 +168,23 @@
         tolerance = settings.tolerance
         if now < self._full_until:
             tolerance = settings.hinted_tolerance
-        if self._saturated and self._mean_s > tolerance * self._base_s:
+        slowdown = self._mean_s / max(self._base_s, 1e-9)
+        if self._saturated and slowdown > tolerance:
             self._previous = (self._limit, rate)
             self._decrease()
             return
         self._previous = None
-        self._increase(now)
+        if slowdown < (1.0 + tolerance) / 2.0 or not self._saturated:
+            self._increase()
 
     def _learn_base(self, rate: float) -> None:
         if self._mean_s <= self._base_s:
             self._base_s = self._mean_s
             return
-        # Drifts up, so that a minimum from another mix of calls is left.
-        self._base_s += 0.01 * (self._mean_s - self._base_s)
+        if not self._saturated:
+            # Without contention, a longer time is another mix of calls.
+            self._base_s += UNSATURATED_WEIGHT * (self._mean_s - self._base_s)
+            return
         if self._previous is None:
             return
         limit, previous_rate = self._previous
@@ -182,17 +193,20 @@
             self._base_s = self._mean_s
 
     def _decrease(self) -> None:
+        self._ramping = False
+        self._step = 1.0
         floor = max(1.0, self._settings.min_fraction * self._slots)
         self._limit = max(floor, self._limit * self._settings.decrease)
 
-    def _increase(self, now: float) -> None:
-        began_at = self._started_at
-        age = 0.0 if began_at is None else now - began_at
+    def _increase(self) -> None:
+        if self._ramping:
+            return
+        self._limit = min(self._slots, self._limit + self._step)
+        self._step *= 2.0
+
+    def _advance_ramp(self, now: float) -> None:
         settings = self._settings
+        age = now - self._started_at
         share = settings.start_fraction + age / settings.ramp_s
-        ceiling = max(1.0, min(1.0, share) * self._slots)
-        step = max(1.0, self._limit * 0.25)
-        self._limit = max(
-            min(self._limit, self._slots),
-            min(ceiling, self._limit + step),
-        )
+        self._limit = max(self._limit, min(1.0, share) * self._slots)
+        self._ramping = share < 1.0
--- a/src/eelgrasswalk/policy/queue.py
+++ b/src/eelgrasswalk/policy/queue.py
@@ -49,12 +49,22 @@
     expires_at: float
 
 
-_Rank = tuple[bool, float, int]
+_Rank = tuple[bool, float, int, float]
 
 
 def _rank(candidate: Candidate) -> _Rank:
     is_new = candidate.depth == 0
-    return (is_new, candidate.root_started_at, candidate.call_id)
+    return (
+        is_new,
+        candidate.root_started_at,
+        candidate.call_id,
+        candidate.root_hash,
+    )
+
+
+def _rank_worst(rank: _Rank) -> tuple[bool, float, int]:
+    is_new, _, call_id, root_hash = rank
+    return (is_new, root_hash, call_id)
 
 
 class _Lane:
@@ -88,7 +98,7 @@
     def pop_worst(self) -> int:
         account = max(self._ranks, key=lambda name: len(self._ranks[name]))
         ranks = self._ranks[account]
-        worst = max(ranks)
+        worst = max(ranks, key=_rank_worst)
         self._discard(account, worst)
         return worst[2]
 
@@ -141,7 +151,8 @@
         """Take the call that should be refused first.
 
         The least important class loses first; in it, the account with the
-        longest queue; in that, the newest root.
+        longest queue; in that, new roots before begun work, and the root
+        with the highest hash, which other hops shed first too.
         """
         for lane in reversed(self._lanes):
             if lane:
--- a/tests/policy/test_levels.py
+++ b/tests/policy/test_levels.py
@@ -93,12 +93,12 @@
             if index < capacity:
                 control.observe_start(0.0)
             else:
-                control.observe_refusal()
-        control.roll(now)
+                control.observe_refusal(importance, root_hash)
+        control.roll(now, 0.0)
 
     def test_falls_to_capacity_and_recovers_within_two_seconds(self) -> None:
         control = shedding.LevelControl(shedding.SheddingSettings())
-        control.roll(0.0)
+        control.roll(0.0, 0.0)
         now = 0.0
         for _ in range(5):
             now += 0.1
