Let important and begun work wait longer in the queue

Cause: at the onset of a ten times slower target, criticals left the queue after 0.1 s while the estimate of the service time caught up. Change: the two most important classes and begun work wait up to 0.5 s.

--- a/src/eelgrasswalk/policy/admission.py
+++ b/src/eelgrasswalk/policy/admission.py
@@ -8,6 +8,7 @@
 import typing
 
 from .. import verdict
+from ..document import model
 from . import concurrency
 from . import levels
 from . import queue
@@ -24,7 +25,8 @@
         limit: Settings of the adaptive limit.
         level: Settings of the level.
         queue_s: Seconds that a new root may wait.
-        begun_queue_s: Seconds that work already begun may wait.
+        long_queue_s: Seconds that work already begun, and the two most
+            important classes, may wait.
         min_queue: Calls that may wait in any case.
         max_queue_factor: Calls that may wait, per call that may run.
         retry_after_s: Seconds after which a refused caller may come back.
@@ -37,7 +39,7 @@
         default_factory=shedding.SheddingSettings
     )
     queue_s: float = 0.1
-    begun_queue_s: float = 0.5
+    long_queue_s: float = 0.5
     min_queue: int = 4
     max_queue_factor: float = 4.0
     retry_after_s: float = 1.0
@@ -216,8 +218,11 @@
 
     def _enqueue(self, candidate: Candidate, now: float) -> list[Action]:
         settings = self._settings
-        is_new = candidate.depth == 0
-        wait_s = settings.queue_s if is_new else settings.begun_queue_s
+        is_short = (
+            candidate.depth == 0
+            and candidate.importance > model.Importance.HIGH
+        )
+        wait_s = settings.queue_s if is_short else settings.long_queue_s
         wait_s = max(wait_s, self._limit.service_s)
         latest = candidate.deadline - self._limit.expected_s
         self._queue.push(
