--- a/src/eelgrasswalk/document/checks.py
+++ b/src/eelgrasswalk/document/checks.py
@@ -4,10 +4,16 @@
 import collections.abc
 import dataclasses
 import itertools
+import re
 
 from . import model
 from . import problem
 
+# Nodes refuse these paths, since targets may read them in another way.
+_UNSAFE_PREFIX = re.compile(
+    r'//|\\|%2f|%5c|%00|/(?:\.|%2e){1,2}(?:/|;|$)', re.IGNORECASE
+)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Finding:
@@ -36,6 +42,7 @@
         _check_names(document),
         _check_keys(document.accounts),
         _check_references(document),
+        _check_prefixes(document.routes),
         _check_matches(document.routes),
         _check_open_routes(document.routes),
         _check_services(document.services),
@@ -101,6 +108,19 @@
             yield Finding(('routes', index, 'service'), message)
 
 
+def _check_prefixes(
+    routes: tuple[model.Route, ...],
+) -> collections.abc.Iterator[Finding]:
+    for index, route in enumerate(routes):
+        if _UNSAFE_PREFIX.search(route.path_prefix):
+            message = (
+                f"'{route.path_prefix}' never matches: paths with '//', "
+                "'.' or '..' segments, '\\' or encoded '/', '\\' or NUL are "
+                'refused. Write the plain path.'
+            )
+            yield Finding(('routes', index, 'path_prefix'), message)
+
+
 def _check_matches(
     routes: tuple[model.Route, ...],
 ) -> collections.abc.Iterator[Finding]:
@@ -122,8 +142,7 @@
 def _find_shared_methods(first: model.Route, second: model.Route) -> str:
     if not first.methods and not second.methods:
         return 'all methods'
-    if not first.methods or not second.methods:
-        return ', '.join(first.methods or second.methods)
+    # A route that lists its methods wins over one for all methods.
     return ', '.join(m for m in first.methods if m in second.methods)
 
 
