--- a/src/eelgrasswalk/platform/http.py
+++ b/src/eelgrasswalk/platform/http.py
@@ -194,23 +194,28 @@
         """Send a read, and once more if its answer is late."""
         answers: list[httpx.Response] = []
         failures: list[protocols.Unavailable] = []
+        started = 0
 
-        async def attempt(delay: float) -> None:
-            if delay:
-                await anyio.sleep(delay)
-                if failures or self._reads.take(1, self._clock()):
-                    return
-                self.counters.hedges += 1
+        async def attempt() -> None:
+            nonlocal started
+            started += 1
             answer = await self._read_once(path)
             if isinstance(answer, protocols.Unavailable):
                 failures.append(answer)
-                return
-            answers.append(answer)
-            group.cancel_scope.cancel()
+            else:
+                answers.append(answer)
+            if answers or len(failures) == started:
+                group.cancel_scope.cancel()
+
+        async def hedge() -> None:
+            await anyio.sleep(self._options.hedge_after_s)
+            if self._reads.take(1, self._clock()) == 0.0:
+                self.counters.hedges += 1
+                await attempt()
 
         async with anyio.create_task_group() as group:
-            group.start_soon(attempt, 0.0)
-            group.start_soon(attempt, self._options.hedge_after_s)
+            group.start_soon(attempt)
+            group.start_soon(hedge)
         if answers:
             return answers[0]
         return failures[-1]
--- a/src/eelgrasswalk/standins/target.py
+++ b/src/eelgrasswalk/standins/target.py
@@ -24,6 +24,7 @@
 KEY_HEADERS = frozenset((b'x-api-key', b'authorization', b'api-key'))
 LEDGER_LIMIT = 1_000_000
 _PREFIX = b'/_standin/'
+_REFUSAL = serving.make_json_reply({'error': 'refused'}, 503)
 
 
 @dataclasses.dataclass(slots=True)
@@ -158,8 +159,6 @@
             return self._report_health()
         if path == b'/load':
             return self._report_load()
-        if self._is_refused():
-            return serving.make_json_reply({'error': 'refused'}, 503)
         return self._admit(request)
 
     def _admit(
@@ -170,12 +169,16 @@
         is_free = self._running < self._behaviour.slots
         if not is_short or not is_free or self._behaviour.hang:
             return self._run(request, work)
+        if self._is_refused():
+            return _REFUSAL
         entry = self._record(request)
         return self._conclude(request, work, entry)
 
     async def _run(
         self, request: serving.Request, work: Work
     ) -> serving.Reply:
+        if self._is_refused():
+            return _REFUSAL
         await self._take_slot()
         entry = self._record(request)
         try:
