--- /dev/null
+++ b/src/eelgrasswalk/controllers/quota.py
@@ -0,0 +1,336 @@
+"""Holds client accounts to their rate and burst across all hosts."""
+
+import asyncio
+import collections
+import random
+import time
+import typing
+
+import anyio
+
+from ..document import model
+from ..platform import protocols
+from ..policy import lease
+from ..policy import quota
+from ..policy import quota_holder
+from ..policy import quota_messages
+from . import quota_slots
+
+# Longest time for which a request waits for tokens.
+MAX_WAIT_S = 0.05
+# The same, as a share of the time left until its deadline.
+WAIT_SHARE = 0.25
+TICK_S = 0.05
+TABLE_STEP_S = 0.1
+RELEASE_LIMIT_S = 3.0
+UNKNOWN_ACCOUNT_RETRY_S = 1.0
+ACTIVE_S = 2.0
+
+Outcome: typing.TypeAlias = quota.Admitted | quota.Refused
+
+
+class Waiter:
+    """A request that waits for a token."""
+
+    def __init__(self) -> None:
+        self.outcome: Outcome | None = None
+        self.event = anyio.Event()
+
+    def settle(self, outcome: Outcome) -> None:
+        """End the wait."""
+        self.outcome = outcome
+        self.event.set()
+
+
+class QuotaController:
+    """Admits requests of client accounts, and owns a part of their quotas.
+
+    Args:
+        node_id: Name of this node.
+        incarnation: Number that grows with each run of the node.
+        data_centre: Its data centre.
+        send: Sends a message to another node; it may be lost.
+        table: The platform's table.
+        members: Returns the live nodes.
+        clock: Monotonic clock in seconds.
+        source: Random numbers.
+        timing: How long leases last.
+        slots: Slots of each account, the same on all nodes for good.
+        sleep: Waits for so many seconds.
+        standbys: Nodes considered as the standby of a slot; 0 for none.
+    """
+
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        incarnation: int,
+        data_centre: str,
+        send: quota_slots.Send,
+        table: protocols.Table,
+        members: quota_slots.Members,
+        clock: typing.Callable[[], float] = time.monotonic,
+        source: random.Random | None = None,
+        timing: lease.Timing | None = None,
+        slots: int = quota.DEFAULT_SLOTS,
+        sleep: typing.Callable[[float], typing.Awaitable[None]] = anyio.sleep,
+        standbys: int = quota_slots.STANDBY_CANDIDATES,
+    ) -> None:
+        self._process = lease.Process(node_id, incarnation)
+        self._remote_send = send
+        self._members = members
+        self._clock = clock
+        self._sleep = sleep
+        self._slot_count = slots
+        self._accounts: dict[str, quota_holder.Account] = {}
+        self._waiters: dict[str, collections.deque[Waiter]] = {}
+        self._active: dict[str, float] = {}
+        self._local: collections.deque[quota_messages.Message] = (
+            collections.deque()
+        )
+        self._draining = False
+        self._tasks: list[asyncio.Task[None]] = []
+        self.slots = quota_slots.Slots(
+            self._process,
+            data_centre=data_centre,
+            table=table,
+            members=members,
+            send=self._send,
+            on_located=self._locate,
+            clock=clock,
+            source=source or random.Random(),
+            timing=timing or lease.Timing(),
+            standbys=standbys,
+        )
+
+    async def start(self) -> None:
+        """Begin to own slots and to answer."""
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(self._run_ticks()),
+            loop.create_task(self._run_table_steps()),
+        ]
+
+    async def stop(self) -> None:
+        """Return unused tokens and release the slots."""
+        self.cancel()
+        now = self._clock()
+        for account in self._accounts.values():
+            self._carry_out(account.give_back(now, force=True))
+        for waiters in self._waiters.values():
+            while waiters:
+                waiters.popleft().settle(quota.Refused(TICK_S))
+        with anyio.move_on_after(RELEASE_LIMIT_S):
+            await self.slots.release()
+
+    def cancel(self) -> None:
+        """End all work at once."""
+        for task in self._tasks:
+            task.cancel()
+        self._tasks = []
+
+    def replace_accounts(
+        self, accounts: typing.Sequence[model.ClientAccount]
+    ) -> None:
+        """Apply another version of the configuration."""
+        shares = {
+            item.name: quota.divide(
+                item.rate, item.burst, slots=self._slot_count
+            )
+            for item in accounts
+        }
+        for name, share in shares.items():
+            known = self._accounts.get(name)
+            if known is not None:
+                known.change_share(share)
+                continue
+            self._accounts[name] = quota_holder.Account(
+                self._process, name, share, slots=self._slot_count
+            )
+            self._waiters[name] = collections.deque()
+        for name in self._accounts.keys() - shares.keys():
+            del self._accounts[name]
+            for waiter in self._waiters.pop(name):
+                waiter.settle(quota.Refused(UNKNOWN_ACCOUNT_RETRY_S))
+        self.slots.replace_shares(shares, slots=self._slot_count)
+
+    def try_admit(self, account: str) -> Outcome | None:
+        """Decide on a request at once.
+
+        Args:
+            account: Its client account.
+
+        Returns:
+            The decision, or None if it takes a message: then call `admit`.
+        """
+        holder = self._accounts.get(account)
+        if holder is None:
+            return quota.Refused(UNKNOWN_ACCOUNT_RETRY_S)
+        now = self._clock()
+        self._active[account] = now
+        waiting = len(self._waiters[account])
+        if waiting:
+            holder.note_demand(now)
+            return None
+        decision = holder.admit(now)
+        if isinstance(decision, quota.NeedTokens):
+            self._plan(account, holder, waiting=1)
+            decision = holder.take(self._clock())
+        else:
+            self._plan(account, holder, waiting=0)
+        if isinstance(decision, quota.NeedTokens):
+            return None
+        return decision
+
+    async def admit(self, account: str, deadline: float) -> Outcome:
+        """Decide on a request for which `try_admit` returned None.
+
+        Args:
+            account: Its client account.
+            deadline: Its deadline on the clock, in seconds.
+
+        Returns:
+            The decision, after a wait of at most 50 ms for tokens.
+        """
+        waiters = self._waiters.get(account)
+        if waiters is None:
+            return quota.Refused(UNKNOWN_ACCOUNT_RETRY_S)
+        now = self._clock()
+        end = now + min(MAX_WAIT_S, (deadline - now) * WAIT_SHARE)
+        waiter = Waiter()
+        waiters.append(waiter)
+        self._serve(account)
+        while waiter.outcome is None and self._clock() < end:
+            with anyio.move_on_after(
+                min(quota_holder.HEDGE_S, end - self._clock())
+            ):
+                await waiter.event.wait()
+            if waiter.outcome is None:
+                self._serve(account)
+        if waiter.outcome is not None:
+            return waiter.outcome
+        waiters.remove(waiter)
+        return quota.Refused(quota_holder.SUSPECT_S)
+
+    def on_message(
+        self, from_node: str, message: quota_messages.Message
+    ) -> None:
+        """Take a message from another node, or from this one."""
+        match message:
+            case quota_messages.Ask():
+                answer = self.slots.answer(message)
+                if answer is not None:
+                    self._send(from_node, answer)
+            case quota_messages.Grant():
+                self._accept(message)
+            case quota_messages.Location():
+                self._hear_location(from_node, message)
+            case quota_messages.PromiseRequest():
+                self._send(from_node, self.slots.hear_request(message))
+            case quota_messages.Promise():
+                self.slots.hear_promise(message)
+            case _:
+                typing.assert_never(message)
+
+    def _send(self, node_id: str, message: quota_messages.Message) -> None:
+        if node_id != self._process.node_id:
+            self._remote_send(node_id, message)
+            return
+        self._local.append(message)
+        if self._draining:
+            return
+        self._draining = True
+        while self._local:
+            self.on_message(node_id, self._local.popleft())
+        self._draining = False
+
+    def _carry_out(self, actions: typing.Iterable[quota_holder.Send]) -> None:
+        for action in actions:
+            self._send(action.node_id, action.message)
+
+    def _find_holding(self, slot: quota.Slot) -> quota_holder.Holding | None:
+        holder = self._accounts.get(slot.account)
+        if holder is None or slot.index >= len(holder.holdings):
+            return None
+        return holder.holdings[slot.index]
+
+    def _accept(self, grant: quota_messages.Grant) -> None:
+        holding = self._find_holding(grant.slot)
+        if holding is not None and holding.accept(grant, now=self._clock()):
+            self._serve(grant.slot.account)
+
+    def _locate(self, location: quota_messages.Location) -> None:
+        holding = self._find_holding(location.slot)
+        if holding is None or not location.owner:
+            return
+        if holding.locate(location, now=self._clock()):
+            self._serve(location.slot.account)
+
+    def _hear_location(
+        self, from_node: str, location: quota_messages.Location
+    ) -> None:
+        holding = self._find_holding(location.slot)
+        if holding is None:
+            return
+        now = self._clock()
+        if not location.owner:
+            self.slots.hear_release(location)
+        if location.owner and holding.locate(location, now=now):
+            self._serve(location.slot.account)
+            return
+        pending = holding.pending
+        if pending is not None and pending.node_id == from_node:
+            holding.give_up(now)
+            self._serve(location.slot.account)
+
+    def _serve(self, account: str) -> None:
+        holder = self._accounts.get(account)
+        if holder is None:
+            return
+        waiters = self._waiters[account]
+        now = self._clock()
+        holder.expire(now)
+        while waiters:
+            decision = holder.take(now)
+            if isinstance(decision, quota.NeedTokens):
+                break
+            waiters.popleft().settle(decision)
+        self._plan(account, holder, waiting=len(waiters))
+
+    def _plan(
+        self, account: str, holder: quota_holder.Account, *, waiting: int
+    ) -> None:
+        now = self._clock()
+        if waiting:
+            self._guess(holder, now)
+        action = holder.plan(waiting, now=now)
+        if action is not None:
+            self._send(action.node_id, action.message)
+
+    def _guess(self, holder: quota_holder.Account, now: float) -> None:
+        for holding in holder.holdings:
+            if holding.find_node() or not holding.is_askable(now):
+                continue
+            node_ids = {item.node_id for item in self._members()}
+            node_ids.add(self._process.node_id)
+            ranks = [*quota.rank(holding.slot, node_ids), '']
+            holding.guess(ranks[0], ranks[1])
+            self.slots.request_read(holding.slot)
+
+    async def _run_ticks(self) -> None:
+        while True:
+            self.slots.request_promises()
+            now = self._clock()
+            for account, used_at in list(self._active.items()):
+                holder = self._accounts.get(account)
+                if holder is None or now > used_at + ACTIVE_S:
+                    del self._active[account]
+                    continue
+                self._serve(account)
+                self._carry_out(holder.give_back(now))
+            await self._sleep(TICK_S)
+
+    async def _run_table_steps(self) -> None:
+        while True:
+            await self.slots.step()
+            await self._sleep(TABLE_STEP_S)
--- a/src/eelgrasswalk/policy/lease.py
+++ b/src/eelgrasswalk/policy/lease.py
@@ -22,7 +22,6 @@
 """
 
 import dataclasses
-import math
 import typing
 
 CLOCK_RATE_MARGIN = 0.02
@@ -157,6 +156,11 @@
         """When the last known write was sent, in seconds."""
         return self._sent_at
 
+    @property
+    def named_at(self) -> float:
+        """When the write that named the standby was sent, in seconds."""
+        return self._named_at
+
     def compute_end(self, promised_at: float) -> float:
         """Return until when the owner may act, in seconds.
 
--- a/src/eelgrasswalk/policy/lease_keeper.py
+++ b/src/eelgrasswalk/policy/lease_keeper.py
@@ -72,6 +72,16 @@
         """Whether this process has the lease, lapsed or not."""
         return self._tenure is not None
 
+    @property
+    def seen_at(self) -> float:
+        """When the record as last seen was first seen, in seconds."""
+        return math.inf if self._seen is None else self._seen.seen_at
+
+    @property
+    def named_at(self) -> float:
+        """When the owner's standby was named, in seconds."""
+        return math.inf if self._tenure is None else self._tenure.named_at
+
     @property
     def predecessor(self) -> lease.Record[Payload] | None:
         """The record that this process, as the owner, followed."""
@@ -174,6 +184,20 @@
         self._see(write.record, now)
         self._end_write(applied=True)
 
+    def abandon(self) -> None:
+        """Note that the write certainly did not and will not take effect.
+
+        A release is tried again, since its owner has stopped.
+        """
+        write = self._write
+        if write is None or write.kind is Kind.RELEASE:
+            return
+        self._write = None
+        if self._tenure is not None:
+            self._tenure.end_change(
+                write.record, sent_at=write.sent_at, applied=False
+            )
+
     def observe(
         self, record: lease.Record[Payload] | None, *, now: float
     ) -> None:
--- a/src/eelgrasswalk/policy/quota_holder.py
+++ b/src/eelgrasswalk/policy/quota_holder.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import math
-import typing
 import zlib
 
 from . import lease
@@ -19,6 +18,8 @@
 AHEAD_S = 0.2
 # The same, as a share of the time in which the rate fills the burst.
 AHEAD_BURST_SHARE = 0.2
+# Least time between two requests for tokens ahead of need.
+AHEAD_INTERVAL_S = 0.02
 DEMAND_MEMORY_S = 0.5
 # Unused tokens go back after this time without demand.
 IDLE_S = 0.15
@@ -161,6 +162,12 @@
         self.expected_level = 1.0
         return True
 
+    def guess(self, owner: str, standby: str) -> None:
+        """Ask these nodes where the slot is."""
+        self._owner = owner
+        self._standby = standby
+        self._try_standby = False
+
     def give_up(self, now: float) -> None:
         """Count the pending request as lost; try the standby, then wait."""
         self.pending = None
@@ -200,6 +207,7 @@
         self._share = share
         self._demand = 0.0
         self._demand_at = 0.0
+        self._ahead_at = -math.inf
         # Holders begin with different slots, and so spread their load.
         self._start = zlib.crc32(holder.node_id.encode()) % slots
 
@@ -214,7 +222,7 @@
 
     def admit(self, now: float) -> quota.Decision:
         """Decide on one new request."""
-        self._note_demand(now)
+        self.note_demand(now)
         return self.take(now)
 
     def take(self, now: float) -> quota.Decision:
@@ -243,11 +251,12 @@
             return None
         held = self.count(now)
         target = self._compute_target(now)
-        if waiting <= held and (target < 1.0 or held >= target / 2):
+        if waiting <= held and not self._is_low(held, target, now):
             return None
         holding = self._choose(now)
         if holding is None:
             return None
+        self._ahead_at = now + AHEAD_INTERVAL_S
         need = max(0.0, waiting - held)
         ahead = max(0.0, target - max(0.0, held - waiting))
         return holding.ask(need=need, ahead=ahead, now=now)
@@ -272,9 +281,10 @@
             if item.pending is None and item.count(now) > 0.0
         ]
 
-    def list_unknown(self) -> typing.Iterator[quota.Slot]:
-        """Iterate over the slots whose owners are not known."""
-        return (item.slot for item in self._holdings if not item.find_node())
+    def _is_low(self, held: float, target: float, now: float) -> bool:
+        if target < 1.0 or now < self._ahead_at:
+            return False
+        return held < target / 2
 
     def _use_one(self, now: float) -> None:
         missing = 1.0
@@ -307,7 +317,8 @@
         first = min(item.not_before for item in self._holdings)
         return max(0.0, first - now)
 
-    def _note_demand(self, now: float) -> None:
+    def note_demand(self, now: float) -> None:
+        """Count a request that another method does not count."""
         self._demand = self._decay(now) + 1.0
         self._demand_at = now
 
