Give parts of tokens back on a refusal, and ask for a known slot once

Cause: fragments lapsed as used; two views of a standby made a holder ask in a loop. Change: direct grants live 0.1 s, slots with a burst of two or more grant whole tokens, fragments go back at once.

--- a/src/eelgrasswalk/controllers/quota.py
+++ b/src/eelgrasswalk/controllers/quota.py
@@ -20,6 +20,8 @@
 MAX_WAIT_S = 0.05
 # The same, as a share of the time left until its deadline.
 WAIT_SHARE = 0.25
+# A shorter wait is not worth a timer.
+MIN_STEP_S = 0.001
 TICK_S = 0.05
 TABLE_STEP_S = 0.1
 RELEASE_LIMIT_S = 3.0
@@ -200,16 +202,17 @@
         waiter = Waiter()
         waiters.append(waiter)
         self._serve(account)
-        while waiter.outcome is None and self._clock() < end:
-            with anyio.move_on_after(
-                min(quota_holder.HEDGE_S, end - self._clock())
-            ):
+        remaining = end - now
+        while waiter.outcome is None and remaining > MIN_STEP_S:
+            with anyio.move_on_after(min(quota_holder.HEDGE_S, remaining)):
                 await waiter.event.wait()
             if waiter.outcome is None:
                 self._serve(account)
+            remaining = end - self._clock()
         if waiter.outcome is not None:
             return waiter.outcome
-        waiters.remove(waiter)
+        if waiter in waiters:
+            waiters.remove(waiter)
         return quota.Refused(quota_holder.SUSPECT_S)
 
     def on_message(
@@ -295,6 +298,9 @@
             if isinstance(decision, quota.NeedTokens):
                 break
             waiters.popleft().settle(decision)
+            if isinstance(decision, quota.Refused):
+                # Others may be able to use these parts of a token.
+                self._carry_out(holder.give_back(now, force=True))
         self._plan(account, holder, waiting=len(waiters))
 
     def _plan(
--- a/src/eelgrasswalk/policy/quota_holder.py
+++ b/src/eelgrasswalk/policy/quota_holder.py
@@ -145,16 +145,16 @@
 
     def locate(self, location: quota_messages.Location, *, now: float) -> bool:
         """Note where the slot is; return whether that is news."""
-        self._try_standby = False
-        known = (self.epoch, self._owner, self._standby)
-        found = (location.epoch, location.owner, location.standby)
-        if location.epoch < self.epoch or found == known:
+        if location.epoch < self.epoch:
             return False
-        if location.epoch > self.epoch:
-            # Sequence and use are counted afresh for each epoch.
-            self.epoch = location.epoch
-            self._used = 0.0
-            self._balance = 0.0
+        if location.epoch == self.epoch:
+            self._standby = location.standby
+            return False
+        # Sequence and use are counted afresh for each epoch.
+        self.epoch = location.epoch
+        self._used = 0.0
+        self._balance = 0.0
+        self._try_standby = False
         self._owner = location.owner
         self._standby = location.standby
         self.pending = None
--- a/src/eelgrasswalk/policy/quota_messages.py
+++ b/src/eelgrasswalk/policy/quota_messages.py
@@ -137,7 +137,7 @@
 def encode(message: Message) -> bytes:
     """Return a message as CBOR."""
     kind = _KINDS.index(type(message))
-    return cbor2.dumps([kind, *dataclasses.astuple(message)])
+    return cbor2.dumps([kind, *_flatten(message)])
 
 
 def decode(content: bytes) -> Message:
@@ -159,6 +159,15 @@
         raise MessageError(str(error)) from error
 
 
+def _flatten(value: typing.Any) -> typing.Any:
+    if isinstance(value, tuple):
+        return [_flatten(item) for item in value]
+    if dataclasses.is_dataclass(value):
+        names = value.__dataclass_fields__
+        return [_flatten(getattr(value, name)) for name in names]
+    return value
+
+
 def _build(kind: type[Message], values: list[typing.Any]) -> Message:
     first, *rest = values
     if kind is Ask:
@@ -184,7 +193,7 @@
         record: The record.
         token: Random bytes that tell this write from all others.
     """
-    return cbor2.dumps([*dataclasses.astuple(record), token])
+    return cbor2.dumps([*_flatten(record), token])
 
 
 def decode_record(content: bytes) -> quota.Record:
--- a/src/eelgrasswalk/policy/quota_owner.py
+++ b/src/eelgrasswalk/policy/quota_owner.py
@@ -15,6 +15,10 @@
 REFILL_BURST_SHARE = 0.25
 # Time that an owner reckons for a request, to space its holders' requests.
 ANSWER_SPACING_S = 0.001
+# Life of tokens granted to waiting requests alone.
+DIRECT_LIFE_S = 0.1
+# Slots with a burst from here on grant whole tokens to waiting requests.
+WHOLE_TOKENS_BURST = 2.0
 SESSION_IDLE_S = 5.0
 _LIFE_FACTOR = 1.0 + lease.CLOCK_RATE_MARGIN
 
@@ -100,7 +104,7 @@
             The answer; None for a repeated or late message, or after the
             end of the lease.
         """
-        life_s = min(quota.GRANT_LIFE_S, end - now)
+        life_s = min(self._choose_life(ask), end - now)
         if ask.epoch != self.epoch or life_s <= 0:
             return None
         self._advance(now)
@@ -148,8 +152,17 @@
         self._add_unused(session, kept - session.unused)
         self._level = min(self._level + returned, self._compute_room())
 
+    def _choose_life(self, ask: quota_messages.Ask) -> float:
+        # Tokens that waiting requests use at once need no long life, which
+        # would keep their place in the bucket until the next report.
+        if ask.held <= quota.TOLERANCE and ask.ahead < 1.0:
+            return DIRECT_LIFE_S
+        return quota.GRANT_LIFE_S
+
     def _choose_tokens(self, ask: quota_messages.Ask) -> float:
         needed = min(max(0.0, ask.need), self._level)
+        if self._share.burst >= WHOLE_TOKENS_BURST:
+            needed = math.floor(min(math.ceil(needed), self._level))
         spare = (self._level - needed) * AHEAD_SHARE
         ahead = min(max(0.0, ask.ahead), spare)
         return needed + (ahead if ahead >= 1.0 else 0.0)
