Spread the slots of an account over different owners

Cause: one node owned two of the four slots of the largest account; its death cost half of the rate. Change: slots prefer different owners, and standbys that own none of the account's slots; parts of tokens are granted; holders expect levels to grow.

--- a/src/eelgrasswalk/bench/quota_fleet.py
+++ b/src/eelgrasswalk/bench/quota_fleet.py
@@ -13,6 +13,7 @@
 from ..platform import memory
 from ..platform import protocols
 from ..policy import lease
+from ..policy import quota as quota_policy
 from ..policy import quota_messages
 
 NEAR_DELAY_S = 0.0003
@@ -220,11 +221,13 @@
         return [node for node in self.nodes.values() if node.is_serving]
 
     def find_main_owner(self) -> Node:
-        """Return the node that owns the most slots."""
-        return max(
-            self.list_serving(),
-            key=lambda node: node.controller.slots.count_owned(),
-        )
+        """Return the owner of the first slot of the largest account."""
+        largest = max(self._accounts, key=lambda account: account.rate)
+        slot = quota_policy.Slot(largest.name, 0)
+        for node in self.list_serving():
+            if node.controller.slots.owns(slot):
+                return node
+        return self.list_serving()[0]
 
     def set_table_down(self, is_down: bool) -> None:
         """Switch the table off or on for all nodes."""
--- a/src/eelgrasswalk/controllers/quota.py
+++ b/src/eelgrasswalk/controllers/quota.py
@@ -319,7 +319,8 @@
                 continue
             node_ids = {item.node_id for item in self._members()}
             node_ids.add(self._process.node_id)
-            ranks = [*quota.rank(holding.slot, node_ids), '']
+            ranks = quota.rank(holding.slot, node_ids, slots=self._slot_count)
+            ranks.append('')
             holding.guess(ranks[0], ranks[1])
             self.slots.request_read(holding.slot)
 
--- a/src/eelgrasswalk/controllers/quota_slots.py
+++ b/src/eelgrasswalk/controllers/quota_slots.py
@@ -148,6 +148,7 @@
         self._ranks: dict[quota.Slot, list[str]] = {}
         self._ranked_members: frozenset[str] = frozenset()
         self._leaving = False
+        self._slot_count = quota.DEFAULT_SLOTS
 
     def replace_shares(
         self, shares: typing.Mapping[str, quota.Share], *, slots: int
@@ -155,6 +156,7 @@
         """Apply another set of accounts; each has so many slots."""
         now = self._clock()
         self._shares = dict(shares)
+        self._slot_count = slots
         for entry in self._entries.values():
             share = self._shares.get(entry.slot.account, quota.Share(0.0, 0.0))
             if entry.owner is not None:
@@ -164,6 +166,11 @@
                 self._find(quota.Slot(account, index))
         self._ranked_members = frozenset()
 
+    def owns(self, slot: quota.Slot) -> bool:
+        """Tell whether this node may grant tokens of a slot now."""
+        entry = self._entries.get(slot)
+        return entry is not None and entry.compute_end() > self._clock()
+
     def count_owned(self) -> int:
         """Return how many slots this node may grant from now."""
         now = self._clock()
@@ -303,7 +310,9 @@
         now = self._clock()
         self._ranked_members = frozenset(node_ids)
         for slot, entry in self._entries.items():
-            self._ranks[slot] = quota.rank(slot, node_ids)
+            self._ranks[slot] = quota.rank(
+                slot, node_ids, slots=self._slot_count
+            )
             if self._get_rank(slot) < MAX_TAKER_RANK:
                 due = now + REREAD_S * self._source.random()
                 if not entry.keeper.is_observed:
--- a/src/eelgrasswalk/policy/quota.py
+++ b/src/eelgrasswalk/policy/quota.py
@@ -133,16 +133,29 @@
     return None
 
 
-def rank(slot: Slot, node_ids: typing.Iterable[str]) -> list[str]:
+def rank(
+    slot: Slot, node_ids: typing.Iterable[str], *, slots: int
+) -> list[str]:
     """Order nodes by how suitable each is as the owner of a slot.
 
-    All nodes agree on the order if they know the same nodes.
-    """
-    return sorted(
-        node_ids, key=lambda node_id: _score(slot, node_id), reverse=True
-    )
-
+    All nodes agree on the order if they know the same nodes. The slots of
+    one account prefer different owners, and standbys that own none of them.
 
-def _score(slot: Slot, node_id: str) -> bytes:
-    text = f'{slot.account}\0{slot.index}\0{node_id}'
+    Args:
+        slot: The slot.
+        node_ids: The nodes.
+        slots: Number of slots of each account.
+    """
+    order = sorted(node_ids, key=lambda node_id: _score(slot.account, node_id))
+    owners, others = order[:slots], order[slots:]
+    if slot.index >= len(owners):
+        return order
+    turn = slot.index % len(others) if others else 0
+    others = others[turn:] + others[:turn]
+    others += owners[slot.index + 1 :] + owners[: slot.index]
+    return [owners[slot.index], *others]
+
+
+def _score(account: str, node_id: str) -> bytes:
+    text = f'{account}\0{node_id}'
     return hashlib.blake2b(text.encode(), digest_size=8).digest()
--- a/src/eelgrasswalk/policy/quota_holder.py
+++ b/src/eelgrasswalk/policy/quota_holder.py
@@ -67,6 +67,7 @@
         self.pending: Pending | None = None
         self.not_before = -math.inf
         self.expected_level = 1.0
+        self.answered_at = 0.0
         self._holder = holder
         self._owner = ''
         self._standby = ''
@@ -140,6 +141,7 @@
         self._balance = self.count(now) + grant.tokens
         self._expires_at = pending.sent_at + grant.life_s
         self.expected_level = grant.level
+        self.answered_at = now
         self.not_before = now + grant.wait_s
         return True
 
@@ -302,7 +304,11 @@
         ]
         if not candidates:
             return None
-        return max(candidates, key=lambda item: item.expected_level)
+        return max(candidates, key=lambda item: self._expect_level(item, now))
+
+    def _expect_level(self, holding: Holding, now: float) -> float:
+        grown = (now - holding.answered_at) * self._share.rate
+        return min(self._share.burst, holding.expected_level + grown)
 
     def _compute_target(self, now: float) -> float:
         rate = self._share.rate * len(self._holdings)
--- a/src/eelgrasswalk/policy/quota_owner.py
+++ b/src/eelgrasswalk/policy/quota_owner.py
@@ -17,8 +17,8 @@
 ANSWER_SPACING_S = 0.001
 # Life of tokens granted to waiting requests alone.
 DIRECT_LIFE_S = 0.1
-# Slots with a burst from here on grant whole tokens to waiting requests.
-WHOLE_TOKENS_BURST = 2.0
+# Part of a token worth asking for.
+LEAST_PART = 0.25
 SESSION_IDLE_S = 5.0
 _LIFE_FACTOR = 1.0 + lease.CLOCK_RATE_MARGIN
 
@@ -161,8 +161,6 @@
 
     def _choose_tokens(self, ask: quota_messages.Ask) -> float:
         needed = min(max(0.0, ask.need), self._level)
-        if self._share.burst >= WHOLE_TOKENS_BURST:
-            needed = math.floor(min(math.ceil(needed), self._level))
         spare = (self._level - needed) * AHEAD_SHARE
         ahead = min(max(0.0, ask.ahead), spare)
         return needed + (ahead if ahead >= 1.0 else 0.0)
@@ -170,7 +168,7 @@
     def _compute_wait(self, missing: float) -> float:
         if missing <= quota.TOLERANCE:
             return 0.0
-        chunk = max(missing, self._share.rate * REFILL_CHUNK_S)
+        chunk = max(LEAST_PART, self._share.rate * REFILL_CHUNK_S)
         chunk = min(chunk, self._share.burst * REFILL_BURST_SHARE)
         if self._share.rate <= 0:
             return quota.GRANT_LIFE_S
