--- a/src/eelgrasswalk/controllers/quota.py
+++ b/src/eelgrasswalk/controllers/quota.py
@@ -57,7 +57,8 @@
         clock: Monotonic clock in seconds.
         source: Random numbers.
         timing: How long leases last.
-        slots: Slots of each account, the same on all nodes for good.
+        choose_slot_count: Returns the number of slots of a new account
+            with this burst.
         sleep: Waits for so many seconds.
         standbys: Nodes considered as the standby of a slot; 0 for none.
     """
@@ -74,7 +75,9 @@
         clock: typing.Callable[[], float] = time.monotonic,
         source: random.Random | None = None,
         timing: lease.Timing | None = None,
-        slots: int = quota.DEFAULT_SLOTS,
+        choose_slot_count: typing.Callable[
+            [float], int
+        ] = quota.choose_slot_count,
         sleep: typing.Callable[[float], typing.Awaitable[None]] = anyio.sleep,
         standbys: int = quota_slots.STANDBY_CANDIDATES,
     ) -> None:
@@ -83,7 +86,6 @@
         self._members = members
         self._clock = clock
         self._sleep = sleep
-        self._slot_count = slots
         self._accounts: dict[str, quota_holder.Account] = {}
         self._waiters: dict[str, collections.deque[Waiter]] = {}
         self._active: dict[str, float] = {}
@@ -103,6 +105,7 @@
             source=source or random.Random(),
             timing=timing or lease.Timing(),
             standbys=standbys,
+            choose_slot_count=choose_slot_count,
         )
 
     async def start(self) -> None:
@@ -136,10 +139,7 @@
     ) -> None:
         """Apply another version of the configuration."""
         shares = {
-            item.name: quota.divide(
-                item.rate, item.burst, slots=self._slot_count
-            )
-            for item in accounts
+            item.name: quota.Share(item.rate, item.burst) for item in accounts
         }
         for name, share in shares.items():
             known = self._accounts.get(name)
@@ -147,14 +147,14 @@
                 known.change_share(share)
                 continue
             self._accounts[name] = quota_holder.Account(
-                self._process, name, share, slots=self._slot_count
+                self._process, name, share
             )
             self._waiters[name] = collections.deque()
         for name in self._accounts.keys() - shares.keys():
             del self._accounts[name]
             for waiter in self._waiters.pop(name):
                 waiter.settle(quota.Refused(UNKNOWN_ACCOUNT_RETRY_S))
-        self.slots.replace_shares(shares, slots=self._slot_count)
+        self.slots.replace_shares(shares)
 
     def try_admit(self, account: str) -> Outcome | None:
         """Decide on a request at once.
@@ -263,15 +263,23 @@
             self._serve(grant.slot.account)
 
     def _locate(self, location: quota_messages.Location) -> None:
+        self._note_slot_count(location)
         holding = self._find_holding(location.slot)
         if holding is None or not location.owner:
             return
         if holding.locate(location, now=self._clock()):
             self._serve(location.slot.account)
 
+    def _note_slot_count(self, location: quota_messages.Location) -> None:
+        holder = self._accounts.get(location.slot.account)
+        if holder is not None:
+            holder.change_slot_count(location.slots)
+        self.slots.note_slot_count(location.slot.account, location.slots)
+
     def _hear_location(
         self, from_node: str, location: quota_messages.Location
     ) -> None:
+        self._note_slot_count(location)
         holding = self._find_holding(location.slot)
         if holding is None:
             return
@@ -319,7 +327,9 @@
                 continue
             node_ids = {item.node_id for item in self._members()}
             node_ids.add(self._process.node_id)
-            ranks = quota.rank(holding.slot, node_ids, slots=self._slot_count)
+            ranks = quota.rank(
+                holding.slot, node_ids, slots=len(holder.holdings)
+            )
             ranks.append('')
             holding.guess(ranks[0], ranks[1])
             self.slots.request_read(holding.slot)
--- a/src/eelgrasswalk/controllers/quota_slots.py
+++ b/src/eelgrasswalk/controllers/quota_slots.py
@@ -15,6 +15,7 @@
 from ..policy import quota_owner
 
 KEY_PREFIX = 'quota/'
+LAYOUT_PREFIX = 'quota-slots/'
 TOKEN_BYTES = 16
 # Time between two requests for a promise, as a share of its length.
 PROMISE_INTERVAL_SHARE = 0.25
@@ -112,6 +113,8 @@
         source: Random numbers.
         timing: How long leases last.
         standbys: Nodes considered as the standby of a slot; 0 for none.
+        choose_slot_count: Returns the number of slots of a new account with
+            this burst.
     """
 
     def __init__(
@@ -127,6 +130,9 @@
         source: random.Random,
         timing: lease.Timing,
         standbys: int = STANDBY_CANDIDATES,
+        choose_slot_count: typing.Callable[
+            [float], int
+        ] = quota.choose_slot_count,
     ) -> None:
         self._standbys = standbys
         self._process = process
@@ -148,22 +154,26 @@
         self._ranks: dict[quota.Slot, list[str]] = {}
         self._ranked_members: frozenset[str] = frozenset()
         self._leaving = False
-        self._slot_count = quota.DEFAULT_SLOTS
+        self._choose_slot_count = choose_slot_count
+        self._counts: dict[str, int] = {}
+        self._layouts_at = -math.inf
 
-    def replace_shares(
-        self, shares: typing.Mapping[str, quota.Share], *, slots: int
-    ) -> None:
-        """Apply another set of accounts; each has so many slots."""
+    def replace_shares(self, shares: typing.Mapping[str, quota.Share]) -> None:
+        """Apply another set of accounts."""
         now = self._clock()
         self._shares = dict(shares)
-        self._slot_count = slots
+        self._layouts_at = now
         for entry in self._entries.values():
-            share = self._shares.get(entry.slot.account, quota.Share(0.0, 0.0))
             if entry.owner is not None:
-                entry.owner.change_share(share, now=now)
-        for account in shares:
-            for index in range(slots):
-                self._find(quota.Slot(account, index))
+                entry.owner.change_share(self._get_share(entry.slot), now=now)
+
+    def note_slot_count(self, account: str, slots: int) -> None:
+        """Note how many slots an account has, for good."""
+        if slots < 1 or account in self._counts:
+            return
+        self._counts[account] = slots
+        for index in range(slots):
+            self._find(quota.Slot(account, index))
         self._ranked_members = frozenset()
 
     def owns(self, slot: quota.Slot) -> bool:
@@ -189,7 +199,7 @@
         end = entry.compute_end()
         owner = entry.owner
         if owner is None or end <= now or ask.epoch != owner.epoch:
-            return entry.locate()
+            return self._locate(entry)
         return owner.answer(ask, now=now, end=end)
 
     def request_read(self, slot: quota.Slot) -> None:
@@ -265,6 +275,7 @@
 
     async def step(self) -> None:
         """Carry out the reads and writes of the table that are due."""
+        await self._read_layouts()
         now = self._clock()
         self._rank_slots()
         renewals: list[Entry] = []
@@ -294,6 +305,60 @@
                     continue
                 group.start_soon(self._release, entry, limiter)
 
+    def _get_share(self, slot: quota.Slot) -> quota.Share:
+        share = self._shares.get(slot.account, quota.Share(0.0, 0.0))
+        slots = self._counts[slot.account]
+        return quota.divide(share.rate, share.burst, slots=slots)
+
+    async def _read_layouts(self) -> None:
+        missing = self._shares.keys() - self._counts.keys()
+        if not missing or self._clock() < self._layouts_at:
+            return
+        self._layouts_at = self._clock() + RETRY_S
+        after = ''
+        while True:
+            outcome = await self._table.list(LAYOUT_PREFIX, after=after)
+            if not isinstance(outcome, protocols.Listed):
+                return
+            for row in outcome.rows:
+                self._note_layout(row)
+            if not outcome.rows:
+                break
+            after = outcome.rows[-1].key
+        for account in sorted(missing - self._counts.keys()):
+            await self._write_layout(account)
+
+    async def _write_layout(self, account: str) -> None:
+        slots = self._choose_slot_count(self._shares[account].burst)
+        token = self._source.randbytes(TOKEN_BYTES)
+        value = quota_messages.encode_layout(slots, token)
+        outcome = await self._table.put(
+            LAYOUT_PREFIX + account, value, expected=None
+        )
+        match outcome:
+            case protocols.Done():
+                self._announce_layout(account, slots)
+            case protocols.Conflict(_, rows):
+                for row in rows:
+                    self._note_layout(row)
+
+    def _note_layout(self, row: protocols.Row) -> None:
+        try:
+            slots = quota_messages.decode_layout(row.value)
+        except quota_messages.MessageError:
+            return
+        self._announce_layout(row.key.removeprefix(LAYOUT_PREFIX), slots)
+
+    def _announce_layout(self, account: str, slots: int) -> None:
+        self.note_slot_count(account, slots)
+        slot = quota.Slot(account, 0)
+        self._on_located(quota_messages.Location(slot, 0, '', '', slots))
+
+    def _locate(self, entry: Entry) -> quota_messages.Location:
+        location = entry.locate()
+        slots = self._counts.get(entry.slot.account, 0)
+        return dataclasses.replace(location, slots=slots)
+
     def _find(self, slot: quota.Slot) -> Entry:
         entry = self._entries.get(slot)
         if entry is None:
@@ -311,7 +376,7 @@
         self._ranked_members = frozenset(node_ids)
         for slot, entry in self._entries.items():
             self._ranks[slot] = quota.rank(
-                slot, node_ids, slots=self._slot_count
+                slot, node_ids, slots=self._counts.get(slot.account, 1)
             )
             if self._get_rank(slot) < MAX_TAKER_RANK:
                 due = now + REREAD_S * self._source.random()
@@ -345,7 +410,8 @@
     def _choose_write(
         self, entry: Entry, now: float
     ) -> lease_keeper.Write[quota.Handover] | None:
-        if entry.slot.account not in self._shares:
+        account = entry.slot.account
+        if account not in self._shares or account not in self._counts:
             return None
         if entry.keeper.is_owner:
             return self._choose_change(entry, now)
@@ -516,10 +582,10 @@
             entry.owner = None
         elif entry.owner is None or entry.owner.epoch != record.epoch:
             entry.owner = self._make_owner(entry, record.epoch)
-        self._on_located(entry.locate())
+        self._on_located(self._locate(entry))
 
     def _make_owner(self, entry: Entry, epoch: int) -> quota_owner.Owner:
-        share = self._shares.get(entry.slot.account, quota.Share(0.0, 0.0))
+        share = self._get_share(entry.slot)
         handover = quota.inherit(
             entry.keeper.predecessor, self._process, share
         )
--- a/src/eelgrasswalk/policy/quota.py
+++ b/src/eelgrasswalk/policy/quota.py
@@ -3,11 +3,12 @@
 Promise: over all hosts, the admissions of an account in any window of t
 seconds number at most rate * t + burst, whatever fails.
 
-Each account has the same fixed number of slots; each slot has an equal part
-of its rate and burst, so that the sum holds also while nodes use different
-versions of the configuration. A slot is leased to one owner, which keeps a
-token bucket and grants tokens to the nodes where requests enter, the
-holders.
+Each account has a number of slots that is fixed for good when the account is
+first seen; each slot has an equal part of its rate and burst, so that the sum
+holds also while nodes use different versions of the configuration. Few slots
+use a small burst best; more slots lose less when an owner dies. A slot is
+leased to one owner, which keeps a token bucket and grants tokens to the nodes
+where requests enter, the holders.
 
 Invariant of a slot: level + unused <= burst, where `level` is what the
 bucket holds and `unused` is what was granted and can still be used. The
@@ -33,7 +34,9 @@
 
 from . import lease
 
-DEFAULT_SLOTS = 4
+MAX_SLOTS = 4
+# Burst that a slot should have at least, in tokens.
+LEAST_SLOT_BURST = 10.0
 GRANT_LIFE_S = 0.75
 TOLERANCE = 1e-9
 
@@ -105,6 +108,15 @@
 Record: typing.TypeAlias = lease.Record[Handover]
 
 
+def choose_slot_count(burst: float) -> int:
+    """Return the number of slots for a new account.
+
+    Args:
+        burst: Tokens at once.
+    """
+    return max(1, min(MAX_SLOTS, int(burst / LEAST_SLOT_BURST)))
+
+
 def divide(rate: float, burst: float, *, slots: int) -> Share:
     """Return the part of each of an account's slots."""
     return Share(rate / slots, burst / slots)
--- a/src/eelgrasswalk/policy/quota_holder.py
+++ b/src/eelgrasswalk/policy/quota_holder.py
@@ -190,8 +190,7 @@
     Args:
         holder: The holder.
         account: Name of the account.
-        share: What each slot may admit.
-        slots: Number of slots.
+        share: What the account may admit.
     """
 
     def __init__(
@@ -199,25 +198,30 @@
         holder: lease.Process,
         account: str,
         share: quota.Share,
-        *,
-        slots: int,
     ) -> None:
-        self._holdings = tuple(
-            Holding(quota.Slot(account, index), holder)
-            for index in range(slots)
-        )
+        self._holder = holder
+        self._name = account
         self._share = share
+        self._holdings: tuple[Holding, ...] = ()
         self._demand = 0.0
         self._demand_at = 0.0
         self._ahead_at = -math.inf
         # Holders begin with different slots, and so spread their load.
-        self._start = zlib.crc32(holder.node_id.encode()) % slots
+        self._start = zlib.crc32(holder.node_id.encode())
+        self.change_slot_count(1)
 
     @property
     def holdings(self) -> tuple[Holding, ...]:
         """The tokens by slot."""
         return self._holdings
 
+    def change_slot_count(self, slots: int) -> None:
+        """Note how many slots the account has; it never shrinks."""
+        self._holdings += tuple(
+            Holding(quota.Slot(self._name, index), self._holder)
+            for index in range(len(self._holdings), slots)
+        )
+
     def change_share(self, share: quota.Share) -> None:
         """Apply another rate and burst."""
         self._share = share
@@ -307,12 +311,14 @@
         return max(candidates, key=lambda item: self._expect_level(item, now))
 
     def _expect_level(self, holding: Holding, now: float) -> float:
-        grown = (now - holding.answered_at) * self._share.rate
-        return min(self._share.burst, holding.expected_level + grown)
+        share = quota.divide(
+            self._share.rate, self._share.burst, slots=len(self._holdings)
+        )
+        grown = (now - holding.answered_at) * share.rate
+        return min(share.burst, holding.expected_level + grown)
 
     def _compute_target(self, now: float) -> float:
-        rate = self._share.rate * len(self._holdings)
-        burst = self._share.burst * len(self._holdings)
+        rate, burst = self._share.rate, self._share.burst
         horizon = AHEAD_S
         if rate > 0:
             horizon = min(AHEAD_S, AHEAD_BURST_SHARE * burst / rate)
--- a/src/eelgrasswalk/policy/quota_messages.py
+++ b/src/eelgrasswalk/policy/quota_messages.py
@@ -68,12 +68,14 @@
         epoch: The newest epoch that the sender knows; 0 if it knows none.
         owner: Node of the owner; empty if unknown.
         standby: Node of the standby; empty if unknown or none.
+        slots: Number of slots of the account; 0 if unknown.
     """
 
     slot: quota.Slot
     epoch: int
     owner: str
     standby: str
+    slots: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -213,3 +215,21 @@
         )
     except (TypeError, ValueError) as error:
         raise MessageError(str(error)) from error
+
+
+def encode_layout(slots: int, token: bytes) -> bytes:
+    """Return the number of an account's slots as the value of a row."""
+    return cbor2.dumps([slots, token])
+
+
+def decode_layout(content: bytes) -> int:
+    """Return the number of an account's slots in the value of a row.
+
+    Raises:
+        MessageError: There is none.
+    """
+    try:
+        slots, _ = cbor2.loads(content)
+        return int(slots)
+    except (TypeError, ValueError) as error:
+        raise MessageError(str(error)) from error
