--- a/src/eelgrasswalk/policy/quota_owner.py
+++ b/src/eelgrasswalk/policy/quota_owner.py
@@ -17,8 +17,6 @@
 ANSWER_SPACING_S = 0.001
 # Life of tokens granted to waiting requests alone.
 DIRECT_LIFE_S = 0.1
-# Part of a token worth asking for.
-LEAST_PART = 0.25
 SESSION_IDLE_S = 5.0
 _LIFE_FACTOR = 1.0 + lease.CLOCK_RATE_MARGIN
 
@@ -161,6 +159,10 @@
 
     def _choose_tokens(self, ask: quota_messages.Ask) -> float:
         needed = min(max(0.0, ask.need), self._level)
+        if self._share.burst >= 1.0:
+            # Parts of tokens would lie unused at several holders.
+            whole = math.floor(self._level + quota.TOLERANCE)
+            needed = min(math.ceil(ask.need), whole, self._level)
         spare = (self._level - needed) * AHEAD_SHARE
         ahead = min(max(0.0, ask.ahead), spare)
         return needed + (ahead if ahead >= 1.0 else 0.0)
@@ -168,8 +170,9 @@
     def _compute_wait(self, missing: float) -> float:
         if missing <= quota.TOLERANCE:
             return 0.0
-        chunk = max(LEAST_PART, self._share.rate * REFILL_CHUNK_S)
+        chunk = self._share.rate * REFILL_CHUNK_S
         chunk = min(chunk, self._share.burst * REFILL_BURST_SHARE)
+        chunk = max(chunk, min(1.0, self._share.burst))
         if self._share.rate <= 0:
             return quota.GRANT_LIFE_S
         refill_s = max(0.0, chunk - self._level) / self._share.rate
