Report the use of tokens at once where no request follows soon

Cause: used tokens that no report has named keep their place in the bucket until they lapse. Change: a report without an answer.

--- a/src/eelgrasswalk/controllers/quota.py
+++ b/src/eelgrasswalk/controllers/quota.py
@@ -310,6 +310,7 @@
                 # Others may be able to use these parts of a token.
                 self._carry_out(holder.give_back(now, force=True))
         self._plan(account, holder, waiting=len(waiters))
+        self._carry_out(holder.report(now))
 
     def _plan(
         self, account: str, holder: quota_holder.Account, *, waiting: int
--- a/src/eelgrasswalk/policy/quota_holder.py
+++ b/src/eelgrasswalk/policy/quota_holder.py
@@ -68,6 +68,7 @@
         self.not_before = -math.inf
         self.expected_level = 1.0
         self.answered_at = 0.0
+        self.is_unreported = False
         self._holder = holder
         self._owner = ''
         self._standby = ''
@@ -88,6 +89,7 @@
         used = min(tokens, self.count(now))
         self._balance -= used
         self._used += used
+        self.is_unreported = self.is_unreported or used > 0.0
         return used
 
     def find_node(self) -> str:
@@ -108,6 +110,7 @@
     def ask(self, *, need: float, ahead: float, now: float) -> Send:
         """Report to the owner and ask it for tokens."""
         self._sequence += 1
+        self.is_unreported = False
         held = self.count(now)
         message = quota_messages.Ask(
             self.slot,
@@ -126,6 +129,10 @@
     def give_back(self, *, now: float) -> Send:
         """Return all tokens to the owner."""
         self._balance = 0.0
+        return self.report(now=now)
+
+    def report(self, *, now: float) -> Send:
+        """Report what was used, without asking for tokens."""
         action = self.ask(need=0.0, ahead=0.0, now=now)
         self.pending = None
         return action
@@ -277,6 +284,16 @@
                 expired = True
         return expired
 
+    def report(self, now: float) -> list[Send]:
+        """Report what was used, if no request for tokens will soon."""
+        if self._compute_target(now) >= 1.0:
+            return []
+        return [
+            item.report(now=now)
+            for item in self._holdings
+            if item.pending is None and item.is_unreported
+        ]
+
     def give_back(self, now: float, *, force: bool = False) -> list[Send]:
         """Return unused tokens to their owners when there is no demand."""
         if not force and now < self._demand_at + IDLE_S:
--- a/src/eelgrasswalk/policy/quota_owner.py
+++ b/src/eelgrasswalk/policy/quota_owner.py
@@ -99,8 +99,8 @@
             end: End of the owner's lease, in seconds.
 
         Returns:
-            The answer; None for a repeated or late message, or after the
-            end of the lease.
+            The answer; None for a report alone, for a repeated or late
+            message, or after the end of the lease.
         """
         life_s = min(self._choose_life(ask), end - now)
         if ask.epoch != self.epoch or life_s <= 0:
@@ -112,6 +112,8 @@
         session.sequence = ask.sequence
         session.seen_at = now
         self._settle(session, ask)
+        if ask.need <= 0.0 and ask.ahead <= 0.0:
+            return None
         tokens = self._choose_tokens(ask)
         self._level -= tokens
         self._extend_life(session, now + life_s * _LIFE_FACTOR)
