--- a/src/eelgrasswalk/policy/quota_messages.py
+++ b/src/eelgrasswalk/policy/quota_messages.py
@@ -153,6 +153,7 @@
         return _build(_KINDS[kind], values)
     except (
         ArithmeticError,
+        cbor2.CBORDecodeError,
         AttributeError,
         LookupError,
         TypeError,
@@ -213,7 +214,7 @@
             renewal,
             None if payload is None else quota.Handover(*payload),
         )
-    except (TypeError, ValueError) as error:
+    except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
         raise MessageError(str(error)) from error
 
 
@@ -231,5 +232,5 @@
     try:
         slots, _ = cbor2.loads(content)
         return int(slots)
-    except (TypeError, ValueError) as error:
+    except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
         raise MessageError(str(error)) from error
