Split the node's life from its wiring; add status, metrics and parting

Cause: operators could not ask a node anything, and a stop closed links on which calls could still be under way, which left doubt about them. Change: a status, metrics and drain endpoint; a Goodbye message after which the dialling side closes a link once its last attempt has an outcome; a directory of peers in place of static members.

--- a/src/eelgrasswalk/cli/node.py
+++ b/src/eelgrasswalk/cli/node.py
@@ -1,5 +1,6 @@
 """eelgrasswalk-node: the process beside each target."""
 
+import dataclasses
 import json
 import os
 import pathlib
@@ -10,6 +11,7 @@
 
 from .. import app
 from .. import events
+from .. import node
 from .. import settings
 from .. import wiring
 
@@ -36,30 +38,24 @@
     events.configure_logging(config.log_level, node_id=config.node_id)
 
     def build() -> tuple[app.Application, typing.Callable[[], None]]:
-        node = wiring.Node(config)
-        return wiring.build_application(node), lambda: announce(node)
+        application, built = wiring.build_application(config)
+        return application, lambda: announce(built)
 
     app.run_application(build)
 
 
-def announce(node: wiring.Node) -> None:
+def announce(started: node.Node) -> None:
     """Print where the node listens."""
-    addresses = node.addresses
+    addresses = started.addresses
     assert addresses is not None
     line = {
         'ready': True,
-        'node_id': node.config.node_id,
-        'callers': _join_address(addresses.callers),
-        'target_calls': _join_address(addresses.target_calls),
-        'links': _join_address(addresses.links),
+        'node_id': started.config.node_id,
+        **dataclasses.asdict(addresses),
     }
     click.echo(json.dumps(line))
     sys.stdout.flush()
 
 
-def _join_address(address: tuple[str, int]) -> str:
-    return f'{address[0]}:{address[1]}'
-
-
 if __name__ == '__main__':
     main()
--- a/src/eelgrasswalk/counters.py
+++ b/src/eelgrasswalk/counters.py
@@ -5,11 +5,17 @@
 import typing
 
 from . import verdict
+from .document import model
 
 if typing.TYPE_CHECKING:
     from .filters import exchange
 
 
+_SHED_REASONS = frozenset(
+    (verdict.Reason.OVERLOAD.value, verdict.Reason.MEMORY.value)
+)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallKind:
     """What calls are counted by.
@@ -52,6 +58,39 @@
         )
         self.calls[kind] += 1
 
+    def summarize(self) -> dict[str, typing.Any]:
+        """Return callers' calls as operators read them.
+
+        `answered` counts answers, `shed` refusals for load by importance,
+        `accounts` what each client account sent and had answered.
+        """
+        answered = 0
+        shed: collections.Counter[str] = collections.Counter()
+        accounts: dict[str, collections.Counter[str]] = {}
+        for kind, count in self.calls.items():
+            if kind.source != 'caller':
+                continue
+            if kind.verdict == 'answered':
+                answered += count
+            if kind.reason in _SHED_REASONS:
+                shed[name_importance(kind.importance)] += count
+            if kind.account:
+                own = accounts.setdefault(kind.account, collections.Counter())
+                own['sent'] += count
+                own[kind.reason or 'answered'] += count
+        return {
+            'answered': answered,
+            'shed': dict(shed),
+            'accounts': {name: dict(own) for name, own in accounts.items()},
+        }
+
+
+def name_importance(value: int) -> str:
+    """Return the name of an importance; `unknown` before it is known."""
+    if value < 0:
+        return 'unknown'
+    return model.Importance(min(value, max(model.Importance))).name.lower()
+
 
 def _name_verdict(outcome: verdict.Verdict) -> str:
     if isinstance(outcome, verdict.Answered):
--- a/src/eelgrasswalk/events.py
+++ b/src/eelgrasswalk/events.py
@@ -30,6 +30,12 @@
 NODE_STARTED = Event(1001, logging.INFO, 'node started')
 NODE_DRAINING = Event(1002, logging.INFO, 'node draining')
 NODE_STOPPED = Event(1003, logging.INFO, 'node stopped')
+DRAIN_TIMED_OUT = Event(
+    1004,
+    logging.WARNING,
+    'planned stop cut calls that ran for too long',
+    'raise limits.drain_s above the longest deadline of a route',
+)
 LINK_OPENED = Event(2001, logging.INFO, 'link opened')
 LINK_LOST = Event(
     2002,
--- a/src/eelgrasswalk/settings.py
+++ b/src/eelgrasswalk/settings.py
@@ -111,6 +111,8 @@
         header_bytes: Longest request line and headers together.
         headers: Most headers in a request.
         body_memory_bytes: Most bytes of bodies held at a time.
+        announce_s: Seconds between announcing a planned stop and refusing
+            new work.
         drain_s: Seconds that a planned stop waits for running calls.
     """
 
@@ -118,6 +120,7 @@
     header_bytes: int = 32_768
     headers: int = 128
     body_memory_bytes: int = 100_663_296
+    announce_s: float = 2.0
     drain_s: float = 30.0
 
 
@@ -146,6 +149,8 @@
         node_id: Unique id of the node.
         data_centre: Name of its data centre.
         service: Service of its target.
+        host: Name of the host for operators; the node's id when empty.
+        otlp_endpoint: Where metrics are sent by OTLP; empty for nowhere.
         mesh_secret: Shared by all nodes of the mesh.
         target: The program beside the node.
         listen: Where the node listens.
@@ -170,6 +175,8 @@
     document: str = ''
     members: tuple[StaticMember, ...] = ()
     key_header: str = 'x-api-key'
+    host: str = ''
+    otlp_endpoint: str = ''
     log_level: str = 'info'
     limits: Limits = Limits()
 
--- a/src/eelgrasswalk/transport/acceptor.py
+++ b/src/eelgrasswalk/transport/acceptor.py
@@ -1,6 +1,7 @@
 """The upstream's side of links: receives attempts and answers questions."""
 
 import asyncio
+import contextlib
 import dataclasses
 import typing
 
@@ -15,6 +16,7 @@
 # Seconds that the work of a lost link goes on without a new link.
 ORPHAN_GRACE_S = 3.0
 FENCE_S = 60.0
+GOODBYE_TIMEOUT_S = 1.0
 
 
 class Runner(typing.Protocol):
@@ -69,6 +71,7 @@
         self._peers: dict[str, _Peer] = {}
         self._server: asyncio.Server | None = None
         self._purger: asyncio.TimerHandle | None = None
+        self._parted: asyncio.Event | None = None
 
     async def start(self, host: str, port: int) -> tuple[str, int]:
         """Listen for links, and return the address that was bound."""
@@ -93,17 +96,29 @@
             await asyncio.wait(tasks)
 
     async def stop(self) -> None:
-        """Close the listener and every link."""
+        """Close the listener, part from every peer, then close every link."""
         if self._purger is not None:
             self._purger.cancel()
         if self._server is not None:
             self._server.close()
+        await self._part()
         for opened in list(self._links):
             opened.close_gracefully()
         for peer in self._peers.values():
             for task in peer.tasks.values():
                 task.cancel()
 
+    async def _part(self) -> None:
+        """Wait until no peer can have sent a call that has no outcome."""
+        for opened in self._links:
+            opened.send(frames.Goodbye())
+        self._parted = asyncio.Event()
+        if not self._links:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(GOODBYE_TIMEOUT_S):
+                await self._parted.wait()
+
     def count_links(self) -> int:
         """Return how many links are open."""
         return len(self._links)
@@ -146,6 +161,8 @@
 
     def on_closed(self, closed: link.Link) -> None:
         self._links.discard(closed)
+        if self._parted is not None and not self._links:
+            self._parted.set()
         peer = self._peers.get(closed.peer.node_id)
         if peer is None or peer.current is not closed:
             return
--- a/src/eelgrasswalk/transport/dialler.py
+++ b/src/eelgrasswalk/transport/dialler.py
@@ -22,10 +22,6 @@
 DEADLINE_GRACE_S = 0.1
 IDLE_CLOSE_S = 60.0
 
-_NO_FEEDBACK = frames.Feedback(
-    importance=255, fraction=1.0, queue_delay_s=0.0, unspent=0
-)
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Address:
@@ -146,6 +142,7 @@
         self._dialling: asyncio.Task[bool] | None = None
         self._resolving: asyncio.Task[None] | None = None
         self._opened: asyncio.Future[bool] | None = None
+        self._retired = False
         self._acks: list[bytes] = []
         self._ack_timer: asyncio.TimerHandle | None = None
         self._past_bytes_in = 0
@@ -167,15 +164,11 @@
 
     async def call(self, call: frames.Call, deadline: float) -> Reply:
         pending = _Pending(call, self._loop.create_future(), deadline)
+        if self._retired:
+            return _refuse(verdict.Reason.LEAVING, 'the upstream is stopping')
         if self._link is None and not await self._dial(deadline):
-            return Reply(
-                verdict.NotRun(
-                    verdict.Reason.NO_UPSTREAM,
-                    retry_after_s=1.0,
-                    detail='the upstream could not be reached',
-                    retry_elsewhere=True,
-                ),
-                None,
+            return _refuse(
+                verdict.Reason.NO_UPSTREAM, 'the upstream could not be reached'
             )
         self._pending[call.attempt] = pending
         timer = self._loop.call_at(
@@ -189,8 +182,7 @@
             raise
         finally:
             timer.cancel()
-            if self._pending.pop(call.attempt, None) and self._link:
-                self._link.outstanding = len(self._pending)
+            self._forget(call.attempt)
 
     def send_control(self, item: frames.Control) -> None:
         if self._link is not None:
@@ -223,6 +215,7 @@
         if closed is not self._link:
             return
         self._link = None
+        self._retired = False
         if any(pending.sent for pending in self._pending.values()):
             self._resolving = self._loop.create_task(self._resolve())
 
@@ -232,11 +225,27 @@
             self._settle(item.attempt, Reply(outcome, item.feedback))
         elif isinstance(item, frames.Failure):
             self._settle(item.attempt, Reply(item.outcome, item.feedback))
+        elif isinstance(item, frames.Goodbye):
+            self._retired = True
+            if not self._pending:
+                self._close_retired()
         elif isinstance(item, frames.Control):
             self._dialler.on_control(
                 source.peer.node_id, item.topic, item.payload
             )
 
+    def _forget(self, attempt: bytes) -> None:
+        self._pending.pop(attempt, None)
+        if self._link is not None:
+            self._link.outstanding = len(self._pending)
+        if self._retired and not self._pending:
+            self._close_retired()
+
+    def _close_retired(self) -> None:
+        if self._link is not None:
+            self._flush_acks()
+            self._link.close_gracefully()
+
     # Attempts
 
     def _send(self, pending: _Pending) -> None:
@@ -365,3 +374,10 @@
             verdict.Reason.LINK_LOST, 'the upstream was restarted'
         )
         pending.future.set_result(Reply(outcome, None))
+
+
+def _refuse(reason: verdict.Reason, detail: str) -> Reply:
+    outcome = verdict.NotRun(
+        reason, retry_after_s=1.0, detail=detail, retry_elsewhere=True
+    )
+    return Reply(outcome, None)
--- a/src/eelgrasswalk/transport/frames.py
+++ b/src/eelgrasswalk/transport/frames.py
@@ -201,6 +201,14 @@
     payload: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Goodbye:
+    """The accepting side is stopping and refuses every further call.
+
+    The dialling side closes the link once its last attempt has an outcome.
+    """
+
+
 Message: typing.TypeAlias = (
     Challenge
     | Hello
@@ -215,6 +223,7 @@
     | Known
     | Ack
     | Control
+    | Goodbye
 )
 
 
@@ -511,6 +520,7 @@
     Known: lambda m: [11, m.attempt],
     Ack: lambda m: [12, list(m.attempts)],
     Control: lambda m: [13, m.topic, m.payload],
+    Goodbye: lambda m: [14],
 }
 
 _DECODERS: dict[int, typing.Callable[..., Message]] = {
@@ -543,4 +553,5 @@
     13: lambda topic, payload: Control(
         topic=_take_text(topic), payload=_take_bytes(payload)
     ),
+    14: Goodbye,
 }
--- a/src/eelgrasswalk/transport/http_server.py
+++ b/src/eelgrasswalk/transport/http_server.py
@@ -82,9 +82,13 @@
         """Return the protocol of one new connection."""
         return _Connection(self, asyncio.get_running_loop())
 
+    def announce(self) -> None:
+        """Tell callers on each answer to come back on a new connection."""
+        self.leaving = True
+
     async def drain(self) -> None:
         """Take no new connection and wait until every request is answered."""
-        self.leaving = True
+        self.announce()
         if self._server is not None:
             self._server.close()
         tasks = []
--- a/src/eelgrasswalk/wiring.py
+++ b/src/eelgrasswalk/wiring.py
@@ -1,6 +1,5 @@
 """The composition root: builds a node from its settings."""
 
-import asyncio
 import dataclasses
 import pathlib
 import random
@@ -10,10 +9,10 @@
 from . import app
 from . import counters
 from . import events
+from . import node
 from . import settings
-from .controllers import static_members
+from .controllers import directory
 from .document import loading
-from .document import model
 from .filters import admit
 from .filters import adopt
 from .filters import context
@@ -31,7 +30,6 @@
 from .policy import balance
 from .policy import breaker
 from .policy import levels
-from .policy import routing
 from .transport import acceptor
 from .transport import budget
 from .transport import dialler
@@ -42,212 +40,203 @@
 RETAINED_ANSWER_SHARE = 0.25
 
 
-@dataclasses.dataclass(slots=True)
-class Current:
-    """The configuration in force.
+class ControlRouter:
+    """Hands controllers' messages from links to the controllers."""
 
-    Args:
-        table: Prepared for look-up; None before the first version.
-    """
+    def __init__(self) -> None:
+        self._handlers: dict[str, typing.Callable[[str, bytes], None]] = {}
 
-    table: routing.RoutingTable | None = None
-
-    def get(self) -> routing.RoutingTable | None:
-        """Return the configuration in force."""
-        return self.table
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Addresses:
-    """Where a started node listens."""
-
-    callers: tuple[str, int]
-    target_calls: tuple[str, int]
-    links: tuple[str, int]
-
-
-class Node:
-    """One node: entry for callers, and guard of its target.
-
-    Args:
-        config: Its settings.
-    """
-
-    def __init__(self, config: settings.Settings) -> None:
-        self.config = config
-        self.addresses: Addresses | None = None
-        self.current = Current()
-        self.counts = counters.Counters()
-        self.bodies = budget.ByteBudget(config.limits.body_memory_bytes)
-        self.identity = link.Identity(config.node_id, time.time_ns())
-        self._random = random.Random()
-        self._secret = config.mesh_secret.encode()
-        self._calls = served.ServedCalls()
-        self._build_guard()
-        self._build_links()
-        self._build_entries()
-
-    async def start(self) -> None:
-        """Listen, and take the configuration of a fixed set-up."""
-        listen = self.config.listen
-        if self.config.document:
-            self._load_document(pathlib.Path(self.config.document))
-        self.addresses = Addresses(
-            links=await self.acceptor.start(
-                listen.links.host, listen.links.port
-            ),
-            target_calls=await self.target_listener.start(
-                listen.target_calls.host, listen.target_calls.port
-            ),
-            callers=await self.caller_listener.start(
-                listen.callers.host, listen.callers.port
-            ),
-        )
-        events.log(events.NODE_STARTED, incarnation=self.identity.incarnation)
-
-    async def stop(self) -> None:
-        """Take no new work, finish what runs, then close everything."""
-        events.log(events.NODE_DRAINING)
-        self.guard.leaving = True
-        self.admitter.drain()
-        try:
-            async with asyncio.timeout(self.config.limits.drain_s):
-                await self.caller_listener.drain()
-                await self.acceptor.drain()
-                await self.target_listener.drain()
-        except TimeoutError:
-            pass
-        await self.caller_listener.stop()
-        await self.target_listener.stop()
-        await self.dialler.stop()
-        await self.acceptor.stop()
-        await self.pool.close()
-        self.admitter.stop()
-        events.log(events.NODE_STOPPED)
-
-    def apply_document(self, document: model.Document, version: int) -> None:
-        """Put a configuration in force."""
-        self.current.table = routing.RoutingTable(document, version=version)
-        service = self.current.table.services.get(self.config.service)
-        if service is not None:
-            self.admitter.policy.resize(service.slots)
-            self.pool.connections = service.connections
-        events.log(events.CONFIGURATION_APPLIED, version=version)
-
-    def apply_members(
-        self, upstreams: typing.Mapping[str, typing.Sequence[balance.Upstream]]
+    def register(
+        self, topic: str, handler: typing.Callable[[str, bytes], None]
     ) -> None:
-        """Set the upstreams of each service."""
-        now = asyncio.get_running_loop().time()
-        for service, found in upstreams.items():
-            self.balancer.replace(service, found, now)
-
-    def _build_guard(self) -> None:
-        target = self.config.target.address
-        self.pool = http_client.TargetPool(
-            target.host, target.port, connections=1
-        )
-        self.admitter = admit.Admitter(
-            admission.Admission(admission.AdmissionSettings(), slots=1),
-            source=self._random,
-        )
-        self.guard = guard.Guard(
-            get_table=self.current.get,
-            admitter=self.admitter,
-            deliverer=deliver.Deliverer(
-                self.pool,
-                removed_headers=frozenset((self.config.key_header.encode(),)),
-            ),
-            calls=self._calls,
-            bodies=self.bodies,
-        )
+        """Hand a topic's messages to a controller."""
+        self._handlers[topic] = handler
 
-    def _build_links(self) -> None:
-        self.dialler = dialler.Dialler(
-            self.identity,
-            secret=self._secret,
-            bodies=self.bodies,
-            on_control=self._receive_control,
-        )
-        limit = self.config.limits.body_memory_bytes
-        self.acceptor = acceptor.Acceptor(
-            self.identity,
-            secret=self._secret,
-            runner=self.guard,
-            bodies=self.bodies,
-            table=attempts.AttemptTable(
-                max_answer_bytes=int(limit * RETAINED_ANSWER_SHARE)
-            ),
-            on_control=self._receive_control,
-        )
+    def receive(self, node_id: str, topic: str, payload: bytes) -> None:
+        """Take one message; an unknown topic is of another release."""
+        handler = self._handlers.get(topic)
+        if handler is not None:
+            handler(node_id, payload)
 
-    def _build_entries(self) -> None:
-        self.members = static_members.StaticMembers(self.config.members)
-        self.balancer = balance.Balancer(
-            balance.BalanceSettings(),
-            data_centre=self.config.data_centre,
-            node_id=self.config.node_id,
-        )
-        self.apply_members(self.members.list_upstreams())
-        level_table = levels.LevelTable()
-        dispatcher = dispatch.Dispatcher(
-            node_id=self.config.node_id,
-            book=self.members,
-            links=self.dialler,
-            runner=self.guard,
-            balancer=self.balancer,
-            level_table=level_table,
-            storm=breaker.StormBreaker(),
-            source=self._random,
-        )
-        checks: tuple[exchange.Check, ...] = (
-            identify.IdentifyCheck(
-                self._calls, key_header=self.config.key_header
-            ),
-            route.RouteCheck(),
-            context.ContextCheck(),
-            adopt.AdoptCheck(),
-            shed.ShedCheck(level_table),
-        )
-        chain = exchange.Chain(checks, (), dispatcher.send)
-        self.caller_listener = self._build_listener(
-            exchange.Source.CALLER, chain
-        )
-        self.target_listener = self._build_listener(
-            exchange.Source.TARGET, chain
-        )
 
-    def _build_listener(
-        self, source: exchange.Source, chain: exchange.Chain
-    ) -> http_server.HttpServer:
-        handler = entry.Entry(
-            source, chain, get_table=self.current.get, counts=self.counts
-        )
-        limits = self.config.limits
-        return http_server.HttpServer(
-            handler.handle,
-            limits=http_server.Limits(
-                body_bytes=limits.request_body_bytes,
-                header_bytes=limits.header_bytes,
-                headers=limits.headers,
-            ),
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shared:
+    """What several parts of a node need."""
+
+    config: settings.Settings
+    identity: link.Identity
+    current: node.Current
+    counts: counters.Counters
+    bodies: budget.ByteBudget
+    calls: served.ServedCalls
+    router: ControlRouter
+    source: random.Random
+
+
+def build_application(
+    config: settings.Settings,
+) -> tuple[app.Application, node.Node]:
+    """Return a node and the application that runs it."""
+    stops: list[typing.Callable[[], None]] = []
+    built = build_node(config, on_stop_request=lambda: stops[0]())
+    application = app.Application([built])
+    stops.append(application.request_stop)
+    return application, built
+
+
+def build_node(
+    config: settings.Settings,
+    *,
+    on_stop_request: typing.Callable[[], None],
+) -> node.Node:
+    """Build a node and its controllers."""
+    shared = Shared(
+        config=config,
+        identity=link.Identity(config.node_id, time.time_ns()),
+        current=node.Current(),
+        counts=counters.Counters(),
+        bodies=budget.ByteBudget(config.limits.body_memory_bytes),
+        calls=served.ServedCalls(),
+        router=ControlRouter(),
+        source=random.Random(),
+    )
+    parts = _build_parts(shared)
+    built = node.Node(config, parts, on_stop_request=on_stop_request)
+    if config.document:
+        _apply_file(built, pathlib.Path(config.document))
+    if config.members:
+        parts.directory.replace(map(_build_static_peer, config.members))
+    return built
+
+
+def _build_parts(shared: Shared) -> node.Parts:
+    config = shared.config
+    target = config.target.address
+    pool = http_client.TargetPool(target.host, target.port, connections=1)
+    admitter = admit.Admitter(
+        admission.Admission(admission.AdmissionSettings(), slots=1),
+        source=shared.source,
+    )
+    gate = guard.Guard(
+        get_table=shared.current.get,
+        admitter=admitter,
+        deliverer=deliver.Deliverer(
+            pool, removed_headers=frozenset((config.key_header.encode(),))
+        ),
+        calls=shared.calls,
+        bodies=shared.bodies,
+    )
+    links = dialler.Dialler(
+        shared.identity,
+        secret=config.mesh_secret.encode(),
+        bodies=shared.bodies,
+        on_control=shared.router.receive,
+    )
+    balancer = balance.Balancer(
+        balance.BalanceSettings(),
+        data_centre=config.data_centre,
+        node_id=config.node_id,
+    )
+    book = directory.Directory(balancer)
+    chain = _build_chain(shared, book, links, gate, balancer)
+    return node.Parts(
+        identity=shared.identity,
+        current=shared.current,
+        counts=shared.counts,
+        bodies=shared.bodies,
+        admitter=admitter,
+        guard=gate,
+        pool=pool,
+        dialler=links,
+        acceptor=_build_acceptor(shared, gate),
+        directory=book,
+        caller_listener=_build_listener(shared, exchange.Source.CALLER, chain),
+        target_listener=_build_listener(shared, exchange.Source.TARGET, chain),
+    )
+
+
+def _build_chain(
+    shared: Shared,
+    book: directory.Directory,
+    links: dialler.Dialler,
+    gate: guard.Guard,
+    balancer: balance.Balancer,
+) -> exchange.Chain:
+    level_table = levels.LevelTable()
+    dispatcher = dispatch.Dispatcher(
+        node_id=shared.config.node_id,
+        book=book,
+        links=links,
+        runner=gate,
+        balancer=balancer,
+        level_table=level_table,
+        storm=breaker.StormBreaker(),
+        source=shared.source,
+    )
+    checks: tuple[exchange.Check, ...] = (
+        identify.IdentifyCheck(
+            shared.calls, key_header=shared.config.key_header
+        ),
+        route.RouteCheck(),
+        context.ContextCheck(),
+        adopt.AdoptCheck(),
+        shed.ShedCheck(level_table),
+    )
+    return exchange.Chain(checks, (), dispatcher.send)
+
+
+def _build_acceptor(shared: Shared, gate: guard.Guard) -> acceptor.Acceptor:
+    limit = shared.config.limits.body_memory_bytes
+    return acceptor.Acceptor(
+        shared.identity,
+        secret=shared.config.mesh_secret.encode(),
+        runner=gate,
+        bodies=shared.bodies,
+        table=attempts.AttemptTable(
+            max_answer_bytes=int(limit * RETAINED_ANSWER_SHARE)
+        ),
+        on_control=shared.router.receive,
+    )
+
+
+def _build_listener(
+    shared: Shared, source: exchange.Source, chain: exchange.Chain
+) -> http_server.HttpServer:
+    handler = entry.Entry(
+        source,
+        chain,
+        get_table=shared.current.get,
+        counts=shared.counts,
+    )
+    limits = shared.config.limits
+    return http_server.HttpServer(
+        handler.handle,
+        limits=http_server.Limits(
+            body_bytes=limits.request_body_bytes,
+            header_bytes=limits.header_bytes,
+            headers=limits.headers,
+        ),
+    )
+
+
+def _apply_file(built: node.Node, path: pathlib.Path) -> None:
+    outcome = loading.load_document(path.read_bytes(), source=str(path))
+    if isinstance(outcome, loading.Invalid):
+        events.log(
+            events.CONFIGURATION_REJECTED, problems=str(outcome.problems)
         )
-
-    def _load_document(self, path: pathlib.Path) -> None:
-        outcome = loading.load_document(path.read_bytes(), source=str(path))
-        if isinstance(outcome, loading.Loaded):
-            self.apply_document(outcome.document, 0)
-        else:
-            events.log(
-                events.CONFIGURATION_REJECTED, problems=str(outcome.problems)
-            )
-
-    def _receive_control(
-        self, node_id: str, topic: str, payload: bytes
-    ) -> None:
-        pass
-
-
-def build_application(node: Node) -> app.Application:
-    """Return the application that runs a node."""
-    return app.Application([node])
+        return
+    built.apply_document(outcome.document, 0)
+
+
+def _build_static_peer(member: settings.StaticMember) -> directory.Peer:
+    return directory.Peer(
+        node_id=member.node_id,
+        host=member.node_id,
+        service=member.service,
+        data_centre=member.data_centre,
+        state=directory.STATE_READY,
+        links=dialler.Address(
+            member.node_id, member.links.host, member.links.port
+        ),
+    )
--- a/tests/integration/test_path.py
+++ b/tests/integration/test_path.py
@@ -1,14 +1,11 @@
 """One call through two nodes, as separate processes."""
 
-import hashlib
 import unittest
 
 import httpx
-import yaml
 
 from eelgrasswalk.bench import mesh
-
-KEY = 'test-key'
+from tests.integration import setups
 
 
 class PathTest(unittest.TestCase):
@@ -17,40 +14,13 @@
     @classmethod
     def setUpClass(cls) -> None:
         cls.mesh = cls.enterClassContext(mesh.Mesh())
-        targets = cls.mesh.start_standin(
-            'target', '--listen', '127.0.0.1:0', '--listen', '127.0.0.1:0'
-        )
-        cls.targets = targets.ready['addresses']
-        ports = mesh.find_free_ports(2)
-        document = cls.mesh.write_file('document.yaml', build_document())
-        members = [
-            {
-                'node_id': name,
-                'service': name,
-                'data_centre': 'test',
-                'links': f'127.0.0.1:{port}',
-            }
-            for name, port in zip(('front', 'back'), ports, strict=True)
-        ]
-        cls.nodes = [
-            cls.mesh.start_node(
-                {
-                    'node_id': member['node_id'],
-                    'data_centre': 'test',
-                    'service': member['service'],
-                    'mesh_secret': mesh.SECRET,
-                    'target': {'address': address},
-                    'document': str(document),
-                    'members': members,
-                    'listen': {'links': member['links']},
-                }
-            )
-            for member, address in zip(members, cls.targets, strict=True)
-        ]
+        setup = setups.start_pair(cls.mesh, per_service=1)
+        cls.targets = setup.targets
+        cls.nodes = setup.nodes
         cls.client = cls.enterClassContext(
             httpx.Client(
                 base_url=f'http://{cls.nodes[0].ready["callers"]}',
-                headers={'x-api-key': KEY},
+                headers={'x-api-key': setups.KEY},
                 timeout=20,
             )
         )
@@ -89,39 +59,6 @@
         )
         ledger = httpx.get(f'http://{self.targets[1]}/_standin/ledger')
         self.assertIn('seen', ledger.text)
-        self.assertNotIn(KEY, ledger.text)
+        self.assertNotIn(setups.KEY, ledger.text)
         runs = ledger.json()
         self.assertFalse(any(run['has_key'] for run in runs), runs)
-
-
-def build_document() -> str:
-    """Return a document with a front and a back service."""
-    names = ('front', 'back')
-    digest = hashlib.sha256(KEY.encode()).hexdigest()
-    return yaml.safe_dump(
-        {
-            'schema': 1,
-            'mesh': 'test',
-            'accounts': [
-                {
-                    'name': 'test',
-                    'rate': 1000,
-                    'burst': 1000,
-                    'keys': [{'label': 'test', 'digest': digest}],
-                }
-            ],
-            'services': [
-                {'name': name, 'slots': 20, 'connections': 40}
-                for name in names
-            ],
-            'routes': [
-                {
-                    'name': name,
-                    'service': name,
-                    'path_prefix': f'/{name}',
-                    'idempotent': True,
-                }
-                for name in names
-            ],
-        }
-    )
--- a/tests/transport/test_frames.py
+++ b/tests/transport/test_frames.py
@@ -59,6 +59,7 @@
     frames.Known(ATTEMPT),
     frames.Ack((ATTEMPT,)),
     frames.Control('quota', b'x'),
+    frames.Goodbye(),
 )
 
 PLAIN = strategies.recursive(
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -176,6 +176,17 @@
         self.assertIs(verdict.Reason.NO_UPSTREAM, reply.outcome.reason)
         self.assertEqual([], self.runner.runs)
 
+    async def test_planned_stop_leaves_no_doubt(self) -> None:
+        self.runner.gate.clear()
+        task = self.start_call(self.build_call())
+        await self.runner.started.wait()
+        stopping = asyncio.create_task(self.acceptor.stop())
+        await asyncio.sleep(0)
+        self.runner.gate.set()
+        self.assertEqual(b'x', self.get_body(await task))
+        await stopping
+        self.assertEqual(0, self.acceptor.count_links())
+
     async def test_deadline_ends_a_call_that_never_ends(self) -> None:
         self.runner.gate.clear()
         loop = asyncio.get_running_loop()
