--- a/src/eelgrasswalk/cli/standin.py
+++ b/src/eelgrasswalk/cli/standin.py
@@ -6,12 +6,14 @@
 import json
 import signal
 
+import anyio
 import click
 import uvloop
 
 from ..standins import asgi
 from ..standins import platform as platforms
 from ..standins import serving
+from ..standins import steering
 from ..standins import target as targets
 
 
@@ -119,5 +121,40 @@
     uvloop.run(asgi.serve(standin.make_application(), listener, wait_for_stop))
 
 
+@main.command()
+@click.option('--control', default='127.0.0.1:0', show_default=True)
+@click.option('--tcp', multiple=True, help='Address that a route leads to.')
+@click.option('--udp', multiple=True, help='Address that a route leads to.')
+@click.option('--seed', default=0)
+def faults(
+    control: str, tcp: tuple[str, ...], udp: tuple[str, ...], seed: int
+) -> None:
+    """Run a proxy that injects faults, steered over HTTP."""
+    routes = [('tcp', each) for each in tcp] + [('udp', each) for each in udp]
+    uvloop.run(run_faults(control, routes, seed))
+
+
+async def run_faults(
+    control: str,
+    routes: collections.abc.Sequence[tuple[str, str]],
+    seed: int,
+) -> None:
+    """Proxy until a signal comes."""
+    async with anyio.create_task_group() as group:
+        proxy = steering.Steering(group, seed=seed)
+        addresses = []
+        for kind, upstream in routes:
+            state = await proxy.add(
+                kind, parse_address(upstream), ('127.0.0.1', 0)
+            )
+            addresses.append(state.listen)
+        _, address = await serving.start_server(
+            proxy.handle, *parse_address(control)
+        )
+        announce(addresses, control=address)
+        await wait_for_stop()
+        group.cancel_scope.cancel()
+
+
 if __name__ == '__main__':
     main()
--- a/src/eelgrasswalk/platform/http.py
+++ b/src/eelgrasswalk/platform/http.py
@@ -18,6 +18,7 @@
 from . import codec
 from . import limits
 from . import protocols
+from . import resolution
 
 Clock: typing.TypeAlias = collections.abc.Callable[[], float]
 
@@ -250,7 +251,7 @@
         except codec.MalformedError as error:
             return protocols.Unknown(f'malformed answer: {error}')
         if outcome.was_lost and isinstance(result, protocols.Conflict):
-            return resolve_lost_answer(operations, result)
+            return resolution.resolve(operations, result)
         return result
 
     async def _write_repeatedly(
@@ -352,40 +353,6 @@
     was_lost: bool
 
 
-def resolve_lost_answer(
-    operations: collections.abc.Sequence[protocols.Operation],
-    conflict: protocols.Conflict,
-) -> protocols.WriteOutcome:
-    """Tell the effect of a write from the conflict of its repetition.
-
-    If the write took effect, every row that it put has changed. A row that
-    still holds the written value, and with it the writer's token, proves the
-    effect of the whole transaction.
-
-    Args:
-        operations: The write.
-        conflict: What its repetition met.
-    """
-    puts = [each for each in operations if isinstance(each, protocols.Put)]
-    if not puts and not conflict.rows:
-        return protocols.Done(('',) * len(operations))
-    if any(each.key not in conflict.keys for each in puts):
-        return conflict
-    versions = tuple(_find_own_version(each, conflict) for each in operations)
-    if any(versions):
-        return protocols.Done(versions)
-    return protocols.Unknown('overwritten or never written', conflict)
-
-
-def _find_own_version(
-    operation: protocols.Operation, conflict: protocols.Conflict
-) -> str:
-    row = conflict.find(operation.key)
-    if row is None or not isinstance(operation, protocols.Put):
-        return ''
-    return row.version if row.value == operation.value else ''
-
-
 def _make_write(operations: tuple[protocols.Operation, ...]) -> _Request:
     match operations:
         case (protocols.Put(key, value, expected),):
