Keep accepted versions in the platform's table and object store

Cause: the command line and the console need the real store. A lost answer is resolved by reading the audit row, which never changes.

--- a/src/eelgrasswalk/cli/connections.py
+++ b/src/eelgrasswalk/cli/connections.py
@@ -7,19 +7,22 @@
 
 from ..operations import fleet
 from ..operations import revisions
-from . import terminal
+from ..operations import store
+from ..platform import http
 
 
 class HttpConnections:
     """Connections of the real programs."""
 
-    def open_revisions(
+    @contextlib.asynccontextmanager
+    async def open_revisions(
         self, platform: str
-    ) -> contextlib.AbstractAsyncContextManager[revisions.Revisions]:
+    ) -> collections.abc.AsyncIterator[revisions.Revisions]:
         """Open the accepted versions at the platform's address."""
-        raise terminal.Failure(
-            terminal.ExitCode.FAILED, 'The platform client is not wired yet.'
-        )
+        url = fleet.format_url(platform)
+        async with httpx.AsyncClient(base_url=url, trust_env=False) as client:
+            services = http.HttpPlatform(client)
+            yield store.StoredRevisions(services, services)
 
     @contextlib.asynccontextmanager
     async def open_fleet(
--- a/src/eelgrasswalk/controllers/audit.py
+++ b/src/eelgrasswalk/controllers/audit.py
@@ -38,6 +38,7 @@
         note: The operator's reason.
         document_digest: SHA-256 of the document's stored bytes.
         previous: Digest of the entry before.
+        token: Random text, unique to this write.
         digest: SHA-256 over `previous` and the other fields.
     """
 
@@ -48,6 +49,7 @@
     note: str
     document_digest: str
     previous: str
+    token: str = ''
     digest: str = ''
 
 
@@ -90,6 +92,7 @@
     document: bytes,
     previous: str = FIRST_PREVIOUS,
     note: str = '',
+    token: str = '',
 ) -> Entry:
     """Return an entry with its digest.
 
@@ -101,6 +104,7 @@
         document: The document's bytes as they are stored.
         previous: Digest of the entry before.
         note: The operator's reason.
+        token: Random text, unique to this write.
     """
     entry = Entry(
         version=version,
@@ -110,6 +114,7 @@
         note=note,
         document_digest=hashlib.sha256(document).hexdigest(),
         previous=previous,
+        token=token,
     )
     return dataclasses.replace(entry, digest=compute_digest(entry))
 
@@ -177,11 +182,16 @@
     document = documents.get(entry.version)
     if document is None:
         return 'the document of this version is missing'
-    if hashlib.sha256(document).hexdigest() != entry.document_digest:
+    if not matches_document(entry, document):
         return 'the document was altered after it was accepted'
     return None
 
 
+def matches_document(entry: Entry, document: bytes) -> bool:
+    """Tell whether stored bytes are the document of the entry."""
+    return hashlib.sha256(document).hexdigest() == entry.document_digest
+
+
 def export_entry(entry: Entry) -> dict[str, typing.Any]:
     """Return the entry as plain data."""
     data: dict[str, typing.Any] = cattrs.unstructure(entry)
--- a/src/eelgrasswalk/operations/revisions.py
+++ b/src/eelgrasswalk/operations/revisions.py
@@ -1,12 +1,10 @@
 """Accepted versions of the document, and how a new one is published."""
 
-import collections.abc
 import dataclasses
 import typing
 
 from ..controllers import audit
 from ..document import difference
-from ..document import loading
 from ..document import model
 
 
@@ -128,6 +126,7 @@
     author: audit.Author,
     time: str,
     note: str = '',
+    token: str = '',
 ) -> audit.Entry:
     """Return the audit entry of a change.
 
@@ -138,6 +137,7 @@
         author: Who makes the change, and from where.
         time: When, in UTC after ISO 8601.
         note: The operator's reason.
+        token: Random text, unique to this write.
     """
     old = base.document if base else None
     changes = difference.compare_documents(old, document)
@@ -149,21 +149,5 @@
         document=content,
         previous=base.entry.digest if base else audit.FIRST_PREVIOUS,
         note=note,
+        token=token,
     )
-
-
-def verify_history(
-    entries: collections.abc.Sequence[audit.Entry],
-    documents: collections.abc.Mapping[int, model.Document],
-) -> audit.Verified | audit.Broken:
-    """Check the chain and the documents that were read for it.
-
-    Args:
-        entries: All entries from version 1, in order.
-        documents: Documents by version.
-    """
-    contents = {
-        version: loading.dump_document(document)
-        for version, document in documents.items()
-    }
-    return audit.verify_chain(entries, contents)
