--- a/src/eelgrasswalk/cli/console.py
+++ b/src/eelgrasswalk/cli/console.py
@@ -2,6 +2,7 @@
 
 import functools
 import pathlib
+import sys
 import typing
 
 import anyio
@@ -43,6 +44,7 @@
     config.bind = [settings.listen]
     config.include_server_header = False
     config.accesslog = None
+    config.keep_alive_max_requests = sys.maxsize
     click.echo(f'console on {settings.listen}', err=True)
     anyio.run(functools.partial(hypercorn.asyncio.serve, app, config))
 
--- a/src/eelgrasswalk/cli/versions.py
+++ b/src/eelgrasswalk/cli/versions.py
@@ -9,6 +9,7 @@
 from ..document import difference
 from ..document import loading
 from ..document import model
+from ..document import problem
 from ..operations import editing
 from ..operations import revisions
 from . import progress
@@ -87,12 +88,18 @@
 
 @click.command('rollback')
 @click.argument('version', type=click.IntRange(min=1))
+@click.option(
+    '--restore-keys',
+    is_flag=True,
+    help='Bring back keys that were withdrawn since.',
+)
 @publishing_options
 @click.pass_obj
 @terminal.run_async
 async def rollback(
     session: terminal.Session,
     version: int,
+    restore_keys: bool,
     note: str,
     yes: bool,
     wait: bool,
@@ -103,9 +110,30 @@
     async with session.open_revisions() as store:
         head = terminal.take_head(await store.read_head())
         old = await read_version(store, version)
+        if head is not None and not restore_keys:
+            check_revived_keys(head.document, old.document)
         await publish(session, store, old.document, head, terms)
 
 
+def check_revived_keys(head: model.Document, old: model.Document) -> None:
+    """Fail if a rollback would bring back keys that were withdrawn."""
+    current = {key.digest for account in head.accounts for key in account.keys}
+    revived = [
+        f'{account.name}/{key.label}'
+        for account in old.accounts
+        for key in account.keys
+        if key.digest not in current
+    ]
+    if revived:
+        raise terminal.Failure(
+            terminal.ExitCode.USAGE,
+            'This would bring back keys that were withdrawn since: '
+            f'{problem.list_names(revived)}. Give --restore-keys if that is '
+            "meant; or take 'eelgrasswalk show VERSION', drop them, and "
+            'apply.',
+        )
+
+
 @click.command('show')
 @click.argument('version', default='head')
 @click.pass_obj
--- a/tests/cli/test_operator.py
+++ b/tests/cli/test_operator.py
@@ -156,6 +156,9 @@
         assert not isinstance(erie, editing.Refused)
         self.assertEqual(erie.keys[1].digest, editing.digest_key(secret))
         self.run_command('key', 'withdraw', 'erie', 'till', '--yes')
+        revived = self.run_command('rollback', '2', '--yes', code=2)
+        self.assertIn('erie/till', revived.stderr)
+        self.run_command('rollback', '2', '--yes', '--restore-keys')
         wrong = self.run_command(
             'key', 'withdraw', 'eire', 'till', '--yes', code=2
         )
--- /dev/null
+++ b/tests/integration/test_operators.py
@@ -0,0 +1,60 @@
+"""Tests of the command line and console's store on the stand-in platform."""
+
+import json
+import subprocess
+import sys
+import tempfile
+import unittest
+
+import click.testing
+import httpx
+
+from eelgrasswalk.cli import operator
+from tests.cli import test_operator
+
+
+class StandinPlatformTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.process = subprocess.Popen(
+            [sys.executable, '-m', 'eelgrasswalk.cli.standin', 'platform'],
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self.addCleanup(self.stop_process)
+        assert self.process.stdout is not None
+        ready = json.loads(self.process.stdout.readline())
+        self.address = ready['addresses'][0]
+
+    def stop_process(self) -> None:
+        self.process.terminate()
+        self.process.wait(10)
+        assert self.process.stdout is not None
+        self.process.stdout.close()
+
+    def run_command(self, *args: str, code: int = 0) -> str:
+        options = ['--platform', self.address, '--operator', 'ana']
+        runner = click.testing.CliRunner()
+        result = runner.invoke(operator.main, [*options, *args])
+        self.assertEqual(result.exit_code, code, result.output)
+        return result.output
+
+    def set_faults(self, **faults: object) -> None:
+        url = f'http://{self.address}/_standin/behave'
+        httpx.post(url, json=faults).raise_for_status()
+
+    def test_change_survives_lost_answers_and_outage(self) -> None:
+        path = str(test_operator.LAKESHORE)
+        self.set_faults(lose_next=2)
+        self.run_command('apply', '--yes', path)
+        self.run_command('key', 'create', 'erie', '--label', 'till', '--yes')
+        self.set_faults(down=True)
+        self.run_command('history', code=5)
+        self.set_faults(down=False)
+        self.assertIn(
+            '2 entries verified', self.run_command('history', '--verify')
+        )
+        with tempfile.NamedTemporaryFile('w', suffix='.yaml') as stream:
+            stream.write(self.run_command('show'))
+            stream.flush()
+            same = self.run_command('diff', stream.name)
+        self.assertIn('No change in meaning', same)
