--- a/src/eelgrasswalk/controllers/configuration.py
+++ b/src/eelgrasswalk/controllers/configuration.py
@@ -4,6 +4,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import hashlib
 import random
 import time
 import typing
@@ -14,10 +15,11 @@
 from .. import events
 from ..document import loading
 from ..document import model
+from ..operations import store
 from ..platform import protocols
 from ..policy import configuration
+from . import audit
 from . import configuration_messages as messages
-from . import configuration_rows as rows
 
 _LOOK_FOR_PEERS_S = 0.05
 
@@ -246,7 +248,7 @@
             return
         if head.version <= self._follower.version:
             return
-        name = rows.make_object_name(head.digest)
+        name = store.make_object_name(head.digest)
         outcome = await self._objects.get_object(name)
         if isinstance(outcome, protocols.Body):
             await self._load(head.version, head.digest, outcome.content)
@@ -300,7 +302,7 @@
         async with self._loading:
             if version <= self._follower.version:
                 return
-            if rows.compute_digest(content) != digest:
+            if compute_digest(content) != digest:
                 return
             loaded = await anyio.to_thread.run_sync(
                 _parse, content, f'version {version}'
@@ -315,13 +317,13 @@
                 self._digest = digest
                 self._apply(loaded.document, version)
 
-    async def _read_head(self) -> rows.Head | protocols.Unavailable | None:
-        outcome = await self._table.get(rows.HEAD_KEY)
+    async def _read_head(self) -> store.Head | protocols.Unavailable | None:
+        outcome = await self._table.get(store.HEAD_KEY)
         match outcome:
             case protocols.Found(row):
                 try:
-                    return rows.decode_head(row.value)
-                except rows.MalformedError as error:
+                    return store.decode_head(row.value)
+                except audit.MalformedError as error:
                     return protocols.Unavailable(str(error))
             case protocols.Missing():
                 return None
@@ -343,5 +345,10 @@
             self._heard.notify_all()
 
 
+def compute_digest(content: bytes) -> str:
+    """Return the digest that names a document."""
+    return hashlib.sha256(content).hexdigest()
+
+
 def _parse(content: bytes, source: str) -> loading.Outcome:
     return loading.load_document(content, source=source)
--- a/tests/controllers/test_configuration.py
+++ b/tests/controllers/test_configuration.py
@@ -4,17 +4,17 @@
 import random
 import unittest
 
+from eelgrasswalk.controllers import audit
 from eelgrasswalk.controllers import configuration
 from eelgrasswalk.controllers import configuration_messages as messages
-from eelgrasswalk.controllers import configuration_rows as rows
-from eelgrasswalk.controllers import publishing
 from eelgrasswalk.document import model
 from eelgrasswalk.operations import revisions
+from eelgrasswalk.operations import store
 from eelgrasswalk.platform import memory
 from eelgrasswalk.platform import protocols
 from eelgrasswalk.policy import configuration as policy
 
-from . import test_publishing
+from . import test_configuration_races as races
 
 OPTIONS = configuration.Options(
     follow=policy.FollowSettings(shortest_poll_s=0.001, first_retry_s=0.001),
@@ -78,17 +78,15 @@
 class ConfigurationControllerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.mesh = Mesh()
-        self.store = publishing.StoredRevisions(
-            self.mesh.table, self.mesh.objects
-        )
+        self.store = store.StoredRevisions(self.mesh.table, self.mesh.objects)
 
     async def publish(self, rate: float) -> None:
         head = await self.store.read_head()
         base = head.revision if isinstance(head, revisions.Found) else None
         outcome = await self.store.publish(
-            test_publishing.make_document(rate),
+            races.make_document(rate),
             base=base,
-            author=test_publishing.make_author('ana'),
+            author=audit.Author('ana', '127.0.0.1', 'test'),
         )
         self.assertIsInstance(outcome, revisions.Published)
 
@@ -157,7 +155,7 @@
         await self.start('a')
         node = self.mesh.nodes['a']
         content = b'schema: 999'
-        tell = messages.Tell(2, rows.compute_digest(content), content)
+        tell = messages.Tell(2, configuration.compute_digest(content), content)
         with self.assertLogs('eelgrasswalk', 'ERROR'):
             await node._load(tell.version, tell.digest, tell.content)
         self.assertEqual((2,), node.get_state().rejected)
@@ -166,7 +164,7 @@
     async def test_drops_a_document_that_was_altered(self) -> None:
         await self.start('a')
         node = self.mesh.nodes['a']
-        await node._load(1, rows.compute_digest(b'one'), b'two')
+        await node._load(1, configuration.compute_digest(b'one'), b'two')
         self.assertEqual(0, node.get_state().version)
 
 
