--- a/src/eelgrasswalk/cli/connections.py
+++ b/src/eelgrasswalk/cli/connections.py
@@ -5,9 +5,9 @@
 
 import httpx
 
+from ..controllers import publishing
 from ..operations import fleet
 from ..operations import revisions
-from ..operations import store
 from ..platform import http
 
 
@@ -22,7 +22,7 @@
         url = fleet.format_url(platform)
         async with httpx.AsyncClient(base_url=url, trust_env=False) as client:
             services = http.HttpPlatform(client)
-            yield store.StoredRevisions(services, services)
+            yield publishing.StoredRevisions(services, services)
 
     @contextlib.asynccontextmanager
     async def open_fleet(
--- a/src/eelgrasswalk/cli/nodes.py
+++ b/src/eelgrasswalk/cli/nodes.py
@@ -1,6 +1,7 @@
 """Commands on nodes: status and drain."""
 
 import collections.abc
+import dataclasses
 import itertools
 import typing
 
@@ -8,6 +9,7 @@
 import cattrs
 import click
 
+from .. import events
 from ..document import problem
 from ..operations import fleet
 from . import terminal
@@ -170,4 +172,25 @@
     )
 
 
-COMMANDS = (status, drain)
+@click.command('events')
+@click.argument('number', type=int, required=False)
+@click.pass_obj
+def list_events(session: terminal.Session, number: int | None) -> None:
+    """Explain the log event NUMBER, or all."""
+    found = [
+        event
+        for event in events.list_events()
+        if number is None or event.number == number
+    ]
+    if not found:
+        raise terminal.Failure(
+            terminal.ExitCode.USAGE,
+            f"There is no event {number}. See 'eelgrasswalk events'.",
+        )
+    data = {'events': [dataclasses.asdict(event) for event in found]}
+    rows = [('EVENT', 'TEXT', 'WHAT TO DO')]
+    rows += [(str(e.number), e.text, e.remedy or '-') for e in found]
+    session.emit(data, format_table(rows))
+
+
+COMMANDS = (status, drain, list_events)
--- a/src/eelgrasswalk/cli/terminal.py
+++ b/src/eelgrasswalk/cli/terminal.py
@@ -248,6 +248,8 @@
     """Return the accepted version that was read, or fail."""
     if isinstance(outcome, revisions.Unavailable):
         raise make_unavailable(outcome.detail)
+    if isinstance(outcome, revisions.Damaged):
+        raise make_damaged(outcome.detail)
     if isinstance(outcome, revisions.Missing):
         return None
     return outcome.revision
@@ -262,6 +264,15 @@
     )
 
 
+def make_damaged(detail: str) -> Failure:
+    """Return the failure for a store whose content cannot be right."""
+    return Failure(
+        ExitCode.AUDIT_BROKEN,
+        f'The store was damaged or altered: {detail}. Compare with a copy of '
+        'the digests kept elsewhere, and find out who can write to the store.',
+    )
+
+
 def _read_file(path: str) -> bytes:
     if path == '-':
         return sys.stdin.buffer.read(MAX_FILE_BYTES)
--- a/src/eelgrasswalk/cli/versions.py
+++ b/src/eelgrasswalk/cli/versions.py
@@ -167,12 +167,16 @@
 async def history(session: terminal.Session, limit: int, verify: bool) -> None:
     """Show who changed what, the latest first."""
     async with session.open_revisions() as store:
+        # The head comes first: an entry that it has must then be listed.
+        head = terminal.take_head(await store.read_head())
         outcome = await store.list_entries()
         if isinstance(outcome, revisions.Unavailable):
             raise terminal.make_unavailable(outcome.detail)
-        head = terminal.take_head(await store.read_head())
+        if isinstance(outcome, revisions.Damaged):
+            raise terminal.make_damaged(outcome.detail)
         if verify:
-            await verify_entries(session, store, outcome.entries, head)
+            latest = outcome.entries[-max(limit, 1) :]
+            await verify_entries(session, store, outcome.entries, head, latest)
             return
     shown = list(reversed(outcome.entries))[: max(limit, 0)]
     lines = [line for entry in shown for line in format_entry(entry)]
@@ -185,28 +189,24 @@
     store: revisions.Revisions,
     entries: tuple[audit.Entry, ...],
     head: revisions.Revision | None,
+    latest: tuple[audit.Entry, ...],
 ) -> None:
-    """Check the chain, its end and every document; print the verdict."""
+    """Check the chain, its end and the latest documents."""
     checked = audit.verify_chain(entries)
     last = entries[-1] if entries else None
-    if isinstance(checked, audit.Verified) and head is not None:
-        # A later version may have been accepted since the entries were read.
-        missing = last is None or last.version < head.version
-        if missing:
-            checked = audit.Broken(head.version, 'its entry is missing')
-    for entry in entries if isinstance(checked, audit.Verified) else ():
+    listed = last.version if last else 0
+    if head is not None and listed < head.version:
+        checked = audit.Broken(listed + 1, 'its entry is missing')
+    for entry in latest if isinstance(checked, audit.Verified) else ():
         outcome = await store.read_version(entry.version)
         if isinstance(outcome, revisions.Unavailable):
             raise terminal.make_unavailable(outcome.detail)
-        if isinstance(outcome, revisions.Missing):
-            checked = audit.Broken(entry.version, 'its document is missing')
+        if isinstance(outcome, revisions.Damaged):
+            checked = audit.Broken(entry.version, outcome.detail)
             break
     if isinstance(checked, audit.Broken):
-        raise terminal.Failure(
-            terminal.ExitCode.AUDIT_BROKEN,
-            f'The audit trail is broken at version {checked.version}: '
-            f'{checked.detail}. Compare with a copy of the digests kept '
-            'elsewhere, and find out who can write to the store.',
+        raise terminal.make_damaged(
+            f'at version {checked.version}, {checked.detail}'
         )
     data = {
         'outcome': 'verified',
@@ -366,6 +366,8 @@
             raise make_conflict(outcome.head, head)
         case revisions.Unavailable():
             raise terminal.make_unavailable(outcome.detail)
+        case revisions.Damaged():
+            raise terminal.make_damaged(outcome.detail)
         case revisions.Unknown():
             raise terminal.Failure(
                 terminal.ExitCode.OUTCOME_UNKNOWN,
@@ -432,6 +434,8 @@
     outcome = await store.read_version(version)
     if isinstance(outcome, revisions.Unavailable):
         raise terminal.make_unavailable(outcome.detail)
+    if isinstance(outcome, revisions.Damaged):
+        raise terminal.make_damaged(outcome.detail)
     if isinstance(outcome, revisions.Missing):
         raise terminal.Failure(
             terminal.ExitCode.USAGE,
--- a/src/eelgrasswalk/console/changes.py
+++ b/src/eelgrasswalk/console/changes.py
@@ -150,6 +150,10 @@
                     'Nothing was changed; apply again later.'
                 ],
             )
+        case revisions.Damaged():
+            return render_change(
+                request, change, status=500, problems=[outcome.detail]
+            )
         case revisions.Unknown():
             return pages.render(
                 request,
--- a/src/eelgrasswalk/console/pages.py
+++ b/src/eelgrasswalk/console/pages.py
@@ -83,6 +83,10 @@
             f'The platform did not answer ({outcome.detail}). Nodes go on '
             'with the version in force; try again later.',
         )
+    if isinstance(outcome, revisions.Damaged):
+        raise starlette.exceptions.HTTPException(
+            500, f'The store was damaged or altered: {outcome.detail}.'
+        )
     if isinstance(outcome, revisions.Missing):
         raise starlette.exceptions.HTTPException(
             404,
--- a/src/eelgrasswalk/controllers/audit.py
+++ b/src/eelgrasswalk/controllers/audit.py
@@ -38,7 +38,6 @@
         note: The operator's reason.
         document_digest: SHA-256 of the document's stored bytes.
         previous: Digest of the entry before.
-        token: Random text, unique to this write.
         digest: SHA-256 over `previous` and the other fields.
     """
 
@@ -49,7 +48,6 @@
     note: str
     document_digest: str
     previous: str
-    token: str = ''
     digest: str = ''
 
 
@@ -92,7 +90,6 @@
     document: bytes,
     previous: str = FIRST_PREVIOUS,
     note: str = '',
-    token: str = '',
 ) -> Entry:
     """Return an entry with its digest.
 
@@ -104,7 +101,6 @@
         document: The document's bytes as they are stored.
         previous: Digest of the entry before.
         note: The operator's reason.
-        token: Random text, unique to this write.
     """
     entry = Entry(
         version=version,
@@ -114,7 +110,6 @@
         note=note,
         document_digest=hashlib.sha256(document).hexdigest(),
         previous=previous,
-        token=token,
     )
     return dataclasses.replace(entry, digest=compute_digest(entry))
 
--- a/src/eelgrasswalk/controllers/publishing.py
+++ b/src/eelgrasswalk/controllers/publishing.py
@@ -20,7 +20,11 @@
 
 
 class _UnavailableError(Exception):
-    """The platform did not answer, or answered with something else."""
+    """The platform did not answer."""
+
+
+class _DamagedError(Exception):
+    """The platform holds something that cannot be right."""
 
 
 class StoredRevisions:
@@ -52,9 +56,16 @@
             found = await self._read_head_row()
             if found is None:
                 return revisions.Missing()
-            return await self._read_revision(found[0].version)
+            version = found[0].version
+            outcome = await self._read_revision(version)
+            if isinstance(outcome, revisions.Missing):
+                detail = f'the audit entry of version {version} is missing'
+                return revisions.Damaged(detail)
+            return outcome
         except _UnavailableError as error:
             return revisions.Unavailable(str(error))
+        except _DamagedError as error:
+            return revisions.Damaged(str(error))
 
     async def read_version(self, version: int) -> revisions.ReadOutcome:
         """Read an accepted version."""
@@ -62,6 +73,8 @@
             return await self._read_revision(version)
         except _UnavailableError as error:
             return revisions.Unavailable(str(error))
+        except _DamagedError as error:
+            return revisions.Damaged(str(error))
 
     async def list_entries(self) -> revisions.EntriesOutcome:
         """Read the audit entries of all versions."""
@@ -79,7 +92,7 @@
                     for row in listed.rows
                 ]
             except rows.MalformedError as error:
-                return revisions.Unavailable(str(error))
+                return revisions.Damaged(str(error))
             if len(listed.rows) < _PAGE_ROWS:
                 return revisions.Entries(tuple(entries))
             after = listed.rows[-1].key
@@ -113,6 +126,8 @@
             return await self._publish(entry, content, base)
         except _UnavailableError as error:
             return revisions.Unavailable(str(error))
+        except _DamagedError as error:
+            return revisions.Damaged(str(error))
 
     async def _publish(
         self,
@@ -181,7 +196,7 @@
                 try:
                     return rows.decode_head(row.value), row.version
                 except rows.MalformedError as error:
-                    raise _UnavailableError(str(error)) from error
+                    raise _DamagedError(str(error)) from error
             case _:
                 typing.assert_never(outcome)
 
@@ -194,7 +209,7 @@
         try:
             entry = rows.decode_audit_row(outcome.row.value).entry
         except rows.MalformedError as error:
-            raise _UnavailableError(str(error)) from error
+            raise _DamagedError(str(error)) from error
         document = await self._read_document(entry.document_digest)
         return revisions.Found(revisions.Revision(version, document, entry))
 
@@ -202,12 +217,14 @@
         outcome = await self._objects.get_object(rows.make_object_name(digest))
         match outcome:
             case protocols.Body(content):
+                if rows.compute_digest(content) != digest:
+                    raise _DamagedError('the stored document was altered')
                 loaded = loading.load_document(content, source=digest)
                 if isinstance(loaded, loading.Loaded):
                     return loaded.document
-                raise _UnavailableError('the stored document is not valid')
+                raise _DamagedError('the stored document is not valid')
             case protocols.Missing():
-                raise _UnavailableError('the stored document is missing')
+                raise _DamagedError('the stored document is missing')
             case protocols.Unavailable(detail):
                 raise _UnavailableError(detail)
             case _:
--- a/src/eelgrasswalk/operations/revisions.py
+++ b/src/eelgrasswalk/operations/revisions.py
@@ -42,6 +42,17 @@
     detail: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Damaged:
+    """What the store holds cannot be right.
+
+    Args:
+        detail: What is wrong with it.
+    """
+
+    detail: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Published:
     """The document is accepted.
@@ -79,9 +90,11 @@
     entries: tuple[audit.Entry, ...]
 
 
-ReadOutcome: typing.TypeAlias = Found | Missing | Unavailable
-PublishOutcome: typing.TypeAlias = Published | Conflict | Unavailable | Unknown
-EntriesOutcome: typing.TypeAlias = Entries | Unavailable
+ReadOutcome: typing.TypeAlias = Found | Missing | Unavailable | Damaged
+PublishOutcome: typing.TypeAlias = (
+    Published | Conflict | Unavailable | Unknown | Damaged
+)
+EntriesOutcome: typing.TypeAlias = Entries | Unavailable | Damaged
 
 
 class Revisions(typing.Protocol):
@@ -126,7 +139,6 @@
     author: audit.Author,
     time: str,
     note: str = '',
-    token: str = '',
 ) -> audit.Entry:
     """Return the audit entry of a change.
 
@@ -137,7 +149,6 @@
         author: Who makes the change, and from where.
         time: When, in UTC after ISO 8601.
         note: The operator's reason.
-        token: Random text, unique to this write.
     """
     old = base.document if base else None
     changes = difference.compare_documents(old, document)
@@ -149,5 +160,4 @@
         document=content,
         previous=base.entry.digest if base else audit.FIRST_PREVIOUS,
         note=note,
-        token=token,
     )
--- a/tests/cli/test_operator.py
+++ b/tests/cli/test_operator.py
@@ -205,6 +205,13 @@
         self.run_command('status', code=8)
 
 
+class EventsTest(CommandTest):
+    def test_event_is_explained(self) -> None:
+        shown = self.run_command('events', '2002').stdout
+        self.assertIn('lost connections between the two hosts', shown)
+        self.run_command('events', '1', code=2)
+
+
 class TerminalTest(unittest.TestCase):
     def test_text_cannot_steer_the_terminal(self) -> None:
         cleaned = terminal.clean_text('a\x1b[2Jb')
--- a/tests/controllers/test_publishing.py
+++ b/tests/controllers/test_publishing.py
@@ -5,7 +5,9 @@
 import unittest
 
 from eelgrasswalk.controllers import audit
+from eelgrasswalk.controllers import configuration_rows as rows
 from eelgrasswalk.controllers import publishing
+from eelgrasswalk.document import loading
 from eelgrasswalk.document import model
 from eelgrasswalk.operations import revisions
 from eelgrasswalk.platform import memory
@@ -76,8 +78,11 @@
         second = await self.read_head()
         self.assertEqual(2, second.version)
         listed = await self.store.list_entries()
-        documents = {1: first.document, 2: second.document}
-        verified = revisions.verify_history(listed.entries, documents)
+        contents = {
+            revision.version: loading.dump_document(revision.document)
+            for revision in (first, second)
+        }
+        verified = audit.verify_chain(listed.entries, contents)
         self.assertIsInstance(verified, audit.Verified)
         old = await self.store.read_version(1)
         self.assertEqual(first, old.revision)
@@ -130,3 +135,20 @@
         outcome = await self.publish('ana', base=first, rate=30.0)
         self.assertIsInstance(outcome, revisions.Conflict)
         self.assertEqual('luz', outcome.head.entry.author.operator)
+
+    async def test_an_altered_document_is_not_taken(self) -> None:
+        await self.publish()
+        head = await self.read_head()
+        name = rows.make_object_name(head.entry.document_digest)
+        self.objects.write(name, loading.dump_document(make_document(99.0)))
+        outcome = await self.store.read_head()
+        self.assertIsInstance(outcome, revisions.Damaged)
+
+    async def test_a_head_without_its_entry_is_not_taken(self) -> None:
+        await self.publish()
+        key = rows.make_audit_key(1)
+        found = self.table.read(key)
+        assert isinstance(found, protocols.Found)
+        await self.table.delete(key, expected=found.row.version)
+        outcome = await self.store.read_head()
+        self.assertIsInstance(outcome, revisions.Damaged)
--- /dev/null
+++ b/tests/operations/test_catalogue.py
@@ -0,0 +1,49 @@
+"""Tests that the pages of events and metrics are those of the code."""
+
+import collections
+import pathlib
+import re
+import unittest
+
+from eelgrasswalk import events
+from eelgrasswalk import metrics
+from eelgrasswalk.operations import catalogue
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+REFERENCE = ROOT / 'docs' / 'reference'
+RENEW = 'run python -m eelgrasswalk.operations.catalogue docs/reference'
+
+
+class CatalogueTest(unittest.TestCase):
+    def test_pages_are_current(self) -> None:
+        pages = {
+            catalogue.EVENTS_PAGE: catalogue.render_events(
+                events.list_events()
+            ),
+            catalogue.METRICS_PAGE: catalogue.render_metrics(metrics.METRICS),
+        }
+        for name, text in pages.items():
+            self.assertEqual((REFERENCE / name).read_text(), text, RENEW)
+
+    def test_event_numbers_are_unique(self) -> None:
+        numbers = [event.number for event in events.list_events()]
+        twice = [n for n, c in collections.Counter(numbers).items() if c > 1]
+        self.assertEqual(twice, [])
+
+    def test_warnings_name_a_remedy(self) -> None:
+        for event in events.list_events():
+            if event.level >= events.logging.WARNING:
+                self.assertTrue(event.remedy, event.text)
+
+    def test_logged_events_exist(self) -> None:
+        logged = set()
+        for path in (ROOT / 'src').rglob('*.py'):
+            logged |= set(
+                re.findall(r'events\.log\(\s*events\.(\w+)', path.read_text())
+            )
+        known = {
+            name
+            for name, value in vars(events).items()
+            if isinstance(value, events.Event)
+        }
+        self.assertLessEqual(logged, known)
