--- a/src/eelgrasswalk/cli/operator.py
+++ b/src/eelgrasswalk/cli/operator.py
@@ -5,6 +5,7 @@
 
 from ..operations import connections
 from . import files
+from . import keys
 from . import nodes
 from . import progress
 from . import terminal
@@ -74,7 +75,7 @@
     click.echo(found(main, {}, PROGRAM, variable).source())
 
 
-for _module in (files, versions, progress, nodes):
+for _module in (files, versions, keys, progress, nodes):
     for _command in _module.COMMANDS:
         main.add_command(_command)
 
--- a/tests/document/test_difference.py
+++ b/tests/document/test_difference.py
@@ -3,8 +3,11 @@
 import dataclasses
 import unittest
 
+import hypothesis
+
 from eelgrasswalk.document import difference
 from eelgrasswalk.document import model
+from tests.document import test_loading
 
 ERIE = model.ClientAccount('erie', 40, 80, (model.Key('first', 'a' * 64),))
 ROUTE = model.Route('browse', 'catalogue', '/')
@@ -84,3 +87,28 @@
         )
         first = difference.compare_documents(None, DOCUMENT)
         self.assertEqual(len(first), 4)
+
+
+def sort_items(document: model.Document) -> model.Document:
+    accounts = tuple(
+        dataclasses.replace(
+            account, keys=tuple(sorted(account.keys, key=repr))
+        )
+        for account in document.accounts
+    )
+    return dataclasses.replace(
+        document,
+        accounts=tuple(sorted(accounts, key=repr)),
+        routes=tuple(sorted(document.routes, key=repr)),
+    )
+
+
+class PropertyTest(unittest.TestCase):
+    @hypothesis.settings(derandomize=True, max_examples=100, deadline=None)
+    @hypothesis.given(test_loading.documents, test_loading.documents)
+    def test_no_change_means_the_same(
+        self, old: model.Document, new: model.Document
+    ) -> None:
+        changes = difference.compare_documents(old, new)
+        self.assertEqual(not changes, sort_items(old) == sort_items(new))
+        self.assertEqual(difference.compare_documents(new, new), ())
