--- a/src/eelgrasswalk/operations/connections.py
+++ b/src/eelgrasswalk/operations/connections.py
@@ -6,10 +6,10 @@
 
 import httpx
 
-from ..controllers import publishing
 from ..platform import http
 from . import fleet
 from . import revisions
+from . import store
 
 
 class Connections(typing.Protocol):
@@ -39,7 +39,7 @@
         url = fleet.format_url(platform)
         async with httpx.AsyncClient(base_url=url, trust_env=False) as client:
             services = http.HttpPlatform(client)
-            yield publishing.StoredRevisions(services, services)
+            yield store.StoredRevisions(services, services)
 
     @contextlib.asynccontextmanager
     async def open_fleet(
--- a/src/eelgrasswalk/operations/revisions.py
+++ b/src/eelgrasswalk/operations/revisions.py
@@ -139,6 +139,7 @@
     author: audit.Author,
     time: str,
     note: str = '',
+    token: str = '',
 ) -> audit.Entry:
     """Return the audit entry of a change.
 
@@ -149,6 +150,7 @@
         author: Who makes the change, and from where.
         time: When, in UTC after ISO 8601.
         note: The operator's reason.
+        token: Random text, unique to this write.
     """
     old = base.document if base else None
     changes = difference.compare_documents(old, document)
@@ -160,4 +162,5 @@
         document=content,
         previous=base.entry.digest if base else audit.FIRST_PREVIOUS,
         note=note,
+        token=token,
     )
