Ask nodes themselves where gossip knows no version; name dead nodes

Cause: membership carries no version for each member, and a node taken for dead must neither block the wait nor be passed over in silence. Change: nodes whose version is not known are asked until they confirm; dead ones are listed; status shows what each node reports. Conclusion: lint and the tests of command line and console pass.

--- a/src/eelgrasswalk/cli/nodes.py
+++ b/src/eelgrasswalk/cli/nodes.py
@@ -15,6 +15,7 @@
 from . import terminal
 
 WATCH_INTERVAL_S = 2.0
+MAX_ASKED = 256
 
 
 @click.command('status')
@@ -41,18 +42,19 @@
                 raise make_unreachable(found)
             if watch and session.output is terminal.Output.TEXT:
                 click.clear()
-            show_status(session, node, found)
+            await show_status(session, client, node, found)
             if not watch:
                 return
             await anyio.sleep(interval_s)
 
 
-def show_status(
+async def show_status(
     session: terminal.Session,
+    client: fleet.FleetClient,
     node: str,
     found: fleet.NodeStatus | fleet.Unreachable,
 ) -> None:
-    """Print one status, or why there is none."""
+    """Print what one node and the nodes that it knows report."""
     if isinstance(found, fleet.Unreachable):
         session.emit(
             {'outcome': 'unreachable', 'detail': found.detail},
@@ -60,33 +62,40 @@
         )
         return
     members = fleet.list_members(found, node)
-    session.emit(cattrs.unstructure(found), format_status(found, members))
+    asked = [m for m in members if m.state != fleet.DEAD][:MAX_ASKED]
+    answers = await client.ask_members(asked)
+    data = {
+        'node': cattrs.unstructure(found),
+        'nodes': {
+            node_id: cattrs.unstructure(
+                dataclasses.replace(answer, members=())
+            )
+            for node_id, answer in answers.items()
+            if isinstance(answer, fleet.NodeStatus)
+        },
+    }
+    session.emit(data, format_status(found, members, answers))
 
 
 def format_status(
-    found: fleet.NodeStatus, members: collections.abc.Sequence[fleet.Member]
+    found: fleet.NodeStatus,
+    members: collections.abc.Sequence[fleet.Member],
+    answers: collections.abc.Mapping[
+        str, fleet.NodeStatus | fleet.Unreachable
+    ],
 ) -> collections.abc.Iterator[str]:
     """Return a status as lines."""
-    newest = max(member.config_version for member in members)
-    current = sum(member.config_version == newest for member in members)
+    rows = [make_row(m, answers.get(m.node_id)) for m in members]
+    versions = {row.version for row in rows if row.version is not None}
+    newest = max(versions, default=0)
+    current = sum(row.version == newest for row in rows)
     yield (
-        f'{len(members)} nodes; version {newest} in force on {current}, '
-        f'as {found.host} knows it.'
+        f'{len(rows)} nodes; version {newest} in force on {current}, '
+        f'as {found.host} knows them.'
     )
     yield ''
-    rows = [('SERVICE', 'HOST', 'STATE', 'VERSION', 'ADMIN', 'NODE')]
-    rows += [
-        (
-            member.service,
-            member.host,
-            member.state,
-            str(member.config_version),
-            member.admin,
-            member.node_id,
-        )
-        for member in members
-    ]
-    yield from format_table(rows)
+    head = ('SERVICE', 'HOST', 'STATE', 'VERSION', 'ANSWERED', 'REFUSED')
+    yield from format_table([(*head, 'ADMIN'), *(row.cells for row in rows)])
     for title, values in (('Calls', found.calls), ('Quotas', found.quotas)):
         if values:
             yield ''
@@ -94,6 +103,37 @@
             yield from format_values(values, '  ')
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """A node's line.
+
+    Args:
+        version: Version in force; None where not known.
+        cells: The line's cells.
+    """
+
+    version: int | None
+    cells: tuple[str, ...]
+
+
+def make_row(
+    member: fleet.Member, answer: fleet.NodeStatus | fleet.Unreachable | None
+) -> Row:
+    """Return a node's line, from its own answer where there is one."""
+    state, version = member.state, member.config_version
+    answered = refused = '-'
+    if isinstance(answer, fleet.Unreachable):
+        state += ', no answer'
+    elif answer is not None:
+        state, version = answer.state, answer.config_version
+        answered = str(answer.calls.get('answered', '-'))
+        refusals = answer.calls.get('refused')
+        refused = str(sum(refusals.values())) if refusals else '0'
+    shown = '-' if version is None else str(version)
+    cells = (member.service, member.host, state, shown, answered, refused)
+    return Row(version, (*cells, member.admin))
+
+
 def format_table(
     rows: collections.abc.Sequence[tuple[str, ...]],
 ) -> collections.abc.Iterator[str]:
--- a/src/eelgrasswalk/cli/progress.py
+++ b/src/eelgrasswalk/cli/progress.py
@@ -5,6 +5,7 @@
 import anyio
 import click
 
+from ..document import problem
 from ..operations import fleet
 from . import terminal
 
@@ -31,11 +32,16 @@
     """
     node = session.require_node()
     last: fleet.Progress | fleet.Unreachable | None = None
+    # A node never goes back to an earlier version.
+    confirmed: set[str] = set()
     async with session.connections.open_fleet() as client:
         with anyio.move_on_after(timeout_s):
             while True:
-                last = await client.check_progress(node, version)
+                last = await client.check_progress(
+                    node, version, confirmed=confirmed
+                )
                 if isinstance(last, fleet.Progress):
+                    confirmed |= {m.node_id for m in last.in_force}
                     session.tell(summarize_progress(last))
                     if last.complete:
                         return last
@@ -86,6 +92,9 @@
     )
     if reached.unreached:
         text += f', {len(reached.unreached)} not reached'
+    if reached.dead:
+        hosts = problem.list_names(member.host for member in reached.dead)
+        text += f'; taken for dead and not waited for: {hosts}'
     return text + '.'
 
 
@@ -96,6 +105,7 @@
         'in_force': [member.host for member in reached.in_force],
         'lagging': [member.host for member in reached.lagging],
         'unreached': [member.host for member in reached.unreached],
+        'dead': [member.host for member in reached.dead],
     }
 
 
--- a/src/eelgrasswalk/console/live.py
+++ b/src/eelgrasswalk/console/live.py
@@ -4,7 +4,6 @@
 import dataclasses
 import typing
 
-import anyio
 import starlette.requests
 import starlette.responses
 
@@ -14,7 +13,6 @@
 from . import pages
 
 MAX_NODES = 256
-PARALLEL_ASKS = 16
 MAX_ENTRIES = 100
 
 
@@ -25,7 +23,7 @@
     host: str
     service: str
     state: str
-    config_version: int
+    config_version: int | None
     answered: bool
 
 
@@ -102,50 +100,35 @@
         status = await client.fetch_status(address)
         if isinstance(status, fleet.NodeStatus):
             members = fleet.list_members(status, address)[:MAX_NODES]
-            return merge_statuses(members, await _ask(client, members))
+            answers = await client.ask_members(
+                m for m in members if m.state != fleet.DEAD
+            )
+            return merge_statuses(members, answers)
         detail = f'{address}: {status.detail}'
     return Overview(unreachable=detail)
 
 
-async def _ask(
-    client: fleet.FleetClient, members: collections.abc.Sequence[fleet.Member]
-) -> dict[str, fleet.NodeStatus]:
-    answers: dict[str, fleet.NodeStatus] = {}
-    limiter = anyio.CapacityLimiter(PARALLEL_ASKS)
-
-    async def ask(member: fleet.Member) -> None:
-        async with limiter:
-            status = await client.fetch_status(member.admin)
-        if isinstance(status, fleet.NodeStatus):
-            answers[member.node_id] = status
-
-    async with anyio.create_task_group() as group:
-        for member in members:
-            group.start_soon(ask, member)
-    return answers
-
-
 def merge_statuses(
     members: collections.abc.Sequence[fleet.Member],
-    answers: collections.abc.Mapping[str, fleet.NodeStatus],
+    answers: collections.abc.Mapping[
+        str, fleet.NodeStatus | fleet.Unreachable
+    ],
 ) -> Overview:
     """Add up what the nodes report.
 
     Args:
         members: The nodes known.
-        answers: Statuses by node, of those that answered.
+        answers: Answers by node.
     """
+    statuses = {
+        node_id: answer
+        for node_id, answer in answers.items()
+        if isinstance(answer, fleet.NodeStatus)
+    }
     rows = tuple(
-        NodeRow(
-            member.host,
-            member.service,
-            member.state,
-            member.config_version,
-            member.node_id in answers,
-        )
-        for member in members
+        _make_row(member, statuses.get(member.node_id)) for member in members
     )
-    calls = [status.calls for status in answers.values()]
+    calls = [status.calls for status in statuses.values()]
     return Overview(
         nodes=rows,
         answered=_add([c['answered'] for c in calls if 'answered' in c]),
@@ -156,6 +139,19 @@
     )
 
 
+def _make_row(
+    member: fleet.Member, status: fleet.NodeStatus | None
+) -> NodeRow:
+    if status is None:
+        version = member.config_version
+        return NodeRow(
+            member.host, member.service, member.state, version, False
+        )
+    return NodeRow(
+        status.host, status.service, status.state, status.config_version, True
+    )
+
+
 def _add(values: list[typing.Any]) -> int | None:
     numbers = [value for value in values if isinstance(value, int)]
     return sum(numbers) if numbers else None
--- a/src/eelgrasswalk/console/static/live.js
+++ b/src/eelgrasswalk/console/static/live.js
@@ -32,7 +32,8 @@
   const rows = nodes.map((node) => {
     const row = document.createElement('tr');
     const state = node.answered ? node.state : node.state + ', no answer';
-    for (const text of [node.host, node.service, state, node.config_version]) {
+    const version = node.config_version === null ? '-' : node.config_version;
+    for (const text of [node.host, node.service, state, version]) {
       const cell = document.createElement('td');
       cell.textContent = text;
       row.append(cell);
@@ -41,7 +42,8 @@
     return row;
   });
   body.replaceChildren(...rows);
-  const versions = [...new Set(nodes.map((node) => node.config_version))];
+  const known = nodes.filter((node) => node.answered);
+  const versions = [...new Set(known.map((node) => node.config_version))];
   show('node-count', String(nodes.length));
   show('versions', 'version ' + versions.sort((a, b) => b - a).join(', '));
 }
--- a/src/eelgrasswalk/operations/fleet.py
+++ b/src/eelgrasswalk/operations/fleet.py
@@ -12,7 +12,8 @@
 DRAIN_PATH = '/_eelgrasswalk/drain'
 REQUEST_TIMEOUT_S = 3.0
 DIRECT_ASKS = 16
-GONE_STATES = frozenset({'dead', 'left', 'gone'})
+LEFT = 'left'
+DEAD = 'dead'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -25,7 +26,7 @@
         admin: Administration address, `IP:PORT`.
         service: Service of its target.
         state: State of the node.
-        config_version: Version in force there, as far as known.
+        config_version: Version in force there; None where not known.
         data_centre: Data centre of the host.
     """
 
@@ -34,7 +35,7 @@
     admin: str
     service: str
     state: str
-    config_version: int
+    config_version: int | None = None
     data_centre: str = ''
 
 
@@ -94,16 +95,18 @@
         in_force: Nodes that have it or a later one in force.
         lagging: Nodes that answered with an earlier one.
         unreached: Nodes that did not answer for themselves.
+        dead: Nodes that others take for dead; they are not waited for.
     """
 
     version: int
     in_force: tuple[Member, ...]
     lagging: tuple[Member, ...]
     unreached: tuple[Member, ...]
+    dead: tuple[Member, ...] = ()
 
     @property
     def complete(self) -> bool:
-        """Whether every known node has the version in force."""
+        """Whether every node that is not dead has the version in force."""
         return not self.lagging and not self.unreached
 
 
@@ -149,56 +152,78 @@
             return Unreachable(member.admin, _describe_error(error))
         return Draining(member.node_id)
 
+    async def ask_members(
+        self, members: collections.abc.Iterable[Member]
+    ) -> dict[str, NodeStatus | Unreachable]:
+        """Ask nodes for their own status.
+
+        Returns:
+            The answers by node.
+        """
+        answers: dict[str, NodeStatus | Unreachable] = {}
+        limiter = anyio.CapacityLimiter(DIRECT_ASKS)
+
+        async def ask(member: Member) -> None:
+            async with limiter:
+                answers[member.node_id] = await self.fetch_status(member.admin)
+
+        async with anyio.create_task_group() as group:
+            for member in members:
+                group.start_soon(ask, member)
+        return answers
+
     async def check_progress(
-        self, address: str, version: int
+        self,
+        address: str,
+        version: int,
+        *,
+        confirmed: collections.abc.Set[str] = frozenset(),
     ) -> Progress | Unreachable:
         """Find out where a version is in force.
 
-        The members' versions come from one node first; those that seem to
-        lag are then asked themselves, since that node's view is late.
+        The members come from one node; those not known to have the version
+        are asked themselves.
 
         Args:
             address: Any node's administration address.
             version: The version waited for.
+            confirmed: Nodes that have it, which need not be asked again.
         """
         status = await self.fetch_status(address)
         if isinstance(status, Unreachable):
             return status
         members = list_members(status, address)
-        behind = [m for m in members if m.config_version < version]
-        answers = await self._ask_members(behind)
-        in_force = [m for m in members if m.config_version >= version]
-        lagging, unreached = [], []
-        for member in behind:
-            answer = answers[member.node_id]
+        present = [m for m in members if m.state != DEAD]
+        doubtful = [
+            m
+            for m in present
+            if m.node_id not in confirmed and (m.config_version or 0) < version
+        ]
+        answers = await self.ask_members(doubtful)
+        in_force, lagging, unreached = [], [], []
+        for member in present:
+            answer = answers.get(member.node_id)
             if isinstance(answer, Unreachable):
                 unreached.append(member)
-            elif answer.config_version >= version:
-                in_force.append(member)
+            elif answer is not None and answer.config_version < version:
+                lagging.append(_correct_version(member, answer))
             else:
-                lagging.append(member)
+                in_force.append(member)
         return Progress(
-            version, tuple(in_force), tuple(lagging), tuple(unreached)
+            version,
+            tuple(in_force),
+            tuple(lagging),
+            tuple(unreached),
+            tuple(m for m in members if m.state == DEAD),
         )
 
-    async def _ask_members(
-        self, members: collections.abc.Sequence[Member]
-    ) -> dict[str, NodeStatus | Unreachable]:
-        answers: dict[str, NodeStatus | Unreachable] = {}
-        limiter = anyio.CapacityLimiter(DIRECT_ASKS)
-
-        async def ask(member: Member) -> None:
-            async with limiter:
-                answers[member.node_id] = await self.fetch_status(member.admin)
 
-        async with anyio.create_task_group() as group:
-            for member in members:
-                group.start_soon(ask, member)
-        return answers
+def _correct_version(member: Member, answer: NodeStatus) -> Member:
+    return dataclasses.replace(member, config_version=answer.config_version)
 
 
 def list_members(status: NodeStatus, address: str) -> tuple[Member, ...]:
-    """Return the node itself and the members that are not gone.
+    """Return the node itself and the members that have not left.
 
     Args:
         status: The node's status.
@@ -216,7 +241,7 @@
         )
     }
     for member in status.members:
-        if member.state not in GONE_STATES:
+        if member.state != LEFT:
             members.setdefault(member.node_id, member)
     ordered = sorted(members.values(), key=lambda m: (m.service, m.host))
     return tuple(ordered)
--- a/tests/cli/test_operator.py
+++ b/tests/cli/test_operator.py
@@ -185,6 +185,14 @@
         result = self.run_command('apply', '--yes', '--wait', str(LAKESHORE))
         self.assertIn('in force on 2 of 2 nodes', result.stdout)
 
+    def test_dead_nodes_are_named_and_not_waited_for(self) -> None:
+        dead = self.connections.fleet.describe('10.0.0.2:1')
+        dead |= {'state': 'dead', 'host': '10.0.0.7', 'node_id': 'old'}
+        self.connections.fleet.dead.append(dead)
+        result = self.run_command('wait', '1')
+        self.assertIn('2 of 2 nodes; taken for dead', result.stdout)
+        self.assertIn('10.0.0.7', result.stdout)
+
     def test_wait_needs_a_node_before_it_publishes(self) -> None:
         self.run_command(
             '--node', '', 'apply', '--yes', '--wait', str(LAKESHORE), code=2
--- a/tests/operations/fakes.py
+++ b/tests/operations/fakes.py
@@ -89,6 +89,7 @@
         self.versions = {'10.0.0.1:1': 1, '10.0.0.2:1': 1}
         self.silent: set[str] = set()
         self.draining: list[str] = []
+        self.dead: list[dict[str, typing.Any]] = []
 
     def answer(self, request: httpx.Request) -> httpx.Response:
         address = f'{request.url.host}:{request.url.port}'
@@ -98,6 +99,9 @@
             self.draining.append(address)
             return httpx.Response(202, json={})
         members = [self.describe(other) for other in self.versions]
+        for member in members:
+            del member['config_version']
+        members += self.dead
         own = self.describe(address)
         del own['admin']
         own['members'] = members
