Show load from what nodes report

Cause: the node sums its calls itself and reports its target's load. Change: the operators' own sums are gone; status shows running, waiting and shed calls; the live page leaves refusals beyond the rate out of an account's share.

--- a/src/eelgrasswalk/cli/nodes.py
+++ b/src/eelgrasswalk/cli/nodes.py
@@ -94,7 +94,7 @@
         f'as {found.host} knows them.'
     )
     yield ''
-    head = ('SERVICE', 'HOST', 'STATE', 'VERSION', 'ANSWERED', 'REFUSED')
+    head = ('SERVICE', 'HOST', 'STATE', 'VERSION', 'RUNNING', 'SHED')
     yield from format_table([(*head, 'ADMIN'), *(row.cells for row in rows)])
     for title, values in (('Calls', found.calls), ('Quotas', found.quotas)):
         if values:
@@ -121,19 +121,28 @@
 ) -> Row:
     """Return a node's line, from its own answer where there is one."""
     state, version = member.state, member.config_version
-    answered = refused = '-'
+    running = shed = '-'
     if isinstance(answer, fleet.Unreachable):
         state += ', no answer'
     elif answer is not None:
         state, version = answer.state, answer.config_version
-        answered = str(answer.calls.get('answered', '-'))
-        refusals = answer.calls.get('refused')
-        refused = str(sum(refusals.values())) if refusals else '0'
+        running = format_load(answer.admission)
+        shed = str(sum(answer.calls.get('shed', {}).values()))
     shown = '-' if version is None else str(version)
-    cells = (member.service, member.host, state, shown, answered, refused)
+    cells = (member.service, member.host, state, shown, running, shed)
     return Row(version, (*cells, member.admin))
 
 
+def format_load(admission: collections.abc.Mapping[str, typing.Any]) -> str:
+    """Return a target's running and waiting calls, and its limit."""
+    if not admission:
+        return '-'
+    limit = int(admission.get('limit', 0))
+    running = admission.get('in_flight', 0)
+    queued = admission.get('queued', 0)
+    return f'{running}/{limit}+{queued}'
+
+
 def format_table(
     rows: collections.abc.Sequence[tuple[str, ...]],
 ) -> collections.abc.Iterator[str]:
--- a/src/eelgrasswalk/console/static/live.js
+++ b/src/eelgrasswalk/console/static/live.js
@@ -14,11 +14,16 @@
   return Math.max(0, (now - before) / seconds).toFixed(1);
 }
 
+// Refusals beyond the account's rate say nothing about how it was served.
+function countWithinRate(counts) {
+  return (counts.sent || 0) - (counts.quota || 0);
+}
+
 function findWorst(now, before) {
   let worst = null;
   for (const [name, counts] of Object.entries(now || {})) {
     const old = (before || {})[name] || {};
-    const sent = (counts.sent || 0) - (old.sent || 0);
+    const sent = countWithinRate(counts) - countWithinRate(old);
     const answered = (counts.answered || 0) - (old.answered || 0);
     if (sent <= 0) continue;
     const ratio = answered / sent;
--- a/src/eelgrasswalk/operations/fleet.py
+++ b/src/eelgrasswalk/operations/fleet.py
@@ -51,7 +51,8 @@
         state: State of the node.
         config_version: Version in force.
         members: The nodes that it knows.
-        calls: Its counters of calls.
+        calls: Its counts of callers' calls.
+        admission: Calls that its target runs, that wait, and the limit.
         quotas: Its share of the accounts' quotas.
     """
 
@@ -63,6 +64,7 @@
     config_version: int
     members: tuple[Member, ...] = ()
     calls: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
+    admission: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
     quotas: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
 
 
@@ -129,6 +131,8 @@
 
     async def fetch_status(self, address: str) -> NodeStatus | Unreachable:
         """Ask one node for its status."""
+        if not address:
+            return Unreachable('', 'no administration address is known')
         try:
             response = await self._client.get(
                 format_url(address) + STATUS_PATH, timeout=REQUEST_TIMEOUT_S
@@ -142,6 +146,9 @@
 
     async def drain(self, member: Member) -> Draining | Unreachable:
         """Tell one node to drain."""
+        if not member.admin:
+            detail = 'no administration address is known'
+            return Unreachable(member.host, detail)
         try:
             response = await self._client.post(
                 format_url(member.admin) + DRAIN_PATH,
--- a/tests/cli/test_operator.py
+++ b/tests/cli/test_operator.py
@@ -202,6 +202,7 @@
     def test_status_and_drain(self) -> None:
         status = self.run_command('status').stdout
         self.assertIn('2 nodes; version 1 in force on 2', status)
+        self.assertIn('3/9+1', status)
         self.run_command('drain', '10.0.0.2', '--yes')
         self.assertEqual(self.connections.fleet.draining, ['10.0.0.2:1'])
         self.run_command('drain', '10.0.0.3', '--yes', code=2)
--- a/tests/operations/fakes.py
+++ b/tests/operations/fakes.py
@@ -106,6 +106,7 @@
         del own['admin']
         own['members'] = members
         own['calls'] = {'answered': 12}
+        own['admission'] = {'in_flight': 3, 'queued': 1, 'limit': 9.5}
         return httpx.Response(200, json=own)
 
     def describe(self, address: str) -> dict[str, typing.Any]:
