--- a/src/eelgrasswalk/policy/member.py
+++ b/src/eelgrasswalk/policy/member.py
@@ -65,6 +65,8 @@
         state: What it says about itself.
         incarnation: Orders this record among others of the same member.
         health: What is believed of it.
+        admin_port: Port for operators; 0 for none.
+        host: Name of its host for operators; empty for the node's id.
     """
 
     node_id: str
@@ -77,6 +79,8 @@
     state: MemberState
     incarnation: Incarnation
     health: Health = Health.ALIVE
+    admin_port: int = 0
+    host: str = ''
 
     @property
     def address(self) -> Address:
--- a/src/eelgrasswalk/policy/member_codec.py
+++ b/src/eelgrasswalk/policy/member_codec.py
@@ -23,6 +23,7 @@
 FORMAT = 1
 
 _MEMBER_FIELDS = 11
+_TAIL_FIELDS = 4
 _CHANGE_FIELDS = 6
 _ENVELOPE_FIELDS = 5
 
@@ -160,7 +161,12 @@
                 update.link_port,
                 update.service,
                 update.slots,
-                [update.data_centre, int(update.state)],
+                [
+                    update.data_centre,
+                    int(update.state),
+                    update.admin_port,
+                    update.host,
+                ],
             ]
         case member.HealthChange():
             return [
@@ -243,7 +249,7 @@
 
 
 def _load_member(fields: list[typing.Any]) -> member.Member:
-    data_centre, state = _read_list(fields[10], 2)
+    data_centre, state, admin_port, host = _read_list(fields[10], _TAIL_FIELDS)
     return member.Member(
         _read_name(fields[1]),
         _read_ip(fields[5]),
@@ -255,6 +261,8 @@
         member.MemberState(_read_integer(state)),
         _load_incarnation(fields[2:5]),
         member.Health(_read_integer(fields[0])),
+        _read_port(admin_port),
+        _read_name(host, empty=True),
     )
 
 
--- a/src/eelgrasswalk/policy/membership.py
+++ b/src/eelgrasswalk/policy/membership.py
@@ -91,6 +91,11 @@
             if address != mine and address not in self._seeds:
                 self._seeds.append(address)
 
+    @property
+    def settled(self) -> bool:
+        """Whether nothing is left to tell others."""
+        return not self._has_news() or not self._view.list_others()
+
     def set_state(self, state: member.MemberState, now: float) -> None:
         """Announce a new state of this node.
 
@@ -101,6 +106,11 @@
         if self.me.state not in (state, member.MemberState.LEFT):
             self._view.change_me(now, state=state)
 
+    def set_slots(self, slots: int, now: float) -> None:
+        """Announce how many requests this node's target runs at a time."""
+        if self.me.slots != slots:
+            self._view.change_me(now, slots=slots)
+
     def advertise_config_version(self, version: int) -> None:
         """Tell others the configuration version in force here."""
         if version <= self._outbox.config_version:
