Report fresh answers of peers and coalesced changes

Cause: the configuration controller must know that it still hears peers, and a replayed datagram must not count; a lost data centre changes hundreds of members within a second. Change: PeerHeard for answers to pings in flight; one call for a burst of changes; a status entry; hooks for the node's planned stop.

--- a/src/eelgrasswalk/controllers/membership.py
+++ b/src/eelgrasswalk/controllers/membership.py
@@ -18,12 +18,14 @@
 
 LEAVE_LIMIT_S = 2.0
 LEAVE_CHECK_S = 0.05
+COALESCE_S = 0.02
 WITHDRAW_LIMIT_S = 1.0
 
 MemberCallback: typing.TypeAlias = collections.abc.Callable[
     [member.Member], None
 ]
-VersionCallback: typing.TypeAlias = collections.abc.Callable[[int, str], None]
+VersionCallback: typing.TypeAlias = collections.abc.Callable[[str, int], None]
+ChangeCallback: typing.TypeAlias = collections.abc.Callable[[], None]
 
 
 @dataclasses.dataclass(slots=True)
@@ -77,7 +79,10 @@
         self._refreshing: asyncio.Task[None] | None = None
         self._by_service: dict[str, tuple[member.Member, ...]] = {}
         self._member_callbacks: list[MemberCallback] = []
+        self._change_callbacks: list[ChangeCallback] = []
         self._version_callbacks: list[VersionCallback] = []
+        self._heard_callbacks: list[VersionCallback] = []
+        self._notifier: asyncio.TimerHandle | None = None
 
     async def start(self) -> None:
         """Bind the socket, join by seeds and begin to probe."""
@@ -102,6 +107,10 @@
             self._refreshing = loop.create_task(self._rows.run())
         self._advance()
 
+    async def announce_stop(self) -> None:
+        """Tell others that this node takes no new work."""
+        self.set_state(member.MemberState.DRAINING)
+
     async def stop(self) -> None:
         """Tell others that this node leaves, then close the socket."""
         if self._policy is None:
@@ -109,8 +118,9 @@
         await self._stop_refreshing()
         self.set_state(member.MemberState.LEFT)
         await self._wait_until_settled(self._policy)
-        if self._timer is not None:
-            self._timer.cancel()
+        for timer in (self._timer, self._notifier):
+            if timer is not None:
+                timer.cancel()
         if self._transport is not None:
             self._transport.close()
         self._policy = None
@@ -161,6 +171,20 @@
         self._member_callbacks.append(callback)
         return lambda: self._member_callbacks.remove(callback)
 
+    def subscribe_changes(
+        self, callback: ChangeCallback
+    ) -> collections.abc.Callable[[], None]:
+        """Call back once soon after one or more members have changed.
+
+        Args:
+            callback: Must neither block nor raise.
+
+        Returns:
+            Ends the subscription.
+        """
+        self._change_callbacks.append(callback)
+        return lambda: self._change_callbacks.remove(callback)
+
     def subscribe_versions(
         self, callback: VersionCallback
     ) -> collections.abc.Callable[[], None]:
@@ -170,8 +194,8 @@
         is advertised here.
 
         Args:
-            callback: Takes the version and the id of a node that has it in
-                force; must neither block nor raise.
+            callback: Takes the id of a node and the version in force there;
+                must neither block nor raise.
 
         Returns:
             Ends the subscription.
@@ -179,6 +203,21 @@
         self._version_callbacks.append(callback)
         return lambda: self._version_callbacks.remove(callback)
 
+    def subscribe_heard(
+        self, callback: VersionCallback
+    ) -> collections.abc.Callable[[], None]:
+        """Call back when a node has just answered this one.
+
+        Args:
+            callback: Takes the id of a node and the version in force there;
+                must neither block nor raise.
+
+        Returns:
+            Ends the subscription.
+        """
+        self._heard_callbacks.append(callback)
+        return lambda: self._heard_callbacks.remove(callback)
+
     def set_state(self, state: member.MemberState) -> None:
         """Announce a new state of this node."""
         if self._policy is None:
@@ -187,6 +226,12 @@
         self._policy.set_state(state, self._clock())
         self._advance()
 
+    def set_ports(self, *, link_port: int, admin_port: int) -> None:
+        """Name the ports of links and of operators, before the start."""
+        self._first = dataclasses.replace(
+            self._first, link_port=link_port, admin_port=admin_port
+        )
+
     def set_slots(self, slots: int) -> None:
         """Announce how many requests this node's target runs at a time."""
         if self._policy is None:
@@ -202,6 +247,20 @@
             self._policy.advertise_config_version(version)
             self._advance()
 
+    def describe(self) -> dict[str, typing.Any]:
+        """Return what the status page shows of it."""
+        present = self.list_members()
+        suspects = [
+            item for item in present if item.health is member.Health.SUSPECT
+        ]
+        return {
+            'membership': {
+                'present': len(present),
+                'suspect': len(suspects),
+                **dataclasses.asdict(self.traffic),
+            }
+        }
+
     def receive(self, datagram: bytes, address: member.Address) -> None:
         """Take one datagram from the socket."""
         if self._policy is None:
@@ -239,12 +298,26 @@
                 case member_messages.Send():
                     self._send(action)
                 case member_messages.MemberChanged():
-                    self._by_service.clear()
-                    for notify in tuple(self._member_callbacks):
-                        notify(action.member)
+                    self._report_change(action.member)
                 case member_messages.VersionSeen():
                     for report in tuple(self._version_callbacks):
-                        report(action.version, action.from_node)
+                        report(action.from_node, action.version)
+                case member_messages.PeerHeard():
+                    for report in tuple(self._heard_callbacks):
+                        report(action.node_id, action.version)
+
+    def _report_change(self, changed: member.Member) -> None:
+        self._by_service.clear()
+        for notify in tuple(self._member_callbacks):
+            notify(changed)
+        if self._notifier is None and self._change_callbacks:
+            loop = asyncio.get_running_loop()
+            self._notifier = loop.call_later(COALESCE_S, self._notify)
+
+    def _notify(self) -> None:
+        self._notifier = None
+        for callback in tuple(self._change_callbacks):
+            callback()
 
     def _send(self, action: member_messages.Send) -> None:
         if self._transport is None:
--- a/src/eelgrasswalk/policy/member_detector.py
+++ b/src/eelgrasswalk/policy/member_detector.py
@@ -108,23 +108,42 @@
         if self._relays.add(sequence, relayed):
             self._ping(request.address, sequence, request.target_id)
 
-    def take_ack(self, sequence: int) -> None:
-        """Count an answer to a probe, or pass it on to who asked for it."""
+    def take_ack(self, sequence: int) -> bool:
+        """Count an answer to a probe, or pass it on to who asked for it.
+
+        Args:
+            sequence: Sequence number of the answer.
+
+        Returns:
+            Whether it answers a ping that is in flight.
+        """
         relayed = self._relays.pop(sequence)
         if relayed is not None:
             self._outbox.send(
                 relayed.address, member_messages.Ack(relayed.sequence)
             )
-            return
-        if self._probe is not None and self._probe.sequence == sequence:
-            self._probe = None
-            self._view.doubt.lower_level()
+            return True
+        if self._probe is None or self._probe.sequence != sequence:
+            return False
+        self._probe = None
+        self._view.doubt.lower_level()
+        return True
+
+    def take_nack(self, sender: str, sequence: int) -> bool:
+        """Count a relay that answered without success.
 
-    def take_nack(self, sender: str, sequence: int) -> None:
-        """Count a relay that answered without success."""
+        Args:
+            sender: The relay.
+            sequence: Sequence number of the answer.
+
+        Returns:
+            Whether it answers a request that is in flight.
+        """
         probe = self._probe
-        if probe is not None and probe.sequence == sequence:
-            probe.nacks.add(sender)
+        if probe is None or probe.sequence != sequence:
+            return False
+        probe.nacks.add(sender)
+        return True
 
     def _admit_arrivals(self) -> None:
         for node_id in self._view.arrivals:
--- a/src/eelgrasswalk/policy/member_messages.py
+++ b/src/eelgrasswalk/policy/member_messages.py
@@ -138,4 +138,19 @@
     from_node: str
 
 
-Action: typing.TypeAlias = Send | MemberChanged | VersionSeen
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerHeard:
+    """Action: a node has just answered a question of this one.
+
+    Unlike any other message, the answer cannot be a replayed one.
+
+    Args:
+        node_id: The node.
+        version: Configuration version in force there.
+    """
+
+    node_id: str
+    version: int
+
+
+Action: typing.TypeAlias = Send | MemberChanged | VersionSeen | PeerHeard
--- a/src/eelgrasswalk/policy/membership.py
+++ b/src/eelgrasswalk/policy/membership.py
@@ -242,14 +242,21 @@
             case member_messages.IndirectPing() as request:
                 self._detector.relay_ping(address, request, now)
             case member_messages.Ack(sequence):
-                self._detector.take_ack(sequence)
+                if self._detector.take_ack(sequence):
+                    self._hear(message)
             case member_messages.Nack(sequence):
-                self._detector.take_nack(message.sender, sequence)
+                if self._detector.take_nack(message.sender, sequence):
+                    self._hear(message)
             case member_messages.Sync() as body:
                 self._sync.take_sync(address, body, now)
             case _:
                 pass
 
+    def _hear(self, message: member_messages.Envelope) -> None:
+        self._outbox.add(
+            member_messages.PeerHeard(message.sender, message.config_version)
+        )
+
     def _has_news(self) -> bool:
         return bool(self._view.queue) or self._version_rounds > 0
 
