--- a/src/eelgrasswalk/bench/overload_driver.py
+++ b/src/eelgrasswalk/bench/overload_driver.py
@@ -91,9 +91,14 @@
         node: fakes.Node,
         root: fakes.Root,
         allowance: int,
+        quota: fakes.Bucket,
         done: fakes.Done,
     ) -> None:
-        """Take a root request at its entry node."""
+        """Take a root request at its entry node.
+
+        Shedding comes before the quota, so that a request that never runs
+        uses up no token.
+        """
         if self.protects:
             decision = node.table.admits(
                 root.chain[0], root.importance, root.root_hash, self.clock.now
@@ -102,6 +107,9 @@
                 reason = verdict.Reason.OVERLOAD
                 done(verdict.NotRun(reason, decision.retry_after_s))
                 return
+            if not quota.take(self.clock.now):
+                done(verdict.NotRun(verdict.Reason.QUOTA))
+                return
         ledger = retries.Ledger(allowance)
         self._send(Exchange(node, root, 0, ledger, done))
 
--- a/src/eelgrasswalk/bench/overload_fakes.py
+++ b/src/eelgrasswalk/bench/overload_fakes.py
@@ -23,6 +23,7 @@
 HOP_TIMEOUT_S = 1.0
 STATIC_QUEUE_FACTOR = 2
 ALLOWANCE = 2
+BURST_S = 1.0
 
 Done = typing.Callable[[verdict.Verdict], None]
 
@@ -264,6 +265,26 @@
         return levels.combine_levels(own, [below])
 
 
+class Bucket:
+    """A token bucket, the fake of the fleet's quota."""
+
+    def __init__(self, rate: float) -> None:
+        self._rate = rate
+        self._burst = max(1.0, rate * BURST_S)
+        self._tokens = self._burst
+        self._at = 0.0
+
+    def take(self, now: float) -> bool:
+        """Take a token if there is one."""
+        elapsed = now - self._at
+        self._tokens = min(self._burst, self._tokens + elapsed * self._rate)
+        self._at = now
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
 def draw_pair(rng: random.Random) -> tuple[float, float]:
     """Return the two random numbers of one choice."""
     return rng.random(), rng.random()
