Tell overload by the shortest wait of a window

Cause: at 70% load a burst's mean wait passed for overload; low calls were shed before the trigger and the level kept falling after it. Change: overload is a refusal of admitted work, or a window in which no call started with a wait below 5 ms.

--- a/src/eelgrasswalk/policy/shedding.py
+++ b/src/eelgrasswalk/policy/shedding.py
@@ -1,6 +1,7 @@
 """Finds the level at which a node sheds, from what it was offered."""
 
 import dataclasses
+import math
 
 from . import levels
 
@@ -16,8 +17,7 @@
         window_s: Seconds between two changes.
         service_windows: The same in mean service times, if that is longer.
         max_window_s: Longest window in seconds.
-        queue_delay_s: Mean wait in the queue that counts as overload.
-        service_delays: The same in mean service times, if that is longer.
+        queue_delay_s: Shortest wait in a window that counts as overload.
         memory: Weight of past windows in the histogram.
         keep_ratio: Share of the work started in a window that the level
             keeps after overload.
@@ -28,8 +28,7 @@
     window_s: float = 0.1
     service_windows: float = 2.0
     max_window_s: float = 0.5
-    queue_delay_s: float = 0.02
-    service_delays: float = 0.25
+    queue_delay_s: float = 0.005
     memory: float = 0.5
     keep_ratio: float = 0.97
     max_cut: float = 0.5
@@ -55,6 +54,7 @@
         self._refusals = 0
         self._delays = 0
         self._delay_s = 0.0
+        self._min_delay_s = math.inf
 
     def observe_offer(self, importance: int, root_hash: float) -> None:
         """Count an offered call."""
@@ -66,6 +66,8 @@
         self._starts += 1.0
         self._delays += 1
         self._delay_s += queue_delay_s
+        if queue_delay_s < self._min_delay_s:
+            self._min_delay_s = queue_delay_s
 
     def observe_refusal(self, importance: int, root_hash: float) -> None:
         """Count a call that was refused for overload.
@@ -98,7 +100,7 @@
             self._begin_window(now, service_s)
             return
         self._last_delay_s = self._delay_s / max(1, self._delays)
-        if self._is_overloaded(service_s):
+        if self._is_overloaded():
             self._lower()
         elif self._cutoff < BUCKETS:
             self._cutoff = min(BUCKETS, self._cutoff + self._step)
@@ -122,15 +124,15 @@
         self._refusals = 0
         self._delays = 0
         self._delay_s = 0.0
+        self._min_delay_s = math.inf
 
-    def _is_overloaded(self, service_s: float) -> bool:
+    def _is_overloaded(self) -> bool:
         if self._refusals:
             return True
-        settings = self._settings
-        limit_s = max(
-            settings.queue_delay_s, settings.service_delays * service_s
-        )
-        return self._last_delay_s > limit_s
+        if not self._delays:
+            return False
+        # A queue that empties now and then is a burst, not overload.
+        return self._min_delay_s > self._settings.queue_delay_s
 
     def _lower(self) -> None:
         self._step = 1
