--- a/src/eelgrasswalk/policy/admission.py
+++ b/src/eelgrasswalk/policy/admission.py
@@ -38,7 +38,7 @@
     level: shedding.SheddingSettings = dataclasses.field(
         default_factory=shedding.SheddingSettings
     )
-    queue_s: float = 0.1
+    queue_s: float = 0.2
     long_queue_s: float = 0.5
     min_queue: int = 4
     max_queue_factor: float = 4.0
@@ -118,7 +118,8 @@
             it waits.
         """
         control = self._control
-        control.roll(now, self._limit.service_s)
+        if now >= control.window_ends_at:
+            self._roll(now)
         if self._draining:
             reason = verdict.Reason.LEAVING
             return [Refuse(candidate.call_id, reason, 0.0)]
@@ -170,7 +171,8 @@
 
     def expire(self, now: float) -> list[Action]:
         """Refuse what has waited too long and start what can start."""
-        self._control.roll(now, self._limit.service_s)
+        if now >= self._control.window_ends_at:
+            self._roll(now)
         actions: list[Action] = [
             self._refuse_waiting(waiting, now)
             for waiting in self._queue.pop_expired(now)
@@ -200,9 +202,16 @@
 
     def level(self, now: float) -> levels.Level:
         """Return the level to put on answers."""
-        self._control.roll(now, self._limit.service_s)
+        if now >= self._control.window_ends_at:
+            self._roll(now)
         return self._control.level()
 
+    def _roll(self, now: float) -> None:
+        load = shedding.Load(
+            len(self._running), self._limit.limit, self._limit.service_s
+        )
+        self._control.roll(now, load)
+
     def _is_late(self, candidate: Candidate, now: float) -> bool:
         # With nothing running, the estimate is not trusted, so that one
         # slow period cannot refuse everything that comes after it.
@@ -214,7 +223,9 @@
     ) -> None:
         self._running[candidate.call_id] = now
         self._limit.observe_start(len(self._running), now)
-        self._control.observe_start(queue_delay_s)
+        self._control.observe_start(
+            candidate.importance, candidate.root_hash, queue_delay_s
+        )
 
     def _enqueue(self, candidate: Candidate, now: float) -> list[Action]:
         settings = self._settings
--- a/src/eelgrasswalk/policy/concurrency.py
+++ b/src/eelgrasswalk/policy/concurrency.py
@@ -3,7 +3,8 @@
 import dataclasses
 import math
 
-MIN_SAMPLES = 30
+MIN_SAMPLES = 10
+SAMPLES_PER_SLOT = 2
 MAX_LATE_WINDOWS = 10
 MAX_WINDOW_S = 1.0
 UNSATURATED_WEIGHT = 0.1
@@ -28,7 +29,7 @@
     window_s: float = 0.1
     tolerance: float = 2.0
     hinted_tolerance: float = 1.5
-    decrease: float = 0.7
+    decrease: float = 0.8
     min_fraction: float = 0.1
     start_fraction: float = 0.2
     ramp_s: float = 1.0
@@ -122,7 +123,7 @@
         else:
             self._failures += 1
         wait_s = 0.0
-        if self._count < MIN_SAMPLES:
+        if self._count < max(MIN_SAMPLES, SAMPLES_PER_SLOT * self.limit):
             wait_s = MAX_LATE_WINDOWS * self._settings.window_s
         if now >= self._window_ends_at + wait_s:
             self._end_window(now)
--- a/src/eelgrasswalk/policy/levels.py
+++ b/src/eelgrasswalk/policy/levels.py
@@ -13,9 +13,12 @@
 from ..document import model
 
 CLASSES = len(model.Importance)
+FRESH_S = 0.5
 HOLD_S = 0.2
-RECOVERY_S = 0.8
-FORGET_S = 30.0
+RECOVERY_S = 0.6
+MIN_PROBE_INTERVAL_S = 0.2
+MAX_PROBE_INTERVAL_S = 1.0
+FORGET_S = 5.0
 BEGUN_SLACK = 0.5
 SHED_RETRY_AFTER_S = 1.0
 
@@ -110,15 +113,24 @@
     at: float
 
 
+@dataclasses.dataclass(slots=True)
+class _Service:
+    upstreams: dict[str, _Seen]
+    seen_at: float
+    probe_at: float
+    probe_interval_s: float = MIN_PROBE_INTERVAL_S
+
+
 class LevelTable:
     """Levels seen on answers, by service and upstream.
 
-    A level that no answer confirms rises back to open, so that a stale one
-    is probed by a growing share of roots within about a second.
+    While no answer confirms a level, single calls are let through to probe
+    it, less often with each probe in a row. The longer the silence, the less
+    important they may be.
     """
 
     def __init__(self) -> None:
-        self._seen: dict[str, dict[str, _Seen]] = {}
+        self._services: dict[str, _Service] = {}
         self._shedding: set[str] = set()
 
     def observe(
@@ -133,11 +145,14 @@
             now: The time, in seconds.
         """
         cutoff = compute_cutoff(level)
-        upstreams = self._seen.setdefault(service, {})
-        seen = upstreams.get(upstream)
+        known = self._services.get(service)
+        if known is None:
+            known = self._services[service] = _Service({}, now, now)
+        known.seen_at = now
+        seen = known.upstreams.get(upstream)
         if seen is None:
-            upstreams[upstream] = _Seen(cutoff, level.queue_delay_s, now)
-        elif now >= seen.at:
+            known.upstreams[upstream] = _Seen(cutoff, level.queue_delay_s, now)
+        else:
             seen.cutoff = cutoff
             seen.queue_delay_s = level.queue_delay_s
             seen.at = now
@@ -165,12 +180,22 @@
         """
         if service not in self._shedding:
             return ADMIT
-        cutoff = self._compute_cutoff(service, now)
+        known = self._services[service]
+        cutoff = _compute_cutoff(known, now)
         if cutoff >= CLASSES:
             self._shedding.discard(service)
             return ADMIT
-        slack = BEGUN_SLACK if begun else 0.0
-        if importance + root_hash < cutoff + slack:
+        place = importance + root_hash
+        if place < cutoff + (BEGUN_SLACK if begun else 0.0):
+            known.probe_interval_s = MIN_PROBE_INTERVAL_S
+            return ADMIT
+        silence_s = now - known.seen_at - HOLD_S
+        reach = cutoff + CLASSES * silence_s / RECOVERY_S
+        if silence_s > 0.0 and place < reach and now >= known.probe_at:
+            known.probe_at = now + known.probe_interval_s
+            known.probe_interval_s = min(
+                MAX_PROBE_INTERVAL_S, 2.0 * known.probe_interval_s
+            )
             return ADMIT
         return Shed(SHED_RETRY_AFTER_S)
 
@@ -178,34 +203,32 @@
         """Return a service's level, or None while it admits everything."""
         if service not in self._shedding:
             return None
-        delays = [s.queue_delay_s for s in self._seen[service].values()]
-        cutoff = self._compute_cutoff(service, now)
-        return make_level(cutoff, statistics.median_low(delays))
+        known = self._services[service]
+        delays = [seen.queue_delay_s for seen in _list_fresh(known, now)]
+        cutoff = _compute_cutoff(known, now)
+        return make_level(cutoff, statistics.median_low(delays or [0.0]))
 
     def forget(self, service: str, upstream: str) -> None:
         """Drop an upstream that has left."""
-        upstreams = self._seen.get(service)
-        if upstreams is None:
+        known = self._services.get(service)
+        if known is None:
             return
-        upstreams.pop(upstream, None)
-        if not upstreams:
-            del self._seen[service]
+        known.upstreams.pop(upstream, None)
+        if not known.upstreams:
+            del self._services[service]
             self._shedding.discard(service)
 
-    def _compute_cutoff(self, service: str, now: float) -> float:
-        # The upper median: one wrong upstream moves nothing, and the
-        # balancer leads work to the less loaded half.
-        upstreams = self._seen[service]
-        fresh = [
-            _recover(seen, now)
-            for seen in upstreams.values()
-            if now - seen.at < FORGET_S
-        ]
-        return statistics.median_high(fresh) if fresh else float(CLASSES)
-
-
-def _recover(seen: _Seen, now: float) -> float:
-    age = now - seen.at - HOLD_S
-    if age <= 0.0:
-        return seen.cutoff
-    return min(float(CLASSES), seen.cutoff + CLASSES * age / RECOVERY_S)
+
+def _list_fresh(known: _Service, now: float) -> list[_Seen]:
+    """Return the recent levels, or the last one if none is recent."""
+    if now - known.seen_at >= FORGET_S:
+        return []
+    oldest = min(known.seen_at, now - FRESH_S)
+    return [seen for seen in known.upstreams.values() if seen.at >= oldest]
+
+
+def _compute_cutoff(known: _Service, now: float) -> float:
+    # The upper median: one wrong upstream moves nothing, and the balancer
+    # leads work to the less loaded half.
+    fresh = [seen.cutoff for seen in _list_fresh(known, now)]
+    return statistics.median_high(fresh) if fresh else float(CLASSES)
