--- a/src/eelgrasswalk/bench/overload_driver.py
+++ b/src/eelgrasswalk/bench/overload_driver.py
@@ -84,7 +84,7 @@
     @property
     def protects(self) -> bool:
         """Whether the policy under test is in force."""
-        return self.policy is scenario.EELGRASSWALK
+        return self.policy == scenario.EELGRASSWALK
 
     def enter(
         self,
--- a/src/eelgrasswalk/bench/overload_fakes.py
+++ b/src/eelgrasswalk/bench/overload_fakes.py
@@ -224,7 +224,7 @@
     """Return the guard of a policy."""
     if not policy.limited:
         return OpenGuard()
-    if policy is scenario.EELGRASSWALK:
+    if policy == scenario.EELGRASSWALK:
         return AdaptiveGuard(slots)
     return StaticGuard(slots)
 
--- a/src/eelgrasswalk/bench/overload_load.py
+++ b/src/eelgrasswalk/bench/overload_load.py
@@ -219,8 +219,8 @@
     """What came of one run.
 
     Args:
-        goodput: Requests answered whole within the deadline, a second,
-            while the trigger lasted.
+        goodput: Whole answers within the deadline, a second, while the
+            trigger lasted.
         offered: Requests sent within rate, a second, in that time.
         answered_ratios: Answered share of the requests sent, by
             importance.
@@ -255,7 +255,12 @@
         if timing.trigger_at <= request.sent_at < timing.trigger_ends_at
     ]
     within = [request for request in triggered if request.within_rate]
-    answered = [r for r in triggered if r.answered_at is not None]
+    answered = [
+        request
+        for request in load.requests
+        if request.answered_at is not None
+        and timing.trigger_at <= request.answered_at < timing.trigger_ends_at
+    ]
     points = _collect_points(load.requests, timing)
     accounts = [
         _compute_served(_select_account(triggered, account))
--- a/src/eelgrasswalk/bench/overload_scenario.py
+++ b/src/eelgrasswalk/bench/overload_scenario.py
@@ -248,3 +248,17 @@
         for service in plan.services
     )
     return dataclasses.replace(plan, services=services)
+
+
+def compute_capacity(plan: MeshPlan, trigger: Scenario) -> float:
+    """Return root requests a second that the deep service can serve.
+
+    Args:
+        plan: The mesh.
+        trigger: What slows its targets.
+    """
+    upstreams = len(plan.places)
+    share = 1.0
+    if trigger.lying:
+        share = (upstreams - 1 + 1.0 / LYING_SLOWDOWN) / upstreams
+    return plan.capacity * share / trigger.leaf_slowdown
