Judge the limit by the target's own time

Cause: a slow deep service lengthened its callers' service times, and their limits fell although fewer calls at a time would not help them. Change: finish takes the seconds that the target waited for calls of its own; the limit is judged by the rest.

--- a/src/eelgrasswalk/bench/overload_driver.py
+++ b/src/eelgrasswalk/bench/overload_driver.py
@@ -292,8 +292,10 @@
         self.work_s += work_s
         root.work_s += work_s
         if call.depth + 1 < len(root.chain):
+            sent_at = self.clock.now
 
             def done(result: verdict.Verdict) -> None:
+                call.child_s = self.clock.now - sent_at
                 answer = result if result is fakes.OK else fakes.CHILD_FAILED
                 self._finish(node, call, answer)
 
@@ -318,7 +320,7 @@
         ok: bool,
     ) -> None:
         del node.calls[call.call_id]
-        actions = node.guard.finish(call.call_id, self.clock.now, ok)
+        actions = node.guard.finish(call, self.clock.now, ok)
         call.reply(result)
         # The freed slot is free only after this event.
         self.clock.schedule(0.0, lambda: self._take(node, actions))
--- a/src/eelgrasswalk/bench/overload_fakes.py
+++ b/src/eelgrasswalk/bench/overload_fakes.py
@@ -96,7 +96,7 @@
         depth: Hops below the root.
         ledger: The allowance lent to it.
         reply: Takes the verdict at the upstream's node.
-        started: Whether its guard has started it.
+        child_s: Seconds that it waited for calls of its own.
     """
 
     call_id: int
@@ -104,7 +104,7 @@
     depth: int
     ledger: retries.Ledger
     reply: Done
-    started: bool = False
+    child_s: float = 0.0
 
 
 class Target:
@@ -144,7 +144,7 @@
         """Offer a call."""
 
     def finish(
-        self, call_id: int, now: float, ok: bool
+        self, call: Call, now: float, ok: bool
     ) -> list[admission.Action]:
         """End a call."""
 
@@ -157,7 +157,7 @@
         return [admission.Start(call.call_id)]
 
     def finish(
-        self, call_id: int, now: float, ok: bool
+        self, call: Call, now: float, ok: bool
     ) -> list[admission.Action]:
         """Do nothing."""
         return []
@@ -183,7 +183,7 @@
         return []
 
     def finish(
-        self, call_id: int, now: float, ok: bool
+        self, call: Call, now: float, ok: bool
     ) -> list[admission.Action]:
         """Start the next call."""
         if self._queue:
@@ -214,10 +214,12 @@
         return self.admission.offer(candidate, now)
 
     def finish(
-        self, call_id: int, now: float, ok: bool
+        self, call: Call, now: float, ok: bool
     ) -> list[admission.Action]:
         """Tell admission of the end."""
-        return self.admission.finish(call_id, now, ok=ok)
+        return self.admission.finish(
+            call.call_id, now, ok=ok, child_s=call.child_s
+        )
 
 
 def make_guard(policy: scenario.Policy, slots: int) -> Guard:
--- a/src/eelgrasswalk/policy/admission.py
+++ b/src/eelgrasswalk/policy/admission.py
@@ -132,7 +132,9 @@
             return [Start(candidate.call_id)]
         return self._enqueue(candidate, now)
 
-    def finish(self, call_id: int, now: float, *, ok: bool) -> list[Action]:
+    def finish(
+        self, call_id: int, now: float, *, ok: bool, child_s: float = 0.0
+    ) -> list[Action]:
         """End a started call.
 
         Args:
@@ -141,6 +143,7 @@
             ok: False if the target refused the call or was lost; True if
                 it answered, whatever the status, and if the call was
                 cancelled.
+            child_s: Seconds that the target waited for calls of its own.
 
         Returns:
             Actions for waiting calls.
@@ -148,7 +151,9 @@
         started_at = self._running.pop(call_id, None)
         if started_at is None:
             return []
-        self._limit.observe_finish(now - started_at, now, ok)
+        service_s = now - started_at
+        own_s = max(0.0, service_s - child_s)
+        self._limit.observe_finish(service_s, own_s, now, ok)
         if not self._queue:
             return []
         return self.expire(now)
--- a/src/eelgrasswalk/policy/concurrency.py
+++ b/src/eelgrasswalk/policy/concurrency.py
@@ -59,6 +59,7 @@
         self._step = 1.0
         self._base_s = math.inf
         self._mean_s = 0.0
+        self._own_s = 0.0
         self._low_s = 0.0
         self._previous: tuple[float, float] | None = None
         self._full_until = -math.inf
@@ -66,6 +67,7 @@
         self._window_began_at = 0.0
         self._window_ends_at = 0.0
         self._sum_s = 0.0
+        self._own_sum_s = 0.0
         self._min_s = math.inf
         self._count = 0
         self._failures = 0
@@ -107,17 +109,22 @@
         if in_flight >= self.limit:
             self._saturated = True
 
-    def observe_finish(self, service_s: float, now: float, ok: bool) -> None:
+    def observe_finish(
+        self, service_s: float, own_s: float, now: float, ok: bool
+    ) -> None:
         """Note that a call finished.
 
         Args:
             service_s: Seconds that the target took.
+            own_s: The same without the time that it waited for calls of
+                its own, which a lower limit would not shorten.
             now: The time, in seconds.
             ok: False if the target refused the call or was lost.
         """
         self._count += 1
         if ok:
             self._sum_s += service_s
+            self._own_sum_s += own_s
             if service_s < self._min_s:
                 self._min_s = service_s
         else:
@@ -145,6 +152,7 @@
         length_s = max(self._settings.window_s, 2.0 * self._mean_s)
         self._window_ends_at = now + min(length_s, MAX_WINDOW_S)
         self._sum_s = 0.0
+        self._own_sum_s = 0.0
         self._min_s = math.inf
         self._count = 0
         self._failures = 0
@@ -155,6 +163,7 @@
         elapsed = max(now - self._window_began_at, 1e-6)
         if successes:
             self._mean_s = self._sum_s / successes
+            self._own_s = self._own_sum_s / successes
             self._low_s = self._min_s
         self._adjust(successes / elapsed, now)
         self._begin_window(now)
@@ -169,7 +178,7 @@
         tolerance = settings.tolerance
         if now < self._full_until:
             tolerance = settings.hinted_tolerance
-        slowdown = self._mean_s / max(self._base_s, 1e-9)
+        slowdown = self._own_s / max(self._base_s, 1e-9)
         if self._saturated and slowdown > tolerance:
             self._previous = (self._limit, rate)
             self._decrease()
@@ -179,19 +188,19 @@
             self._increase()
 
     def _learn_base(self, rate: float) -> None:
-        if self._mean_s <= self._base_s:
-            self._base_s = self._mean_s
+        if self._own_s <= self._base_s:
+            self._base_s = self._own_s
             return
         if not self._saturated:
             # Without contention, a longer time is another mix of calls.
-            self._base_s += UNSATURATED_WEIGHT * (self._mean_s - self._base_s)
+            self._base_s += UNSATURATED_WEIGHT * (self._own_s - self._base_s)
             return
         if self._previous is None:
             return
         limit, previous_rate = self._previous
         shrink = 1.0 - self._limit / limit
         if rate < previous_rate * (1.0 - 0.5 * shrink):
-            self._base_s = self._mean_s
+            self._base_s = self._own_s
 
     def _decrease(self) -> None:
         self._ramping = False
