Roll a planned stop over every node under load without a cut

Cause: with one of two upstreams down, half of the attempts did not reach it; retries elsewhere counted as a storm, the breaker opened, and true refusals (503, no upstream) reached callers. Change: an attempt that never arrived neither counts at the breaker nor is held back by it; it still spends the tree's allowance.

--- a/src/eelgrasswalk/filters/dispatch.py
+++ b/src/eelgrasswalk/filters/dispatch.py
@@ -95,7 +95,8 @@
             decision = self._decide(item, outcome, len(tried))
             if isinstance(decision, retries.GiveUp):
                 return decision.verdict
-            self._storm.count_retry(service, self._clock())
+            if not _never_arrived(outcome):
+                self._storm.count_retry(service, self._clock())
             await asyncio.sleep(decision.delay_s)
 
     def _decide(
@@ -109,7 +110,10 @@
             outcome,
             idempotent=route.idempotent,
             ledger=item.get_ledger(),
-            breaker_open=self._storm.is_open(route.service, now),
+            # An attempt that never arrived has not loaded the service, so
+            # another one elsewhere is no part of a storm.
+            breaker_open=not _never_arrived(outcome)
+            and self._storm.is_open(route.service, now),
             now=now,
             deadline=item.deadline,
             attempt=attempt,
@@ -226,6 +230,13 @@
         )
 
 
+def _never_arrived(outcome: verdict.Verdict) -> bool:
+    return isinstance(outcome, verdict.NotRun) and (
+        outcome.reason in _UNREACHABLE
+        or outcome.reason is verdict.Reason.LEAVING
+    )
+
+
 def _classify(outcome: verdict.Verdict) -> balance.Outcome:
     if isinstance(outcome, verdict.Answered):
         return balance.Outcome.ANSWERED
