Cut the level by the refused share of half a second's offers

Cause: at a slow target a window holds two or three calls, so one refusal cut a third of what was admitted. Change: the histogram remembers about half a second and the cut is the refused share of that; windows of 0.1 s.

--- a/src/eelgrasswalk/policy/shedding.py
+++ b/src/eelgrasswalk/policy/shedding.py
@@ -28,10 +28,10 @@
         idle_s: Seconds without a call after which everything is admitted.
     """
 
-    window_s: float = 0.2
+    window_s: float = 0.1
     queue_delay_s: float = 0.005
     service_delays: float = 0.5
-    memory: float = 0.5
+    memory: float = 0.8
     min_cut: float = 0.03
     max_cut: float = 0.5
     max_step: int = 32
@@ -160,7 +160,7 @@
         self._step = 1
         settings = self._settings
         below = sum(self._offered[: self._cutoff])
-        cut = self._refusals / max(1, self._refusals + self._starts)
+        cut = self._refusals / max(1.0, below)
         keep = below * (1.0 - min(settings.max_cut, settings.min_cut + cut))
         total = 0.0
         for bucket in range(self._cutoff):
