Refuse at a node what the service below would refuse

Cause: nodes ran their own part of calls that the deep service, whose level they knew, then refused. Change: in the driver, a node asks its table of levels about the service that its target calls next before it admits a call.

--- a/src/eelgrasswalk/bench/overload_driver.py
+++ b/src/eelgrasswalk/bench/overload_driver.py
@@ -14,6 +14,8 @@
 from . import overload_fakes as fakes
 from . import overload_scenario as scenario
 
+OVERLOADED_BELOW = verdict.NotRun(verdict.Reason.OVERLOAD, 1.0)
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Exchange:
@@ -239,11 +241,28 @@
         if self.protects and call.root.dead:
             call.reply(fakes.GONE)
             return
+        if self.protects and self._sheds_below(node, call):
+            call.reply(OVERLOADED_BELOW)
+            return
         node.calls[call.call_id] = call
         call.root.queued[call.call_id] = node
         self._take(node, node.guard.offer(call, self.clock.now))
         self._set_timer(node)
 
+    def _sheds_below(self, node: fakes.Node, call: fakes.Call) -> bool:
+        """Return whether a service that the target calls would refuse."""
+        root = call.root
+        if call.depth + 1 == len(root.chain):
+            return False
+        decision = node.table.admits(
+            root.chain[call.depth + 1],
+            root.importance,
+            root.root_hash,
+            self.clock.now,
+            begun=call.depth > 0,
+        )
+        return isinstance(decision, levels.Shed)
+
     def _set_timer(self, node: fakes.Node) -> None:
         if not isinstance(node.guard, fakes.AdaptiveGuard):
             return
