--- a/src/eelgrasswalk/controllers/claim_store.py
+++ b/src/eelgrasswalk/controllers/claim_store.py
@@ -153,6 +153,10 @@
                 return decision
         return idempotency.InProgress()
 
+    def read_clock(self) -> float:
+        """Return the seconds since the epoch."""
+        return self._now()
+
     async def complete(self, held: Held, response: verdict.Response) -> bool:
         """Keep the answer; return whether that is settled."""
         answer = await self._keep_answer(held, response)
@@ -165,6 +169,14 @@
             ),
         )
 
+    async def keep(self, held: Held) -> bool:
+        """Write a claim late, whose request may have run.
+
+        Returns:
+            Whether that is settled.
+        """
+        return await self._change(held, held.claim)
+
     async def release(self, held: Held) -> bool:
         """Free a key whose request has not run.
 
@@ -248,10 +260,14 @@
         for key in conflict.keys:
             row = conflict.find(key)
             decision = self._decide(row, pending[key])
-            if isinstance(decision, idempotency.Take):
+            is_given_up = pending[key].token in self._voided
+            if isinstance(decision, idempotency.Take) and not is_given_up:
                 expected[key] = None if row is None else row.version
                 continue
-            outcomes[key] = decision
+            if isinstance(decision, idempotency.Take):
+                outcomes[key] = Unavailable()
+            else:
+                outcomes[key] = decision
             del pending[key]
 
     def _decide(
--- a/src/eelgrasswalk/events.py
+++ b/src/eelgrasswalk/events.py
@@ -44,6 +44,12 @@
     'configuration could not be read',
     'validate the document with the same release as the node',
 )
+CLAIM_LOCAL = Event(
+    3101,
+    logging.WARNING,
+    'request run without a claim in the table',
+    'look after the platform; this route goes on without it',
+)
 TARGET_UNREACHABLE = Event(
     4001,
     logging.WARNING,
--- a/src/eelgrasswalk/policy/idempotency.py
+++ b/src/eelgrasswalk/policy/idempotency.py
@@ -11,7 +11,6 @@
 import hashlib
 import typing
 
-import cattrs
 import cbor2
 
 from .. import verdict
@@ -144,7 +143,15 @@
 
 def encode_claim(claim: Claim) -> bytes:
     """Return a claim as CBOR."""
-    return cbor2.dumps(_CONVERTER.unstructure(claim))
+    packed: list[typing.Any] = [
+        claim.token,
+        claim.fingerprint,
+        claim.claimed_at,
+        claim.state.value,
+    ]
+    if claim.answer is not None:
+        packed.append(_pack_answer(claim.answer))
+    return cbor2.dumps(packed)
 
 
 def decode_claim(value: bytes) -> Claim:
@@ -154,8 +161,15 @@
         MalformedError: The bytes are no claim.
     """
     try:
-        return _CONVERTER.structure(cbor2.loads(value), Claim)
-    except Exception as error:
+        token, fingerprint, claimed_at, state, *rest = cbor2.loads(value)
+        return Claim(
+            bytes(token),
+            bytes(fingerprint),
+            float(claimed_at),
+            State(state),
+            _unpack_answer(rest[0]) if rest else None,
+        )
+    except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
         raise MalformedError('not a claim') from error
 
 
@@ -173,11 +187,22 @@
     )
 
 
-def _make_converter() -> cattrs.Converter:
-    converter = cattrs.Converter()
-    converter.register_unstructure_hook(bytes, lambda value: value)
-    converter.register_structure_hook(bytes, lambda value, _: bytes(value))
-    return converter
+def _pack_answer(answer: StoredAnswer) -> list[typing.Any]:
+    return [
+        answer.status,
+        answer.headers,
+        answer.body,
+        answer.object_name,
+        answer.is_whole,
+    ]
 
 
-_CONVERTER = _make_converter()
+def _unpack_answer(packed: list[typing.Any]) -> StoredAnswer:
+    status, headers, body, object_name, is_whole = packed
+    return StoredAnswer(
+        int(status),
+        tuple((bytes(name), bytes(value)) for name, value in headers),
+        bytes(body),
+        str(object_name),
+        bool(is_whole),
+    )
