--- a/src/eelgrasswalk/console/pages.py
+++ b/src/eelgrasswalk/console/pages.py
@@ -18,6 +18,8 @@
     directory=pathlib.Path(__file__).parent / 'templates'
 )
 
+MAX_FIELDS = 20_000
+
 Handler: typing.TypeAlias = collections.abc.Callable[
     [starlette.requests.Request],
     collections.abc.Awaitable[starlette.responses.Response],
@@ -83,6 +85,10 @@
             f'The platform did not answer ({outcome.detail}). Nodes go on '
             'with the version in force; try again later.',
         )
+    if isinstance(outcome, revisions.Damaged):
+        raise starlette.exceptions.HTTPException(
+            500, f'The store was damaged or altered: {outcome.detail}.'
+        )
     if isinstance(outcome, revisions.Missing):
         raise starlette.exceptions.HTTPException(
             404,
@@ -98,7 +104,7 @@
     """Return the submitted fields, or None for a request to look."""
     if request.method != 'POST':
         return None
-    return await request.form(max_files=0)
+    return await request.form(max_files=0, max_fields=MAX_FIELDS)
 
 
 def raise_missing(kind: str, name: str) -> typing.NoReturn:
--- a/src/eelgrasswalk/cli/connections.py
+++ b/src/eelgrasswalk/operations/connections.py
@@ -2,13 +2,30 @@
 
 import collections.abc
 import contextlib
+import typing
 
 import httpx
 
-from ..operations import fleet
-from ..operations import revisions
-from ..operations import store
 from ..platform import http
+from . import fleet
+from . import revisions
+from . import store
+
+
+class Connections(typing.Protocol):
+    """Opens what operators' programs talk to."""
+
+    def open_revisions(
+        self, platform: str
+    ) -> contextlib.AbstractAsyncContextManager[revisions.Revisions]:
+        """Open the accepted versions at the platform's address."""
+        ...
+
+    def open_fleet(
+        self,
+    ) -> contextlib.AbstractAsyncContextManager[fleet.FleetClient]:
+        """Open a client of nodes."""
+        ...
 
 
 class HttpConnections:
--- a/src/eelgrasswalk/operations/revisions.py
+++ b/src/eelgrasswalk/operations/revisions.py
@@ -42,6 +42,17 @@
     detail: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Damaged:
+    """What the store holds cannot be right.
+
+    Args:
+        detail: What is wrong with it.
+    """
+
+    detail: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Published:
     """The document is accepted.
@@ -79,9 +90,11 @@
     entries: tuple[audit.Entry, ...]
 
 
-ReadOutcome: typing.TypeAlias = Found | Missing | Unavailable
-PublishOutcome: typing.TypeAlias = Published | Conflict | Unavailable | Unknown
-EntriesOutcome: typing.TypeAlias = Entries | Unavailable
+ReadOutcome: typing.TypeAlias = Found | Missing | Unavailable | Damaged
+PublishOutcome: typing.TypeAlias = (
+    Published | Conflict | Unavailable | Unknown | Damaged
+)
+EntriesOutcome: typing.TypeAlias = Entries | Unavailable | Damaged
 
 
 class Revisions(typing.Protocol):
--- a/src/eelgrasswalk/operations/store.py
+++ b/src/eelgrasswalk/operations/store.py
@@ -104,8 +104,12 @@
         try:
             head = decode_head(row.row.value)
         except audit.MalformedError as error:
-            return revisions.Unavailable(str(error))
-        return await self.read_version(head.version)
+            return revisions.Damaged(str(error))
+        outcome = await self.read_version(head.version)
+        if isinstance(outcome, revisions.Missing):
+            detail = f'the audit entry of version {head.version} is missing'
+            return revisions.Damaged(detail)
+        return outcome
 
     async def read_version(self, version: int) -> revisions.ReadOutcome:
         """Read an accepted version."""
@@ -117,7 +121,7 @@
         try:
             entry = audit.decode_entry(row.row.value)
         except audit.MalformedError as error:
-            return revisions.Unavailable(str(error))
+            return revisions.Damaged(str(error))
         return await self._read_document(entry)
 
     async def list_entries(self) -> revisions.EntriesOutcome:
@@ -133,7 +137,7 @@
             try:
                 entries += [audit.decode_entry(r.value) for r in page.rows]
             except audit.MalformedError as error:
-                return revisions.Unavailable(str(error))
+                return revisions.Damaged(str(error))
             if len(page.rows) < PAGE_ROWS:
                 return revisions.Entries(tuple(entries))
             after = page.rows[-1].key
@@ -215,7 +219,7 @@
 
     async def _find_base(
         self, base: revisions.Revision | None
-    ) -> '_Base | revisions.Conflict | revisions.Unavailable':
+    ) -> '_BaseOutcome':
         row = await self._table.get(HEAD_KEY)
         if isinstance(row, protocols.Unavailable):
             return revisions.Unavailable(row.detail)
@@ -224,25 +228,25 @@
         try:
             head = decode_head(row.row.value)
         except audit.MalformedError as error:
-            return revisions.Unavailable(str(error))
+            return revisions.Damaged(str(error))
         if base is None or base.version != head.version:
             return await self._make_conflict()
         return _Base(row.row.version)
 
     async def _read_document(
         self, entry: audit.Entry
-    ) -> revisions.Found | revisions.Unavailable:
+    ) -> revisions.ReadOutcome:
         name = make_object_name(entry.document_digest)
         body = await self._objects.get_object(name)
         if isinstance(body, protocols.Unavailable):
             return revisions.Unavailable(body.detail)
         if isinstance(body, protocols.Missing):
-            return revisions.Unavailable(f'object {name} is missing')
+            return revisions.Damaged(f'object {name} is missing')
         if not audit.matches_document(entry, body.content):
-            return revisions.Unavailable(f'object {name} was altered')
+            return revisions.Damaged(f'object {name} was altered')
         loaded = loading.load_document(body.content, source=name)
         if isinstance(loaded, loading.Invalid):
-            return revisions.Unavailable(f'object {name} is not valid here')
+            return revisions.Damaged(f'object {name} is not valid here')
         return revisions.Found(
             revisions.Revision(entry.version, loaded.document, entry)
         )
@@ -253,3 +257,8 @@
     """Version of the head's row that a write must find; None for none."""
 
     row_version: str | None
+
+
+_BaseOutcome: typing.TypeAlias = (
+    _Base | revisions.Conflict | revisions.Unavailable | revisions.Damaged
+)
--- a/tests/operations/test_store.py
+++ b/tests/operations/test_store.py
@@ -131,4 +131,12 @@
         name = store.make_object_name(head.entry.document_digest)
         self.objects.write(name, b'schema: 1')
         outcome = await self.store.read_head()
-        self.assertIsInstance(outcome, revisions.Unavailable)
+        self.assertIsInstance(outcome, revisions.Damaged)
+
+    async def test_head_without_its_entry_is_not_taken(self) -> None:
+        await self.publish(1.0, None)
+        found = self.table.read(store.make_audit_key(1))
+        assert isinstance(found, protocols.Found)
+        await self.table.delete(found.row.key, expected=found.row.version)
+        outcome = await self.store.read_head()
+        self.assertIsInstance(outcome, revisions.Damaged)
