Wire membership, configuration, quotas and claims into the node

Cause: nodes knew each other and their document from files only. A claimed request keeps its place at the target when its caller has gone.

--- a/src/eelgrasswalk/bench/mesh.py
+++ b/src/eelgrasswalk/bench/mesh.py
@@ -1,5 +1,6 @@
 """Starts nodes and stand-ins as processes, for benches, demo and tests."""
 
+import collections.abc
 import dataclasses
 import json
 import os
@@ -105,6 +106,14 @@
         return process
 
 
+def stop_all(processes: collections.abc.Sequence[Process]) -> list[int]:
+    """Stop processes gracefully, side by side; return their exit codes."""
+    for process in processes:
+        if process.popen.poll() is None:
+            process.popen.send_signal(signal.SIGTERM)
+    return [process.popen.wait(STOP_TIMEOUT_S) for process in processes]
+
+
 def find_free_ports(count: int) -> list[int]:
     """Return TCP ports that are free now, all different."""
     sockets = [socket.socket() for _ in range(count)]
--- a/src/eelgrasswalk/controllers/directory.py
+++ b/src/eelgrasswalk/controllers/directory.py
@@ -1,13 +1,14 @@
 """The nodes that this node knows, as its dispatcher needs them."""
 
-import asyncio
 import collections.abc
 import dataclasses
+import time
 
 from ..policy import balance
 from ..transport import dialler
 
 STATE_READY = 'ready'
+STATE_SUSPECT = 'suspect'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,7 +33,7 @@
     state: str
     links: dialler.Address
     admin: str = ''
-    config_version: int = 0
+    config_version: int | None = None
 
 
 class Directory:
@@ -43,30 +44,35 @@
     """
 
     def __init__(self, balancer: balance.Balancer) -> None:
-        self._balancer = balancer
+        self.balancer = balancer
         self._peers: dict[str, Peer] = {}
         self._services: set[str] = set()
 
     def replace(self, peers: collections.abc.Iterable[Peer]) -> None:
         """Set all known nodes."""
         self._peers = {peer.node_id: peer for peer in peers}
-        upstreams: dict[str, list[balance.Upstream]] = {
-            service: [] for service in self._services
-        }
-        for peer in self._peers.values():
-            found = upstreams.setdefault(peer.service, [])
-            if peer.state == STATE_READY:
-                found.append(_build_upstream(peer))
-        self._services = set(upstreams)
-        now = asyncio.get_running_loop().time()
-        for service, found in upstreams.items():
-            self._balancer.replace(service, found, now)
+        ready = self._group(STATE_READY)
+        # A suspicion may be false; a suspect is better than nobody.
+        suspect = self._group(STATE_SUSPECT)
+        self._services |= ready.keys() | suspect.keys()
+        now = time.monotonic()
+        for service in self._services:
+            found = ready.get(service) or suspect.get(service) or []
+            self.balancer.replace(service, found, now)
 
     def find_address(self, node_id: str) -> dialler.Address | None:
         """Return where a node accepts links, or None when it is unknown."""
         peer = self._peers.get(node_id)
         return None if peer is None else peer.links
 
+    def _group(self, state: str) -> dict[str, list[balance.Upstream]]:
+        groups: dict[str, list[balance.Upstream]] = {}
+        for peer in self._peers.values():
+            if peer.state == state:
+                group = groups.setdefault(peer.service, [])
+                group.append(_build_upstream(peer))
+        return groups
+
     def list_peers(self) -> list[Peer]:
         """Return all known nodes."""
         return list(self._peers.values())
--- a/src/eelgrasswalk/filters/guard.py
+++ b/src/eelgrasswalk/filters/guard.py
@@ -16,6 +16,10 @@
 from . import exchange
 from . import served
 
+Proceed: typing.TypeAlias = typing.Callable[
+    [], typing.Coroutine[typing.Any, typing.Any, verdict.Verdict]
+]
+
 
 class Claims(typing.Protocol):
     """Makes a non-idempotent request run at most once."""
@@ -24,7 +28,7 @@
         self,
         call: frames.Call,
         route: model.Route,
-        proceed: typing.Callable[[], typing.Awaitable[verdict.Verdict]],
+        proceed: Proceed,
     ) -> verdict.Verdict:
         """Run a request, replay its answer, or refuse it."""
 
@@ -100,13 +104,13 @@
         admitted = await self._admitter.admit(call.context, deadline=deadline)
         if isinstance(admitted, verdict.NotRun):
             return admitted
-        ok = False
+        slot = _Slot(self._admitter, admitted.call_id)
         try:
-            outcome = await self._claim(call, ledger, route, service, deadline)
-            ok = isinstance(outcome, verdict.Answered)
+            return await self._claim(
+                call, ledger, route, service, deadline, slot
+            )
         finally:
-            self._admitter.finish(admitted.call_id, ok=ok)
-        return outcome
+            slot.release_unused()
 
     async def _claim(
         self,
@@ -115,9 +119,15 @@
         route: model.Route,
         service: model.Service,
         deadline: float,
+        slot: '_Slot',
     ) -> verdict.Verdict:
         async def proceed() -> verdict.Verdict:
-            return await self._deliver(call, ledger, route, service, deadline)
+            with slot:
+                outcome = await self._deliver(
+                    call, ledger, route, service, deadline
+                )
+                slot.ok = _is_sound(outcome)
+            return outcome
 
         if (
             self._claims is None
@@ -163,3 +173,37 @@
             queue_delay_s=level.queue_delay_s,
             unspent=ledger.remaining,
         )
+
+
+class _Slot:
+    """An admitted call's place at the target.
+
+    A claimed request goes on when its caller has gone, so the place is
+    given back when the target has ended, not when the wait for it has.
+    """
+
+    def __init__(self, admitter: admit.Admitter, call_id: int) -> None:
+        self.ok = True
+        self._admitter = admitter
+        self._call_id = call_id
+        self._used = False
+
+    def __enter__(self) -> None:
+        self._used = True
+
+    def __exit__(self, *_: object) -> None:
+        self._admitter.finish(self._call_id, ok=self.ok)
+
+    def release_unused(self) -> None:
+        """Give the place back unless the request was begun."""
+        if not self._used:
+            self._admitter.finish(self._call_id, ok=True)
+
+
+def _is_sound(outcome: verdict.Verdict) -> bool:
+    if isinstance(outcome, verdict.Answered):
+        return True
+    return outcome.reason in (
+        verdict.Reason.CALLER_GONE,
+        verdict.Reason.DEADLINE,
+    )
--- a/src/eelgrasswalk/filters/identify.py
+++ b/src/eelgrasswalk/filters/identify.py
@@ -1,10 +1,14 @@
 """Finds the client account of a request, or the call that it belongs to."""
 
+import typing
+
 from .. import verdict
 from ..transport import message
 from . import exchange
 from . import served
 
+STALE_RETRY_S = 2.0
+
 
 class IdentifyCheck:
     """Goes by the key, or by the context token of the target's own calls.
@@ -15,10 +19,18 @@
     Args:
         calls: The calls that this node's target is serving.
         key_header: Header that carries the key, in lower case.
+        allows_keys: Tells whether the node may go by its list of keys.
     """
 
-    def __init__(self, calls: served.ServedCalls, *, key_header: str) -> None:
+    def __init__(
+        self,
+        calls: served.ServedCalls,
+        *,
+        key_header: str,
+        allows_keys: typing.Callable[[], bool] = lambda: True,
+    ) -> None:
         self._calls = calls
+        self._allows_keys = allows_keys
         self._key_header = key_header.encode('ascii')
 
     def check(self, item: exchange.Exchange) -> verdict.NotRun | None:
@@ -31,6 +43,12 @@
         key = message.find_header(headers, self._key_header)
         if key is None:
             return None
+        if not self._allows_keys():
+            return verdict.NotRun(
+                verdict.Reason.NO_CONFIGURATION,
+                retry_after_s=STALE_RETRY_S,
+                detail='the node hears neither the store nor other nodes',
+            )
         account = item.table.find_account(key)
         if account is None:
             return verdict.NotRun(verdict.Reason.KEY_UNKNOWN)
--- a/src/eelgrasswalk/filters/quota.py
+++ b/src/eelgrasswalk/filters/quota.py
@@ -1,35 +1,21 @@
 """Holds client accounts to their rate and burst across all hosts."""
 
-import dataclasses
 import typing
 
 from .. import verdict
+from ..policy import quota
 from . import exchange
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Admitted:
-    """The account had a token."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refused:
-    """The account has no token.
-
-    Args:
-        retry_after_s: Seconds after which one may be there.
-    """
-
-    retry_after_s: float
-
-
 class Quota(typing.Protocol):
     """Admits requests of client accounts."""
 
-    def try_admit(self, account: str) -> Admitted | Refused | None:
+    def try_admit(self, account: str) -> quota.Admitted | quota.Refused | None:
         """Decide at once, or return None when that takes a message."""
 
-    async def admit(self, account: str, deadline: float) -> Admitted | Refused:
+    async def admit(
+        self, account: str, deadline: float
+    ) -> quota.Admitted | quota.Refused:
         """Decide, waiting shortly for tokens."""
 
 
@@ -37,11 +23,11 @@
     """Charges each request once, where it enters the system.
 
     Args:
-        quota: Admits requests.
+        controller: Admits requests.
     """
 
-    def __init__(self, quota: Quota) -> None:
-        self._quota = quota
+    def __init__(self, controller: Quota) -> None:
+        self._quota = controller
 
     async def apply(
         self, item: exchange.Exchange, proceed: exchange.Proceed
@@ -52,7 +38,7 @@
         decision = self._quota.try_admit(item.account)
         if decision is None:
             decision = await self._quota.admit(item.account, item.deadline)
-        if isinstance(decision, Refused):
+        if isinstance(decision, quota.Refused):
             return verdict.NotRun(
                 verdict.Reason.QUOTA, retry_after_s=decision.retry_after_s
             )
--- a/src/eelgrasswalk/node.py
+++ b/src/eelgrasswalk/node.py
@@ -51,6 +51,9 @@
 class Controller(app.Part, typing.Protocol):
     """Keeps one kind of state up to date while the node runs."""
 
+    def announce_ready(self) -> None:
+        """Tell others that the node takes calls."""
+
     async def announce_stop(self) -> None:
         """Tell others that the node is leaving."""
 
@@ -107,6 +110,8 @@
         self.state = State.STARTING
         self.controllers: list[Controller] = []
         self.addresses: Addresses | None = None
+        self.link_port = 0
+        self.admin_port = 0
         self._on_stop_request = on_stop_request
         self._started: list[Controller] = []
         self._metrics = metrics.Metrics(
@@ -121,6 +126,7 @@
     async def start(self) -> None:
         """Listen for links, then start the controllers, then take callers."""
         await self._admin.start()
+        self.admin_port = self._admin.address[1]
         links = await self._listen_for_links()
         calls = await self._listen(
             self.parts.target_listener, self.config.listen.target_calls
@@ -138,6 +144,8 @@
             links=links,
             admin='{}:{}'.format(*self._admin.address),
         )
+        for controller in self._started:
+            controller.announce_ready()
         events.log(
             events.NODE_STARTED, incarnation=self.parts.identity.incarnation
         )
@@ -237,6 +245,7 @@
     async def _listen_for_links(self) -> str:
         address = self.config.listen.links
         bound = await self.parts.acceptor.start(address.host, address.port)
+        self.link_port = bound[1]
         return f'{bound[0]}:{bound[1]}'
 
     async def _listen(
--- a/src/eelgrasswalk/transport/acceptor.py
+++ b/src/eelgrasswalk/transport/acceptor.py
@@ -119,6 +119,14 @@
             async with asyncio.timeout(GOODBYE_TIMEOUT_S):
                 await self._parted.wait()
 
+    def send_control(self, node_id: str, topic: str, payload: bytes) -> bool:
+        """Send a controller's message if the node has a link to this one."""
+        peer = self._peers.get(node_id)
+        if peer is None or peer.current is None:
+            return False
+        peer.current.send(frames.Control(topic, payload))
+        return True
+
     def count_links(self) -> int:
         """Return how many links are open."""
         return len(self._links)
--- a/src/eelgrasswalk/transport/problem.py
+++ b/src/eelgrasswalk/transport/problem.py
@@ -23,6 +23,7 @@
 _MAY_HAVE_RUN_STATUS = {
     verdict.Reason.DEADLINE: 504,
     verdict.Reason.LINK_LOST: 504,
+    verdict.Reason.DUPLICATE: 409,
 }
 
 _TITLES = {
--- a/src/eelgrasswalk/wiring.py
+++ b/src/eelgrasswalk/wiring.py
@@ -11,6 +11,7 @@
 from . import events
 from . import node
 from . import settings
+from . import wiring_controllers
 from .controllers import directory
 from .document import loading
 from .filters import admit
@@ -22,6 +23,7 @@
 from .filters import exchange
 from .filters import guard
 from .filters import identify
+from .filters import quota
 from .filters import route
 from .filters import served
 from .filters import shed
@@ -41,11 +43,25 @@
 
 
 class ControlRouter:
-    """Hands controllers' messages from links to the controllers."""
+    """Carries controllers' messages over the links.
+
+    Attributes:
+        parts: The links and addresses; set once they are built.
+    """
 
     def __init__(self) -> None:
+        self.parts: node.Parts | None = None
         self._handlers: dict[str, typing.Callable[[str, bytes], None]] = {}
 
+    def send(self, node_id: str, topic: str, payload: bytes) -> None:
+        """Send a message on an open link, or on a new one."""
+        assert self.parts is not None
+        if self.parts.acceptor.send_control(node_id, topic, payload):
+            return
+        address = self.parts.directory.find_address(node_id)
+        if address is not None:
+            self.parts.dialler.send_control(address, topic, payload)
+
     def register(
         self, topic: str, handler: typing.Callable[[str, bytes], None]
     ) -> None:
@@ -100,8 +116,13 @@
         router=ControlRouter(),
         source=random.Random(),
     )
-    parts = _build_parts(shared)
+    book = directory.Directory(_build_balancer(config))
+    controllers = _build_controllers(shared, book)
+    parts = _build_parts(shared, book, controllers)
+    shared.router.parts = parts
     built = node.Node(config, parts, on_stop_request=on_stop_request)
+    if controllers is not None:
+        controllers.attach(built)
     if config.document:
         _apply_file(built, pathlib.Path(config.document))
     if config.members:
@@ -109,7 +130,36 @@
     return built
 
 
-def _build_parts(shared: Shared) -> node.Parts:
+def _build_balancer(config: settings.Settings) -> balance.Balancer:
+    return balance.Balancer(
+        balance.BalanceSettings(),
+        data_centre=config.data_centre,
+        node_id=config.node_id,
+    )
+
+
+def _build_controllers(
+    shared: Shared, book: directory.Directory
+) -> wiring_controllers.Controllers | None:
+    platform = shared.config.platform
+    if platform is None:
+        return None
+    needs = wiring_controllers.Needs(
+        config=shared.config,
+        identity=shared.identity,
+        book=book,
+        send=shared.router.send,
+        register=shared.router.register,
+        source=shared.source,
+    )
+    return wiring_controllers.Controllers(needs, platform)
+
+
+def _build_parts(
+    shared: Shared,
+    book: directory.Directory,
+    controllers: wiring_controllers.Controllers | None,
+) -> node.Parts:
     config = shared.config
     target = config.target.address
     pool = http_client.TargetPool(target.host, target.port, connections=1)
@@ -125,6 +175,7 @@
         ),
         calls=shared.calls,
         bodies=shared.bodies,
+        claims=controllers.claims if controllers else None,
     )
     links = dialler.Dialler(
         shared.identity,
@@ -132,13 +183,7 @@
         bodies=shared.bodies,
         on_control=shared.router.receive,
     )
-    balancer = balance.Balancer(
-        balance.BalanceSettings(),
-        data_centre=config.data_centre,
-        node_id=config.node_id,
-    )
-    book = directory.Directory(balancer)
-    chain = _build_chain(shared, book, links, gate, balancer)
+    chain = _build_chain(shared, book, links, gate, controllers)
     return node.Parts(
         identity=shared.identity,
         current=shared.current,
@@ -160,7 +205,7 @@
     book: directory.Directory,
     links: dialler.Dialler,
     gate: guard.Guard,
-    balancer: balance.Balancer,
+    controllers: wiring_controllers.Controllers | None,
 ) -> exchange.Chain:
     level_table = levels.LevelTable()
     dispatcher = dispatch.Dispatcher(
@@ -168,21 +213,27 @@
         book=book,
         links=links,
         runner=gate,
-        balancer=balancer,
+        balancer=book.balancer,
         level_table=level_table,
         storm=breaker.StormBreaker(),
         source=shared.source,
     )
+    allows_keys = controllers.allows_keys if controllers else lambda: True
     checks: tuple[exchange.Check, ...] = (
         identify.IdentifyCheck(
-            shared.calls, key_header=shared.config.key_header
+            shared.calls,
+            key_header=shared.config.key_header,
+            allows_keys=allows_keys,
         ),
         route.RouteCheck(),
         context.ContextCheck(),
         adopt.AdoptCheck(),
         shed.ShedCheck(level_table),
     )
-    return exchange.Chain(checks, (), dispatcher.send)
+    steps: list[exchange.Filter] = []
+    if controllers is not None:
+        steps.append(quota.QuotaFilter(controllers.quota))
+    return exchange.Chain(checks, steps, dispatcher.send)
 
 
 def _build_acceptor(shared: Shared, gate: guard.Guard) -> acceptor.Acceptor:
