--- /dev/null
+++ b/src/eelgrasswalk/wiring.py
@@ -0,0 +1,242 @@
+"""The composition root: builds a node from its settings."""
+
+import dataclasses
+import pathlib
+import random
+import time
+import typing
+
+from . import app
+from . import counters
+from . import events
+from . import node
+from . import settings
+from .controllers import directory
+from .document import loading
+from .filters import admit
+from .filters import adopt
+from .filters import context
+from .filters import deliver
+from .filters import dispatch
+from .filters import entry
+from .filters import exchange
+from .filters import guard
+from .filters import identify
+from .filters import route
+from .filters import served
+from .filters import shed
+from .policy import admission
+from .policy import attempts
+from .policy import balance
+from .policy import breaker
+from .policy import levels
+from .transport import acceptor
+from .transport import budget
+from .transport import dialler
+from .transport import http_client
+from .transport import http_server
+from .transport import link
+
+RETAINED_ANSWER_SHARE = 0.25
+
+
+class ControlRouter:
+    """Hands controllers' messages from links to the controllers."""
+
+    def __init__(self) -> None:
+        self._handlers: dict[str, typing.Callable[[str, bytes], None]] = {}
+
+    def register(
+        self, topic: str, handler: typing.Callable[[str, bytes], None]
+    ) -> None:
+        """Hand a topic's messages to a controller."""
+        self._handlers[topic] = handler
+
+    def receive(self, node_id: str, topic: str, payload: bytes) -> None:
+        """Take one message; an unknown topic is of another release."""
+        handler = self._handlers.get(topic)
+        if handler is not None:
+            handler(node_id, payload)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shared:
+    """What several parts of a node need."""
+
+    config: settings.Settings
+    identity: link.Identity
+    current: node.Current
+    counts: counters.Counters
+    bodies: budget.ByteBudget
+    calls: served.ServedCalls
+    router: ControlRouter
+    source: random.Random
+
+
+def build_application(
+    config: settings.Settings,
+) -> tuple[app.Application, node.Node]:
+    """Return a node and the application that runs it."""
+    stops: list[typing.Callable[[], None]] = []
+    built = build_node(config, on_stop_request=lambda: stops[0]())
+    application = app.Application([built])
+    stops.append(application.request_stop)
+    return application, built
+
+
+def build_node(
+    config: settings.Settings,
+    *,
+    on_stop_request: typing.Callable[[], None],
+) -> node.Node:
+    """Build a node and its controllers."""
+    shared = Shared(
+        config=config,
+        identity=link.Identity(config.node_id, time.time_ns()),
+        current=node.Current(),
+        counts=counters.Counters(),
+        bodies=budget.ByteBudget(config.limits.body_memory_bytes),
+        calls=served.ServedCalls(),
+        router=ControlRouter(),
+        source=random.Random(),
+    )
+    parts = _build_parts(shared)
+    built = node.Node(config, parts, on_stop_request=on_stop_request)
+    if config.document:
+        _apply_file(built, pathlib.Path(config.document))
+    if config.members:
+        parts.directory.replace(map(_build_static_peer, config.members))
+    return built
+
+
+def _build_parts(shared: Shared) -> node.Parts:
+    config = shared.config
+    target = config.target.address
+    pool = http_client.TargetPool(target.host, target.port, connections=1)
+    admitter = admit.Admitter(
+        admission.Admission(admission.AdmissionSettings(), slots=1),
+        source=shared.source,
+    )
+    gate = guard.Guard(
+        get_table=shared.current.get,
+        admitter=admitter,
+        deliverer=deliver.Deliverer(
+            pool, removed_headers=frozenset((config.key_header.encode(),))
+        ),
+        calls=shared.calls,
+        bodies=shared.bodies,
+    )
+    links = dialler.Dialler(
+        shared.identity,
+        secret=config.mesh_secret.encode(),
+        bodies=shared.bodies,
+        on_control=shared.router.receive,
+    )
+    balancer = balance.Balancer(
+        balance.BalanceSettings(),
+        data_centre=config.data_centre,
+        node_id=config.node_id,
+    )
+    book = directory.Directory(balancer)
+    chain = _build_chain(shared, book, links, gate, balancer)
+    return node.Parts(
+        identity=shared.identity,
+        current=shared.current,
+        counts=shared.counts,
+        bodies=shared.bodies,
+        admitter=admitter,
+        guard=gate,
+        pool=pool,
+        dialler=links,
+        acceptor=_build_acceptor(shared, gate),
+        directory=book,
+        caller_listener=_build_listener(shared, exchange.Source.CALLER, chain),
+        target_listener=_build_listener(shared, exchange.Source.TARGET, chain),
+    )
+
+
+def _build_chain(
+    shared: Shared,
+    book: directory.Directory,
+    links: dialler.Dialler,
+    gate: guard.Guard,
+    balancer: balance.Balancer,
+) -> exchange.Chain:
+    level_table = levels.LevelTable()
+    dispatcher = dispatch.Dispatcher(
+        node_id=shared.config.node_id,
+        book=book,
+        links=links,
+        runner=gate,
+        balancer=balancer,
+        level_table=level_table,
+        storm=breaker.StormBreaker(),
+        source=shared.source,
+    )
+    checks: tuple[exchange.Check, ...] = (
+        identify.IdentifyCheck(
+            shared.calls, key_header=shared.config.key_header
+        ),
+        route.RouteCheck(),
+        context.ContextCheck(),
+        adopt.AdoptCheck(),
+        shed.ShedCheck(level_table),
+    )
+    return exchange.Chain(checks, (), dispatcher.send)
+
+
+def _build_acceptor(shared: Shared, gate: guard.Guard) -> acceptor.Acceptor:
+    limit = shared.config.limits.body_memory_bytes
+    return acceptor.Acceptor(
+        shared.identity,
+        secret=shared.config.mesh_secret.encode(),
+        runner=gate,
+        bodies=shared.bodies,
+        table=attempts.AttemptTable(
+            max_answer_bytes=int(limit * RETAINED_ANSWER_SHARE)
+        ),
+        on_control=shared.router.receive,
+    )
+
+
+def _build_listener(
+    shared: Shared, source: exchange.Source, chain: exchange.Chain
+) -> http_server.HttpServer:
+    handler = entry.Entry(
+        source,
+        chain,
+        get_table=shared.current.get,
+        counts=shared.counts,
+    )
+    limits = shared.config.limits
+    return http_server.HttpServer(
+        handler.handle,
+        limits=http_server.Limits(
+            body_bytes=limits.request_body_bytes,
+            header_bytes=limits.header_bytes,
+            headers=limits.headers,
+        ),
+    )
+
+
+def _apply_file(built: node.Node, path: pathlib.Path) -> None:
+    outcome = loading.load_document(path.read_bytes(), source=str(path))
+    if isinstance(outcome, loading.Invalid):
+        events.log(
+            events.CONFIGURATION_REJECTED, problems=str(outcome.problems)
+        )
+        return
+    built.apply_document(outcome.document, 0)
+
+
+def _build_static_peer(member: settings.StaticMember) -> directory.Peer:
+    return directory.Peer(
+        node_id=member.node_id,
+        host=member.node_id,
+        service=member.service,
+        data_centre=member.data_centre,
+        state=directory.STATE_READY,
+        links=dialler.Address(
+            member.node_id, member.links.host, member.links.port
+        ),
+    )
