--- a/src/eelgrasswalk/policy/member_sync.py
+++ b/src/eelgrasswalk/policy/member_sync.py
@@ -85,11 +85,14 @@
         )
         if not differing:
             return
+        progress = self._progress
         if body.answered:
             self._hasten(now)
         else:
             self.compare(address, answered=True)
-        self._send_buckets(address, differing, now)
+        # A node that still learns has little that the other one lacks.
+        if not (body.answered and progress):
+            self._send_buckets(address, differing, now)
 
     def note_progress(self) -> None:
         """Count a record that was new."""
--- a/src/eelgrasswalk/policy/member_view.py
+++ b/src/eelgrasswalk/policy/member_view.py
@@ -213,7 +213,6 @@
                 known.node_id,
                 known.incarnation,
                 member.Health.DEAD,
-                self._my_id,
             ),
             now,
         )
