--- a/src/eelgrasswalk/cli/terminal.py
+++ b/src/eelgrasswalk/cli/terminal.py
@@ -19,7 +19,7 @@
 from ..document import loading
 from ..document import model
 from ..document import problem
-from ..operations import fleet
+from ..operations import connections
 from ..operations import revisions
 
 MAX_FILE_BYTES = 8_388_608
@@ -49,22 +49,6 @@
     JSON = 'json'
 
 
-class Connections(typing.Protocol):
-    """Opens what the commands talk to."""
-
-    def open_revisions(
-        self, platform: str
-    ) -> contextlib.AbstractAsyncContextManager[revisions.Revisions]:
-        """Open the accepted versions at the platform's address."""
-        ...
-
-    def open_fleet(
-        self,
-    ) -> contextlib.AbstractAsyncContextManager[fleet.FleetClient]:
-        """Open a client of nodes."""
-        ...
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Session:
     """Options and connections of one command.
@@ -77,7 +61,7 @@
         output: Form of the output.
     """
 
-    connections: Connections
+    connections: connections.Connections
     platform: str = ''
     node: str = ''
     operator: str = ''
@@ -248,6 +232,8 @@
     """Return the accepted version that was read, or fail."""
     if isinstance(outcome, revisions.Unavailable):
         raise make_unavailable(outcome.detail)
+    if isinstance(outcome, revisions.Damaged):
+        raise make_damaged(outcome.detail)
     if isinstance(outcome, revisions.Missing):
         return None
     return outcome.revision
@@ -262,6 +248,15 @@
     )
 
 
+def make_damaged(detail: str) -> Failure:
+    """Return the failure for a store whose content cannot be right."""
+    return Failure(
+        ExitCode.AUDIT_BROKEN,
+        f'The store was damaged or altered: {detail}. Compare with a copy of '
+        'the digests kept elsewhere, and find out who can write to the store.',
+    )
+
+
 def _read_file(path: str) -> bytes:
     if path == '-':
         return sys.stdin.buffer.read(MAX_FILE_BYTES)
--- a/src/eelgrasswalk/console/static/live.js
+++ b/src/eelgrasswalk/console/static/live.js
@@ -14,11 +14,16 @@
   return Math.max(0, (now - before) / seconds).toFixed(1);
 }
 
+// Refusals beyond the account's rate say nothing about how it was served.
+function countWithinRate(counts) {
+  return (counts.sent || 0) - (counts.quota || 0);
+}
+
 function findWorst(now, before) {
   let worst = null;
   for (const [name, counts] of Object.entries(now || {})) {
     const old = (before || {})[name] || {};
-    const sent = (counts.sent || 0) - (old.sent || 0);
+    const sent = countWithinRate(counts) - countWithinRate(old);
     const answered = (counts.answered || 0) - (old.answered || 0);
     if (sent <= 0) continue;
     const ratio = answered / sent;
@@ -32,7 +37,8 @@
   const rows = nodes.map((node) => {
     const row = document.createElement('tr');
     const state = node.answered ? node.state : node.state + ', no answer';
-    for (const text of [node.host, node.service, state, node.config_version]) {
+    const version = node.config_version === null ? '-' : node.config_version;
+    for (const text of [node.host, node.service, state, version]) {
       const cell = document.createElement('td');
       cell.textContent = text;
       row.append(cell);
@@ -41,7 +47,8 @@
     return row;
   });
   body.replaceChildren(...rows);
-  const versions = [...new Set(nodes.map((node) => node.config_version))];
+  const known = nodes.filter((node) => node.answered);
+  const versions = [...new Set(known.map((node) => node.config_version))];
   show('node-count', String(nodes.length));
   show('versions', 'version ' + versions.sort((a, b) => b - a).join(', '));
 }
--- a/src/eelgrasswalk/events.py
+++ b/src/eelgrasswalk/events.py
@@ -30,6 +30,12 @@
 NODE_STARTED = Event(1001, logging.INFO, 'node started')
 NODE_DRAINING = Event(1002, logging.INFO, 'node draining')
 NODE_STOPPED = Event(1003, logging.INFO, 'node stopped')
+DRAIN_TIMED_OUT = Event(
+    1004,
+    logging.WARNING,
+    'planned stop cut calls that ran for too long',
+    'raise limits.drain_s above the longest deadline of a route',
+)
 LINK_OPENED = Event(2001, logging.INFO, 'link opened')
 LINK_LOST = Event(
     2002,
@@ -44,6 +50,12 @@
     'configuration could not be read',
     'validate the document with the same release as the node',
 )
+CLAIM_LOCAL = Event(
+    3101,
+    logging.WARNING,
+    'request run without a claim in the table',
+    'look after the platform; this route goes on without it',
+)
 TARGET_UNREACHABLE = Event(
     4001,
     logging.WARNING,
