--- a/src/eelgrasswalk/bench/control_members.py
+++ b/src/eelgrasswalk/bench/control_members.py
@@ -269,25 +269,32 @@
 
 def measure_members(
     sizes: collections.abc.Sequence[int], *, seconds: float, seed: int
-) -> tuple[list[Point], Storm | None]:
-    """Measure one member in meshes of several sizes.
+) -> list[Point]:
+    """Measure one member in quiet meshes of several sizes.
 
     Args:
-        sizes: Sizes of the mesh; the last one also loses a data centre.
+        sizes: Sizes of the mesh.
         seconds: How long each is measured.
         seed: Seed of all random numbers.
-
-    Returns:
-        The points, and the loss of a data centre.
     """
     points = []
-    storm = None
     for size in sizes:
         with Members(size, seed) as mesh:
-            point = mesh.measure(seconds)
-            points.append(point)
-            report.report_progress(str(point))
-            if size == sizes[-1]:
-                storm = mesh.lose_data_centre()
-                report.report_progress(str(storm))
-    return points, storm
+            points.append(mesh.measure(seconds))
+        report.report_progress(str(points[-1]))
+    return points
+
+
+def measure_storm(size: int, *, seed: int) -> Storm:
+    """Measure one member in a mesh that loses a data centre.
+
+    Args:
+        size: Size of the mesh.
+        seed: Seed of all random numbers.
+    """
+    with Members(size, seed) as mesh:
+        mesh.start()
+        time.sleep(SETTLE_S)
+        storm = mesh.lose_data_centre()
+    report.report_progress(str(storm))
+    return storm
