--- a/src/eelgrasswalk/policy/lease.py
+++ b/src/eelgrasswalk/policy/lease.py
@@ -25,6 +25,8 @@
 import typing
 
 CLOCK_RATE_MARGIN = 0.02
+# Epoch of a record that no other has preceded; records are never deleted.
+FIRST_EPOCH = 1
 
 Payload = typing.TypeVar('Payload')
 
@@ -129,7 +131,7 @@
     standby: Process | None,
 ) -> Record[Payload]:
     """Return the record with which a process takes a lease."""
-    epoch = 1 if record is None else record.epoch + 1
+    epoch = FIRST_EPOCH if record is None else record.epoch + 1
     return Record(epoch, process, standby)
 
 
--- a/src/eelgrasswalk/policy/quota_owner.py
+++ b/src/eelgrasswalk/policy/quota_owner.py
@@ -47,7 +47,8 @@
         share: What the slot may admit.
         now: Start, in seconds; no earlier grant but those in the handover
             may still be usable.
-        handover: What the previous owner left; None after a take-over.
+        handover: What the previous owner left; None after a take-over, and
+            in the first epoch, which begins with a full bucket.
     """
 
     def __init__(
@@ -69,6 +70,9 @@
         self._sessions: dict[lease.Process, Session] = {}
         if handover is not None:
             self._adopt(handover)
+        elif epoch == lease.FIRST_EPOCH:
+            # Nobody has ever granted a token of this slot.
+            self._level = self._compute_room()
 
     @property
     def level(self) -> float:
