--- a/src/eelgrasswalk/policy/admission.py
+++ b/src/eelgrasswalk/policy/admission.py
@@ -38,7 +38,7 @@
     level: shedding.SheddingSettings = dataclasses.field(
         default_factory=shedding.SheddingSettings
     )
-    queue_s: float = 0.1
+    queue_s: float = 0.2
     long_queue_s: float = 0.5
     min_queue: int = 4
     max_queue_factor: float = 4.0
@@ -118,7 +118,8 @@
             it waits.
         """
         control = self._control
-        control.roll(now, self._limit.service_s)
+        if now >= control.window_ends_at:
+            self._roll(now)
         if self._draining:
             reason = verdict.Reason.LEAVING
             return [Refuse(candidate.call_id, reason, 0.0)]
@@ -131,7 +132,9 @@
             return [Start(candidate.call_id)]
         return self._enqueue(candidate, now)
 
-    def finish(self, call_id: int, now: float, *, ok: bool) -> list[Action]:
+    def finish(
+        self, call_id: int, now: float, *, ok: bool, child_s: float = 0.0
+    ) -> list[Action]:
         """End a started call.
 
         Args:
@@ -140,6 +143,7 @@
             ok: False if the target refused the call or was lost; True if
                 it answered, whatever the status, and if the call was
                 cancelled.
+            child_s: Seconds that the target waited for calls of its own.
 
         Returns:
             Actions for waiting calls.
@@ -147,7 +151,9 @@
         started_at = self._running.pop(call_id, None)
         if started_at is None:
             return []
-        self._limit.observe_finish(now - started_at, now, ok)
+        service_s = now - started_at
+        own_s = max(0.0, service_s - child_s)
+        self._limit.observe_finish(service_s, own_s, now, ok)
         if not self._queue:
             return []
         return self.expire(now)
@@ -170,7 +176,8 @@
 
     def expire(self, now: float) -> list[Action]:
         """Refuse what has waited too long and start what can start."""
-        self._control.roll(now, self._limit.service_s)
+        if now >= self._control.window_ends_at:
+            self._roll(now)
         actions: list[Action] = [
             self._refuse_waiting(waiting, now)
             for waiting in self._queue.pop_expired(now)
@@ -200,9 +207,16 @@
 
     def level(self, now: float) -> levels.Level:
         """Return the level to put on answers."""
-        self._control.roll(now, self._limit.service_s)
+        if now >= self._control.window_ends_at:
+            self._roll(now)
         return self._control.level()
 
+    def _roll(self, now: float) -> None:
+        load = shedding.Load(
+            len(self._running), self._limit.limit, self._limit.service_s
+        )
+        self._control.roll(now, load)
+
     def _is_late(self, candidate: Candidate, now: float) -> bool:
         # With nothing running, the estimate is not trusted, so that one
         # slow period cannot refuse everything that comes after it.
@@ -214,7 +228,9 @@
     ) -> None:
         self._running[candidate.call_id] = now
         self._limit.observe_start(len(self._running), now)
-        self._control.observe_start(queue_delay_s)
+        self._control.observe_start(
+            candidate.importance, candidate.root_hash, queue_delay_s
+        )
 
     def _enqueue(self, candidate: Candidate, now: float) -> list[Action]:
         settings = self._settings
--- a/tests/cli/test_operator.py
+++ b/tests/cli/test_operator.py
@@ -44,7 +44,7 @@
         assert not isinstance(erie, editing.Refused)
         changed = dataclasses.replace(erie, rate=rate)
         document = editing.replace_account(self.document, changed)
-        return loading.dump_document(document).decode()
+        return loading.format_document(document)
 
 
 class FilesTest(CommandTest):
@@ -84,9 +84,7 @@
         self.run_command('apply', '--yes', '--note', 'dawn', '-', text=text)
         self.run_command('rollback', '--yes', '1')
         shown = self.run_command('show', '3')
-        self.assertEqual(
-            shown.stdout, loading.dump_document(self.document).decode()
-        )
+        self.assertEqual(shown.stdout, loading.format_document(self.document))
         listed = self.run_command('history').stdout
         self.assertIn('rollback to 1', listed)
         self.assertIn('account erie: rate 40 -> 60/s', listed)
@@ -156,6 +154,9 @@
         assert not isinstance(erie, editing.Refused)
         self.assertEqual(erie.keys[1].digest, editing.digest_key(secret))
         self.run_command('key', 'withdraw', 'erie', 'till', '--yes')
+        revived = self.run_command('rollback', '2', '--yes', code=2)
+        self.assertIn('erie/till', revived.stderr)
+        self.run_command('rollback', '2', '--yes', '--restore-keys')
         wrong = self.run_command(
             'key', 'withdraw', 'eire', 'till', '--yes', code=2
         )
@@ -184,6 +185,14 @@
         result = self.run_command('apply', '--yes', '--wait', str(LAKESHORE))
         self.assertIn('in force on 2 of 2 nodes', result.stdout)
 
+    def test_dead_nodes_are_named_and_not_waited_for(self) -> None:
+        dead = self.connections.fleet.describe('10.0.0.2:1')
+        dead |= {'state': 'dead', 'host': '10.0.0.7', 'node_id': 'old'}
+        self.connections.fleet.dead.append(dead)
+        result = self.run_command('wait', '1')
+        self.assertIn('2 of 2 nodes; taken for dead', result.stdout)
+        self.assertIn('10.0.0.7', result.stdout)
+
     def test_wait_needs_a_node_before_it_publishes(self) -> None:
         self.run_command(
             '--node', '', 'apply', '--yes', '--wait', str(LAKESHORE), code=2
@@ -193,6 +202,7 @@
     def test_status_and_drain(self) -> None:
         status = self.run_command('status').stdout
         self.assertIn('2 nodes; version 1 in force on 2', status)
+        self.assertIn('3/9+1', status)
         self.run_command('drain', '10.0.0.2', '--yes')
         self.assertEqual(self.connections.fleet.draining, ['10.0.0.2:1'])
         self.run_command('drain', '10.0.0.3', '--yes', code=2)
@@ -202,6 +212,13 @@
         self.run_command('status', code=8)
 
 
+class EventsTest(CommandTest):
+    def test_event_is_explained(self) -> None:
+        shown = self.run_command('events', '2002').stdout
+        self.assertIn('lost connections between the two hosts', shown)
+        self.run_command('events', '1', code=2)
+
+
 class TerminalTest(unittest.TestCase):
     def test_text_cannot_steer_the_terminal(self) -> None:
         cleaned = terminal.clean_text('a\x1b[2Jb')
