Test the full first epoch and the empty later ones apart

Cause: the first epoch of a slot now begins with a full bucket; the test of an empty start used epoch 1. Change: it uses a later epoch, and the first has a test of its own. Conclusion: both are as strict as before.

--- a/tests/policy/test_quota_owner.py
+++ b/tests/policy/test_quota_owner.py
@@ -9,7 +9,7 @@
 HOLDER = lease.Process('h', 1)
 
 
-def make_ask(sequence, *, used=0.0, held=0.0, need=0.0, ahead=0.0, epoch=1):
+def make_ask(sequence, *, used=0.0, held=0.0, need=0.0, ahead=0.0, epoch=2):
     return quota_messages.Ask(
         SLOT, epoch, HOLDER, sequence, used, held, need, ahead
     )
@@ -18,16 +18,22 @@
 class OwnerTest(unittest.TestCase):
     def setUp(self):
         self.owner = quota_owner.Owner(
-            SLOT, 1, quota.Share(10.0, 5.0), now=0.0
+            SLOT, 2, quota.Share(10.0, 5.0), now=0.0
         )
 
     def answer(self, now, sequence, *, end=100.0, **fields):
         ask = make_ask(sequence, **fields)
         return self.owner.answer(ask, now=now, end=end)
 
-    def test_starts_empty(self):
+    def test_starts_empty_after_a_take_over(self):
         self.assertEqual(0.0, self.answer(0.0, 1, need=5.0).tokens)
 
+    def test_starts_full_in_the_first_epoch(self):
+        share = quota.Share(10.0, 5.0)
+        owner = quota_owner.Owner(SLOT, 1, share, now=0.0)
+        ask = make_ask(1, need=6.0, epoch=1)
+        self.assertEqual(5.0, owner.answer(ask, now=0.0, end=9.0).tokens)
+
     def test_unused_tokens_keep_their_place(self):
         self.assertEqual(5.0, self.answer(1.0, 1, need=5.0, ahead=2).tokens)
         self.owner.change_share(quota.Share(10.0, 5.0), now=1.5)
@@ -62,12 +68,12 @@
         self.assertGreaterEqual(self.owner.unused, 4.0)
 
     def test_ignores_another_epoch(self):
-        self.assertIsNone(self.answer(1.0, 1, need=1.0, epoch=2))
+        self.assertIsNone(self.answer(1.0, 1, need=1.0, epoch=3))
 
     def test_handover_blocks_until_its_tokens_lapse(self):
         owner = quota_owner.Owner(
             SLOT,
-            2,
+            3,
             quota.Share(10.0, 5.0),
             now=0.0,
             handover=quota.Handover(1.0, 4.0),
