--- a/src/eelgrasswalk/policy/quota_owner.py
+++ b/src/eelgrasswalk/policy/quota_owner.py
@@ -17,6 +17,7 @@
 ANSWER_SPACING_S = 0.001
 # Life of tokens granted to waiting requests alone.
 DIRECT_LIFE_S = 0.1
+DENIAL_MEMORY_S = 1.0
 SESSION_IDLE_S = 5.0
 _LIFE_FACTOR = 1.0 + lease.CLOCK_RATE_MARGIN
 
@@ -69,6 +70,8 @@
         self._level = 0.0
         self._unused = 0.0
         self._next_lapse = math.inf
+        self._denials = 0.0
+        self._denied_at = now
         self._sessions: dict[lease.Process, Session] = {}
         if handover is not None:
             self._adopt(handover)
@@ -129,7 +132,7 @@
             tokens,
             life_s,
             self._level,
-            self._compute_wait(ask.need - tokens),
+            self._space_denials(self._compute_wait(ask.need - tokens)),
         )
 
     def release(self, *, now: float) -> quota.Handover:
@@ -184,6 +187,17 @@
         refill_s = max(0.0, chunk - self._level) / self._share.rate
         return max(refill_s, len(self._sessions) * ANSWER_SPACING_S)
 
+    def _space_denials(self, wait_s: float) -> float:
+        if wait_s <= 0.0:
+            return 0.0
+        age = self._now - self._denied_at
+        self._denials *= math.exp(-age / DENIAL_MEMORY_S)
+        self._denials += 1.0
+        self._denied_at = self._now
+        # Holders that come in vain too often are told to come later.
+        expected = DENIAL_MEMORY_S / wait_s
+        return wait_s * max(1.0, self._denials / expected)
+
     def _compute_room(self) -> float:
         return max(0.0, self._share.burst - self._unused)
 
