--- a/src/eelgrasswalk/controllers/quota.py
+++ b/src/eelgrasswalk/controllers/quota.py
@@ -20,6 +20,8 @@
 MAX_WAIT_S = 0.05
 # The same, as a share of the time left until its deadline.
 WAIT_SHARE = 0.25
+# A single request waits for a token that is due within this time.
+NEAR_S = 0.015
 # A shorter wait is not worth a timer.
 MIN_STEP_S = 0.001
 TICK_S = 0.05
@@ -180,7 +182,7 @@
             decision = holder.take(self._clock())
         else:
             self._plan(account, holder, waiting=0)
-        if isinstance(decision, quota.NeedTokens):
+        if isinstance(decision, quota.NeedTokens) or _is_near(decision):
             return None
         return decision
 
@@ -305,6 +307,8 @@
             decision = holder.take(now)
             if isinstance(decision, quota.NeedTokens):
                 break
+            if len(waiters) == 1 and _is_near(decision):
+                break
             waiters.popleft().settle(decision)
             if isinstance(decision, quota.Refused):
                 # Others may be able to use these parts of a token.
@@ -352,3 +356,9 @@
         while True:
             await self.slots.step()
             await self._sleep(TABLE_STEP_S)
+
+
+def _is_near(decision: Outcome) -> bool:
+    if not isinstance(decision, quota.Refused):
+        return False
+    return decision.retry_after_s <= NEAR_S
--- a/src/eelgrasswalk/policy/quota_owner.py
+++ b/src/eelgrasswalk/policy/quota_owner.py
@@ -181,7 +181,7 @@
             return 0.0
         chunk = self._share.rate * REFILL_CHUNK_S
         chunk = min(chunk, self._share.burst * REFILL_BURST_SHARE)
-        chunk = max(chunk, min(1.0, self._share.burst))
+        chunk = max(math.floor(chunk), min(1.0, self._share.burst))
         if self._share.rate <= 0:
             return quota.GRANT_LIFE_S
         refill_s = max(0.0, chunk - self._level) / self._share.rate
