--- a/src/eelgrasswalk/bench/quota_fleet.py
+++ b/src/eelgrasswalk/bench/quota_fleet.py
@@ -8,7 +8,8 @@
 import anyio
 
 from ..controllers import quota
-from ..controllers import quota_slots
+from ..controllers import quota_entry
+from ..controllers import quota_standbys
 from ..document import model
 from ..platform import memory
 from ..platform import protocols
@@ -37,7 +38,7 @@
 
     name: str
     slots: int | None
-    standbys: int = quota_slots.STANDBY_CANDIDATES
+    standbys: int = quota_standbys.CANDIDATES
     timing: lease.Timing = dataclasses.field(default_factory=lease.Timing)
 
     def choose_slot_count(self, burst: float) -> int:
@@ -113,7 +114,7 @@
     """
 
     def __init__(
-        self, fleet: 'Fleet', member: quota_slots.Member, source: random.Random
+        self, fleet: 'Fleet', member: quota_entry.Member, source: random.Random
     ) -> None:
         self.member = member
         self.fleet = fleet
@@ -194,7 +195,7 @@
 
     def add_node(self, number: int) -> Node:
         """Add a node that is not started."""
-        member = quota_slots.Member(
+        member = quota_entry.Member(
             f'node-{number}', f'dc-{number % self._centres}'
         )
         source = random.Random(self._source.random())
@@ -212,7 +213,7 @@
         for node in self.nodes.values():
             node.controller.cancel()
 
-    def list_members(self) -> list[quota_slots.Member]:
+    def list_members(self) -> list[quota_entry.Member]:
         """Return the nodes that failure detection believes alive."""
         now = self.loop.time()
         return [
--- a/src/eelgrasswalk/controllers/quota.py
+++ b/src/eelgrasswalk/controllers/quota.py
@@ -14,7 +14,9 @@
 from ..policy import quota
 from ..policy import quota_holder
 from ..policy import quota_messages
+from . import quota_entry
 from . import quota_slots
+from . import quota_standbys
 
 # Longest time for which a request waits for tokens.
 MAX_WAIT_S = 0.05
@@ -56,7 +58,8 @@
         send: Sends a message to another node; it may be lost.
         table: The platform's table.
         members: Returns the live nodes.
-        clock: Monotonic clock in seconds.
+        clock: Clock in seconds that runs on while the host is suspended; by
+            default the time since boot.
         source: Random numbers.
         timing: How long leases last.
         choose_slot_count: Returns the number of slots of a new account
@@ -71,22 +74,22 @@
         node_id: str,
         incarnation: int,
         data_centre: str,
-        send: quota_slots.Send,
+        send: quota_entry.Send,
         table: protocols.Table,
-        members: quota_slots.Members,
-        clock: typing.Callable[[], float] = time.monotonic,
+        members: quota_entry.Members,
+        clock: typing.Callable[[], float] | None = None,
         source: random.Random | None = None,
         timing: lease.Timing | None = None,
         choose_slot_count: typing.Callable[
             [float], int
         ] = quota.choose_slot_count,
         sleep: typing.Callable[[float], typing.Awaitable[None]] = anyio.sleep,
-        standbys: int = quota_slots.STANDBY_CANDIDATES,
+        standbys: int = quota_standbys.CANDIDATES,
     ) -> None:
         self._process = lease.Process(node_id, incarnation)
         self._remote_send = send
         self._members = members
-        self._clock = clock
+        self._clock = clock or read_boot_time
         self._sleep = sleep
         self._accounts: dict[str, quota_holder.Account] = {}
         self._waiters: dict[str, collections.deque[Waiter]] = {}
@@ -103,7 +106,7 @@
             members=members,
             send=self._send,
             on_located=self._locate,
-            clock=clock,
+            clock=self._clock,
             source=source or random.Random(),
             timing=timing or lease.Timing(),
             standbys=standbys,
@@ -191,7 +194,7 @@
 
         Args:
             account: Its client account.
-            deadline: Its deadline on the clock, in seconds.
+            deadline: Its deadline on the event loop's clock, in seconds.
 
         Returns:
             The decision, after a wait of at most 50 ms for tokens.
@@ -199,7 +202,7 @@
         waiters = self._waiters.get(account)
         if waiters is None:
             return quota.Refused(UNKNOWN_ACCOUNT_RETRY_S)
-        now = self._clock()
+        now = anyio.current_time()
         end = now + min(MAX_WAIT_S, (deadline - now) * WAIT_SHARE)
         waiter = Waiter()
         waiters.append(waiter)
@@ -210,7 +213,7 @@
                 await waiter.event.wait()
             if waiter.outcome is None:
                 self._serve(account)
-            remaining = end - self._clock()
+            remaining = end - anyio.current_time()
         if waiter.outcome is not None:
             return waiter.outcome
         if waiter in waiters:
@@ -358,6 +361,11 @@
             await self._sleep(TABLE_STEP_S)
 
 
+def read_boot_time() -> float:
+    """Return the seconds since the host's start, suspended time included."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def _is_near(decision: Outcome) -> bool:
     if not isinstance(decision, quota.Refused):
         return False
--- a/src/eelgrasswalk/wiring_controllers.py
+++ b/src/eelgrasswalk/wiring_controllers.py
@@ -19,7 +19,7 @@
 from .controllers import idempotency
 from .controllers import membership
 from .controllers import quota
-from .controllers import quota_slots
+from .controllers import quota_entry
 from .document import model
 from .platform import http
 from .policy import member
@@ -216,9 +216,9 @@
 
     # Quotas
 
-    def _list_live(self) -> list[quota_slots.Member]:
+    def _list_live(self) -> list[quota_entry.Member]:
         return [
-            quota_slots.Member(item.node_id, item.data_centre)
+            quota_entry.Member(item.node_id, item.data_centre)
             for item in self._membership.list_members()
             if item.state is member.MemberState.READY
         ]
