Name a standby in the write that takes a free slot

Change: candidates are asked before a free slot is taken, for at most a second; a new owner asks at once. A test finds a standby in the first write of every slot.

--- a/src/eelgrasswalk/controllers/quota_entry.py
+++ b/src/eelgrasswalk/controllers/quota_entry.py
@@ -55,6 +55,7 @@
         self.promised_at = -math.inf
         self.promised_by: lease.Process | None = None
         self.ranks: list[str] = []
+        self.probed_at = math.inf
 
     @property
     def key(self) -> str:
--- a/src/eelgrasswalk/controllers/quota_slots.py
+++ b/src/eelgrasswalk/controllers/quota_slots.py
@@ -20,6 +20,8 @@
 TOKEN_BYTES = 16
 REREAD_S = 2.0
 RETRY_S = 0.25
+# Longest time to look for a standby before a free slot is taken without one.
+PROBE_LIMIT_S = 1.0
 # A node that is not first choice waits so long, times its rank, to take.
 RANK_DELAY_S = 1.0
 MAX_TAKER_RANK = 3
@@ -273,8 +275,23 @@
         if not entry.keeper.may_take(now) or not self._is_taker(entry, now):
             return None
         standby = self._standbys.choose(entry, now)
+        if standby is None and self._is_worth_probing(entry, now):
+            return None
         return entry.keeper.begin_take(standby, now=now)
 
+    def _is_worth_probing(self, entry: quota_entry.Entry, now: float) -> bool:
+        # An owner that died without a standby would block its slot for the
+        # outage limit.
+        if entry.probed_at == math.inf:
+            entry.probed_at = now
+            self._standbys.hurry()
+        record = entry.keeper.record
+        if record is not None and record.owner is not None:
+            return False
+        if not self._standbys.has_candidates(entry):
+            return False
+        return now < entry.probed_at + PROBE_LIMIT_S
+
     def _is_taker(self, entry: quota_entry.Entry, now: float) -> bool:
         record = entry.keeper.record
         if record is not None and record.owner is not None:
@@ -405,10 +422,13 @@
 
     def _sync(self, entry: quota_entry.Entry) -> None:
         record = entry.keeper.record
+        if record is not None and record.owner is not None:
+            entry.probed_at = math.inf
         if not entry.keeper.is_owner or record is None:
             entry.owner = None
         elif entry.owner is None or entry.owner.epoch != record.epoch:
             entry.owner = self._make_owner(entry, record.epoch)
+            self._standbys.hurry()
         self._on_located(self._locate(entry))
 
     def _make_owner(
--- a/src/eelgrasswalk/controllers/quota_standbys.py
+++ b/src/eelgrasswalk/controllers/quota_standbys.py
@@ -69,6 +69,10 @@
             )
             self._send(node_id, request)
 
+    def hurry(self) -> None:
+        """Ask at the next occasion."""
+        self._due_at = -math.inf
+
     def hear_promise(
         self, promise: quota_messages.Promise, find: quota_entry.Find
     ) -> None:
@@ -101,6 +105,10 @@
                 return self._known[node_id]
         return None
 
+    def has_candidates(self, entry: quota_entry.Entry) -> bool:
+        """Tell whether any node could be a slot's standby."""
+        return bool(self._list_candidates(entry))
+
     def is_silent(self, entry: quota_entry.Entry, now: float) -> bool:
         """Tell whether an owned slot needs another standby."""
         record = entry.keeper.record
@@ -135,10 +143,12 @@
         groups: dict[str, list[quota_messages.Claim]] = {}
         for entry in entries:
             record = entry.keeper.record
-            if entry.owner is None or record is None:
+            if entry.owner is None and entry.probed_at == math.inf:
                 continue
             for node_id in self._list_candidates(entry)[:PROBED_CANDIDATES]:
                 groups.setdefault(node_id, [])
+            if entry.owner is None or record is None:
+                continue
             if record.standby is not None:
                 claim = quota_messages.Claim(entry.slot, record.epoch)
                 groups.setdefault(record.standby.node_id, []).append(claim)
--- a/tests/controllers/test_quota.py
+++ b/tests/controllers/test_quota.py
@@ -8,6 +8,7 @@
 from eelgrasswalk.document import model
 from eelgrasswalk.platform import protocols
 from eelgrasswalk.policy import quota
+from eelgrasswalk.policy import quota_messages
 
 ACCOUNT = model.ClientAccount('account', 40.0, 40)
 SCHEME = quota_fleet.Scheme('slots', 4)
@@ -95,6 +96,15 @@
 
         self.run_fleet(scenario)
 
+    def test_no_owner_is_ever_without_a_standby(self):
+        async def scenario(fleet):
+            for row in fleet.rows.scan('quota/').rows:
+                record = quota_messages.decode_record(row.value)
+                self.assertEqual((1, 0), (record.epoch, record.renewal))
+                self.assertIsNotNone(record.standby)
+
+        self.run_fleet(scenario)
+
     def test_a_paused_owner_has_nothing_when_it_resumes(self):
         async def scenario(fleet):
             owner = find_owners(fleet)[0]
