--- a/src/eelgrasswalk/bench/mesh.py
+++ b/src/eelgrasswalk/bench/mesh.py
@@ -76,10 +76,7 @@
 
     def start_node(self, settings: typing.Mapping[str, typing.Any]) -> Process:
         """Start a node with these settings."""
-        path = self.write_file(
-            f'{settings["node_id"]}.yaml', yaml.safe_dump(dict(settings))
-        )
-        return self.start('eelgrasswalk.cli.node', str(path))
+        return self._await_ready(self._launch_node(settings))
 
     def write_file(self, name: str, text: str) -> pathlib.Path:
         """Write a file that ends with the mesh."""
@@ -87,20 +84,40 @@
         path.write_text(text)
         return path
 
+    def start_nodes(
+        self, settings: collections.abc.Sequence[dict[str, typing.Any]]
+    ) -> list[Process]:
+        """Start nodes side by side and wait until all are ready."""
+        launched = [self._launch_node(item) for item in settings]
+        return [self._await_ready(popen) for popen in launched]
+
+    def _launch_node(
+        self, settings: typing.Mapping[str, typing.Any]
+    ) -> subprocess.Popen[str]:
+        path = self.write_file(
+            f'{settings["node_id"]}.yaml', yaml.safe_dump(dict(settings))
+        )
+        return self._launch('eelgrasswalk.cli.node', str(path))
+
     def start(self, module: str, *arguments: str) -> Process:
         """Start a program and wait until it says that it is ready."""
-        popen = subprocess.Popen(
+        return self._await_ready(self._launch(module, *arguments))
+
+    def _launch(self, module: str, *arguments: str) -> subprocess.Popen[str]:
+        return subprocess.Popen(
             [sys.executable, '-m', module, *arguments],
             stdout=subprocess.PIPE,
             stderr=None if self._log else subprocess.DEVNULL,
             env={**os.environ, 'UV_USE_IO_URING': '0'},
             text=True,
         )
+
+    def _await_ready(self, popen: subprocess.Popen[str]) -> Process:
         assert popen.stdout is not None
         line = popen.stdout.readline()
         if not line:
             code = popen.wait(START_TIMEOUT_S)
-            raise RuntimeError(f'{module} ended with {code} at its start')
+            raise RuntimeError(f'{popen.args!r} ended with {code}')
         process = Process(popen, json.loads(line))
         self.processes.append(process)
         return process
--- a/src/eelgrasswalk/settings.py
+++ b/src/eelgrasswalk/settings.py
@@ -154,6 +154,8 @@
         mesh_secret: Shared by all nodes of the mesh.
         target: The program beside the node.
         listen: Where the node listens.
+        advertised_links: Where other nodes reach `listen.links`, if they
+            reach it by another port of the same IP address.
         platform: The platform's service; None only for a fixed set-up with
             `document` and `members`.
         seeds: Gossip addresses to join by when the platform is down.
@@ -170,6 +172,7 @@
     mesh_secret: str
     target: Target
     listen: Listen = Listen()
+    advertised_links: Address | None = None
     platform: Platform | None = None
     seeds: tuple[Address, ...] = ()
     document: str = ''
--- a/src/eelgrasswalk/wiring_controllers.py
+++ b/src/eelgrasswalk/wiring_controllers.py
@@ -106,8 +106,12 @@
     async def start(self) -> None:
         """Join the mesh, then take the configuration, then own quotas."""
         assert self._node is not None
+        advertised = self._needs.config.advertised_links
         self._membership.set_ports(
-            link_port=self._node.link_port, admin_port=self._node.admin_port
+            link_port=(
+                advertised.port if advertised else self._node.link_port
+            ),
+            admin_port=self._node.admin_port,
         )
         self._membership.subscribe_changes(self._publish_members)
         self._membership.subscribe_versions(self._configuration.hear_peer)
--- a/tests/integration/setups.py
+++ b/tests/integration/setups.py
@@ -106,7 +106,6 @@
 ) -> str:
     """Return a document with one account and a route to each service."""
     names = list(dict.fromkeys(services))
-    digest = hashlib.sha256(KEY.encode()).hexdigest()
     return yaml.safe_dump(
         {
             'schema': 1,
@@ -116,7 +115,7 @@
                     'name': ACCOUNT,
                     'rate': 1000,
                     'burst': 1000,
-                    'keys': [{'label': 'test', 'digest': digest}],
+                    'keys': [{'label': 'test', 'digest': compute_digest(KEY)}],
                 }
             ],
             'services': [
@@ -137,6 +136,11 @@
     )
 
 
+def compute_digest(key: str) -> str:
+    """Return the digest of a key as documents hold it."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
 def name_outcome(answer: httpx.Response) -> str:
     """Return the status, and what the answer says of a failure."""
     if answer.status_code == 200:
