--- a/src/eelgrasswalk/bench/overload_load.py
+++ b/src/eelgrasswalk/bench/overload_load.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+import typing
 
 from .. import verdict
 from . import overload_driver as driver
@@ -24,7 +25,7 @@
     Args:
         route: Its route.
         account: The number of its client account.
-        entry: The node that it enters at.
+        entry: The number of the node that it enters at.
         root_hash: Its hash; the same for every retry.
         sent_at: When it was first sent, in seconds.
         within_rate: Whether its account was within its rate.
@@ -35,7 +36,7 @@
 
     route: scenario.RoutePlan
     account: int
-    entry: fakes.Node
+    entry: int
     root_hash: float
     sent_at: float
     within_rate: bool
@@ -68,7 +69,7 @@
     ) -> None:
         self.driver = driver.Driver(plan, policy, seed)
         self.driver.connect()
-        self.requests: list[Request] = []
+        self._requests: list[Request] = []
         self.roots: list[tuple[Request, fakes.Root]] = []
         self._plan = plan
         self._trigger = trigger
@@ -80,6 +81,11 @@
         self._offered = [fakes.Bucket(share * allowed) for share in shares]
         self._quota = [fakes.Bucket(share * allowed) for share in shares]
 
+    @property
+    def requests(self) -> list[Request]:
+        """All requests."""
+        return self._requests
+
     def run(self) -> None:
         """Run the whole load."""
         clock = self.driver.clock
@@ -89,6 +95,22 @@
             self._schedule_next(account)
         clock.run()
 
+    def compute_waste(self) -> float:
+        """Return the share of target time spent on roots that failed."""
+        total = self.driver.work_s
+        useful: dict[int, float] = {}
+        for request, root in self.roots:
+            if request.answered_at is not None:
+                # Only the last attempt gave the answer.
+                useful[id(request)] = root.work_s
+        return 1.0 - sum(useful.values()) / total if total else 0.0
+
+    def compute_amplification(self) -> float | None:
+        """Return the attempts at the leaf per root that reached it."""
+        reached = [root.leaf_attempts for _, root in self.roots]
+        roots = sum(attempts > 0 for attempts in reached)
+        return sum(reached) / roots if roots else None
+
     def _is_triggered(self) -> bool:
         now = self.driver.clock.now
         timing = self._timing
@@ -111,7 +133,7 @@
         now = self.driver.clock.now
         routes = self._plan.routes
         route = self._rng.choices(routes, [r.share for r in routes])[0]
-        entry = self._rng.choice(self.driver.entries)
+        entry = self._rng.randrange(len(self.driver.entries))
         request = Request(
             route,
             account,
@@ -120,7 +142,7 @@
             now,
             self._offered[account].take(now),
         )
-        self.requests.append(request)
+        self._requests.append(request)
         self._attempt(request)
 
     def _attempt(self, request: Request) -> None:
@@ -129,9 +151,10 @@
         name = f'account-{request.account}'
         deadline = request.sent_at + REQUEST_DEADLINE_S
         protects = self.driver.protects
+        entry = self.driver.entries[request.entry]
         rank = request.root_hash
         if protects:
-            fair = request.entry.ranks[request.route.importance]
+            fair = entry.ranks[request.route.importance]
             rank = fair.rank(name, rank, now)
         root = fakes.Root(
             request.route.chain,
@@ -157,7 +180,7 @@
             root.deadline - now, lambda: end(fakes.TIMED_OUT)
         )
         quota = self._quota[request.account]
-        self.driver.enter(request.entry, root, allowance, quota, end)
+        self.driver.enter(entry, root, allowance, quota, end)
 
     def _receive(self, request: Request, result: verdict.Verdict) -> None:
         clock = self.driver.clock
@@ -197,6 +220,20 @@
             member.target.work_s = self._plan.leaf.work_s
 
 
+class Finished(typing.Protocol):
+    """A load that has run."""
+
+    @property
+    def requests(self) -> list[Request]:
+        """All requests."""
+
+    def compute_waste(self) -> float:
+        """Return the share of target time spent on roots that failed."""
+
+    def compute_amplification(self) -> float | None:
+        """Return the attempts at the leaf per root that reached it."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Point:
     """A quarter of a second of a run.
@@ -247,7 +284,7 @@
     points: tuple[Point, ...]
 
 
-def measure(load: Load, timing: scenario.Timing) -> Figures:
+def measure(load: Finished, timing: scenario.Timing) -> Figures:
     """Work out the figures of a finished run."""
     triggered = [
         request
@@ -276,8 +313,8 @@
             for importance in scenario.Importance
         ),
         recovery_s=_compute_recovery(points, timing),
-        wasted_ratio=_compute_waste(load),
-        amplification=_compute_amplification(load),
+        wasted_ratio=load.compute_waste(),
+        amplification=load.compute_amplification(),
         worst_account_ratio=min(accounts, default=1.0),
         wrongful_refusal_ratio=_compute_wrongful(triggered),
         points=points,
@@ -357,19 +394,3 @@
     if points[-1].answered < 0.95 * usual * points[-1].sent:
         return None
     return recovery_s
-
-
-def _compute_waste(load: Load) -> float:
-    total = load.driver.work_s
-    useful: dict[int, float] = {}
-    for request, root in load.roots:
-        if request.answered_at is not None:
-            # Only the last attempt gave the answer.
-            useful[id(request)] = root.work_s
-    return 1.0 - sum(useful.values()) / total if total else 0.0
-
-
-def _compute_amplification(load: Load) -> float | None:
-    reached = [root.leaf_attempts for _, root in load.roots]
-    roots = sum(attempts > 0 for attempts in reached)
-    return sum(reached) / roots if roots else None
