Go by the levels below at the node, as the policy needs

Change: the guard asks the levels of the services that a route's target is learned to call (policy/dependencies), answers carry the strictest of them, admission gets the time of child calls, roots get a fair rank, and a caller's retry by idempotency key keeps its hash. A target whose slots become known before its first call starts cold; the limit was its whole slots. The operators' test stated that limit, 0/100, and now states 0/20, a fifth of the slots.

--- a/src/eelgrasswalk/filters/admit.py
+++ b/src/eelgrasswalk/filters/admit.py
@@ -71,10 +71,18 @@
         self._carry_out(actions)
         return await self._wait(call_id)
 
-    def finish(self, call_id: int, *, ok: bool) -> None:
-        """Report that an admitted call has ended."""
+    def finish(self, call_id: int, *, ok: bool, child_s: float = 0.0) -> None:
+        """Report that an admitted call has ended.
+
+        Args:
+            call_id: The call.
+            ok: Whether the target answered.
+            child_s: Seconds that the target waited for calls of its own.
+        """
         now = self._clock()
-        self._carry_out(self.policy.finish(call_id, now, ok=ok))
+        self._carry_out(
+            self.policy.finish(call_id, now, ok=ok, child_s=child_s)
+        )
 
     def drain(self) -> None:
         """Refuse what waits."""
--- a/src/eelgrasswalk/filters/adopt.py
+++ b/src/eelgrasswalk/filters/adopt.py
@@ -13,5 +13,5 @@
         """Add the running task to the served call's children."""
         task = asyncio.current_task()
         if item.served is not None and task is not None:
-            item.served.children.add(task)
+            item.served.begin_child(task, item.arrived_at)
         return None
--- a/src/eelgrasswalk/filters/context.py
+++ b/src/eelgrasswalk/filters/context.py
@@ -5,7 +5,9 @@
 import xxhash
 
 from .. import verdict
+from ..document import model
 from ..policy import deadline
+from ..policy import fairness
 from ..policy import retries
 from ..transport import frames
 from ..transport import message
@@ -19,6 +21,9 @@
 class ContextCheck:
     """Sets deadline, idempotency key, context and ledger."""
 
+    def __init__(self) -> None:
+        self._ranks = {kind: fairness.FairRank() for kind in model.Importance}
+
     def check(self, item: exchange.Exchange) -> verdict.NotRun | None:
         """Fill in what the upstream is to know of the call."""
         return (
@@ -73,13 +78,18 @@
             return self._inherit_context(item, item.served)
         route = item.get_route()
         root_id = secrets.token_bytes(frames.ATTEMPT_BYTES)
+        # A caller's own retry keeps the hash, and with it the decision.
+        kept = f'{item.account}\n{item.idempotency_key}'.encode()
+        hashed = kept if item.idempotency_key else root_id
+        root_hash = xxhash.xxh3_64_intdigest(hashed) / _HASH_RANGE
+        fair = self._ranks[route.importance]
         item.root_started_at = item.arrived_at
         item.ledger = retries.Ledger(route.retry_allowance)
         item.context = frames.Context(
             account=item.account,
             importance=int(route.importance),
             root_id=root_id,
-            root_hash=xxhash.xxh3_64_intdigest(root_id) / _HASH_RANGE,
+            root_hash=fair.rank(item.account, root_hash, item.arrived_at),
             root_age_s=0.0,
             depth=0,
         )
@@ -89,6 +99,7 @@
         self, item: exchange.Exchange, parent: exchange.ServedCall
     ) -> verdict.NotRun | None:
         inherited = parent.context
+        parent.services.add(item.get_route().service)
         if inherited.depth >= MAX_DEPTH:
             return verdict.NotRun(
                 verdict.Reason.BAD_REQUEST,
--- a/src/eelgrasswalk/filters/entry.py
+++ b/src/eelgrasswalk/filters/entry.py
@@ -67,4 +67,4 @@
             )
         finally:
             if item.served is not None and task is not None:
-                item.served.children.discard(task)
+                item.served.end_child(task, self._loop.time())
--- a/src/eelgrasswalk/filters/exchange.py
+++ b/src/eelgrasswalk/filters/exchange.py
@@ -29,6 +29,8 @@
         deadline: Loop time of its deadline.
         ledger: The retry allowance of its call tree.
         children: Child calls under way.
+        services: Services that it has called.
+        child_s: Seconds in which child calls were under way.
     """
 
     context: frames.Context
@@ -38,6 +40,23 @@
     children: set[asyncio.Task[typing.Any]] = dataclasses.field(
         default_factory=set
     )
+    services: set[str] = dataclasses.field(default_factory=set)
+    child_s: float = 0.0
+    _child_since: float = 0.0
+
+    def begin_child(self, task: asyncio.Task[typing.Any], now: float) -> None:
+        """Note that a child call has begun."""
+        if not self.children:
+            self._child_since = now
+        self.children.add(task)
+
+    def end_child(self, task: asyncio.Task[typing.Any], now: float) -> None:
+        """Note that a child call has ended."""
+        if task not in self.children:
+            return
+        self.children.discard(task)
+        if not self.children:
+            self.child_s += now - self._child_since
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/eelgrasswalk/filters/guard.py
+++ b/src/eelgrasswalk/filters/guard.py
@@ -12,6 +12,7 @@
 from ..transport import dialler
 from ..transport import frames
 from . import admit
+from . import below
 from . import deliver
 from . import exchange
 from . import served
@@ -42,6 +43,7 @@
         deliverer: Hands calls to the target.
         calls: The calls that the target is serving.
         bodies: Budget for bodies.
+        below: Levels of the services that the target calls.
         claims: At-most-once claims, where routes ask for them.
     """
 
@@ -53,6 +55,7 @@
         deliverer: deliver.Deliverer,
         calls: served.ServedCalls,
         bodies: budget.ByteBudget,
+        below: below.LevelsBelow,
         claims: Claims | None = None,
     ) -> None:
         self.leaving = False
@@ -61,6 +64,7 @@
         self._deliverer = deliverer
         self._calls = calls
         self._bodies = bodies
+        self._below = below
         self._claims = claims
         self._loop = asyncio.get_running_loop()
 
@@ -68,7 +72,7 @@
         """Run one attempt and tell the upstream's level with its outcome."""
         ledger = retries.Ledger(call.allowance)
         outcome = await self._check_and_run(call, ledger)
-        return dialler.Reply(outcome, self._build_feedback(ledger))
+        return dialler.Reply(outcome, self._build_feedback(call.route, ledger))
 
     async def _check_and_run(
         self, call: frames.Call, ledger: retries.Ledger
@@ -101,6 +105,9 @@
         service: model.Service,
         deadline: float,
     ) -> verdict.Verdict:
+        shed = self._below.check(call)
+        if shed is not None:
+            return shed
         admitted = await self._admitter.admit(call.context, deadline=deadline)
         if isinstance(admitted, verdict.NotRun):
             return admitted
@@ -124,7 +131,7 @@
         async def proceed() -> verdict.Verdict:
             with slot:
                 outcome = await self._deliver(
-                    call, ledger, route, service, deadline
+                    call, ledger, route, service, deadline, slot
                 )
                 slot.ok = _is_sound(outcome)
             return outcome
@@ -145,15 +152,15 @@
         route: model.Route,
         service: model.Service,
         deadline: float,
+        slot: '_Slot',
     ) -> verdict.Verdict:
-        token = self._calls.add(
-            exchange.ServedCall(
-                context=call.context,
-                root_started_at=self._loop.time() - call.context.root_age_s,
-                deadline=deadline,
-                ledger=ledger,
-            )
+        served_call = exchange.ServedCall(
+            context=call.context,
+            root_started_at=self._loop.time() - call.context.root_age_s,
+            deadline=deadline,
+            ledger=ledger,
         )
+        token = self._calls.add(served_call)
         try:
             return await self._deliverer.deliver(
                 call.request,
@@ -164,9 +171,14 @@
             )
         finally:
             self._calls.remove(token)
-
-    def _build_feedback(self, ledger: retries.Ledger) -> frames.Feedback:
-        level: levels.Level = self._admitter.get_level()
+            slot.child_s = served_call.child_s
+            self._below.observe(route.name, served_call.services)
+
+    def _build_feedback(
+        self, route: str, ledger: retries.Ledger
+    ) -> frames.Feedback:
+        own: levels.Level = self._admitter.get_level()
+        level = self._below.combine(route, own)
         return frames.Feedback(
             importance=level.importance,
             fraction=level.fraction,
@@ -184,6 +196,7 @@
 
     def __init__(self, admitter: admit.Admitter, call_id: int) -> None:
         self.ok = True
+        self.child_s = 0.0
         self._admitter = admitter
         self._call_id = call_id
         self._used = False
@@ -192,7 +205,7 @@
         self._used = True
 
     def __exit__(self, *_: object) -> None:
-        self._admitter.finish(self._call_id, ok=self.ok)
+        self._admitter.finish(self._call_id, ok=self.ok, child_s=self.child_s)
 
     def release_unused(self) -> None:
         """Give the place back unless the request was begun."""
--- a/src/eelgrasswalk/policy/concurrency.py
+++ b/src/eelgrasswalk/policy/concurrency.py
@@ -91,7 +91,11 @@
     def resize(self, slots: int) -> None:
         """Change the number of slots."""
         slots = max(1, slots)
-        self._limit *= slots / self._slots
+        if self._started_at == math.inf:
+            cold = self._settings.start_fraction * slots
+            self._limit = max(1.0, cold)
+        else:
+            self._limit *= slots / self._slots
         self._slots = slots
 
     def observe_start(self, in_flight: int, now: float) -> None:
--- a/src/eelgrasswalk/wiring.py
+++ b/src/eelgrasswalk/wiring.py
@@ -16,6 +16,7 @@
 from .document import loading
 from .filters import admit
 from .filters import adopt
+from .filters import below
 from .filters import context
 from .filters import deliver
 from .filters import dispatch
@@ -167,6 +168,7 @@
         admission.Admission(admission.AdmissionSettings(), slots=1),
         source=shared.source,
     )
+    level_table = levels.LevelTable()
     gate = guard.Guard(
         get_table=shared.current.get,
         admitter=admitter,
@@ -175,6 +177,7 @@
         ),
         calls=shared.calls,
         bodies=shared.bodies,
+        below=below.LevelsBelow(level_table),
         claims=controllers.claims if controllers else None,
     )
     links = dialler.Dialler(
@@ -183,7 +186,7 @@
         bodies=shared.bodies,
         on_control=shared.router.receive,
     )
-    chain = _build_chain(shared, book, links, gate, controllers)
+    chain = _build_chain(shared, book, links, gate, level_table, controllers)
     return node.Parts(
         identity=shared.identity,
         current=shared.current,
@@ -205,9 +208,9 @@
     book: directory.Directory,
     links: dialler.Dialler,
     gate: guard.Guard,
+    level_table: levels.LevelTable,
     controllers: wiring_controllers.Controllers | None,
 ) -> exchange.Chain:
-    level_table = levels.LevelTable()
     dispatcher = dispatch.Dispatcher(
         node_id=shared.config.node_id,
         book=book,
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -127,6 +127,11 @@
         self.assertEqual(len(self.admission.expire(at)), 1)
         self.assertIsNone(self.admission.next_event_at())
 
+    def test_resize_before_the_first_call_keeps_the_cold_start(self) -> None:
+        made = admission.Admission(admission.AdmissionSettings(), slots=1)
+        made.resize(100)
+        self.assertEqual(made.limit, 20)
+
     def test_drain_cuts_nothing(self) -> None:
         self.admission.offer(make_candidate(1), 0.0)
         self.assertEqual(self.admission.drain(0.0), [])
