--- a/src/eelgrasswalk/bench/overload_report.py
+++ b/src/eelgrasswalk/bench/overload_report.py
@@ -22,6 +22,7 @@
     'mesh',
     'name',
     'policy',
+    'driver',
     'goodput_ratio',
     'top_importance_ratio',
     'recovery_s',
@@ -69,6 +70,11 @@
     path.write_text('\n'.join(parts) + '\n</html>\n')
 
 
+def format_row(row: dict[str, typing.Any]) -> str:
+    """Return a row as a line of text."""
+    return ' '.join(str(row[column]) for column in COLUMNS)
+
+
 def _format_table(
     rows: collections.abc.Sequence[dict[str, typing.Any]],
 ) -> str:
