--- a/src/eelgrasswalk/policy/quota_messages.py
+++ b/src/eelgrasswalk/policy/quota_messages.py
@@ -68,12 +68,14 @@
         epoch: The newest epoch that the sender knows; 0 if it knows none.
         owner: Node of the owner; empty if unknown.
         standby: Node of the standby; empty if unknown or none.
+        slots: Number of slots of the account; 0 if unknown.
     """
 
     slot: quota.Slot
     epoch: int
     owner: str
     standby: str
+    slots: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,7 +139,7 @@
 def encode(message: Message) -> bytes:
     """Return a message as CBOR."""
     kind = _KINDS.index(type(message))
-    return cbor2.dumps([kind, *dataclasses.astuple(message)])
+    return cbor2.dumps([kind, *_flatten(message)])
 
 
 def decode(content: bytes) -> Message:
@@ -151,6 +153,7 @@
         return _build(_KINDS[kind], values)
     except (
         ArithmeticError,
+        cbor2.CBORDecodeError,
         AttributeError,
         LookupError,
         TypeError,
@@ -159,6 +162,15 @@
         raise MessageError(str(error)) from error
 
 
+def _flatten(value: typing.Any) -> typing.Any:
+    if isinstance(value, tuple):
+        return [_flatten(item) for item in value]
+    if dataclasses.is_dataclass(value):
+        names = value.__dataclass_fields__
+        return [_flatten(getattr(value, name)) for name in names]
+    return value
+
+
 def _build(kind: type[Message], values: list[typing.Any]) -> Message:
     first, *rest = values
     if kind is Ask:
@@ -184,7 +196,7 @@
         record: The record.
         token: Random bytes that tell this write from all others.
     """
-    return cbor2.dumps([*dataclasses.astuple(record), token])
+    return cbor2.dumps([*_flatten(record), token])
 
 
 def decode_record(content: bytes) -> quota.Record:
@@ -202,5 +214,23 @@
             renewal,
             None if payload is None else quota.Handover(*payload),
         )
-    except (TypeError, ValueError) as error:
+    except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
+        raise MessageError(str(error)) from error
+
+
+def encode_layout(slots: int, token: bytes) -> bytes:
+    """Return the number of an account's slots as the value of a row."""
+    return cbor2.dumps([slots, token])
+
+
+def decode_layout(content: bytes) -> int:
+    """Return the number of an account's slots in the value of a row.
+
+    Raises:
+        MessageError: There is none.
+    """
+    try:
+        slots, _ = cbor2.loads(content)
+        return int(slots)
+    except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
         raise MessageError(str(error)) from error
