--- a/src/eelgrasswalk/cli/nodes.py
+++ b/src/eelgrasswalk/cli/nodes.py
@@ -160,9 +160,7 @@
 ) -> collections.abc.Iterator[str]:
     """Return nested values as indented lines."""
     for name, value in values.items():
-        if isinstance(value, dict) and not value:
-            yield f'{indent}{name}: none'
-        elif isinstance(value, dict):
+        if isinstance(value, dict):
             yield f'{indent}{name}:'
             yield from format_values(value, indent + '  ')
         else:
--- a/src/eelgrasswalk/policy/concurrency.py
+++ b/src/eelgrasswalk/policy/concurrency.py
@@ -85,8 +85,8 @@
 
     @property
     def expected_s(self) -> float:
-        """Seconds that a call is expected to need."""
-        return self._mean_s
+        """Seconds that a call needs unless it is among the fastest."""
+        return (self._low_s + self._mean_s) / 2.0
 
     def resize(self, slots: int) -> None:
         """Change the number of slots."""
