--- a/src/eelgrasswalk/bench/control_members.py
+++ b/src/eelgrasswalk/bench/control_members.py
@@ -4,6 +4,7 @@
 import dataclasses
 import json
 import os
+import signal
 import subprocess
 import sys
 import time
@@ -81,10 +82,17 @@
         count: How many members it runs.
         data_centre: Their data centre.
         seed: Seed of their random numbers.
+        pace: Factor of all intervals of the protocol.
     """
 
     def __init__(
-        self, first: int, count: int, data_centre: str, seed: int
+        self,
+        first: int,
+        count: int,
+        data_centre: str,
+        *,
+        seed: int,
+        pace: float = 1.0,
     ) -> None:
         self._popen = subprocess.Popen(
             [
@@ -94,6 +102,7 @@
                 *('--count', str(count)),
                 *('--data-centre', data_centre),
                 *('--seed', str(seed)),
+                *('--pace', str(pace)),
             ],
             stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
@@ -136,6 +145,14 @@
         """Return its resident memory."""
         return float(psutil.Process(self._popen.pid).memory_info().rss / 1e6)
 
+    def pause(self) -> None:
+        """Stop it until it is resumed."""
+        self._popen.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let it go on after a pause."""
+        self._popen.send_signal(signal.SIGCONT)
+
     def kill(self) -> None:
         """End it without a word."""
         self._popen.kill()
@@ -160,10 +177,10 @@
             size += index < others % len(DATA_CENTRES)
             if size:
                 self._workers.append(
-                    WorkerProcess(first, size, data_centre, seed)
+                    WorkerProcess(first, size, data_centre, seed=seed)
                 )
                 first += size
-        self._measured = WorkerProcess(first, 1, DATA_CENTRES[-1], seed)
+        self._measured = WorkerProcess(first, 1, DATA_CENTRES[-1], seed=seed)
 
     def __enter__(self) -> typing.Self:
         return self
--- a/src/eelgrasswalk/bench/control_worker.py
+++ b/src/eelgrasswalk/bench/control_worker.py
@@ -21,6 +21,7 @@
 from ..policy import member
 from ..policy import member_codec
 from ..policy import member_messages
+from ..policy import member_timing
 
 SECRET = b'a secret for the bench only'
 HOST = '127.0.0.1'
@@ -70,10 +71,17 @@
         count: How many members there are.
         data_centre: Their data centre.
         seed: Seed of their random numbers.
+        pace: Factor of all intervals of the protocol.
     """
 
     def __init__(
-        self, first: int, count: int, data_centre: str, seed: int
+        self,
+        first: int,
+        count: int,
+        data_centre: str,
+        *,
+        seed: int,
+        pace: float = 1.0,
     ) -> None:
         self._known = [
             Known(number, 0, data_centre)
@@ -83,12 +91,14 @@
             membership.Membership(
                 known.build(),
                 secret=SECRET,
+                timing=member_timing.Timing().scale(pace),
                 rng=random.Random(seed * 100_003 + known.number),
             )
             for known in self._known
         ]
         self._version = 0
         self._reached = 0
+        self._dead: set[str] = set()
 
     async def start(self) -> None:
         """Start all members and print them."""
@@ -132,6 +142,15 @@
 
         item.subscribe_versions(adopt)
 
+    def _watch(self, item: membership.Membership) -> None:
+        """Keep whom one member has ever believed dead."""
+
+        def note(changed: member.Member) -> None:
+            if changed.health is member.Health.DEAD:
+                self._dead.add(changed.node_id)
+
+        item.subscribe(note)
+
     def _know(self, members: collections.abc.Sequence[Known]) -> None:
         """Give every member the records of all, as if it had joined."""
         records = [known.build() for known in members]
@@ -143,6 +162,7 @@
             for start in range(0, len(records), RECORDS_IN_DATAGRAM):
                 chunk = tuple(records[start : start + RECORDS_IN_DATAGRAM])
                 item.receive(encode_records(sender, chunk), sender.address)
+            self._watch(item)
 
     async def _join(self, seed: Known, expected: int) -> None:
         """Join by one seed and tell how long it takes to know everybody."""
@@ -167,6 +187,7 @@
             'bytes': self._count_bytes(),
             'datagrams': self._count_datagrams(),
             'present': min(len(item.list_members()) for item in self._members),
+            'ever_dead': sorted(self._dead),
             'alive': min(count_alive(item) for item in self._members),
         }
 
@@ -222,9 +243,13 @@
 @click.option('--count', default=1)
 @click.option('--data-centre', default='a')
 @click.option('--seed', default=1)
-def main(first: int, count: int, data_centre: str, seed: int) -> None:
+@click.option('--pace', default=1.0)
+def main(
+    first: int, count: int, data_centre: str, seed: int, pace: float
+) -> None:
     """Run members until the input ends."""
-    uvloop.run(serve(Worker(first, count, data_centre, seed)))
+    worker = Worker(first, count, data_centre, seed=seed, pace=pace)
+    uvloop.run(serve(worker))
 
 
 if __name__ == '__main__':
--- a/src/eelgrasswalk/policy/member_timing.py
+++ b/src/eelgrasswalk/policy/member_timing.py
@@ -57,6 +57,19 @@
     dead_memory_s: float = 3_600.0
     left_memory_s: float = 600.0
 
+    def scale(self, factor: float) -> 'Timing':
+        """Return a timing whose intervals are longer by a factor."""
+        return dataclasses.replace(
+            self,
+            probe_interval_s=self.probe_interval_s * factor,
+            ack_timeout_s=self.ack_timeout_s * factor,
+            gossip_interval_s=self.gossip_interval_s * factor,
+            sync_interval_s=self.sync_interval_s * factor,
+            sync_retry_s=self.sync_retry_s * factor,
+            rejoin_interval_s=self.rejoin_interval_s * factor,
+            pause_s=self.pause_s * factor,
+        )
+
     def shortest_suspicion_s(self, members: int) -> float:
         """Return the shortest suspicion in a mesh of a size, in seconds."""
         magnitude = max(1.0, math.log10(max(1, members)))
