--- /dev/null
+++ b/tests/policy/test_member_view.py
@@ -0,0 +1,161 @@
+import copy
+import dataclasses
+import itertools
+import unittest
+
+from eelgrasswalk.policy import member
+from eelgrasswalk.policy import member_timing
+from eelgrasswalk.policy import member_view
+from tests.policy import member_network
+
+SUBJECT, FIRST, SECOND = 0, 1, 2
+LATE = 1_000.0
+STATES = (
+    member.MemberState.DRAINING,
+    member.MemberState.READY,
+)
+
+
+class World:
+    """A subject and two observers that exchange news in any order."""
+
+    def __init__(self):
+        records = [member_network.make_member(number) for number in range(3)]
+        self.views = [
+            member_view.View(record, member_timing.Timing(), 0.0)
+            for record in records
+        ]
+        self.states = {records[SUBJECT].incarnation: records[SUBJECT].state}
+        for view, record in itertools.product(self.views, records):
+            view.learn(record, 0.0)
+
+    @property
+    def subject(self):
+        return self.views[SUBJECT].me
+
+    def tell(self, source, target):
+        """Let one node hear all that another one has to say of the subject."""
+        record = self.views[source].table.find(self.subject.node_id)
+        change = member.HealthChange(
+            record.node_id, record.incarnation, record.health
+        )
+        self.views[target].learn(change, 0.0)
+        if record.health is member.Health.ALIVE:
+            self.views[target].learn(record, 0.0)
+
+    def compare(self, source, target):
+        """Let one node send its record of the subject in a comparison."""
+        record = self.views[source].table.find(self.subject.node_id)
+        self.views[target].learn_record(record, 0.0)
+
+    def suspect(self, observer):
+        known = self.views[observer].table.find(self.subject.node_id)
+        self.views[observer].suspect(known, 0.0)
+
+    def expire(self, observer):
+        self.views[observer].expire_suspicions(LATE)
+
+    def change(self):
+        revision = self.subject.incarnation.revision
+        self.views[SUBJECT].change_me(0.0, state=STATES[revision % 2])
+
+
+STEPS = (
+    lambda world: world.suspect(FIRST),
+    lambda world: world.expire(FIRST),
+    lambda world: world.tell(FIRST, SECOND),
+    lambda world: world.tell(FIRST, SUBJECT),
+    lambda world: world.tell(SUBJECT, FIRST),
+    lambda world: world.tell(SUBJECT, SECOND),
+    lambda world: world.compare(SECOND, FIRST),
+    lambda world: world.expire(SECOND),
+    lambda world: world.change(),
+)
+DEPTH = 4
+
+
+class TestExploration(unittest.TestCase):
+    """Every sequence of steps up to a depth, from one state."""
+
+    def _check_step(self, world, trace):
+        subject = world.subject
+        world.states[subject.incarnation] = subject.state
+        for view in world.views[FIRST:]:
+            known = view.table.find(subject.node_id)
+            self.assertLessEqual(known.incarnation, subject.incarnation, trace)
+            self.assertIs(world.states[known.incarnation], known.state, trace)
+
+    def _check_healed(self, world, trace):
+        for _ in range(2):
+            for observer in (FIRST, SECOND):
+                world.tell(observer, SUBJECT)
+                world.tell(SUBJECT, observer)
+        for view in world.views[FIRST:]:
+            known = view.table.find(world.subject.node_id)
+            self.assertEqual(world.subject, known, trace)
+        digests = {view.table.digest() for view in world.views}
+        self.assertEqual(1, len(digests), trace)
+
+    def _run(self, trace):
+        world = World()
+        for number in trace:
+            STEPS[number](world)
+            self._check_step(world, trace)
+        self._check_healed(world, trace)
+
+    def test_observers_agree_with_the_subject_in_the_end(self):
+        for depth in range(DEPTH + 1):
+            for trace in itertools.product(range(len(STEPS)), repeat=depth):
+                self._run(trace)
+
+
+class TestView(unittest.TestCase):
+    def setUp(self):
+        self.records = [member_network.make_member(n) for n in range(4)]
+        self.view = member_view.View(
+            self.records[0], member_timing.Timing(), 0.0
+        )
+        for record in self.records[1:]:
+            self.view.learn(record, 0.0)
+
+    def test_death_in_a_comparison_leads_to_a_probe(self):
+        record = self.records[1]
+        dead = dataclasses.replace(record, health=member.Health.DEAD)
+        self.assertFalse(self.view.learn_record(dead, 0.0))
+        self.assertEqual([record.node_id], self.view.doubtful)
+        self.assertTrue(self.view.table.find(record.node_id).present)
+
+    def test_more_accusers_shorten_a_suspicion(self):
+        record = self.records[1]
+        ends = []
+        for accuser in ('a', 'b', 'c', 'd', 'e'):
+            change = member.HealthChange(
+                record.node_id,
+                record.incarnation,
+                member.Health.SUSPECT,
+                accuser,
+            )
+            self.view.learn(change, 0.0)
+            ends.append(self._find_end())
+        self.assertEqual(sorted(ends, reverse=True), ends)
+        self.assertEqual([6.0, 2.0, 2.0], [ends[0], ends[3], ends[4]])
+
+    def _find_end(self):
+        suspicions = copy.deepcopy(self.view.suspicions)
+        end = 0.0
+        while not suspicions.pop_expired(end):
+            end += 0.5
+        return end
+
+    def test_leaving_node_does_not_defend_itself(self):
+        self.view.change_me(0.0, state=member.MemberState.LEFT)
+        me = self.view.me
+        change = member.HealthChange(
+            me.node_id, me.incarnation, member.Health.DEAD
+        )
+        self.assertFalse(self.view.learn(change, 0.0))
+        self.assertFalse(self.view.is_accusation(change))
+
+
+if __name__ == '__main__':
+    unittest.main()
