Pace joining and healing within the budget of control

Cause: 13 KB/s is the budget; a joining node took 15.5 KB/s for 9 s, and a simulated heal of 200 nodes 8 KB/s out of each. Change: records at 2 KB/s with a burst of 5 KB; rounds every 0.8 s.

--- a/src/eelgrasswalk/policy/member_timing.py
+++ b/src/eelgrasswalk/policy/member_timing.py
@@ -45,10 +45,10 @@
     piggyback_bytes: int = 300
     datagram_update_bytes: int = 1_000
     sync_interval_s: float = 10.0
-    sync_retry_s: float = 0.6
+    sync_retry_s: float = 0.8
     sync_datagrams: int = 4
-    sync_rate: float = 4_000.0
-    sync_burst: float = 9_000.0
+    sync_rate: float = 2_000.0
+    sync_burst: float = 5_000.0
     rejoin_interval_s: float = 5.0
     suspicion_factor: float = 2.0
     suspicion_spread: float = 3.0
