--- a/tests/integration/test_operators.py
+++ b/tests/integration/test_operators.py
@@ -9,7 +9,6 @@
 import click.testing
 import httpx
 
-from eelgrasswalk.bench import mesh
 from eelgrasswalk.cli import operator
 from tests.cli import test_operator
 
