Name nodes that vanish while a version is waited for; test keys on nodes

Cause: a stopped node left the list after some seconds, and the wait ended without a word on it; one silent node made each round take 3 s. Change: nodes that were seen and vanish unconfirmed are named; members are asked for at most 1 s; only changed progress is printed. An integration test creates and withdraws a key on two real nodes.

--- a/src/eelgrasswalk/cli/progress.py
+++ b/src/eelgrasswalk/cli/progress.py
@@ -1,5 +1,6 @@
 """Waits until a version is in force and shows how far it has come."""
 
+import dataclasses
 import typing
 
 import anyio
@@ -34,6 +35,8 @@
     last: fleet.Progress | fleet.Unreachable | None = None
     # A node never goes back to an earlier version.
     confirmed: set[str] = set()
+    seen: dict[str, fleet.Member] = {}
+    told = ''
     async with session.connections.open_fleet() as client:
         with anyio.move_on_after(timeout_s):
             while True:
@@ -41,14 +44,48 @@
                     node, version, confirmed=confirmed
                 )
                 if isinstance(last, fleet.Progress):
+                    last = add_vanished(last, seen, confirmed)
                     confirmed |= {m.node_id for m in last.in_force}
-                    session.tell(summarize_progress(last))
+                    line = summarize_progress(last)
+                    if line != told:
+                        session.tell(line)
+                    told = line
                     if last.complete:
                         return last
                 await anyio.sleep(POLL_INTERVAL_S)
     raise make_overdue(session, version, last, timeout_s)
 
 
+def add_vanished(
+    reached: fleet.Progress,
+    seen: dict[str, fleet.Member],
+    confirmed: set[str],
+) -> fleet.Progress:
+    """Count nodes that are no longer listed, unconfirmed, among the dead.
+
+    Args:
+        reached: The progress of this round.
+        seen: Nodes of earlier rounds; those of this one are added.
+        confirmed: Nodes that have the version.
+    """
+    listed = {
+        member.node_id: member
+        for member in (
+            *reached.in_force,
+            *reached.lagging,
+            *reached.unreached,
+            *reached.dead,
+        )
+    }
+    vanished = [
+        member
+        for node_id, member in seen.items()
+        if node_id not in listed and node_id not in confirmed
+    ]
+    seen.update(listed)
+    return dataclasses.replace(reached, dead=(*reached.dead, *vanished))
+
+
 def make_overdue(
     session: terminal.Session,
     version: int,
@@ -60,8 +97,8 @@
         detail = last.detail if last else 'no answer in time'
         return terminal.Failure(
             terminal.ExitCode.NODE_UNREACHABLE,
-            f'Version {version} is accepted, but {session.node} cannot be '
-            f'asked about it ({detail}). Give --node of another node.',
+            f'{session.node} cannot be asked where version {version} is in '
+            f'force ({detail}). Give --node of another node.',
         )
     hosts = [
         f'{m.host} ({m.admin}) has {m.config_version}, answers'
@@ -74,7 +111,7 @@
     listing = '\n  '.join(shown)
     return terminal.Failure(
         terminal.ExitCode.NOT_IN_FORCE,
-        f'Version {version} is accepted and not in force everywhere after '
+        f'Version {version} is not in force everywhere after '
         f'{timeout_s:g} s:\n  {listing}\n'
         'Nodes that can reach the store or a peer will take it; look again '
         "with 'eelgrasswalk status'.",
--- a/src/eelgrasswalk/operations/fleet.py
+++ b/src/eelgrasswalk/operations/fleet.py
@@ -11,7 +11,8 @@
 STATUS_PATH = '/_eelgrasswalk/status'
 DRAIN_PATH = '/_eelgrasswalk/drain'
 REQUEST_TIMEOUT_S = 3.0
-DIRECT_ASKS = 16
+MEMBER_TIMEOUT_S = 1.0
+DIRECT_ASKS = 32
 LEFT = 'left'
 DEAD = 'dead'
 
@@ -129,13 +130,20 @@
     def __init__(self, client: httpx.AsyncClient) -> None:
         self._client = client
 
-    async def fetch_status(self, address: str) -> NodeStatus | Unreachable:
-        """Ask one node for its status."""
+    async def fetch_status(
+        self, address: str, *, timeout_s: float = REQUEST_TIMEOUT_S
+    ) -> NodeStatus | Unreachable:
+        """Ask one node for its status.
+
+        Args:
+            address: Its administration address.
+            timeout_s: Seconds to wait for the answer.
+        """
         if not address:
             return Unreachable('', 'no administration address is known')
         try:
             response = await self._client.get(
-                format_url(address) + STATUS_PATH, timeout=REQUEST_TIMEOUT_S
+                format_url(address) + STATUS_PATH, timeout=timeout_s
             )
             response.raise_for_status()
             return cattrs.structure(response.json(), NodeStatus)
@@ -172,7 +180,9 @@
 
         async def ask(member: Member) -> None:
             async with limiter:
-                answers[member.node_id] = await self.fetch_status(member.admin)
+                answers[member.node_id] = await self.fetch_status(
+                    member.admin, timeout_s=MEMBER_TIMEOUT_S
+                )
 
         async with anyio.create_task_group() as group:
             for member in members:
--- a/tests/integration/test_operators.py
+++ b/tests/integration/test_operators.py
@@ -103,3 +103,53 @@
         result = runner.invoke(operator.main, [*options, *args])
         self.assertEqual(result.exit_code, 0, result.output)
         return result.output
+
+
+class MeshTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.running = self.enterContext(mesh.Mesh())
+        platform = self.running.start_standin('platform')
+        self.platform = platform.ready['addresses'][0]
+        self.run_command('apply', '--yes', str(test_operator.LAKESHORE))
+        listen = ['--listen', '127.0.0.1:0'] * 2
+        targets = self.running.start_standin('target', *listen)
+        self.nodes = [
+            self.running.start_node(
+                {
+                    'node_id': f'node-{index}',
+                    'host': f'host-{index}',
+                    'data_centre': 'erie',
+                    'service': 'catalogue',
+                    'mesh_secret': mesh.SECRET,
+                    'target': {'address': address},
+                    'platform': {'url': f'http://{self.platform}'},
+                }
+            )
+            for index, address in enumerate(targets.ready['addresses'])
+        ]
+
+    def run_command(self, *args: str, node: str = '') -> dict[str, object]:
+        options = ['--platform', self.platform, '--output', 'json']
+        runner = click.testing.CliRunner()
+        result = runner.invoke(
+            operator.main, [*options, '--node', node, *args]
+        )
+        self.assertEqual(result.exit_code, 0, result.output)
+        return json.loads(result.stdout)
+
+    def call(self, node: mesh.Process, key: str) -> int:
+        url = f'http://{node.ready["callers"]}/catalogue/finishes'
+        return httpx.get(url, headers={'x-api-key': key}).status_code
+
+    def test_key_counts_everywhere_once_in_force(self) -> None:
+        admin = self.nodes[0].ready['admin']
+        wait = ('--yes', '--wait')
+        made = self.run_command(
+            'key', 'create', 'erie', '--label', 'till', *wait, node=admin
+        )
+        key = str(made['key'])
+        answers = [self.call(node, key) for node in self.nodes]
+        self.assertEqual(answers, [200, 200])
+        self.run_command('key', 'withdraw', 'erie', 'till', *wait, node=admin)
+        answers = [self.call(node, key) for node in self.nodes]
+        self.assertEqual(answers, [403, 403])
