Wait for the members before the keys are tried

Cause: the test asked a node that did not know the other one yet, whose view the wait then took as whole; one of three runs failed so, and one with a 429. Change: the test first waits until the nodes know each other.

--- a/tests/integration/test_operators.py
+++ b/tests/integration/test_operators.py
@@ -4,6 +4,8 @@
 import subprocess
 import sys
 import tempfile
+import time
+import typing
 import unittest
 
 import click.testing
@@ -141,8 +143,17 @@
         url = f'http://{node.ready["callers"]}/catalogue/finishes'
         return httpx.get(url, headers={'x-api-key': key}).status_code
 
+    def wait_for_members(self, admin: str) -> None:
+        deadline = time.monotonic() + mesh.START_TIMEOUT_S
+        while time.monotonic() < deadline:
+            status = self.run_command('status', node=admin)
+            if len(typing.cast('dict', status['nodes'])) == len(self.nodes):
+                return
+        self.fail('the nodes did not find each other')
+
     def test_key_counts_everywhere_once_in_force(self) -> None:
         admin = self.nodes[0].ready['admin']
+        self.wait_for_members(admin)
         wait = ('--yes', '--wait')
         made = self.run_command(
             'key', 'create', 'erie', '--label', 'till', *wait, node=admin
