--- a/tests/operations/test_catalogue.py
+++ b/tests/operations/test_catalogue.py
@@ -1,5 +1,6 @@
 """Tests that the page of events is that of the code."""
 
+import asyncio
 import collections
 import pathlib
 import re
@@ -19,6 +20,13 @@
         rendered = catalogue.render_events(events.list_events())
         self.assertEqual(page, rendered, RENEW)
 
+    def test_page_of_metrics_is_current(self) -> None:
+        page = (REFERENCE / catalogue.METRICS_PAGE).read_text()
+        rendered = asyncio.run(catalogue.render_metrics())
+        self.assertEqual(page, rendered, RENEW)
+        for name in re.findall(r'^\| `([^`]+)`', page, re.MULTILINE):
+            self.assertRegex(name, r'^eelgrasswalk(\.[a-z_]+)+$')
+
     def test_event_numbers_are_unique(self) -> None:
         numbers = [event.number for event in events.list_events()]
         twice = [n for n, c in collections.Counter(numbers).items() if c > 1]
