--- a/tests/integration/test_operators.py
+++ b/tests/integration/test_operators.py
@@ -11,6 +11,7 @@
 import click.testing
 import httpx
 
+from eelgrasswalk.bench import mesh
 from eelgrasswalk.cli import operator
 from tests.cli import test_operator
 
