--- a/src/eelgrasswalk/standins/faults.py
+++ b/src/eelgrasswalk/standins/faults.py
@@ -27,6 +27,9 @@
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
     OSError,
+    # What uvloop raises for a connection that it has closed already.
+    RuntimeError,
+    ValueError,
 )
 
 
@@ -245,13 +248,22 @@
         except OSError:
             await reset(client)
             return
-        link = Link(self.faults, client, upstream)
-        self._links.add(link)
         try:
             async with client, upstream:
-                await link.run()
+                await self._relay(client, upstream)
         except* _BROKEN:
             pass
+        except* anyio.TypedAttributeLookupError:
+            # The client had gone before its address was read.
+            pass
+
+    async def _relay(
+        self, client: anyio.abc.SocketStream, upstream: anyio.abc.SocketStream
+    ) -> None:
+        link = Link(self.faults, client, upstream)
+        self._links.add(link)
+        try:
+            await link.run()
         finally:
             self._links.discard(link)
 
