--- a/src/eelgrasswalk/policy/quota.py
+++ b/src/eelgrasswalk/policy/quota.py
@@ -3,11 +3,12 @@
 Promise: over all hosts, the admissions of an account in any window of t
 seconds number at most rate * t + burst, whatever fails.
 
-Each account has the same fixed number of slots; each slot has an equal part
-of its rate and burst, so that the sum holds also while nodes use different
-versions of the configuration. A slot is leased to one owner, which keeps a
-token bucket and grants tokens to the nodes where requests enter, the
-holders.
+Each account has a number of slots that is fixed for good when the account is
+first seen; each slot has an equal part of its rate and burst, so that the sum
+holds also while nodes use different versions of the configuration. Few slots
+use a small burst best; more slots lose less when an owner dies. A slot is
+leased to one owner, which keeps a token bucket and grants tokens to the nodes
+where requests enter, the holders.
 
 Invariant of a slot: level + unused <= burst, where `level` is what the
 bucket holds and `unused` is what was granted and can still be used. The
@@ -33,7 +34,9 @@
 
 from . import lease
 
-DEFAULT_SLOTS = 4
+MAX_SLOTS = 4
+# Burst that a slot should have at least, in tokens.
+LEAST_SLOT_BURST = 10.0
 GRANT_LIFE_S = 0.75
 TOLERANCE = 1e-9
 
@@ -105,6 +108,15 @@
 Record: typing.TypeAlias = lease.Record[Handover]
 
 
+def choose_slot_count(burst: float) -> int:
+    """Return the number of slots for a new account.
+
+    Args:
+        burst: Tokens at once.
+    """
+    return max(1, min(MAX_SLOTS, int(burst / LEAST_SLOT_BURST)))
+
+
 def divide(rate: float, burst: float, *, slots: int) -> Share:
     """Return the part of each of an account's slots."""
     return Share(rate / slots, burst / slots)
@@ -133,16 +145,29 @@
     return None
 
 
-def rank(slot: Slot, node_ids: typing.Iterable[str]) -> list[str]:
+def rank(
+    slot: Slot, node_ids: typing.Iterable[str], *, slots: int
+) -> list[str]:
     """Order nodes by how suitable each is as the owner of a slot.
 
-    All nodes agree on the order if they know the same nodes.
-    """
-    return sorted(
-        node_ids, key=lambda node_id: _score(slot, node_id), reverse=True
-    )
-
+    All nodes agree on the order if they know the same nodes. The slots of
+    one account prefer different owners, and standbys that own none of them.
 
-def _score(slot: Slot, node_id: str) -> bytes:
-    text = f'{slot.account}\0{slot.index}\0{node_id}'
+    Args:
+        slot: The slot.
+        node_ids: The nodes.
+        slots: Number of slots of each account.
+    """
+    order = sorted(node_ids, key=lambda node_id: _score(slot.account, node_id))
+    owners, others = order[:slots], order[slots:]
+    if slot.index >= len(owners):
+        return order
+    turn = slot.index % len(others) if others else 0
+    others = others[turn:] + others[:turn]
+    others += owners[slot.index + 1 :] + owners[: slot.index]
+    return [owners[slot.index], *others]
+
+
+def _score(account: str, node_id: str) -> bytes:
+    text = f'{account}\0{node_id}'
     return hashlib.blake2b(text.encode(), digest_size=8).digest()
