Give a caller's own retry no allowance and no new hash

Cause: a caller that asks again got a fresh allowance, and its hash could be chosen through the idempotency key. Change: the entry counts attempts by account and key, gives repeated ones an allowance of 0, and seeds the hash with the mesh's secret. The experiment's document moves into a module of its own.

--- a/src/eelgrasswalk/bench/overload_mesh.py
+++ b/src/eelgrasswalk/bench/overload_mesh.py
@@ -5,26 +5,22 @@
 import collections.abc
 import concurrent.futures
 import dataclasses
-import hashlib
 import json
 import random
 import time
 import typing
 import urllib.parse
 
-import yaml
-
 from ..standins import calling
 from . import baseline
 from . import mesh
+from . import overload_document as documents
 from . import overload_load as load
 from . import overload_scenario as scenario
 
 UPSTREAMS = 2
 STARTS = 4
 LEAF_WORK_S = 0.04
-IMPORTANCES = {kind: kind.name.lower() for kind in scenario.Importance}
-HIGH_RATE = 10_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,7 +65,9 @@
     if policy != scenario.EELGRASSWALK:
         entry = _start_baseline(running, plan, policy, targets, calls[0])
         return Running((entry,), targets)
-    document = running.write_file('document.yaml', _build_document(plan))
+    document = running.write_file(
+        'document.yaml', documents.build_document(plan)
+    )
     members = [
         {
             'node_id': f'{name}-{index}',
@@ -131,7 +129,9 @@
     port: int,
 ) -> str:
     prefixes = {route.name: route.chain[0] for route in plan.routes}
-    prefixes |= {_name_child(each.name): each.name for each in plan.services}
+    prefixes |= {
+        documents.name_child(each.name): each.name for each in plan.services
+    }
     slots = {each.name: each.slots for each in plan.services}
     made = baseline.Plan(
         dict(targets),
@@ -146,89 +146,6 @@
     return address
 
 
-def _name_child(service: str) -> str:
-    return f'of-{service}'
-
-
-def _make_key(account: int) -> str:
-    return f'bench-key-{account}'
-
-
-def _build_document(plan: scenario.MeshPlan) -> str:
-    accounts = [
-        {
-            'name': f'account-{number}',
-            'rate': HIGH_RATE,
-            'burst': HIGH_RATE,
-            'keys': [
-                {
-                    'label': 'bench',
-                    'digest': hashlib.sha256(
-                        _make_key(number).encode()
-                    ).hexdigest(),
-                }
-            ],
-        }
-        for number in range(len(plan.accounts))
-    ]
-    routes = [
-        _build_route(route.name, route.chain[0], route.importance)
-        for route in plan.routes
-    ]
-    routes += [
-        _build_route(
-            _name_child(each.name), each.name, scenario.Importance.NORMAL
-        )
-        for each in plan.services
-    ]
-    services = [
-        {
-            'name': each.name,
-            'slots': each.slots,
-            'connections': each.connections,
-        }
-        for each in plan.services
-    ]
-    return yaml.safe_dump(
-        {
-            'schema': 1,
-            'mesh': plan.name,
-            'accounts': accounts,
-            'services': services,
-            'routes': routes,
-        }
-    )
-
-
-def _build_route(
-    name: str, service: str, importance: scenario.Importance
-) -> dict[str, typing.Any]:
-    return {
-        'name': name,
-        'service': service,
-        'path_prefix': f'/{name}',
-        'importance': IMPORTANCES[importance],
-        'idempotent': importance > scenario.Importance.HIGH,
-        'deadline_s': load.ATTEMPT_TIMEOUT_S,
-    }
-
-
-def build_path(
-    plan: scenario.MeshPlan, route: scenario.RoutePlan, number: int
-) -> str:
-    """Return the path of a root request, its whole tree inside."""
-    work_s = {each.name: each.work_s for each in plan.services}
-    child = ''
-    for depth in reversed(range(len(route.chain))):
-        service = route.chain[depth]
-        name = route.name if depth == 0 else _name_child(service)
-        path = f'/{name}?ms={work_s[service] * 1000:g}&root={number}'
-        if child:
-            path += '&child=' + urllib.parse.quote(child, safe='')
-        child = path
-    return child
-
-
 class MeshLoad:
     """Open-loop load on real processes.
 
@@ -353,10 +270,13 @@
     async def _attempt(self, request: load.Request, deadline: float) -> bool:
         self._roots += 1
         root = self._roots
-        path = build_path(self._plan, request.route, root)
+        path = documents.build_path(self._plan, request.route, root)
         timeout_s = min(load.ATTEMPT_TIMEOUT_S, deadline - self._now())
         headers = (
-            (b'x-api-key', _make_key(request.account).encode()),
+            (
+                b'x-api-key',
+                documents.make_key(request.account).encode(),
+            ),
             (b'eelgrasswalk-deadline', b'%.3f' % max(0.001, timeout_s)),
             (b'idempotency-key', b'%x' % id(request)),
         )
--- a/src/eelgrasswalk/filters/context.py
+++ b/src/eelgrasswalk/filters/context.py
@@ -19,9 +19,15 @@
 
 
 class ContextCheck:
-    """Sets deadline, idempotency key, context and ledger."""
+    """Sets deadline, idempotency key, context and ledger.
 
-    def __init__(self) -> None:
+    Args:
+        secret: Shared by all nodes and unknown to callers.
+    """
+
+    def __init__(self, secret: str) -> None:
+        self._seed = xxhash.xxh3_64_intdigest(secret.encode())
+        self._attempts = retries.CallerAttempts()
         self._ranks = {kind: fairness.FairRank() for kind in model.Importance}
 
     def check(self, item: exchange.Exchange) -> verdict.NotRun | None:
@@ -78,13 +84,10 @@
             return self._inherit_context(item, item.served)
         route = item.get_route()
         root_id = secrets.token_bytes(frames.ATTEMPT_BYTES)
-        # A caller's own retry keeps the hash, and with it the decision.
-        kept = f'{item.account}\n{item.idempotency_key}'.encode()
-        hashed = kept if item.idempotency_key else root_id
-        root_hash = xxhash.xxh3_64_intdigest(hashed) / _HASH_RANGE
+        root_hash = self._compute_hash(item, root_id)
         fair = self._ranks[route.importance]
         item.root_started_at = item.arrived_at
-        item.ledger = retries.Ledger(route.retry_allowance)
+        item.ledger = retries.Ledger(self._choose_allowance(item))
         item.context = frames.Context(
             account=item.account,
             importance=int(route.importance),
@@ -95,6 +98,24 @@
         )
         return None
 
+    def _compute_hash(self, item: exchange.Exchange, root_id: bytes) -> float:
+        # A caller's own retry keeps the hash, and with it the decision. The
+        # seed keeps callers from choosing keys that are shed last.
+        hashed = root_id
+        if item.idempotency_key:
+            hashed = f'{item.account}\n{item.idempotency_key}'.encode()
+        digest = xxhash.xxh3_64_intdigest(hashed, seed=self._seed)
+        return digest / _HASH_RANGE
+
+    def _choose_allowance(self, item: exchange.Exchange) -> int:
+        if item.idempotency_key:
+            attempt = self._attempts.observe(
+                item.account, item.idempotency_key, item.arrived_at
+            )
+            if attempt > 1:
+                return 0
+        return item.get_route().retry_allowance
+
     def _inherit_context(
         self, item: exchange.Exchange, parent: exchange.ServedCall
     ) -> verdict.NotRun | None:
--- a/src/eelgrasswalk/wiring.py
+++ b/src/eelgrasswalk/wiring.py
@@ -229,7 +229,7 @@
             allows_keys=allows_keys,
         ),
         route.RouteCheck(),
-        context.ContextCheck(),
+        context.ContextCheck(shared.config.mesh_secret),
         adopt.AdoptCheck(),
         shed.ShedCheck(level_table),
     )
