--- a/src/eelgrasswalk/controllers/configuration.py
+++ b/src/eelgrasswalk/controllers/configuration.py
@@ -37,7 +37,8 @@
     Args:
         follow: How versions are followed.
         start_wait_s: Longest time that the start waits for a configuration.
-        answer_wait_s: Longest time that a peer's answer is waited for.
+        answer_wait_s: Time after which a peer is asked again.
+        asks: How often a peer is asked.
         peers_asked: Peers asked at the start.
         answers_needed: Peers' answers that are enough at the start when the
             store is silent.
@@ -47,7 +48,8 @@
         default_factory=configuration.FollowSettings
     )
     start_wait_s: float = 5.0
-    answer_wait_s: float = 1.0
+    answer_wait_s: float = 0.25
+    asks: int = 6
     peers_asked: int = 5
     answers_needed: int = 3
 
@@ -282,17 +284,18 @@
         await self._notify()
 
     async def _ask(self, node_id: str) -> messages.Tell | None:
+        """Ask a peer, again while it may not know this node yet."""
         waiting = self._tells.get(node_id)
         if waiting is None:
             waiting = asyncio.get_running_loop().create_future()
             self._tells[node_id] = waiting
+        for _ in range(self._options.asks):
             self._tell(node_id, messages.Ask(self._follower.version))
-        try:
-            async with asyncio.timeout(self._options.answer_wait_s):
-                return await asyncio.shield(waiting)
-        except TimeoutError:
-            self._tells.pop(node_id, None)
-            return None
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._options.answer_wait_s):
+                    return await asyncio.shield(waiting)
+        self._tells.pop(node_id, None)
+        return None
 
     async def _load(self, version: int, digest: str, content: bytes) -> None:
         """Put a document in force, unless a higher version is.
