--- a/src/eelgrasswalk/bench/quota_fleet.py
+++ b/src/eelgrasswalk/bench/quota_fleet.py
@@ -1,7 +1,6 @@
 """Quota controllers of several nodes in virtual time, with faults."""
 
 import asyncio
-import collections
 import collections.abc
 import dataclasses
 import random
@@ -14,6 +13,7 @@
 from ..platform import memory
 from ..platform import protocols
 from ..policy import lease
+from ..policy import quota as quota_policy
 from ..policy import quota_messages
 
 NEAR_DELAY_S = 0.0003
@@ -29,16 +29,21 @@
 
     Args:
         name: Its name in the result.
-        slots: Slots of each account; 0 for a fixed share of each node.
+        slots: Slots of each account; 0 for a number by its burst; None for
+            a fixed share of each node.
         standbys: Candidates for a slot's standby.
         timing: How long leases last.
     """
 
     name: str
-    slots: int
+    slots: int | None
     standbys: int = quota_slots.STANDBY_CANDIDATES
     timing: lease.Timing = dataclasses.field(default_factory=lease.Timing)
 
+    def choose_slot_count(self, burst: float) -> int:
+        """Return the number of slots of an account."""
+        return self.slots or quota_policy.choose_slot_count(burst)
+
 
 class Table:
     """A table that nodes reach over a network, or do not reach.
@@ -127,7 +132,7 @@
             clock=fleet.loop.time,
             source=source,
             timing=fleet.scheme.timing,
-            slots=fleet.scheme.slots,
+            choose_slot_count=fleet.scheme.choose_slot_count,
             sleep=self._sleep,
             standbys=fleet.scheme.standbys,
         )
@@ -179,7 +184,6 @@
         self.scheme = scheme
         self.rows = memory.MemoryTable()
         self.messages = 0
-        self.bytes = 0
         self.isolated = ''
         self.nodes: dict[str, Node] = {}
         self._accounts = accounts
@@ -222,11 +226,13 @@
         return [node for node in self.nodes.values() if node.is_serving]
 
     def find_main_owner(self) -> Node:
-        """Return the node that owns the most slots."""
-        return max(
-            self.list_serving(),
-            key=lambda node: node.controller.slots.count_owned(),
-        )
+        """Return the owner of the first slot of the largest account."""
+        largest = max(self._accounts, key=lambda account: account.rate)
+        slot = quota_policy.Slot(largest.name, 0)
+        for node in self.list_serving():
+            if node.controller.slots.owns(slot):
+                return node
+        return self.list_serving()[0]
 
     def set_table_down(self, is_down: bool) -> None:
         """Switch the table off or on for all nodes."""
@@ -248,34 +254,23 @@
         """Carry a message from one node to another."""
         receiver = self.nodes.get(node_id)
         self.messages += 1
-        content = quota_messages.encode(message)
-        self.bytes += len(content)
         if receiver is None or sender.is_dead:
             return
         centres = {sender.member.data_centre, receiver.member.data_centre}
         if len(centres) > 1 and self.isolated in centres:
             return
         delay_s = NEAR_DELAY_S if len(centres) == 1 else FAR_DELAY_S
-        self.loop.call_later(delay_s, self._deliver, sender, receiver, content)
+        self.loop.call_later(delay_s, self._deliver, sender, receiver, message)
 
-    def _deliver(self, sender: Node, receiver: Node, content: bytes) -> None:
+    def _deliver(
+        self, sender: Node, receiver: Node, message: quota_messages.Message
+    ) -> None:
         if receiver.is_dead:
             return
         if not receiver.running.is_set():
             # It waits in the receiver's socket.
             self.loop.call_later(
-                0.05, self._deliver, sender, receiver, content
+                0.05, self._deliver, sender, receiver, message
             )
             return
-        message = quota_messages.decode(content)
         receiver.controller.on_message(sender.member.node_id, message)
-
-
-def count_by_node(fleet: Fleet) -> collections.Counter[str]:
-    """Return how many slots each node owns."""
-    return collections.Counter(
-        {
-            name: node.controller.slots.count_owned()
-            for name, node in fleet.nodes.items()
-        }
-    )
--- a/src/eelgrasswalk/policy/concurrency.py
+++ b/src/eelgrasswalk/policy/concurrency.py
@@ -85,13 +85,17 @@
 
     @property
     def expected_s(self) -> float:
-        """Seconds that a call is expected to need."""
-        return self._mean_s
+        """Seconds that a call needs unless it is among the fastest."""
+        return (self._low_s + self._mean_s) / 2.0
 
     def resize(self, slots: int) -> None:
         """Change the number of slots."""
         slots = max(1, slots)
-        self._limit *= slots / self._slots
+        if self._started_at == math.inf:
+            cold = self._settings.start_fraction * slots
+            self._limit = max(1.0, cold)
+        else:
+            self._limit *= slots / self._slots
         self._slots = slots
 
     def observe_start(self, in_flight: int, now: float) -> None:
--- a/src/eelgrasswalk/policy/member_timing.py
+++ b/src/eelgrasswalk/policy/member_timing.py
@@ -45,10 +45,10 @@
     piggyback_bytes: int = 300
     datagram_update_bytes: int = 1_000
     sync_interval_s: float = 10.0
-    sync_retry_s: float = 0.6
+    sync_retry_s: float = 0.8
     sync_datagrams: int = 4
-    sync_rate: float = 4_000.0
-    sync_burst: float = 9_000.0
+    sync_rate: float = 2_000.0
+    sync_burst: float = 5_000.0
     rejoin_interval_s: float = 5.0
     suspicion_factor: float = 2.0
     suspicion_spread: float = 3.0
@@ -57,6 +57,19 @@
     dead_memory_s: float = 3_600.0
     left_memory_s: float = 600.0
 
+    def scale(self, factor: float) -> 'Timing':
+        """Return a timing whose intervals are longer by a factor."""
+        return dataclasses.replace(
+            self,
+            probe_interval_s=self.probe_interval_s * factor,
+            ack_timeout_s=self.ack_timeout_s * factor,
+            gossip_interval_s=self.gossip_interval_s * factor,
+            sync_interval_s=self.sync_interval_s * factor,
+            sync_retry_s=self.sync_retry_s * factor,
+            rejoin_interval_s=self.rejoin_interval_s * factor,
+            pause_s=self.pause_s * factor,
+        )
+
     def shortest_suspicion_s(self, members: int) -> float:
         """Return the shortest suspicion in a mesh of a size, in seconds."""
         magnitude = max(1.0, math.log10(max(1, members)))
--- a/tests/integration/test_operators.py
+++ b/tests/integration/test_operators.py
@@ -4,12 +4,13 @@
 import subprocess
 import sys
 import tempfile
+import time
+import typing
 import unittest
 
 import click.testing
 import httpx
 
-from eelgrasswalk.bench import mesh
 from eelgrasswalk.cli import operator
 from tests.cli import test_operator
 
@@ -92,7 +93,7 @@
         )
         self.assertEqual(answer.status_code, 200)
         shown = self.run_command(node, 'status')
-        self.assertRegex(shown, r'catalogue +host-1 +ready +0 +0/100\+0')
+        self.assertRegex(shown, r'catalogue +host-1 +ready +0 +0/20\+0')
         self.assertIn('answered: 1', shown)
         self.run_command(node, 'drain', 'host-1', '--yes')
         self.assertEqual(node.popen.wait(mesh.STOP_TIMEOUT_S), 0)
@@ -103,3 +104,62 @@
         result = runner.invoke(operator.main, [*options, *args])
         self.assertEqual(result.exit_code, 0, result.output)
         return result.output
+
+
+class MeshTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.running = self.enterContext(mesh.Mesh())
+        platform = self.running.start_standin('platform')
+        self.platform = platform.ready['addresses'][0]
+        self.run_command('apply', '--yes', str(test_operator.LAKESHORE))
+        listen = ['--listen', '127.0.0.1:0'] * 2
+        targets = self.running.start_standin('target', *listen)
+        self.nodes = [
+            self.running.start_node(
+                {
+                    'node_id': f'node-{index}',
+                    'host': f'host-{index}',
+                    'data_centre': 'erie',
+                    'service': 'catalogue',
+                    'mesh_secret': mesh.SECRET,
+                    'target': {'address': address},
+                    'platform': {'url': f'http://{self.platform}'},
+                }
+            )
+            for index, address in enumerate(targets.ready['addresses'])
+        ]
+
+    def run_command(self, *args: str, node: str = '') -> dict[str, object]:
+        options = ['--platform', self.platform, '--output', 'json']
+        runner = click.testing.CliRunner()
+        result = runner.invoke(
+            operator.main, [*options, '--node', node, *args]
+        )
+        self.assertEqual(result.exit_code, 0, result.output)
+        return json.loads(result.stdout)
+
+    def call(self, node: mesh.Process, key: str) -> int:
+        url = f'http://{node.ready["callers"]}/catalogue/finishes'
+        return httpx.get(url, headers={'x-api-key': key}).status_code
+
+    def wait_for_members(self, admin: str) -> None:
+        deadline = time.monotonic() + mesh.START_TIMEOUT_S
+        while time.monotonic() < deadline:
+            status = self.run_command('status', node=admin)
+            if len(typing.cast('dict', status['nodes'])) == len(self.nodes):
+                return
+        self.fail('the nodes did not find each other')
+
+    def test_key_counts_everywhere_once_in_force(self) -> None:
+        admin = self.nodes[0].ready['admin']
+        self.wait_for_members(admin)
+        wait = ('--yes', '--wait')
+        made = self.run_command(
+            'key', 'create', 'erie', '--label', 'till', *wait, node=admin
+        )
+        key = str(made['key'])
+        answers = [self.call(node, key) for node in self.nodes]
+        self.assertEqual(answers, [200, 200])
+        self.run_command('key', 'withdraw', 'erie', 'till', *wait, node=admin)
+        answers = [self.call(node, key) for node in self.nodes]
+        self.assertEqual(answers, [403, 403])
