--- a/tests/integration/fleet.py
+++ b/tests/integration/fleet.py
@@ -21,20 +21,18 @@
         self._running = running
         platform = running.start_standin('platform', '--seed', str(seed))
         self.platform = f'http://{platform.ready["addresses"][0]}'
-        ports = mesh.find_free_ports(3 * len(SERVICES))
+        (self._seed_port,) = mesh.find_free_ports(1)
         targets = running.start_standin(
             'target', *['--listen', '127.0.0.1:0'] * len(SERVICES)
         )
         self.targets = targets.ready['addresses']
         self._settings = [
-            self._make_settings(index, ports) for index in range(len(SERVICES))
+            self._make_settings(index) for index in range(len(SERVICES))
         ]
         self.processes: list[mesh.Process] = []
 
-    def _make_settings(
-        self, index: int, ports: list[int]
-    ) -> dict[str, typing.Any]:
-        callers, calls, gossip = ports[3 * index : 3 * index + 3]
+    def _make_settings(self, index: int) -> dict[str, typing.Any]:
+        gossip = 0 if index else self._seed_port
         return {
             'node_id': f'{SERVICES[index]}-{index}',
             'host': f'host-{index}',
@@ -47,12 +45,8 @@
                 'reads_per_s': 200.0,
                 'writes_per_s': 100.0,
             },
-            'seeds': [f'127.0.0.1:{ports[2]}'],
-            'listen': {
-                'callers': f'127.0.0.1:{callers}',
-                'target_calls': f'127.0.0.1:{calls}',
-                'gossip': f'127.0.0.1:{gossip}',
-            },
+            'seeds': [f'127.0.0.1:{self._seed_port}'],
+            'listen': {'gossip': f'127.0.0.1:{gossip}'},
         }
 
     def start(self) -> None:
