--- a/src/eelgrasswalk/policy/quota_holder.py
+++ b/src/eelgrasswalk/policy/quota_holder.py
@@ -67,6 +67,8 @@
         self.pending: Pending | None = None
         self.not_before = -math.inf
         self.expected_level = 1.0
+        self.answered_at = 0.0
+        self.is_unreported = False
         self._holder = holder
         self._owner = ''
         self._standby = ''
@@ -87,6 +89,7 @@
         used = min(tokens, self.count(now))
         self._balance -= used
         self._used += used
+        self.is_unreported = self.is_unreported or used > 0.0
         return used
 
     def find_node(self) -> str:
@@ -107,6 +110,7 @@
     def ask(self, *, need: float, ahead: float, now: float) -> Send:
         """Report to the owner and ask it for tokens."""
         self._sequence += 1
+        self.is_unreported = False
         held = self.count(now)
         message = quota_messages.Ask(
             self.slot,
@@ -125,6 +129,10 @@
     def give_back(self, *, now: float) -> Send:
         """Return all tokens to the owner."""
         self._balance = 0.0
+        return self.report(now=now)
+
+    def report(self, *, now: float) -> Send:
+        """Report what was used, without asking for tokens."""
         action = self.ask(need=0.0, ahead=0.0, now=now)
         self.pending = None
         return action
@@ -140,21 +148,22 @@
         self._balance = self.count(now) + grant.tokens
         self._expires_at = pending.sent_at + grant.life_s
         self.expected_level = grant.level
+        self.answered_at = now
         self.not_before = now + grant.wait_s
         return True
 
     def locate(self, location: quota_messages.Location, *, now: float) -> bool:
         """Note where the slot is; return whether that is news."""
-        self._try_standby = False
-        known = (self.epoch, self._owner, self._standby)
-        found = (location.epoch, location.owner, location.standby)
-        if location.epoch < self.epoch or found == known:
+        if location.epoch < self.epoch:
             return False
-        if location.epoch > self.epoch:
-            # Sequence and use are counted afresh for each epoch.
-            self.epoch = location.epoch
-            self._used = 0.0
-            self._balance = 0.0
+        if location.epoch == self.epoch:
+            self._standby = location.standby
+            return False
+        # Sequence and use are counted afresh for each epoch.
+        self.epoch = location.epoch
+        self._used = 0.0
+        self._balance = 0.0
+        self._try_standby = False
         self._owner = location.owner
         self._standby = location.standby
         self.pending = None
@@ -188,8 +197,7 @@
     Args:
         holder: The holder.
         account: Name of the account.
-        share: What each slot may admit.
-        slots: Number of slots.
+        share: What the account may admit.
     """
 
     def __init__(
@@ -197,25 +205,30 @@
         holder: lease.Process,
         account: str,
         share: quota.Share,
-        *,
-        slots: int,
     ) -> None:
-        self._holdings = tuple(
-            Holding(quota.Slot(account, index), holder)
-            for index in range(slots)
-        )
+        self._holder = holder
+        self._name = account
         self._share = share
+        self._holdings: tuple[Holding, ...] = ()
         self._demand = 0.0
         self._demand_at = 0.0
         self._ahead_at = -math.inf
         # Holders begin with different slots, and so spread their load.
-        self._start = zlib.crc32(holder.node_id.encode()) % slots
+        self._start = zlib.crc32(holder.node_id.encode())
+        self.change_slot_count(1)
 
     @property
     def holdings(self) -> tuple[Holding, ...]:
         """The tokens by slot."""
         return self._holdings
 
+    def change_slot_count(self, slots: int) -> None:
+        """Note how many slots the account has; it never shrinks."""
+        self._holdings += tuple(
+            Holding(quota.Slot(self._name, index), self._holder)
+            for index in range(len(self._holdings), slots)
+        )
+
     def change_share(self, share: quota.Share) -> None:
         """Apply another rate and burst."""
         self._share = share
@@ -271,6 +284,16 @@
                 expired = True
         return expired
 
+    def report(self, now: float) -> list[Send]:
+        """Report what was used, if no request for tokens will soon."""
+        if self._compute_target(now) >= 1.0:
+            return []
+        return [
+            item.report(now=now)
+            for item in self._holdings
+            if item.pending is None and item.is_unreported
+        ]
+
     def give_back(self, now: float, *, force: bool = False) -> list[Send]:
         """Return unused tokens to their owners when there is no demand."""
         if not force and now < self._demand_at + IDLE_S:
@@ -302,11 +325,17 @@
         ]
         if not candidates:
             return None
-        return max(candidates, key=lambda item: item.expected_level)
+        return max(candidates, key=lambda item: self._expect_level(item, now))
+
+    def _expect_level(self, holding: Holding, now: float) -> float:
+        share = quota.divide(
+            self._share.rate, self._share.burst, slots=len(self._holdings)
+        )
+        grown = (now - holding.answered_at) * share.rate
+        return min(share.burst, holding.expected_level + grown)
 
     def _compute_target(self, now: float) -> float:
-        rate = self._share.rate * len(self._holdings)
-        burst = self._share.burst * len(self._holdings)
+        rate, burst = self._share.rate, self._share.burst
         horizon = AHEAD_S
         if rate > 0:
             horizon = min(AHEAD_S, AHEAD_BURST_SHARE * burst / rate)
--- a/src/eelgrasswalk/policy/quota_owner.py
+++ b/src/eelgrasswalk/policy/quota_owner.py
@@ -15,6 +15,8 @@
 REFILL_BURST_SHARE = 0.25
 # Time that an owner reckons for a request, to space its holders' requests.
 ANSWER_SPACING_S = 0.001
+# Life of tokens granted to waiting requests alone.
+DIRECT_LIFE_S = 0.1
 SESSION_IDLE_S = 5.0
 _LIFE_FACTOR = 1.0 + lease.CLOCK_RATE_MARGIN
 
@@ -101,10 +103,10 @@
             end: End of the owner's lease, in seconds.
 
         Returns:
-            The answer; None for a repeated or late message, or after the
-            end of the lease.
+            The answer; None for a report alone, for a repeated or late
+            message, or after the end of the lease.
         """
-        life_s = min(quota.GRANT_LIFE_S, end - now)
+        life_s = min(self._choose_life(ask), end - now)
         if ask.epoch != self.epoch or life_s <= 0:
             return None
         self._advance(now)
@@ -114,6 +116,8 @@
         session.sequence = ask.sequence
         session.seen_at = now
         self._settle(session, ask)
+        if ask.need <= 0.0 and ask.ahead <= 0.0:
+            return None
         tokens = self._choose_tokens(ask)
         self._level -= tokens
         self._extend_life(session, now + life_s * _LIFE_FACTOR)
@@ -152,8 +156,19 @@
         self._add_unused(session, kept - session.unused)
         self._level = min(self._level + returned, self._compute_room())
 
+    def _choose_life(self, ask: quota_messages.Ask) -> float:
+        # Tokens that waiting requests use at once need no long life, which
+        # would keep their place in the bucket until the next report.
+        if ask.held <= quota.TOLERANCE and ask.ahead < 1.0:
+            return DIRECT_LIFE_S
+        return quota.GRANT_LIFE_S
+
     def _choose_tokens(self, ask: quota_messages.Ask) -> float:
         needed = min(max(0.0, ask.need), self._level)
+        if self._share.burst >= 1.0:
+            # Parts of tokens would lie unused at several holders.
+            whole = math.floor(self._level + quota.TOLERANCE)
+            needed = min(math.ceil(ask.need), whole, self._level)
         spare = (self._level - needed) * AHEAD_SHARE
         ahead = min(max(0.0, ask.ahead), spare)
         return needed + (ahead if ahead >= 1.0 else 0.0)
@@ -161,8 +176,9 @@
     def _compute_wait(self, missing: float) -> float:
         if missing <= quota.TOLERANCE:
             return 0.0
-        chunk = max(missing, self._share.rate * REFILL_CHUNK_S)
+        chunk = self._share.rate * REFILL_CHUNK_S
         chunk = min(chunk, self._share.burst * REFILL_BURST_SHARE)
+        chunk = max(chunk, min(1.0, self._share.burst))
         if self._share.rate <= 0:
             return quota.GRANT_LIFE_S
         refill_s = max(0.0, chunk - self._level) / self._share.rate
