--- a/tests/bench/test_control.py
+++ b/tests/bench/test_control.py
@@ -14,6 +14,14 @@
         figure = control.extrapolate(points, 'rss_mb')
         self.assertAlmostEqual(17.0, figure)
 
+    def test_time_to_spread_follows_the_logarithm(self):
+        points = [
+            control_members.Point(2**power, 'member', 0, 0, 0, power / 10)
+            for power in (3, 5)
+        ]
+        figure = control.extrapolate(points, 'config_in_force_s', nodes=1024)
+        self.assertAlmostEqual(1.0, figure)
+
     def test_one_size_has_no_slope(self):
         points = [_make_point('member', 100, 1.0)]
         self.assertIsNone(control.extrapolate(points, 'rss_mb'))
