--- a/src/eelgrasswalk/bench/control_members.py
+++ b/src/eelgrasswalk/bench/control_members.py
@@ -4,6 +4,7 @@
 import dataclasses
 import json
 import os
+import signal
 import subprocess
 import sys
 import time
@@ -16,6 +17,7 @@
 
 DATA_CENTRES = ('a1', 'a2', 'a3', 'b1', 'b2', 'b3')
 SETTLE_S = 5.0
+QUICK_SETTLE_S = 2.0
 DATAGRAM_HEADER_BYTES = 28
 STOP_TIMEOUT_S = 10.0
 STORM_S = 40
@@ -81,10 +83,17 @@
         count: How many members it runs.
         data_centre: Their data centre.
         seed: Seed of their random numbers.
+        pace: Factor of all intervals of the protocol.
     """
 
     def __init__(
-        self, first: int, count: int, data_centre: str, seed: int
+        self,
+        first: int,
+        count: int,
+        data_centre: str,
+        *,
+        seed: int,
+        pace: float = 1.0,
     ) -> None:
         self._popen = subprocess.Popen(
             [
@@ -94,6 +103,7 @@
                 *('--count', str(count)),
                 *('--data-centre', data_centre),
                 *('--seed', str(seed)),
+                *('--pace', str(pace)),
             ],
             stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
@@ -136,6 +146,14 @@
         """Return its resident memory."""
         return float(psutil.Process(self._popen.pid).memory_info().rss / 1e6)
 
+    def pause(self) -> None:
+        """Stop it until it is resumed."""
+        self._popen.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let it go on after a pause."""
+        self._popen.send_signal(signal.SIGCONT)
+
     def kill(self) -> None:
         """End it without a word."""
         self._popen.kill()
@@ -148,9 +166,13 @@
     Args:
         count: Size of the mesh.
         seed: Seed of all random numbers.
+        settle_s: Seconds of quiet before anything is measured.
     """
 
-    def __init__(self, count: int, seed: int) -> None:
+    def __init__(
+        self, count: int, seed: int, *, settle_s: float = SETTLE_S
+    ) -> None:
+        self._settle_s = settle_s
         self._count = count
         self._workers: list[WorkerProcess] = []
         first = 0
@@ -160,10 +182,10 @@
             size += index < others % len(DATA_CENTRES)
             if size:
                 self._workers.append(
-                    WorkerProcess(first, size, data_centre, seed)
+                    WorkerProcess(first, size, data_centre, seed=seed)
                 )
                 first += size
-        self._measured = WorkerProcess(first, 1, DATA_CENTRES[-1], seed)
+        self._measured = WorkerProcess(first, 1, DATA_CENTRES[-1], seed=seed)
 
     def __enter__(self) -> typing.Self:
         return self
@@ -186,13 +208,13 @@
             worker.tell('know', members=known)
         for worker in self._workers:
             worker.read()
-        time.sleep(SETTLE_S)
+        time.sleep(self._settle_s)
         return self._measured.ask('join', seed=known[0], all=self._count)
 
     def measure(self, seconds: float) -> Point:
         """Join, settle, and measure one member in quiet times."""
         joined = self.start()
-        time.sleep(SETTLE_S)
+        time.sleep(self._settle_s)
         before = self._measured.ask('describe')
         cpu = self._measured.read_cpu_s()
         time.sleep(seconds)
@@ -268,7 +290,11 @@
 
 
 def measure_members(
-    sizes: collections.abc.Sequence[int], *, seconds: float, seed: int
+    sizes: collections.abc.Sequence[int],
+    *,
+    seconds: float,
+    seed: int,
+    settle_s: float = SETTLE_S,
 ) -> list[Point]:
     """Measure one member in quiet meshes of several sizes.
 
@@ -276,10 +302,11 @@
         sizes: Sizes of the mesh.
         seconds: How long each is measured.
         seed: Seed of all random numbers.
+        settle_s: Seconds of quiet before each measurement.
     """
     points = []
     for size in sizes:
-        with Members(size, seed) as mesh:
+        with Members(size, seed, settle_s=settle_s) as mesh:
             points.append(mesh.measure(seconds))
         report.report_progress(str(points[-1]))
     return points
--- a/src/eelgrasswalk/bench/mesh.py
+++ b/src/eelgrasswalk/bench/mesh.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import itertools
 import json
 import os
 import pathlib
@@ -17,6 +18,9 @@
 
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 40.0
+FIRST_PORT = 10_240
+LAST_PORT = 32_000
+PORTS_APART = 211
 SECRET = 'a secret for tests and the demo only'
 
 
@@ -76,10 +80,7 @@
 
     def start_node(self, settings: typing.Mapping[str, typing.Any]) -> Process:
         """Start a node with these settings."""
-        path = self.write_file(
-            f'{settings["node_id"]}.yaml', yaml.safe_dump(dict(settings))
-        )
-        return self.start('eelgrasswalk.cli.node', str(path))
+        return self._await_ready(self._launch_node(settings))
 
     def write_file(self, name: str, text: str) -> pathlib.Path:
         """Write a file that ends with the mesh."""
@@ -87,20 +88,40 @@
         path.write_text(text)
         return path
 
+    def start_nodes(
+        self, settings: collections.abc.Sequence[dict[str, typing.Any]]
+    ) -> list[Process]:
+        """Start nodes side by side and wait until all are ready."""
+        launched = [self._launch_node(item) for item in settings]
+        return [self._await_ready(popen) for popen in launched]
+
+    def _launch_node(
+        self, settings: typing.Mapping[str, typing.Any]
+    ) -> subprocess.Popen[str]:
+        path = self.write_file(
+            f'{settings["node_id"]}.yaml', yaml.safe_dump(dict(settings))
+        )
+        return self._launch('eelgrasswalk.cli.node', str(path))
+
     def start(self, module: str, *arguments: str) -> Process:
         """Start a program and wait until it says that it is ready."""
-        popen = subprocess.Popen(
+        return self._await_ready(self._launch(module, *arguments))
+
+    def _launch(self, module: str, *arguments: str) -> subprocess.Popen[str]:
+        return subprocess.Popen(
             [sys.executable, '-m', module, *arguments],
             stdout=subprocess.PIPE,
             stderr=None if self._log else subprocess.DEVNULL,
             env={**os.environ, 'UV_USE_IO_URING': '0'},
             text=True,
         )
+
+    def _await_ready(self, popen: subprocess.Popen[str]) -> Process:
         assert popen.stdout is not None
         line = popen.stdout.readline()
         if not line:
             code = popen.wait(START_TIMEOUT_S)
-            raise RuntimeError(f'{module} ended with {code} at its start')
+            raise RuntimeError(f'{popen.args!r} ended with {code}')
         process = Process(popen, json.loads(line))
         self.processes.append(process)
         return process
@@ -115,12 +136,34 @@
 
 
 def find_free_ports(count: int) -> list[int]:
-    """Return TCP ports that are free now, all different."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind(('127.0.0.1', 0))
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
+    """Return ports that are free now, for TCP and UDP, all different.
+
+    They are below the range from which the system takes the ports of
+    outgoing connections, so that none is taken before it is used.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = next(_CANDIDATES)
+        if _is_free(port):
+            found.append(port)
+    return found
+
+
+def _list_candidates() -> collections.abc.Iterator[int]:
+    # Programs that run side by side begin far apart.
+    span = LAST_PORT - FIRST_PORT
+    for step in itertools.count(os.getpid() * PORTS_APART):
+        yield FIRST_PORT + step % span
+
+
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(type=kind) as probe:
+            try:
+                probe.bind(('127.0.0.1', port))
+            except OSError:
+                return False
+    return True
+
+
+_CANDIDATES = _list_candidates()
--- a/src/eelgrasswalk/policy/concurrency.py
+++ b/src/eelgrasswalk/policy/concurrency.py
@@ -5,6 +5,7 @@
 
 MIN_SAMPLES = 10
 SAMPLES_PER_SLOT = 2
+SPREAD_SHARE = 0.25
 MAX_LATE_WINDOWS = 10
 MAX_WINDOW_S = 1.0
 UNSATURATED_WEIGHT = 0.1
@@ -85,13 +86,18 @@
 
     @property
     def expected_s(self) -> float:
-        """Seconds that a call is expected to need."""
-        return self._mean_s
+        """Seconds in which most calls have ended."""
+        spread_s = self._mean_s - self._low_s
+        return self._mean_s + SPREAD_SHARE * spread_s
 
     def resize(self, slots: int) -> None:
         """Change the number of slots."""
         slots = max(1, slots)
-        self._limit *= slots / self._slots
+        if self._started_at == math.inf:
+            cold = self._settings.start_fraction * slots
+            self._limit = max(1.0, cold)
+        else:
+            self._limit *= slots / self._slots
         self._slots = slots
 
     def observe_start(self, in_flight: int, now: float) -> None:
