--- a/tests/policy/test_lease_keeper.py
+++ b/tests/policy/test_lease_keeper.py
@@ -6,7 +6,6 @@
 from tests.policy import lease_world
 
 MAX_DEPTH = 9
-START_DEPTH = 0
 TICK_S = 0.5
 
 
