--- a/src/eelgrasswalk/events.py
+++ b/src/eelgrasswalk/events.py
@@ -62,6 +62,13 @@
     'target unreachable',
     'check that the target listens at the address in the settings',
 )
+TARGET_UNUSABLE = Event(
+    4002,
+    logging.WARNING,
+    'target fails its health checks and answers no call',
+    'look at the target; the node takes no calls for it meanwhile',
+)
+TARGET_USABLE = Event(4003, logging.INFO, 'target is healthy again')
 REQUEST_FAILED = Event(
     5001,
     logging.ERROR,
--- a/src/eelgrasswalk/filters/guard.py
+++ b/src/eelgrasswalk/filters/guard.py
@@ -59,6 +59,7 @@
         claims: Claims | None = None,
     ) -> None:
         self.leaving = False
+        self.answers = 0
         self._get_table = get_table
         self._admitter = admitter
         self._deliverer = deliverer
@@ -134,6 +135,7 @@
                     call, ledger, route, service, deadline, slot
                 )
                 slot.ok = _is_sound(outcome)
+                self.answers += isinstance(outcome, verdict.Answered)
             return outcome
 
         if (
--- a/src/eelgrasswalk/node.py
+++ b/src/eelgrasswalk/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import enum
+import time
 import typing
 
 from . import admin
@@ -12,6 +13,7 @@
 from . import metrics
 from . import settings
 from .controllers import directory
+from .controllers import target_watch
 from .document import model
 from .filters import admit
 from .filters import guard
@@ -54,6 +56,9 @@
     def announce_ready(self) -> None:
         """Tell others that the node takes calls."""
 
+    def announce_unready(self) -> None:
+        """Tell others that the node takes no calls for now."""
+
     async def announce_stop(self) -> None:
         """Tell others that the node is leaving."""
 
@@ -120,6 +125,12 @@
             self._list_gauges(),
             otlp_endpoint=config.otlp_endpoint,
         )
+        self._watch = target_watch.TargetWatch(
+            config.target,
+            parts.admitter.policy,
+            self,
+            clock=time.monotonic,
+        )
         address = config.listen.admin
         self._admin = admin.Admin(self, address.host, address.port)
 
@@ -144,8 +155,8 @@
             links=links,
             admin='{}:{}'.format(*self._admin.address),
         )
-        for controller in self._started:
-            controller.announce_ready()
+        self._announce_ready()
+        await self._watch.start()
         events.log(
             events.NODE_STARTED, incarnation=self.parts.identity.incarnation
         )
@@ -154,6 +165,7 @@
         """Announce the stop, finish what runs, then close everything."""
         events.log(events.NODE_DRAINING)
         self.state = State.DRAINING
+        await self._watch.stop()
         for controller in self._started:
             await controller.announce_stop()
         self.parts.caller_listener.announce()
@@ -164,6 +176,25 @@
         await self._close()
         events.log(events.NODE_STOPPED)
 
+    def count_answers(self) -> int:
+        """Return how many calls the target has answered."""
+        return self.parts.guard.answers
+
+    def set_usable(self, usable: bool) -> None:
+        """Announce whether the target is to get calls."""
+        if self.state is State.DRAINING:
+            return
+        self.state = State.READY if usable else State.STARTING
+        if usable:
+            self._announce_ready()
+            return
+        for controller in self._started:
+            controller.announce_unready()
+
+    def _announce_ready(self) -> None:
+        for controller in self._started:
+            controller.announce_ready()
+
     def apply_document(self, document: model.Document, version: int) -> None:
         """Put a configuration in force."""
         table = routing.RoutingTable(document, version=version)
--- a/src/eelgrasswalk/wiring_controllers.py
+++ b/src/eelgrasswalk/wiring_controllers.py
@@ -125,6 +125,11 @@
         self._membership.set_state(member.MemberState.READY)
         self._publish_members()
 
+    def announce_unready(self) -> None:
+        """Tell others that the node takes no calls for now."""
+        self._membership.set_state(member.MemberState.STARTING)
+        self._publish_members()
+
     async def announce_stop(self) -> None:
         """Tell others that the node takes no new work."""
         await self._membership.announce_stop()
