Count the bodies that a node holds, to their end

Cause: a body left the budget as soon as it was assembled, and bodies from callers and targets never entered it; a long answer was handed to the caller's connection in one piece. Change: reservations live as long as the request or answer that holds the body; callers' and targets' bodies are reserved as they arrive; past the bound a call is refused as not run; long answers are written in parts as the caller reads them.

--- a/src/eelgrasswalk/filters/deliver.py
+++ b/src/eelgrasswalk/filters/deliver.py
@@ -4,6 +4,7 @@
 
 from .. import verdict
 from ..document import model
+from ..transport import budget
 from ..transport import http_client
 from ..transport import message
 
@@ -96,9 +97,11 @@
         headers = message.strip_headers(
             response.headers, remove=frozenset((b'content-length',))
         )
-        return verdict.Answered(
-            verdict.Response(response.status, headers, response.body)
-        )
+        answer = verdict.Response(response.status, headers, response.body)
+        if len(response.body) > budget.UNCOUNTED_BYTES:
+            # The new answer keeps the old one's place in the budget.
+            budget.keep_alive(answer, response)
+        return verdict.Answered(answer)
 
 
 def _read_retry_after(response: verdict.Response) -> float:
--- a/src/eelgrasswalk/filters/guard.py
+++ b/src/eelgrasswalk/filters/guard.py
@@ -83,7 +83,7 @@
             return verdict.NotRun(verdict.Reason.DEADLINE)
         if self.leaving:
             return verdict.NotRun(verdict.Reason.LEAVING, retry_elsewhere=True)
-        if not self._bodies.admits(call.body_length):
+        if not self._bodies.admits_calls():
             return verdict.NotRun(
                 verdict.Reason.MEMORY, retry_after_s=1.0, retry_elsewhere=True
             )
--- a/src/eelgrasswalk/transport/budget.py
+++ b/src/eelgrasswalk/transport/budget.py
@@ -2,10 +2,18 @@
 
 import asyncio
 import collections
+import weakref
 
 # Calls are refused from this share on, which leaves the rest to bodies of
 # calls that already run.
 ADMIT_SHARE = 0.5
+# Bodies up to this length are not counted; the number of calls bounds them.
+UNCOUNTED_BYTES = 65_536
+
+
+def keep_alive(owner: object, held: object) -> None:
+    """Keep an object, and its place in a budget, as long as its owner."""
+    weakref.finalize(owner, id, held).atexit = False
 
 
 class ByteBudget:
@@ -22,11 +30,9 @@
             collections.deque()
         )
 
-    def admits(self, length: int) -> bool:
-        """Tell whether a new call with a body of this length may start."""
-        if self._waiters:
-            return False
-        return self.used + length <= self.limit * ADMIT_SHARE
+    def admits_calls(self) -> bool:
+        """Tell whether a new call may start; its own body is held already."""
+        return not self._waiters and self.used <= self.limit * ADMIT_SHARE
 
     def try_reserve(self, length: int) -> bool:
         """Reserve bytes if they are free and nobody waits for them."""
@@ -66,6 +72,10 @@
         self.used -= length
         self._serve_waiters()
 
+    def hold(self, owner: object, length: int) -> None:
+        """Release reserved bytes when the object with the body is freed."""
+        weakref.finalize(owner, self.release, length).atexit = False
+
     def _serve_waiters(self) -> None:
         while self._waiters:
             length, waiter = self._waiters[0]
--- a/src/eelgrasswalk/transport/http_client.py
+++ b/src/eelgrasswalk/transport/http_client.py
@@ -8,6 +8,7 @@
 import httptools
 
 from .. import verdict
+from . import budget
 from . import message
 
 MAX_ANSWER_HEADERS = 256
@@ -54,10 +55,19 @@
         host: IP address of the target.
         port: TCP port of the target.
         connections: Most connections open at a time.
+        bodies: Budget for bodies of answers; None for no bound.
     """
 
-    def __init__(self, host: str, port: int, *, connections: int) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        *,
+        connections: int,
+        bodies: budget.ByteBudget | None = None,
+    ) -> None:
         self.connections = connections
+        self._bodies = bodies
         self.open_connections = 0
         self._host = host
         self._port = port
@@ -119,7 +129,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: _Connection(loop, self._forget),
+                    lambda: _Connection(loop, self._forget, self._bodies),
                     self._host,
                     self._port,
                 )
@@ -156,7 +166,10 @@
         self,
         loop: asyncio.AbstractEventLoop,
         on_lost: typing.Callable[[], None],
+        bodies: budget.ByteBudget | None,
     ) -> None:
+        self._bodies = bodies
+        self._reserved = 0
         self.usable = True
         self.idle_since = 0.0
         self._loop = loop
@@ -212,6 +225,7 @@
             raise
         finally:
             self._waiter = None
+            self._release_reserved()
 
     def close(self) -> None:
         """Close at once."""
@@ -255,8 +269,40 @@
                 verdict.Reason.ANSWER_TOO_LARGE,
             )
             return
+        if not self._reserve():
+            self._fail('the node holds too many bodies', verdict.Reason.MEMORY)
+            return
         self._body.append(body)
 
+    def _reserve(self) -> bool:
+        """Reserve what the body needs beyond what is reserved already."""
+        missing = self._body_length - self._reserved
+        if self._bodies is None or missing <= 0:
+            return True
+        if self._body_length <= budget.UNCOUNTED_BYTES:
+            return True
+        length = max(missing, budget.UNCOUNTED_BYTES)
+        if not self._bodies.try_reserve(length):
+            return False
+        self._reserved += length
+        return True
+
+    def _release_reserved(self) -> None:
+        if self._bodies is not None and self._reserved:
+            self._bodies.release(self._reserved)
+        self._reserved = 0
+
+    def _build_answer(self) -> verdict.Response:
+        answer = verdict.Response(
+            status=self._parser.get_status_code(),
+            headers=tuple(self._headers),
+            body=b''.join(self._body),
+        )
+        if self._bodies is not None and self._reserved:
+            self._bodies.hold(answer, self._reserved)
+            self._reserved = 0
+        return answer
+
     def on_message_complete(self) -> None:
         if self._parser.get_status_code() < 200:
             self._headers.clear()
@@ -268,12 +314,7 @@
     def _complete(self) -> None:
         if self._waiter is None or self._waiter.done():
             return
-        answer = verdict.Response(
-            status=self._parser.get_status_code(),
-            headers=tuple(self._headers),
-            body=b''.join(self._body),
-        )
-        self._waiter.set_result(Received(answer))
+        self._waiter.set_result(Received(self._build_answer()))
 
     def _fail(
         self,
@@ -299,12 +340,7 @@
                 verdict.Reason.ANSWER_INCOMPLETE,
                 'the target closed the connection within its answer',
             )
-        answer = verdict.Response(
-            status=self._parser.get_status_code(),
-            headers=tuple(self._headers),
-            body=b''.join(self._body),
-        )
-        return Received(answer)
+        return Received(self._build_answer())
 
 
 def _render_request(request: message.Request) -> bytes:
--- a/src/eelgrasswalk/transport/http_server.py
+++ b/src/eelgrasswalk/transport/http_server.py
@@ -9,6 +9,7 @@
 import httptools
 
 from .. import verdict
+from . import budget
 from . import message
 from . import problem
 
@@ -18,6 +19,7 @@
 REQUEST_TIMEOUT_S = 30.0
 IDLE_TIMEOUT_S = 75.0
 SWEEP_INTERVAL_S = 1.0
+PART_BYTES = 131_072
 
 _STATUS_LINES = {
     status.value: f'HTTP/1.1 {status.value} {status.phrase}\r\n'.encode()
@@ -58,10 +60,18 @@
     Args:
         handler: Answers each request.
         limits: What is accepted.
+        bodies: Budget for bodies of requests; None for no bound.
     """
 
-    def __init__(self, handler: Handler, *, limits: Limits) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        *,
+        limits: Limits,
+        bodies: budget.ByteBudget | None = None,
+    ) -> None:
         self.handler = handler
+        self.bodies = bodies
         self.limits = limits
         self.leaving = False
         self.connections: set[_Connection] = set()
@@ -132,6 +142,8 @@
         self._closing = False
         self._header_length = 0
         self._in_headers = True
+        self._reserved = 0
+        self._writable: asyncio.Future[None] | None = None
         self._reset_request()
 
     def _reset_request(self) -> None:
@@ -151,9 +163,19 @@
         self._transport = None
         self._waiting.clear()
         self._server.connections.discard(self)
+        self._release_reserved()
+        self.resume_writing()
         if self._task is not None:
             self._task.cancel()
 
+    def pause_writing(self) -> None:
+        self._writable = self._loop.create_future()
+
+    def resume_writing(self) -> None:
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+        self._writable = None
+
     def data_received(self, data: bytes) -> None:
         if self._closing:
             return
@@ -217,16 +239,43 @@
             raise _Rejected(
                 problem.describe_body_too_large(self._server.limits.body_bytes)
             )
+        self._reserve()
         self._body.append(body)
 
-    def on_message_complete(self) -> None:
-        self._receiving = False
+    def _reserve(self) -> None:
+        """Reserve what the body needs beyond what is reserved already."""
+        bodies = self._server.bodies
+        missing = self._body_length - self._reserved
+        if bodies is None or missing <= 0:
+            return
+        if self._body_length <= budget.UNCOUNTED_BYTES:
+            return
+        length = max(missing, budget.UNCOUNTED_BYTES)
+        if not bodies.try_reserve(length):
+            raise _Rejected(problem.describe_memory_full())
+        self._reserved += length
+
+    def _release_reserved(self) -> None:
+        if self._server.bodies is not None and self._reserved:
+            self._server.bodies.release(self._reserved)
+        self._reserved = 0
+
+    def _build_request(self) -> message.Request:
         request = message.Request(
             method=self._parser.get_method().decode('ascii'),
             target=self._target.decode('latin-1'),
             headers=tuple(self._headers),
             body=b''.join(self._body),
         )
+        self._body.clear()
+        if self._server.bodies is not None and self._reserved:
+            self._server.bodies.hold(request, self._reserved)
+            self._reserved = 0
+        return request
+
+    def on_message_complete(self) -> None:
+        self._receiving = False
+        request = self._build_request()
         keep_alive = self._parser.should_keep_alive()
         self._in_headers = True
         self._header_length = 0
@@ -253,16 +302,31 @@
             raise
         except Exception as error:
             answer = problem.describe_internal_error(error)
-        self._finish(request, answer, keep_alive)
-
-    def _finish(
-        self, request: message.Request, answer: verdict.Response, keep: bool
-    ) -> None:
+        keep = keep_alive and not self._server.leaving
+        if self._transport is not None:
+            head = request.method == 'HEAD'
+            self._write_answer(answer, head=head, keep=keep)
+            if len(answer.body) > PART_BYTES and not head:
+                await self._write_parts(answer.body)
         self._task = None
+        self._finish(keep)
+
+    async def _write_parts(self, body: bytes) -> None:
+        """Write a long body in parts, as fast as the caller reads it."""
+        view = memoryview(body)
+        for start in range(0, len(body), PART_BYTES):
+            if self._writable is not None:
+                await self._writable
+            if self._transport is None:
+                return
+            self._transport.write(view[start : start + PART_BYTES])
+            self._last_activity = self._loop.time()
+            # Other connections have their turn between two parts.
+            await asyncio.sleep(0)
+
+    def _finish(self, keep: bool) -> None:
         if self._transport is None:
             return
-        keep = keep and not self._server.leaving
-        self._write_answer(answer, head=request.method == 'HEAD', keep=keep)
         self._last_activity = self._loop.time()
         if not keep:
             self._closing = True
@@ -286,7 +350,7 @@
         if not keep:
             parts.append(b'connection: close\r\n')
         parts.append(b'\r\n')
-        if not head:
+        if not head and len(answer.body) <= PART_BYTES:
             parts.append(answer.body)
         self._transport.write(b''.join(parts))
 
@@ -316,10 +380,14 @@
 
     def check_timeouts(self, now: float) -> None:
         """Close a connection that has been idle or slow for too long."""
-        if self._task is not None or self._transport is None:
-            return
         idle = now - self._last_activity
         limits = self._server.limits
+        if self._transport is None:
+            return
+        if self._writable is not None and idle > limits.request_timeout_s:
+            self._transport.abort()
+        if self._task is not None:
+            return
         if self._receiving and idle > limits.request_timeout_s:
             self._reject(problem.describe_request_timeout())
         elif not self._receiving and idle > limits.idle_timeout_s:
--- a/src/eelgrasswalk/transport/link.py
+++ b/src/eelgrasswalk/transport/link.py
@@ -438,12 +438,17 @@
         self._complete_body(incoming)
 
     def _complete_body(self, incoming: _Incoming) -> None:
-        self._bodies.release(incoming.reserved)
         if incoming.hasher.intdigest() != incoming.item.digest:
+            self._bodies.release(incoming.reserved)
             self.close()
             return
         body = b''.join(incoming.chunks)
-        self._owner.on_message(self, _replace_body(incoming.item, body))
+        item = _replace_body(incoming.item, body)
+        holder = (
+            item.request if isinstance(item, frames.Call) else item.response
+        )
+        self._bodies.hold(holder, incoming.reserved)
+        self._owner.on_message(self, item)
 
     def _drop_incoming(self, attempt: bytes) -> None:
         incoming = self._incoming.pop(attempt, None)
--- a/src/eelgrasswalk/transport/message.py
+++ b/src/eelgrasswalk/transport/message.py
@@ -27,7 +27,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, weakref_slot=True)
 class Request:
     """A whole HTTP request.
 
--- a/src/eelgrasswalk/transport/problem.py
+++ b/src/eelgrasswalk/transport/problem.py
@@ -6,6 +6,8 @@
 from .. import verdict
 from . import message
 
+MEMORY_RETRY_S = 1.0
+
 _TYPE_PREFIX = 'urn:eelgrasswalk:problem:'
 
 _NOT_RUN_STATUS = {
@@ -93,6 +95,13 @@
     return _refuse(413, verdict.Reason.BODY_TOO_LARGE, detail)
 
 
+def describe_memory_full() -> verdict.Response:
+    """Answer 503: the node holds too many bodies."""
+    return render_verdict(
+        verdict.NotRun(verdict.Reason.MEMORY, retry_after_s=MEMORY_RETRY_S)
+    )
+
+
 def describe_expectation_failed() -> verdict.Response:
     """Answer 417."""
     return _refuse(
--- a/src/eelgrasswalk/verdict.py
+++ b/src/eelgrasswalk/verdict.py
@@ -35,7 +35,7 @@
     INTERNAL = 'internal'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, weakref_slot=True)
 class Response:
     """A whole HTTP answer.
 
--- a/src/eelgrasswalk/wiring.py
+++ b/src/eelgrasswalk/wiring.py
@@ -163,7 +163,9 @@
 ) -> node.Parts:
     config = shared.config
     target = config.target.address
-    pool = http_client.TargetPool(target.host, target.port, connections=1)
+    pool = http_client.TargetPool(
+        target.host, target.port, connections=1, bodies=shared.bodies
+    )
     admitter = admit.Admitter(
         admission.Admission(admission.AdmissionSettings(), slots=1),
         source=shared.source,
@@ -270,6 +272,7 @@
             header_bytes=limits.header_bytes,
             headers=limits.headers,
         ),
+        bodies=shared.bodies,
     )
 
 
--- a/tests/integration/setups.py
+++ b/tests/integration/setups.py
@@ -55,6 +55,7 @@
     services: collections.abc.Sequence[str],
     *,
     route_options: collections.abc.Mapping[str, typing.Any] | None = None,
+    node_limits: collections.abc.Mapping[str, typing.Any] | None = None,
 ) -> Setup:
     """Start one node for each of the named services, in order."""
     count = len(services)
@@ -88,7 +89,7 @@
             'target': {'address': targets[index]},
             'document': str(document),
             'members': members,
-            'limits': {'announce_s': ANNOUNCE_S},
+            'limits': {'announce_s': ANNOUNCE_S, **(node_limits or {})},
             'listen': {
                 'links': member['links'],
                 'target_calls': f'127.0.0.1:{calls[index]}',
