Let ejections grow only while others of the service answer

Cause: with real processes and a leaf that failed as a whole for 6 s, doubled ejections kept one of two upstreams out for seconds after its end; requests were answered as before 3.75 s after it. Change: while no upstream of the service answers, each ejection lasts its first second. Figures: the new test states 1 s while all fail and 4 s for the third in a row otherwise; recovery with processes not measured again yet.

--- a/src/eelgrasswalk/policy/balance.py
+++ b/src/eelgrasswalk/policy/balance.py
@@ -60,7 +60,8 @@
         failures: Failures in a row that eject an upstream.
         max_ejected_ratio: Share of a service's upstreams that may be
             ejected at a time.
-        ejection_s: Seconds of the first ejection; doubles.
+        ejection_s: Seconds of the first ejection; doubles while others of
+            the service answer.
         max_ejection_s: Longest ejection in seconds.
         latency_weight: Weight of the newest answer in the mean latency.
         decay_s: Time constant with which old measurements lose weight.
@@ -372,6 +373,9 @@
         most = int(settings.max_ejected_ratio * len(known.states))
         if len(known.states) < 2 or ejected >= max(1, most):
             return
+        if all(other.failures for other in known.states):
+            # The service fails as a whole, so this one is no outlier.
+            state.ejections = 0
         length_s = settings.ejection_s * 2.0 ** min(state.ejections, 10)
         state.ejections += 1
         state.failures = settings.failures - 1
--- a/tests/policy/test_balance.py
+++ b/tests/policy/test_balance.py
@@ -119,6 +119,25 @@
         self.assertIsNotNone(self.choose())
         self.assertEqual(self.balancer.list_ejected('leaf', 2.0), [])
 
+    def test_ejections_grow_only_while_others_answer(self) -> None:
+        for others_answer, ejected_s in ((False, 1.0), (True, 4.0)):
+            self.setUp()
+            self.balancer.replace('leaf', make_upstreams(3), self.now)
+            for _ in range(3):
+                self.now += 10.0
+                for _ in range(5):
+                    for name in ('dc1-n0', 'dc1-n1', 'dc1-n2'):
+                        failed = name == 'dc1-n0' or not others_answer
+                        outcome = Outcome.ANSWERED
+                        self.balancer.start(name, self.now)
+                        if failed:
+                            outcome = Outcome.FAILED
+                        self.finish(name, outcome)
+            for waited_s, expected in ((0.9, 1), (1.1, 0)):
+                at = self.now + waited_s * ejected_s
+                ejected = self.balancer.list_ejected('leaf', at)
+                self.assertEqual(len(ejected), expected)
+
     def test_upstream_that_answers_nothing_is_avoided(self) -> None:
         self.balancer.replace('leaf', make_upstreams(2), self.now)
         self.run_calls(2000, {'dc1-n0': 1e9})
