Keep the fault proxy alive when streams close under it

Cause: under uvloop a stream that is closed meanwhile raises other errors than the proxy expected, and cutting under load ended it. Change: all of them count as a broken stream. The switch for lost answers is now named lose_answers, as the tests of bookings use it.

--- a/src/eelgrasswalk/standins/faults.py
+++ b/src/eelgrasswalk/standins/faults.py
@@ -23,10 +23,14 @@
 
 _Peer: typing.TypeAlias = tuple[str, int]
 _Chunk: typing.TypeAlias = tuple[float, bytes]
+# What a stream raises when it is closed meanwhile; the event loops differ.
 _BROKEN = (
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
+    AttributeError,
     OSError,
+    RuntimeError,
+    ValueError,
 )
 
 
@@ -245,7 +249,11 @@
         except OSError:
             await reset(client)
             return
-        link = Link(self.faults, client, upstream)
+        try:
+            link = Link(self.faults, client, upstream)
+        except _BROKEN:
+            await reset(upstream)
+            return
         self._links.add(link)
         try:
             async with client, upstream:
--- a/src/eelgrasswalk/standins/platform.py
+++ b/src/eelgrasswalk/standins/platform.py
@@ -34,7 +34,7 @@
         down: Whether every request is refused with 503.
         hang: Whether every request is left without an answer and effect.
         slow_s: Seconds that every answer takes more.
-        lose_ratio: Share of writes whose answer is lost after their effect.
+        lose_answers: Share of writes whose answer is lost after their effect.
         lose_next: Number of writes to come whose answer is lost.
         writes_per_s: Rows written a second; above it answers 429.
         reads_per_s: Reads a second; above it answers 429.
@@ -43,7 +43,7 @@
     down: bool = False
     hang: bool = False
     slow_s: float = 0.0
-    lose_ratio: float = 0.0
+    lose_answers: float = 0.0
     lose_next: int = 0
     writes_per_s: float = 400.0
     reads_per_s: float = 2000.0
@@ -231,7 +231,7 @@
                 behaviour, lose_next=behaviour.lose_next - 1
             )
             return True
-        return self._random.random() < behaviour.lose_ratio
+        return self._random.random() < behaviour.lose_answers
 
     def _note(self, request: requests.Request, rows: int, status: int) -> None:
         now = time.monotonic()
--- a/tests/integration/test_at_most_once.py
+++ b/tests/integration/test_at_most_once.py
@@ -80,7 +80,7 @@
 
     async def disturb(self) -> None:
         """Kill the nodes of the orders in turn, and lose answers."""
-        await self.nodes.behave(lose_ratio=0.1)
+        await self.nodes.behave(lose_answers=0.1)
         for number in range(KILLS):
             await asyncio.sleep(0.3)
             await asyncio.to_thread(self.nodes.replace, 2 + number % 2)
--- a/tests/integration/test_claims.py
+++ b/tests/integration/test_claims.py
@@ -83,7 +83,7 @@
     async def test_each_booking_runs_at_most_once(self) -> None:
         async with httpx.AsyncClient(base_url=self.url) as client:
             nodes = [self.make_node(client) for _ in range(NODES)]
-            await client.post('/_standin/behave', json={'lose_ratio': 0.3})
+            await client.post('/_standin/behave', json={'lose_answers': 0.3})
             async with asyncio.TaskGroup() as group:
                 for number in range(BOOKINGS):
                     group.create_task(self.insist(nodes, f'b-{number}'))
