--- a/src/eelgrasswalk/standins/faults.py
+++ b/src/eelgrasswalk/standins/faults.py
@@ -23,12 +23,12 @@
 
 _Peer: typing.TypeAlias = tuple[str, int]
 _Chunk: typing.TypeAlias = tuple[float, bytes]
-# What a stream raises when it is closed meanwhile; the event loops differ.
 _BROKEN = (
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
-    AttributeError,
     OSError,
+    # What is raised for a connection that the loop has closed already.
+    AttributeError,
     RuntimeError,
     ValueError,
 )
@@ -249,17 +249,22 @@
         except OSError:
             await reset(client)
             return
-        try:
-            link = Link(self.faults, client, upstream)
-        except _BROKEN:
-            await reset(upstream)
-            return
-        self._links.add(link)
         try:
             async with client, upstream:
-                await link.run()
+                await self._relay(client, upstream)
         except* _BROKEN:
             pass
+        except* anyio.TypedAttributeLookupError:
+            # The client had gone before its address was read.
+            pass
+
+    async def _relay(
+        self, client: anyio.abc.SocketStream, upstream: anyio.abc.SocketStream
+    ) -> None:
+        link = Link(self.faults, client, upstream)
+        self._links.add(link)
+        try:
+            await link.run()
         finally:
             self._links.discard(link)
 
