--- a/src/eelgrasswalk/standins/faults.py
+++ b/src/eelgrasswalk/standins/faults.py
@@ -27,7 +27,8 @@
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
     OSError,
-    # What uvloop raises for a connection that it has closed already.
+    # What is raised for a connection that the loop has closed already.
+    AttributeError,
     RuntimeError,
     ValueError,
 )
