--- a/tests/integration/test_membership.py
+++ b/tests/integration/test_membership.py
@@ -6,6 +6,7 @@
 from eelgrasswalk.platform import memory
 from eelgrasswalk.policy import member
 from eelgrasswalk.policy import member_timing
+from tests.controllers import test_seeds
 
 SECRET = b'integration secret'
 LIMIT_S = 20.0
@@ -86,6 +87,18 @@
                 node, lambda node=node: len(node.list_members()) == 3
             )
 
+    async def test_first_start_works_through_a_store_outage(self):
+        table = test_seeds.UnavailableTable()
+        first = await self._start(_make(0, table=table))
+        for number in (1, 2):
+            await self._start(
+                _make(number, table=table, seeds=[first.me.address])
+            )
+        for node in self.nodes:
+            await self._wait(
+                node, lambda node=node: len(node.list_members()) == 3
+            )
+
     async def test_state_is_announced(self):
         nodes = await self._start_mesh(4)
         nodes[0].set_state(member.MemberState.READY)
