--- a/tests/integration/test_bookings.py
+++ b/tests/integration/test_bookings.py
@@ -9,6 +9,7 @@
 
 import httpx
 
+from eelgrasswalk.bench import faulty
 from tests.integration import meshes
 from tests.integration import setups
 
@@ -46,7 +47,7 @@
     async def asyncSetUp(self) -> None:
         stack = self.enterContext(contextlib.ExitStack())
         services = ('front', 'front', 'back', 'back')
-        self.mesh = await asyncio.to_thread(meshes.start_mesh, stack, services)
+        self.mesh = await asyncio.to_thread(faulty.start_mesh, stack, services)
         document = meshes.build_document(services, routes=[BOOKING_ROUTE])
         await asyncio.to_thread(self.mesh.apply, document)
         self.entries = [
--- a/tests/integration/test_keys.py
+++ b/tests/integration/test_keys.py
@@ -6,6 +6,7 @@
 
 import httpx
 
+from eelgrasswalk.bench import faulty
 from tests.integration import meshes
 from tests.integration import setups
 
@@ -18,7 +19,7 @@
     def setUp(self) -> None:
         stack = self.enterContext(contextlib.ExitStack())
         services = ('front', 'front', 'back', 'back')
-        self.mesh = meshes.start_mesh(stack, services)
+        self.mesh = faulty.start_mesh(stack, services)
         self.mesh.apply(meshes.build_document(services))
         self.client = stack.enter_context(
             httpx.Client(headers={'x-api-key': setups.KEY}, timeout=20)
--- a/tests/integration/test_overload.py
+++ b/tests/integration/test_overload.py
@@ -7,6 +7,7 @@
 
 import httpx
 
+from eelgrasswalk.bench import faulty
 from tests.integration import meshes
 from tests.integration import setups
 
@@ -36,7 +37,7 @@
     async def asyncSetUp(self) -> None:
         stack = self.enterContext(contextlib.ExitStack())
         services = ('front', 'front', 'back')
-        self.mesh = await asyncio.to_thread(meshes.start_mesh, stack, services)
+        self.mesh = await asyncio.to_thread(faulty.start_mesh, stack, services)
         document = meshes.build_document(
             services, slots=8, routes=ROUTES, accounts=[LIMITED]
         )
