--- a/src/eelgrasswalk/bench/mesh.py
+++ b/src/eelgrasswalk/bench/mesh.py
@@ -54,6 +54,7 @@
 
     def __init__(self, *, log: bool = False) -> None:
         self.processes: list[Process] = []
+        self._launched: list[subprocess.Popen[str]] = []
         self._log = log
         self._folder = tempfile.TemporaryDirectory()
 
@@ -68,6 +69,8 @@
     ) -> None:
         for process in reversed(self.processes):
             process.kill()
+        for popen in self._launched:
+            Process(popen, {}).kill()
         self._folder.cleanup()
 
     def start_standin(self, *arguments: str) -> Process:
@@ -104,13 +107,16 @@
         return self._await_ready(self._launch(module, *arguments))
 
     def _launch(self, module: str, *arguments: str) -> subprocess.Popen[str]:
-        return subprocess.Popen(
+        popen = subprocess.Popen(
             [sys.executable, '-m', module, *arguments],
             stdout=subprocess.PIPE,
             stderr=None if self._log else subprocess.DEVNULL,
             env={**os.environ, 'UV_USE_IO_URING': '0'},
             text=True,
         )
+        # Also a process that never says that it is ready ends with the mesh.
+        self._launched.append(popen)
+        return popen
 
     def _await_ready(self, popen: subprocess.Popen[str]) -> Process:
         assert popen.stdout is not None
--- a/src/eelgrasswalk/standins/faults.py
+++ b/src/eelgrasswalk/standins/faults.py
@@ -359,7 +359,8 @@
 async def reset(stream: anyio.abc.SocketStream) -> None:
     """Close a connection with a reset."""
     attribute = anyio.abc.SocketAttribute.raw_socket
-    with contextlib.suppress(*_BROKEN):
+    # The event loop raises ValueError for a socket that it has closed.
+    with contextlib.suppress(*_BROKEN, ValueError):
         raw = stream.extra(attribute)
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
     with contextlib.suppress(*_BROKEN):
