--- a/src/eelgrasswalk/standins/faults.py
+++ b/src/eelgrasswalk/standins/faults.py
@@ -23,10 +23,14 @@
 
 _Peer: typing.TypeAlias = tuple[str, int]
 _Chunk: typing.TypeAlias = tuple[float, bytes]
+# The event loop raises RuntimeError and ValueError for a stream that it has
+# closed by itself.
 _BROKEN = (
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
     OSError,
+    RuntimeError,
+    ValueError,
 )
 
 
@@ -359,8 +363,7 @@
 async def reset(stream: anyio.abc.SocketStream) -> None:
     """Close a connection with a reset."""
     attribute = anyio.abc.SocketAttribute.raw_socket
-    # The event loop raises ValueError for a socket that it has closed.
-    with contextlib.suppress(*_BROKEN, ValueError):
+    with contextlib.suppress(*_BROKEN):
         raw = stream.extra(attribute)
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
     with contextlib.suppress(*_BROKEN):
