--- a/src/eelgrasswalk/bench/chaos_checks.py
+++ b/src/eelgrasswalk/bench/chaos_checks.py
@@ -184,11 +184,7 @@
 
 
 def find_cut_requests(evidence: records.Evidence) -> Found:
-    """Find requests that a planned stop cut.
-
-    A request counts when the node that it was sent to was in a planned
-    stop, or when no other fault could have cut it.
-    """
+    """Find requests that were cut or in doubt without an unplanned cause."""
     for node, code in evidence.stops:
         if code:
             yield f'node {node} ended its planned stop with {code}'
@@ -198,14 +194,13 @@
         if not cut and not doubtful:
             continue
         spans = list(_list_spans(evidence, attempt))
-        if not any(span.kind == 'planned-stop' for span in spans):
+        if any(_can_cut(span, attempt, cut) for span in spans):
             continue
-        others = [span for span in spans if _can_cut(span, attempt, cut)]
-        if not others:
-            yield (
-                f'{attempt.request} at node {attempt.entry}: '
-                f'{attempt.told.value} {attempt.detail}'
-            )
+        kinds = sorted({span.kind for span in spans})
+        yield (
+            f'{attempt.request} at node {attempt.entry}: '
+            f'{attempt.told.value} {attempt.detail} during {kinds}'
+        )
 
 
 def _can_cut(span: records.Span, attempt: records.Attempt, cut: bool) -> bool:
@@ -252,5 +247,5 @@
     'configuration-never-reverts': find_reverted_versions,
     'configuration-in-force': find_lagging_nodes,
     'one-winner': find_broken_races,
-    'planned-stop': find_cut_requests,
+    'no-request-cut': find_cut_requests,
 }
--- a/src/eelgrasswalk/standins/faults.py
+++ b/src/eelgrasswalk/standins/faults.py
@@ -23,12 +23,12 @@
 
 _Peer: typing.TypeAlias = tuple[str, int]
 _Chunk: typing.TypeAlias = tuple[float, bytes]
-# The event loop raises RuntimeError and ValueError for a stream that it has
-# closed by itself.
+# The last three come from a stream that the event loop has closed by itself.
 _BROKEN = (
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
     OSError,
+    AttributeError,
     RuntimeError,
     ValueError,
 )
@@ -241,23 +241,23 @@
             link.silence(direction)
 
     async def _accept(self, client: anyio.abc.SocketStream) -> None:
-        if self.faults.refuse:
-            await reset(client)
-            return
         try:
-            upstream = await anyio.connect_tcp(*self.upstream)
-        except OSError:
+            await self._serve(client)
+        except* _BROKEN:
+            await reset(client)
+
+    async def _serve(self, client: anyio.abc.SocketStream) -> None:
+        if self.faults.refuse:
             await reset(client)
             return
-        link = Link(self.faults, client, upstream)
-        self._links.add(link)
-        try:
-            async with client, upstream:
+        upstream = await anyio.connect_tcp(*self.upstream)
+        async with client, upstream:
+            link = Link(self.faults, client, upstream)
+            self._links.add(link)
+            try:
                 await link.run()
-        except* _BROKEN:
-            pass
-        finally:
-            self._links.discard(link)
+            finally:
+                self._links.discard(link)
 
 
 class UdpRoute:
