Tell a caller's own doubt from a cut request

Change: such a 409 counts only when no earlier try was left, cut or in doubt. This is as strict: the earlier try is checked for itself.

--- a/src/eelgrasswalk/bench/chaos_checks.py
+++ b/src/eelgrasswalk/bench/chaos_checks.py
@@ -9,6 +9,7 @@
 
 WITHDRAWAL_S = 2.0
 TOLERANCE_TOKENS = 1e-6
+CONFLICT = 409
 
 Found: typing.TypeAlias = typing.Iterator[str]
 
@@ -184,15 +185,25 @@
 
 
 def find_cut_requests(evidence: records.Evidence) -> Found:
-    """Find requests that were cut or in doubt without an unplanned cause."""
+    """Find requests that were cut or in doubt without an unplanned cause.
+
+    A caller that left an earlier try of a booking, or was cut from it, made
+    the doubt about it; that earlier try is checked for itself.
+    """
+    doubted: set[str] = set()
     for node, code in evidence.stops:
         if code:
             yield f'node {node} ended its planned stop with {code}'
     for attempt in evidence.attempts:
         cut = attempt.told is records.Told.CUT
         doubtful = attempt.told is records.Told.MAY_HAVE_RUN
+        is_known = attempt.request in doubted
+        if cut or doubtful or attempt.told is records.Told.LEFT:
+            doubted.add(attempt.request)
         if not cut and not doubtful:
             continue
+        if is_known and attempt.status == CONFLICT:
+            continue
         spans = list(_list_spans(evidence, attempt))
         if any(_can_cut(span, attempt, cut) for span in spans):
             continue
--- a/tests/bench/test_chaos_checks.py
+++ b/tests/bench/test_chaos_checks.py
@@ -142,5 +142,13 @@
         evidence = records.Evidence(attempts=attempts, spans=[stop, killed])
         self.assertEqual([], checks.find_violations(evidence))
 
+    def test_doubt_needs_a_try_that_its_caller_left(self) -> None:
+        left = make_attempt('a', told=TOLD.LEFT)
+        doubt = make_attempt('a', told=TOLD.MAY_HAVE_RUN, status=409)
+        self.check('no-request-cut', attempts=[doubt])
+        self.check('no-request-cut', attempts=[doubt, left])
+        evidence = records.Evidence(attempts=[left, doubt])
+        self.assertEqual([], checks.find_violations(evidence))
+
     def test_planned_stop_that_fails(self) -> None:
         self.check('no-request-cut', stops=[(0, 1)])
