--- a/src/eelgrasswalk/bench/chaos_faults.py
+++ b/src/eelgrasswalk/bench/chaos_faults.py
@@ -26,16 +26,25 @@
     async def wait(self, units: float) -> None:
         """Wait for a number of units."""
 
+    def is_over(self) -> bool:
+        """Tell whether no more steps shall begin."""
+
 
 class TimePace:
     """Units of time.
 
     Args:
         unit_s: Seconds of a unit.
+        seconds: Seconds from now in which steps may begin.
     """
 
-    def __init__(self, unit_s: float) -> None:
+    def __init__(self, unit_s: float, seconds: float) -> None:
         self._unit_s = unit_s
+        self._ends_at = time.monotonic() + seconds
+
+    def is_over(self) -> bool:
+        """Tell whether no more steps shall begin."""
+        return time.monotonic() >= self._ends_at
 
     async def wait(self, units: float) -> None:
         """Wait for a number of units."""
@@ -54,6 +63,10 @@
         self._load = load
         self._requests = requests
 
+    def is_over(self) -> bool:
+        """Tell whether no more steps shall begin."""
+        return False
+
     async def wait(self, units: float) -> None:
         """Wait for a number of units."""
         await self._load.wait_for_requests(int(units * self._requests))
@@ -96,6 +109,8 @@
     ) -> None:
         """Bring about all steps, with a calm unit after each."""
         for step in steps:
+            if self._pace.is_over():
+                return
             async with asyncio.TaskGroup() as group:
                 for fault in step.faults:
                     group.create_task(self._bring_about(fault))
--- a/src/eelgrasswalk/standins/faults.py
+++ b/src/eelgrasswalk/standins/faults.py
@@ -23,11 +23,11 @@
 
 _Peer: typing.TypeAlias = tuple[str, int]
 _Chunk: typing.TypeAlias = tuple[float, bytes]
-# The last three come from a stream that the event loop has closed by itself.
 _BROKEN = (
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
     OSError,
+    # What uvloop raises for a connection that it has closed already.
     AttributeError,
     RuntimeError,
     ValueError,
@@ -241,23 +241,32 @@
             link.silence(direction)
 
     async def _accept(self, client: anyio.abc.SocketStream) -> None:
-        try:
-            await self._serve(client)
-        except* _BROKEN:
-            await reset(client)
-
-    async def _serve(self, client: anyio.abc.SocketStream) -> None:
         if self.faults.refuse:
             await reset(client)
             return
-        upstream = await anyio.connect_tcp(*self.upstream)
-        async with client, upstream:
-            link = Link(self.faults, client, upstream)
-            self._links.add(link)
-            try:
-                await link.run()
-            finally:
-                self._links.discard(link)
+        try:
+            upstream = await anyio.connect_tcp(*self.upstream)
+        except OSError:
+            await reset(client)
+            return
+        try:
+            async with client, upstream:
+                await self._relay(client, upstream)
+        except* _BROKEN:
+            pass
+        except* anyio.TypedAttributeLookupError:
+            # The client had gone before its address was read.
+            pass
+
+    async def _relay(
+        self, client: anyio.abc.SocketStream, upstream: anyio.abc.SocketStream
+    ) -> None:
+        link = Link(self.faults, client, upstream)
+        self._links.add(link)
+        try:
+            await link.run()
+        finally:
+            self._links.discard(link)
 
 
 class UdpRoute:
