--- a/src/eelgrasswalk/bench/latency.py
+++ b/src/eelgrasswalk/bench/latency.py
@@ -81,6 +81,8 @@
     paths: tuple[Path, ...]
     large: Path
     small_beside: Path
+    direct_large: Path
+    direct_small_beside: Path
     nodes: tuple[mesh.Process, ...]
 
 
@@ -115,6 +117,10 @@
         ),
         large=build_path('large', entry, f'/far/item?bytes={LARGE_BYTES}'),
         small_beside=build_path('small', entry, '/far/item'),
+        direct_large=build_path(
+            'direct_large', address, f'/far/item?bytes={LARGE_BYTES}'
+        ),
+        direct_small_beside=build_path('direct_small', address, '/far/item'),
         nodes=nodes,
     )
 
@@ -229,19 +235,21 @@
     return sum(counts), loop.time() - start
 
 
-async def measure_beside_large(setup: Setup, seconds: float) -> float:
+async def measure_beside_large(
+    small: Path, large: Path, seconds: float
+) -> float:
     """Return the p99 of small calls, in ms, while large answers arrive."""
     stop = asyncio.Event()
 
     async def repeat_large() -> None:
         while not stop.is_set():
-            await setup.large.call()
+            await large.call()
 
     task = asyncio.create_task(repeat_large())
-    await run_paced([setup.small_beside], rate=100, seconds=seconds)
+    await run_paced([small], rate=100, seconds=seconds)
     stop.set()
     await task
-    return float(setup.small_beside.summarize()['p99_ms'])
+    return float(small.summarize()['p99_ms'])
 
 
 async def measure(setup: Setup, *, quick: bool) -> dict[str, typing.Any]:
@@ -264,7 +272,10 @@
     fields.update(await _measure_saturation(setup, seconds / 4))
     report.report_progress('small calls beside 20 MB answers')
     fields['small_p99_ms_beside_large'] = await measure_beside_large(
-        setup, seconds / 2
+        setup.small_beside, setup.large, seconds / 2
+    )
+    fields['direct_small_p99_ms_beside_large'] = await measure_beside_large(
+        setup.direct_small_beside, setup.direct_large, seconds / 2
     )
     fields['large_calls'] = setup.large.summarize()
     return fields
--- a/src/eelgrasswalk/standins/faults.py
+++ b/src/eelgrasswalk/standins/faults.py
@@ -27,7 +27,7 @@
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
     OSError,
-    # What is raised for a connection that the loop has closed already.
+    # What uvloop raises for a connection that it has closed already.
     AttributeError,
     RuntimeError,
     ValueError,
