--- a/src/eelgrasswalk/bench/latency.py
+++ b/src/eelgrasswalk/bench/latency.py
@@ -79,10 +79,11 @@
     """The running processes and the ways through them."""
 
     paths: tuple[Path, ...]
-    large: Path
     small_beside: Path
-    direct_large: Path
     direct_small_beside: Path
+    running: mesh.Mesh
+    entry: str
+    target: str
     nodes: tuple[mesh.Process, ...]
 
 
@@ -115,11 +116,10 @@
                 'hypercorn_httpx', forwarder.ready['address'], '/far/item'
             ),
         ),
-        large=build_path('large', entry, f'/far/item?bytes={LARGE_BYTES}'),
         small_beside=build_path('small', entry, '/far/item'),
-        direct_large=build_path(
-            'direct_large', address, f'/far/item?bytes={LARGE_BYTES}'
-        ),
+        running=running,
+        entry=entry,
+        target=address,
         direct_small_beside=build_path('direct_small', address, '/far/item'),
         nodes=nodes,
     )
@@ -236,19 +236,22 @@
 
 
 async def measure_beside_large(
-    small: Path, large: Path, seconds: float
+    setup: Setup, small: Path, address: str, seconds: float
 ) -> float:
-    """Return the p99 of small calls, in ms, while large answers arrive."""
-    stop = asyncio.Event()
-
-    async def repeat_large() -> None:
-        while not stop.is_set():
-            await large.call()
-
-    task = asyncio.create_task(repeat_large())
-    await run_paced([small], rate=100, seconds=seconds)
-    stop.set()
-    await task
+    """Return the p99 of small calls, in ms, while large answers pass."""
+    bulk = setup.running.start(
+        'eelgrasswalk.bench.bulk',
+        '--address',
+        address,
+        '--path',
+        f'/far/item?bytes={LARGE_BYTES}',
+        '--key',
+        KEY,
+    )
+    try:
+        await run_paced([small], rate=100, seconds=seconds)
+    finally:
+        bulk.kill()
     return float(small.summarize()['p99_ms'])
 
 
@@ -272,12 +275,11 @@
     fields.update(await _measure_saturation(setup, seconds / 4))
     report.report_progress('small calls beside 20 MB answers')
     fields['small_p99_ms_beside_large'] = await measure_beside_large(
-        setup.small_beside, setup.large, seconds / 2
+        setup, setup.small_beside, setup.entry, seconds / 2
     )
     fields['direct_small_p99_ms_beside_large'] = await measure_beside_large(
-        setup.direct_small_beside, setup.direct_large, seconds / 2
+        setup, setup.direct_small_beside, setup.target, seconds / 2
     )
-    fields['large_calls'] = setup.large.summarize()
     return fields
 
 
