--- a/src/eelgrasswalk/wiring_controllers.py
+++ b/src/eelgrasswalk/wiring_controllers.py
@@ -19,7 +19,7 @@
 from .controllers import idempotency
 from .controllers import membership
 from .controllers import quota
-from .controllers import quota_slots
+from .controllers import quota_entry
 from .document import model
 from .platform import http
 from .policy import member
@@ -125,6 +125,11 @@
         self._membership.set_state(member.MemberState.READY)
         self._publish_members()
 
+    def announce_unready(self) -> None:
+        """Tell others that the node takes no calls for now."""
+        self._membership.set_state(member.MemberState.STARTING)
+        self._publish_members()
+
     async def announce_stop(self) -> None:
         """Tell others that the node takes no new work."""
         await self._membership.announce_stop()
@@ -220,9 +225,9 @@
 
     # Quotas
 
-    def _list_live(self) -> list[quota_slots.Member]:
+    def _list_live(self) -> list[quota_entry.Member]:
         return [
-            quota_slots.Member(item.node_id, item.data_centre)
+            quota_entry.Member(item.node_id, item.data_centre)
             for item in self._membership.list_members()
             if item.state is member.MemberState.READY
         ]
