--- a/src/eelgrasswalk/filters/guard.py
+++ b/src/eelgrasswalk/filters/guard.py
@@ -59,6 +59,7 @@
         claims: Claims | None = None,
     ) -> None:
         self.leaving = False
+        self.answers = 0
         self._get_table = get_table
         self._admitter = admitter
         self._deliverer = deliverer
@@ -82,7 +83,7 @@
             return verdict.NotRun(verdict.Reason.DEADLINE)
         if self.leaving:
             return verdict.NotRun(verdict.Reason.LEAVING, retry_elsewhere=True)
-        if not self._bodies.admits(call.body_length):
+        if not self._bodies.admits_calls():
             return verdict.NotRun(
                 verdict.Reason.MEMORY, retry_after_s=1.0, retry_elsewhere=True
             )
@@ -134,6 +135,7 @@
                     call, ledger, route, service, deadline, slot
                 )
                 slot.ok = _is_sound(outcome)
+                self.answers += isinstance(outcome, verdict.Answered)
             return outcome
 
         if (
--- a/src/eelgrasswalk/standins/faults.py
+++ b/src/eelgrasswalk/standins/faults.py
@@ -28,6 +28,7 @@
     anyio.ClosedResourceError,
     OSError,
     # What uvloop raises for a connection that it has closed already.
+    AttributeError,
     RuntimeError,
     ValueError,
 )
