--- a/src/eelgrasswalk/bench/chaos_checks.py
+++ b/src/eelgrasswalk/bench/chaos_checks.py
@@ -80,10 +80,17 @@
             if span.node == attempt.entry and span.start <= due:
                 due = max(due, span.end + WITHDRAWAL_S)
         if attempt.sent_at > due:
-            late_s = attempt.sent_at - gone[attempt.key]
+            at = gone[attempt.key]
+            late_s = attempt.sent_at - at
+            spans = [
+                span
+                for span in evidence.spans
+                if span.start <= attempt.sent_at and span.end >= at
+            ]
             yield (
                 f'{attempt.request} at node {attempt.entry}: 200 '
-                f'{late_s:.2f} s after {attempt.key} was withdrawn'
+                f'{late_s:.2f} s after {attempt.key} was withdrawn '
+                f'during {_describe_spans(spans)}'
             )
 
 
@@ -207,10 +214,16 @@
         spans = list(_list_spans(evidence, attempt))
         if any(_can_cut(span, attempt, cut) for span in spans):
             continue
-        kinds = sorted({span.kind for span in spans})
+        earlier = [
+            f'{each.told.value} {each.status}'
+            for each in evidence.attempts
+            if each.request == attempt.request
+            and each.sent_at < attempt.sent_at
+        ]
         yield (
             f'{attempt.request} at node {attempt.entry}: '
-            f'{attempt.told.value} {attempt.detail} during {kinds}'
+            f'{attempt.told.value} {attempt.detail} after {earlier} '
+            f'during {_describe_spans(spans)}'
         )
 
 
@@ -228,6 +241,15 @@
             yield span
 
 
+def _describe_spans(
+    spans: collections.abc.Iterable[records.Span],
+) -> list[str]:
+    return sorted(
+        span.kind if span.node is None else f'{span.kind} {span.node}'
+        for span in spans
+    )
+
+
 def _count_bookings(
     evidence: records.Evidence,
 ) -> collections.Counter[str]:
