--- a/src/eelgrasswalk/bench/mesh.py
+++ b/src/eelgrasswalk/bench/mesh.py
@@ -40,13 +40,19 @@
         """Stop gracefully and return the exit code."""
         if self.popen.poll() is None:
             self.popen.send_signal(signal.SIGTERM)
-        return self.popen.wait(STOP_TIMEOUT_S)
+        return self._finish()
 
     def kill(self) -> None:
         """End at once."""
         if self.popen.poll() is None:
             self.popen.kill()
-        self.popen.wait(STOP_TIMEOUT_S)
+        self._finish()
+
+    def _finish(self) -> int:
+        code = self.popen.wait(STOP_TIMEOUT_S)
+        if self.popen.stdout is not None:
+            self.popen.stdout.close()
+        return code
 
 
 class Mesh:
--- a/src/eelgrasswalk/transport/http_server.py
+++ b/src/eelgrasswalk/transport/http_server.py
@@ -20,6 +20,7 @@
 IDLE_TIMEOUT_S = 75.0
 SWEEP_INTERVAL_S = 1.0
 PART_BYTES = 131_072
+LINGER_S = 2.0
 
 _STATUS_LINES = {
     status.value: f'HTTP/1.1 {status.value} {status.phrase}\r\n'.encode()
@@ -144,6 +145,7 @@
         self._in_headers = True
         self._reserved = 0
         self._writable: asyncio.Future[None] | None = None
+        self._linger: asyncio.TimerHandle | None = None
         self._reset_request()
 
     def _reset_request(self) -> None:
@@ -165,6 +167,8 @@
         self._server.connections.discard(self)
         self._release_reserved()
         self.resume_writing()
+        if self._linger is not None:
+            self._linger.cancel()
         if self._task is not None:
             self._task.cancel()
 
@@ -359,16 +363,24 @@
         if self._transport is None:
             return
         if self._task is None:
-            self._write_answer(answer, head=False, keep=False)
-            self._transport.close()
+            self._write_rejection(answer)
             return
         self._waiting.clear()
         self._task.add_done_callback(lambda _: self._write_rejection(answer))
 
     def _write_rejection(self, answer: verdict.Response) -> None:
-        if self._transport is not None:
-            self._write_answer(answer, head=False, keep=False)
-            self._transport.close()
+        """Answer, then discard what the caller still sends.
+
+        Closing with bytes unread would reset the connection, and the caller
+        might never see the answer.
+        """
+        if self._transport is None:
+            return
+        self._release_reserved()
+        self._body.clear()
+        self._write_answer(answer, head=False, keep=False)
+        self._transport.write_eof()
+        self._linger = self._loop.call_later(LINGER_S, self._transport.close)
 
     def _check_header_length(self) -> None:
         if not self._in_headers:
--- a/tests/transport/fakes.py
+++ b/tests/transport/fakes.py
@@ -15,6 +15,9 @@
     def write(self, data: typing.Any) -> None:
         self.written += data
 
+    def write_eof(self) -> None:
+        pass
+
     def close(self) -> None:
         self.closed = True
 
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -113,6 +113,18 @@
             with self.subTest(data[:60]):
                 self.assert_problem(await self.send(data), 413)
 
+    async def test_caller_that_goes_on_sending_reads_its_refusal(self) -> None:
+        reader, writer = await asyncio.open_connection(*self.address)
+        writer.write(
+            b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 5000000\r\n\r\n'
+        )
+        for _ in range(50):
+            writer.write(bytes(100_000))
+            await asyncio.sleep(0)
+        answer = await reader.read()
+        writer.close()
+        self.assert_problem(answer, 413)
+
     async def test_upgrade_is_refused(self) -> None:
         answer = await self.send(
             b'GET / HTTP/1.1\r\nhost: a\r\nconnection: upgrade\r\n'
