Learn a version from a slow store within two seconds

The pause between polls came on top of a slow poll, and the head was read a second time before the document. Change: the pause runs from the poll's beginning; a polled head is used.

--- a/src/eelgrasswalk/controllers/configuration.py
+++ b/src/eelgrasswalk/controllers/configuration.py
@@ -114,6 +114,7 @@
         self._follower = configuration.Follower(self._options.follow)
         self._content = b''
         self._digest = ''
+        self._polled: store.Head | None = None
         self._wake = asyncio.Event()
         self._heard = asyncio.Condition()
         self._answered: set[str] = set()
@@ -197,12 +198,15 @@
 
     async def _poll_regularly(self) -> None:
         while True:
+            began_at = self._clock()
             await self._poll()
             members = len(self._list_peers()) + 1
             delay = self._follower.choose_poll_delay(
                 members, self._random.random()
             )
-            await asyncio.sleep(delay)
+            # A slow store takes its time out of the pause, not on top of it.
+            spent = self._clock() - began_at
+            await asyncio.sleep(max(0.0, delay - spent))
 
     async def _poll(self) -> None:
         asked_at = self._clock()
@@ -210,6 +214,7 @@
         if isinstance(head, protocols.Unavailable):
             return
         version = 0 if head is None else head.version
+        self._polled = head
         self._follower.hear_store(version, asked_at)
         self._store_answered = True
         self._wake.set()
@@ -245,9 +250,12 @@
         await self._notify()
 
     async def _fetch_from_store(self) -> None:
-        head = await self._read_head()
-        if head is None or isinstance(head, protocols.Unavailable):
-            return
+        head = self._polled
+        if head is None or head.version < self._follower.wanted:
+            found = await self._read_head()
+            if found is None or isinstance(found, protocols.Unavailable):
+                return
+            head = found
         if head.version <= self._follower.version:
             return
         name = store.make_object_name(head.digest)
