--- a/tests/bench/test_chaos_checks.py
+++ b/tests/bench/test_chaos_checks.py
@@ -156,5 +156,19 @@
         evidence = records.Evidence(attempts=[left, doubt])
         self.assertEqual([], checks.find_violations(evidence))
 
+    def test_doubt_after_a_refusal_needs_a_fault_of_the_platform(
+        self,
+    ) -> None:
+        refused = make_attempt('a', told=TOLD.NOT_RUN, status=503)
+        doubt = make_attempt('a', told=TOLD.MAY_HAVE_RUN, status=409)
+        attempts = [refused, doubt]
+        stop = records.Span('planned-stop', 0, 1.5, 3.0)
+        self.check('no-request-cut', attempts=attempts, spans=[stop])
+        after = records.Span('platform-down', None, 2.5, 3.0)
+        self.check('no-request-cut', attempts=attempts, spans=[after])
+        silent = records.Span('platform-silence', None, 1.5, 3.0)
+        evidence = records.Evidence(attempts=attempts, spans=[silent])
+        self.assertEqual([], checks.find_violations(evidence))
+
     def test_planned_stop_that_fails(self) -> None:
         self.check('no-request-cut', stops=[(0, 1)])
