Take a target's refusal after its own calls for no proof

Cause: a target that had called other services and then answered 503 was reported as not run where the document says that its refusals mean that. Change: such a refusal is passed on as the target's answer. Levels go by one clock. Figures: the new tests of the deliverer pass; the one on child calls fails without the change.

--- a/src/eelgrasswalk/filters/deliver.py
+++ b/src/eelgrasswalk/filters/deliver.py
@@ -1,6 +1,7 @@
 """Hands a call to the target and turns its outcome into a verdict."""
 
 import asyncio
+import typing
 
 from .. import verdict
 from ..document import model
@@ -37,6 +38,7 @@
         route: model.Route,
         service: model.Service,
         deadline: float,
+        has_called: typing.Callable[[], bool],
     ) -> verdict.Verdict:
         """Run a request at the target.
 
@@ -46,6 +48,8 @@
             route: The route it takes.
             service: The service that the target belongs to.
             deadline: Loop time at which the target's connection is closed.
+            has_called: Tells whether the target has made calls of its own
+                for this request; then its refusal proves nothing.
         """
         now = self._loop.time()
         if deadline - now < MIN_REMAINING_S:
@@ -58,7 +62,8 @@
                 )
         except TimeoutError:
             return verdict.MayHaveRun(verdict.Reason.DEADLINE)
-        return self._judge(outcome, service)
+        refusal_is_proof = service.refusal_means_not_run and not has_called()
+        return self._judge(outcome, refusal_is_proof=refusal_is_proof)
 
     def _prepare(
         self, request: message.Request, token: bytes, remaining_s: float
@@ -76,7 +81,7 @@
         )
 
     def _judge(
-        self, outcome: http_client.Outcome, service: model.Service
+        self, outcome: http_client.Outcome, *, refusal_is_proof: bool
     ) -> verdict.Verdict:
         if isinstance(outcome, http_client.NotSent):
             return verdict.NotRun(
@@ -88,7 +93,7 @@
         if isinstance(outcome, http_client.Broken):
             return verdict.MayHaveRun(outcome.reason, outcome.detail)
         response = outcome.response
-        if response.status == 503 and service.refusal_means_not_run:
+        if response.status == 503 and refusal_is_proof:
             return verdict.NotRun(
                 verdict.Reason.TARGET_REFUSED,
                 retry_after_s=_read_retry_after(response),
--- a/src/eelgrasswalk/filters/guard.py
+++ b/src/eelgrasswalk/filters/guard.py
@@ -170,6 +170,7 @@
                 route=route,
                 service=service,
                 deadline=deadline,
+                has_called=lambda: bool(served_call.services),
             )
         finally:
             self._calls.remove(token)
--- a/src/eelgrasswalk/filters/shed.py
+++ b/src/eelgrasswalk/filters/shed.py
@@ -1,6 +1,6 @@
 """Sheds at the caller's node what the upstreams would refuse anyway."""
 
-import asyncio
+import time
 
 from .. import verdict
 from ..policy import levels
@@ -16,7 +16,6 @@
 
     def __init__(self, level_table: levels.LevelTable) -> None:
         self._levels = level_table
-        self._loop = asyncio.get_running_loop()
 
     def check(self, item: exchange.Exchange) -> verdict.NotRun | None:
         """Refuse a request that its service does not admit now."""
@@ -25,7 +24,7 @@
             item.get_route().service,
             context.importance,
             context.root_hash,
-            self._loop.time(),
+            time.monotonic(),
             begun=item.served is not None,
         )
         if isinstance(decision, levels.Shed):
--- /dev/null
+++ b/tests/filters/test_deliver.py
@@ -0,0 +1,97 @@
+"""Tests of the verdict on what a target did."""
+
+import asyncio
+import unittest
+
+from eelgrasswalk import verdict
+from eelgrasswalk.document import model
+from eelgrasswalk.filters import deliver
+from eelgrasswalk.transport import http_client
+from eelgrasswalk.transport import message
+
+ROUTE = model.Route('stock', 'inventory', '/stock')
+BUSY = http_client.Received(
+    verdict.Response(503, ((b'retry-after', b'7'),), b'busy')
+)
+
+
+class Pool(http_client.TargetPool):
+    """Gives a stated outcome and keeps what was sent."""
+
+    def __init__(self, outcome: http_client.Outcome) -> None:
+        super().__init__('127.0.0.1', 1, connections=1)
+        self.outcome = outcome
+        self.sent: list[message.Request] = []
+
+    async def send(
+        self, request: message.Request, *, max_answer_bytes: int
+    ) -> http_client.Outcome:
+        self.sent.append(request)
+        return self.outcome
+
+
+class DelivererTest(unittest.IsolatedAsyncioTestCase):
+    async def deliver(
+        self,
+        outcome: http_client.Outcome,
+        *,
+        means_not_run: bool = True,
+        has_called: bool = False,
+    ) -> verdict.Verdict:
+        self.pool = Pool(outcome)
+        deliverer = deliver.Deliverer(
+            self.pool, removed_headers=frozenset((b'x-api-key',))
+        )
+        return await deliverer.deliver(
+            message.Request(
+                'GET',
+                '/stock',
+                (
+                    (b'x-api-key', b'secret'),
+                    (b'connection', b'x-hop'),
+                    (b'x-hop', b'1'),
+                    (b'eelgrasswalk-context', b'forged'),
+                    (b'accept', b'*/*'),
+                ),
+                b'',
+            ),
+            token=b'token',
+            route=ROUTE,
+            service=model.Service(
+                'inventory', 1, 1, refusal_means_not_run=means_not_run
+            ),
+            deadline=asyncio.get_running_loop().time() + 10,
+            has_called=lambda: has_called,
+        )
+
+    async def test_refusal_is_not_run_where_the_document_says_so(
+        self,
+    ) -> None:
+        outcome = await self.deliver(BUSY)
+        assert isinstance(outcome, verdict.NotRun)
+        self.assertEqual(7.0, outcome.retry_after_s)
+
+    async def test_refusal_is_an_answer_elsewhere(self) -> None:
+        outcome = await self.deliver(BUSY, means_not_run=False)
+        self.assertIsInstance(outcome, verdict.Answered)
+
+    async def test_refusal_after_child_calls_proves_nothing(self) -> None:
+        outcome = await self.deliver(BUSY, has_called=True)
+        self.assertIsInstance(outcome, verdict.Answered)
+
+    async def test_connection_that_breaks_leaves_doubt(self) -> None:
+        broken = http_client.Broken(verdict.Reason.TARGET_LOST, 'closed')
+        outcome = await self.deliver(broken)
+        self.assertIsInstance(outcome, verdict.MayHaveRun)
+
+    async def test_request_that_was_not_sent_has_not_run(self) -> None:
+        outcome = await self.deliver(http_client.NotSent('refused'))
+        assert isinstance(outcome, verdict.NotRun)
+        self.assertTrue(outcome.retry_elsewhere)
+
+    async def test_target_sees_only_what_it_may(self) -> None:
+        await self.deliver(BUSY)
+        headers = dict(self.pool.sent[0].headers)
+        self.assertEqual(b'token', headers.pop(b'eelgrasswalk-context'))
+        self.assertLess(0, float(headers.pop(b'eelgrasswalk-deadline')))
+        self.assertEqual({b'accept': b'*/*'}, headers)
