Part links into link, bodies and codec; refuse at once what can never be held

Change: codec and bodies are modules of their own; such a request is refused as not run and such an answer is reported as too large, both at once.

--- a/src/eelgrasswalk/filters/dispatch.py
+++ b/src/eelgrasswalk/filters/dispatch.py
@@ -12,9 +12,9 @@
 from ..policy import breaker
 from ..policy import levels
 from ..policy import retries
+from ..transport import bodies
 from ..transport import dialler
 from ..transport import frames
-from ..transport import link
 from . import exchange
 
 
@@ -232,7 +232,7 @@
             idempotency_key=item.idempotency_key,
             request=item.request,
             body_length=len(body),
-            digest=link.compute_digest(body),
+            digest=bodies.compute_digest(body),
         )
 
 
--- a/src/eelgrasswalk/transport/acceptor.py
+++ b/src/eelgrasswalk/transport/acceptor.py
@@ -7,6 +7,7 @@
 
 from .. import verdict
 from ..policy import attempts
+from . import bodies
 from . import budget
 from . import dialler
 from . import frames
@@ -140,7 +141,7 @@
             self,
             self._identity,
             secret=self._secret,
-            bodies=self._bodies,
+            memory=self._bodies,
             dialled=False,
         )
 
@@ -270,7 +271,7 @@
     def _send(self, peer: _Peer, attempt: bytes, reply: dialler.Reply) -> None:
         if peer.current is None:
             return
-        feedback = reply.feedback or _SILENT_FEEDBACK
+        feedback = reply.feedback or frames.SILENT_FEEDBACK
         outcome = reply.outcome
         if isinstance(outcome, verdict.Answered):
             body = outcome.response.body
@@ -280,18 +281,13 @@
                     feedback=feedback,
                     response=outcome.response,
                     body_length=len(body),
-                    digest=link.compute_digest(body),
+                    digest=bodies.compute_digest(body),
                 )
             )
         else:
             peer.current.send(frames.Failure(attempt, feedback, outcome))
 
 
-_SILENT_FEEDBACK = frames.Feedback(
-    importance=255, fraction=1.0, queue_delay_s=0.0, unspent=0
-)
-
-
 def _build_fenced_reply() -> dialler.Reply:
     outcome = verdict.NotRun(
         verdict.Reason.FENCED,
--- /dev/null
+++ b/src/eelgrasswalk/transport/bodies.py
@@ -0,0 +1,253 @@
+"""Bodies that do not fit inline: parts, credit, digest, and their memory."""
+
+import asyncio
+import collections
+import collections.abc
+import dataclasses
+import typing
+
+import xxhash
+
+from .. import verdict
+from . import budget
+from . import frames
+
+WINDOW_BYTES = 262_144
+
+Carrier: typing.TypeAlias = frames.Call | frames.Answer
+
+
+class BadBodyError(Exception):
+    """The peer has broken the rules of bodies; the link is of no more use."""
+
+
+def get_body(item: frames.Message) -> bytes:
+    """Return the body that a message carries inline."""
+    if isinstance(item, frames.Call):
+        return item.request.body
+    if isinstance(item, frames.Answer):
+        return item.response.body
+    return b''
+
+
+def compute_digest(body: bytes) -> int:
+    """Return the digest that travels with a body sent in parts."""
+    if len(body) <= frames.INLINE_BYTES:
+        return 0
+    return xxhash.xxh3_64_intdigest(body)
+
+
+@dataclasses.dataclass(slots=True)
+class _Outgoing:
+    body: memoryview
+    offset: int
+    credit: int = 0
+
+
+class Outbox:
+    """Sends the rest of long bodies as far as the receiver gives credit.
+
+    Args:
+        send: Sends one message.
+        is_writable: Tells whether the socket takes more.
+    """
+
+    def __init__(
+        self,
+        send: collections.abc.Callable[[frames.Message], None],
+        is_writable: collections.abc.Callable[[], bool],
+    ) -> None:
+        self._send = send
+        self._is_writable = is_writable
+        self._bodies: dict[bytes, _Outgoing] = {}
+
+    def __len__(self) -> int:
+        return len(self._bodies)
+
+    def add(self, item: frames.Message) -> None:
+        """Keep the rest of a message's body, if there is one."""
+        body = get_body(item)
+        if len(body) <= frames.INLINE_BYTES:
+            return
+        assert isinstance(item, frames.Call | frames.Answer)
+        self._bodies[item.attempt] = _Outgoing(
+            memoryview(body), frames.INLINE_BYTES
+        )
+
+    def drop(self, attempt: bytes) -> None:
+        """Send no more of an attempt's body."""
+        self._bodies.pop(attempt, None)
+
+    def clear(self) -> None:
+        """Send no more of any body."""
+        self._bodies.clear()
+
+    def add_credit(self, item: frames.Credit) -> None:
+        """Take the receiver's word for more."""
+        outgoing = self._bodies.get(item.attempt)
+        if outgoing is not None:
+            outgoing.credit += item.length
+            self.pump()
+
+    def pump(self) -> None:
+        """Send one part of each body in turn while the socket takes them."""
+        ready = collections.deque(self._bodies)
+        while ready and self._is_writable():
+            attempt = ready.popleft()
+            outgoing = self._bodies.get(attempt)
+            if outgoing is not None and self._send_part(attempt, outgoing):
+                ready.append(attempt)
+
+    def _send_part(self, attempt: bytes, outgoing: _Outgoing) -> bool:
+        length = min(outgoing.credit, frames.DATA_BYTES)
+        if length <= 0:
+            return False
+        end = outgoing.offset + length
+        part = bytes(outgoing.body[outgoing.offset : end])
+        outgoing.offset += len(part)
+        outgoing.credit -= length
+        if outgoing.offset >= len(outgoing.body):
+            del self._bodies[attempt]
+        self._send(frames.Data(attempt, part))
+        return True
+
+
+@dataclasses.dataclass(slots=True)
+class _Incoming:
+    item: Carrier
+    chunks: list[bytes]
+    received: int
+    hasher: typing.Any
+    reserved: int = 0
+    granted: int = 0
+    waiter: asyncio.Task[None] | None = None
+
+
+class Inbox:
+    """Puts long bodies together again.
+
+    Args:
+        memory: Budget for the bodies.
+        send: Sends one message.
+        deliver: Takes messages with their whole bodies.
+    """
+
+    def __init__(
+        self,
+        memory: budget.ByteBudget,
+        send: collections.abc.Callable[[frames.Message], None],
+        deliver: collections.abc.Callable[[frames.Message], None],
+    ) -> None:
+        self._memory = memory
+        self._send = send
+        self._deliver = deliver
+        self._bodies: dict[bytes, _Incoming] = {}
+
+    def receive(self, item: Carrier) -> None:
+        """Take a message whose body may follow in parts.
+
+        Raises:
+            BadBodyError: The message contradicts itself or another one.
+        """
+        body = get_body(item)
+        if item.body_length == len(body):
+            self._deliver(item)
+            return
+        if item.attempt in self._bodies or item.body_length < len(body):
+            raise BadBodyError('a body is announced twice or too short')
+        if item.body_length > self._memory.limit:
+            self._turn_away(item)
+            return
+        incoming = _Incoming(item, [body], len(body), xxhash.xxh3_64(body))
+        self._bodies[item.attempt] = incoming
+        incoming.waiter = asyncio.get_running_loop().create_task(
+            self._reserve(incoming)
+        )
+
+    def receive_part(self, item: frames.Data) -> None:
+        """Take the next part of a body.
+
+        Raises:
+            BadBodyError: The part goes beyond the credit, or the digest of
+                the whole body is wrong.
+        """
+        incoming = self._bodies.get(item.attempt)
+        if incoming is None:
+            return
+        length = len(item.payload)
+        if length > incoming.granted:
+            raise BadBodyError('a part goes beyond its credit')
+        incoming.granted -= length
+        incoming.received += length
+        incoming.chunks.append(item.payload)
+        incoming.hasher.update(item.payload)
+        if incoming.received < incoming.item.body_length:
+            self._grant(incoming)
+            return
+        del self._bodies[item.attempt]
+        self._complete(incoming)
+
+    def drop(self, attempt: bytes) -> None:
+        """Forget what has come of an attempt's body."""
+        incoming = self._bodies.pop(attempt, None)
+        if incoming is None:
+            return
+        if incoming.waiter is not None:
+            incoming.waiter.cancel()
+        if incoming.reserved:
+            self._memory.release(incoming.reserved)
+
+    def clear(self) -> None:
+        """Forget what has come of all bodies."""
+        for attempt in list(self._bodies):
+            self.drop(attempt)
+
+    async def _reserve(self, incoming: _Incoming) -> None:
+        length = incoming.item.body_length
+        await self._memory.reserve(length)
+        incoming.reserved = length
+        incoming.waiter = None
+        self._grant(incoming)
+
+    def _grant(self, incoming: _Incoming) -> None:
+        outstanding = incoming.granted
+        missing = incoming.item.body_length - incoming.received - outstanding
+        length = min(WINDOW_BYTES - outstanding, missing)
+        if length > 0 and outstanding <= WINDOW_BYTES // 2:
+            incoming.granted += length
+            self._send(frames.Credit(incoming.item.attempt, length))
+
+    def _complete(self, incoming: _Incoming) -> None:
+        if incoming.hasher.intdigest() != incoming.item.digest:
+            self._memory.release(incoming.reserved)
+            raise BadBodyError('the digest of a body is wrong')
+        item = _replace_body(incoming.item, b''.join(incoming.chunks))
+        holder = (
+            item.request if isinstance(item, frames.Call) else item.response
+        )
+        self._memory.hold(holder, incoming.reserved)
+        self._deliver(item)
+
+    def _turn_away(self, item: Carrier) -> None:
+        """End an attempt at once whose body can never be held."""
+        if isinstance(item, frames.Answer):
+            too_large = verdict.MayHaveRun(verdict.Reason.ANSWER_TOO_LARGE)
+            self._deliver(
+                frames.Failure(item.attempt, item.feedback, too_large)
+            )
+            return
+        refusal = verdict.NotRun(
+            verdict.Reason.BODY_TOO_LARGE,
+            detail=f'the upstream holds at most {self._memory.limit} bytes',
+        )
+        self._send(
+            frames.Failure(item.attempt, frames.SILENT_FEEDBACK, refusal)
+        )
+
+
+def _replace_body(item: Carrier, body: bytes) -> Carrier:
+    if isinstance(item, frames.Call):
+        request = dataclasses.replace(item.request, body=body)
+        return dataclasses.replace(item, request=request)
+    response = dataclasses.replace(item.response, body=body)
+    return dataclasses.replace(item, response=response)
--- a/src/eelgrasswalk/transport/dialler.py
+++ b/src/eelgrasswalk/transport/dialler.py
@@ -316,7 +316,7 @@
             self,
             self._dialler.identity,
             secret=self._dialler.secret,
-            bodies=self._dialler.bodies,
+            memory=self._dialler.bodies,
             dialled=True,
             peer_id=self.address.node_id,
             sequence=self._sequence,
--- a/src/eelgrasswalk/transport/link.py
+++ b/src/eelgrasswalk/transport/link.py
@@ -1,7 +1,6 @@
 """One authenticated websocket between two nodes, carrying many calls."""
 
 import asyncio
-import collections
 import dataclasses
 import enum
 import hashlib
@@ -16,14 +15,14 @@
 import websockets.protocol
 import websockets.server
 import websockets.uri
-import xxhash
 
+from . import bodies
 from . import budget
+from . import codec
 from . import frames
 
 HANDSHAKE_TIMEOUT_S = 2.0
 WRITE_HIGH_WATER_BYTES = 131_072
-WINDOW_BYTES = 262_144
 # A link that is silent this long with a call outstanding is probed, and
 # abandoned when the probe stays unanswered for as long again.
 SILENCE_S = 0.6
@@ -66,24 +65,6 @@
         """The link is gone."""
 
 
-@dataclasses.dataclass(slots=True)
-class _Outgoing:
-    body: memoryview
-    offset: int
-    credit: int = 0
-
-
-@dataclasses.dataclass(slots=True)
-class _Incoming:
-    item: frames.Call | frames.Answer
-    chunks: list[bytes]
-    received: int
-    hasher: typing.Any
-    reserved: int = 0
-    granted: int = 0
-    waiter: asyncio.Task[None] | None = None
-
-
 class Link(asyncio.Protocol):
     """Drives one websocket connection.
 
@@ -91,7 +72,7 @@
         owner: Receives messages and the link's end.
         identity: This node.
         secret: The mesh secret.
-        bodies: Budget for bodies that arrive in parts.
+        memory: Budget for bodies that arrive in parts.
         dialled: Whether this side opened the connection.
         peer_id: The node that was dialled; empty on the accepting side.
         sequence: Number of this link among those dialled to the peer.
@@ -103,7 +84,7 @@
         identity: Identity,
         *,
         secret: bytes,
-        bodies: budget.ByteBudget,
+        memory: budget.ByteBudget,
         dialled: bool,
         peer_id: str = '',
         sequence: int = 0,
@@ -117,7 +98,6 @@
         self._owner = owner
         self._identity = identity
         self._secret = secret
-        self._bodies = bodies
         self._dialled = dialled
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
@@ -126,10 +106,8 @@
         self._probed_at: float | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._paused = False
-        self._outgoing: collections.OrderedDict[bytes, _Outgoing] = (
-            collections.OrderedDict()
-        )
-        self._incoming: dict[bytes, _Incoming] = {}
+        self._outbox = bodies.Outbox(self.send, self._is_writable)
+        self._inbox = bodies.Inbox(memory, self.send, self._deliver)
         self._websocket: (
             websockets.client.ClientProtocol | websockets.server.ServerProtocol
         )
@@ -153,18 +131,19 @@
         """
         if self._transport is None:
             return
-        body = _get_body(item)
-        if body is not None and len(body) > frames.INLINE_BYTES:
-            assert isinstance(item, frames.Call | frames.Answer)
-            self._outgoing[item.attempt] = _Outgoing(
-                memoryview(body), frames.INLINE_BYTES
-            )
-        self._websocket.send_binary(frames.encode_message(item))
+        self._outbox.add(item)
+        self._websocket.send_binary(codec.encode_message(item))
         self._flush()
 
+    def _deliver(self, item: frames.Message) -> None:
+        self._owner.on_message(self, item)
+
+    def _is_writable(self) -> bool:
+        return self._transport is not None and not self._paused
+
     def stop_sending(self, attempt: bytes) -> None:
         """Drop what is left to send of an attempt's body."""
-        self._outgoing.pop(attempt, None)
+        self._outbox.drop(attempt)
 
     def close(self) -> None:
         """Close the link at once."""
@@ -193,9 +172,8 @@
         self.state = State.CLOSED
         if self._timer is not None:
             self._timer.cancel()
-        for attempt in list(self._incoming):
-            self._drop_incoming(attempt)
-        self._outgoing.clear()
+        self._inbox.clear()
+        self._outbox.clear()
         self._owner.on_closed(self)
 
     def data_received(self, data: bytes) -> None:
@@ -216,7 +194,7 @@
 
     def resume_writing(self) -> None:
         self._paused = False
-        self._pump()
+        self._outbox.pump()
 
     # Receiving
 
@@ -246,24 +224,30 @@
             self.close()
             return
         try:
-            item = frames.decode_message(data)
-        except frames.DecodeError:
+            item = codec.decode_message(data)
+        except codec.DecodeError:
             self.close()
             return
         if self.state is State.OPEN:
-            self._handle_message(item)
+            self._try_message(item)
         else:
             self._handle_handshake(item)
 
+    def _try_message(self, item: frames.Message) -> None:
+        try:
+            self._handle_message(item)
+        except bodies.BadBodyError:
+            self.close()
+
     def _handle_message(self, item: frames.Message) -> None:
         if isinstance(item, frames.Call | frames.Answer):
-            self._receive_body(item)
+            self._inbox.receive(item)
         elif isinstance(item, frames.Data):
-            self._receive_data(item)
+            self._inbox.receive_part(item)
         elif isinstance(item, frames.Credit):
-            self._receive_credit(item)
+            self._outbox.add_credit(item)
         elif isinstance(item, frames.Cancel):
-            self._drop_incoming(item.attempt)
+            self._inbox.drop(item.attempt)
             self._owner.on_message(self, item)
         elif isinstance(
             item, frames.Challenge | frames.Hello | frames.Welcome
@@ -373,7 +357,7 @@
         self._timer = self._loop.call_later(
             LIVENESS_INTERVAL_S, self._check_liveness
         )
-        if not self.outstanding and not self._outgoing:
+        if not self.outstanding and not self._outbox:
             self._probed_at = None
             return
         now = self._loop.time()
@@ -385,111 +369,6 @@
         elif now - self._probed_at >= SILENCE_S:
             self.close()
 
-    # Bodies
-
-    def _receive_body(self, item: frames.Call | frames.Answer) -> None:
-        body = _get_body(item)
-        assert body is not None
-        if item.body_length == len(body):
-            self._owner.on_message(self, item)
-            return
-        if item.attempt in self._incoming or item.body_length < len(body):
-            self.close()
-            return
-        incoming = _Incoming(item, [body], len(body), xxhash.xxh3_64(body))
-        self._incoming[item.attempt] = incoming
-        incoming.waiter = self._loop.create_task(self._reserve_body(incoming))
-
-    async def _reserve_body(self, incoming: _Incoming) -> None:
-        length = incoming.item.body_length
-        try:
-            await self._bodies.reserve(length)
-        except ValueError:
-            self._drop_incoming(incoming.item.attempt)
-            return
-        incoming.reserved = length
-        incoming.waiter = None
-        self._grant_credit(incoming)
-
-    def _grant_credit(self, incoming: _Incoming) -> None:
-        outstanding = incoming.granted
-        missing = incoming.item.body_length - incoming.received - outstanding
-        length = min(WINDOW_BYTES - outstanding, missing)
-        if length > 0 and (outstanding <= WINDOW_BYTES // 2):
-            incoming.granted += length
-            self.send(frames.Credit(incoming.item.attempt, length))
-
-    def _receive_data(self, item: frames.Data) -> None:
-        incoming = self._incoming.get(item.attempt)
-        if incoming is None:
-            return
-        length = len(item.payload)
-        if length > incoming.granted:
-            self.close()
-            return
-        incoming.granted -= length
-        incoming.received += length
-        incoming.chunks.append(item.payload)
-        incoming.hasher.update(item.payload)
-        if incoming.received < incoming.item.body_length:
-            self._grant_credit(incoming)
-            return
-        del self._incoming[item.attempt]
-        self._complete_body(incoming)
-
-    def _complete_body(self, incoming: _Incoming) -> None:
-        if incoming.hasher.intdigest() != incoming.item.digest:
-            self._bodies.release(incoming.reserved)
-            self.close()
-            return
-        body = b''.join(incoming.chunks)
-        item = _replace_body(incoming.item, body)
-        holder = (
-            item.request if isinstance(item, frames.Call) else item.response
-        )
-        self._bodies.hold(holder, incoming.reserved)
-        self._owner.on_message(self, item)
-
-    def _drop_incoming(self, attempt: bytes) -> None:
-        incoming = self._incoming.pop(attempt, None)
-        if incoming is None:
-            return
-        if incoming.waiter is not None:
-            incoming.waiter.cancel()
-        if incoming.reserved:
-            self._bodies.release(incoming.reserved)
-
-    def _receive_credit(self, item: frames.Credit) -> None:
-        outgoing = self._outgoing.get(item.attempt)
-        if outgoing is not None:
-            outgoing.credit += item.length
-            self._pump()
-
-    def _pump(self) -> None:
-        """Send one part of each body in turn while the socket takes them."""
-        ready = collections.deque(self._outgoing)
-        while ready and not self._paused:
-            attempt = ready.popleft()
-            outgoing = self._outgoing.get(attempt)
-            if outgoing is not None and self._send_part(attempt, outgoing):
-                ready.append(attempt)
-
-    def _send_part(self, attempt: bytes, outgoing: _Outgoing) -> bool:
-        length = min(outgoing.credit, frames.DATA_BYTES)
-        if length <= 0 or self._transport is None:
-            return False
-        end = outgoing.offset + length
-        part = bytes(outgoing.body[outgoing.offset : end])
-        outgoing.offset += len(part)
-        outgoing.credit -= length
-        if outgoing.offset >= len(outgoing.body):
-            del self._outgoing[attempt]
-        self._websocket.send_binary(
-            frames.encode_message(frames.Data(attempt, part))
-        )
-        self._flush()
-        return True
-
     def _flush(self) -> None:
         if self._transport is None:
             return
@@ -502,13 +381,6 @@
                 return
 
 
-def compute_digest(body: bytes) -> int:
-    """Return the digest that travels with a body sent in parts."""
-    if len(body) <= frames.INLINE_BYTES:
-        return 0
-    return xxhash.xxh3_64_intdigest(body)
-
-
 def _prove(
     secret: bytes,
     label: bytes,
@@ -527,21 +399,3 @@
     )
     text = b''.join(b'%d:%b,' % (len(field), field) for field in fields)
     return hmac.new(secret, text, hashlib.sha256).digest()
-
-
-def _get_body(item: frames.Message) -> bytes | None:
-    if isinstance(item, frames.Call):
-        return item.request.body
-    if isinstance(item, frames.Answer):
-        return item.response.body
-    return None
-
-
-def _replace_body(
-    item: frames.Call | frames.Answer, body: bytes
-) -> frames.Call | frames.Answer:
-    if isinstance(item, frames.Call):
-        request = dataclasses.replace(item.request, body=body)
-        return dataclasses.replace(item, request=request)
-    response = dataclasses.replace(item.response, body=body)
-    return dataclasses.replace(item, response=response)
--- a/tests/transport/test_frames.py
+++ b/tests/transport/test_codec.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 
 from eelgrasswalk import verdict
+from eelgrasswalk.transport import codec
 from eelgrasswalk.transport import frames
 from eelgrasswalk.transport import message
 
@@ -81,15 +82,15 @@
     def test_messages_survive_the_wire(self) -> None:
         for item in MESSAGES:
             with self.subTest(type(item).__name__):
-                data = frames.encode_message(item)
-                self.assertEqual(item, frames.decode_message(data))
+                data = codec.encode_message(item)
+                self.assertEqual(item, codec.decode_message(data))
 
     def test_header_with_line_break_is_refused(self) -> None:
         request = message.Request('GET', '/x', ((b'a', b'b\r\nc: d'),), b'')
-        fields = cbor2.loads(frames.encode_message(CALL))
+        fields = cbor2.loads(codec.encode_message(CALL))
         fields[14] = [list(pair) for pair in request.headers]
-        with self.assertRaises(frames.DecodeError):
-            frames.decode_message(cbor2.dumps(fields))
+        with self.assertRaises(codec.DecodeError):
+            codec.decode_message(cbor2.dumps(fields))
 
     @hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
     @hypothesis.given(strategies.binary(max_size=400))
@@ -114,13 +115,13 @@
     def test_damaged_messages_decode_or_are_refused(
         self, item: frames.Message, at: int, patch: bytes
     ) -> None:
-        data = bytearray(frames.encode_message(item))
+        data = bytearray(codec.encode_message(item))
         data[at % len(data) : at % len(data) + len(patch)] = patch
         self.decode(bytes(data))
 
     def decode(self, data: bytes) -> None:
         try:
-            item = frames.decode_message(data)
-        except frames.DecodeError:
+            item = codec.decode_message(data)
+        except codec.DecodeError:
             return
         self.assertIsInstance(item, frames.Message)
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -7,6 +7,7 @@
 from eelgrasswalk import verdict
 from eelgrasswalk.policy import attempts
 from eelgrasswalk.transport import acceptor
+from eelgrasswalk.transport import bodies
 from eelgrasswalk.transport import budget
 from eelgrasswalk.transport import dialler
 from eelgrasswalk.transport import frames
@@ -16,6 +17,7 @@
 
 SECRET = b'secret of the tests'
 WAIT_S = 20.0
+MEMORY = 8_000_000
 
 
 class Runner:
@@ -61,7 +63,7 @@
             link.Identity('up', incarnation),
             secret=SECRET,
             runner=self.runner,
-            bodies=budget.ByteBudget(50_000_000),
+            bodies=budget.ByteBudget(MEMORY),
             table=attempts.AttemptTable(max_answer_bytes=10_000_000),
             on_control=ignore_control,
         )
@@ -70,7 +72,7 @@
         return dialler.Dialler(
             link.Identity('down', 1),
             secret=secret,
-            bodies=budget.ByteBudget(50_000_000),
+            bodies=budget.ByteBudget(MEMORY),
             on_control=ignore_control,
         )
 
@@ -84,7 +86,7 @@
             idempotency_key='',
             request=message.Request('POST', '/x', (), body),
             body_length=len(body),
-            digest=link.compute_digest(body),
+            digest=bodies.compute_digest(body),
         )
 
     def start_call(self, call: frames.Call) -> asyncio.Task[dialler.Reply]:
@@ -102,6 +104,14 @@
         reply = await self.start_call(self.build_call(body))
         self.assertEqual(body, self.get_body(reply))
 
+    async def test_body_that_can_never_be_held_is_refused_at_once(
+        self,
+    ) -> None:
+        reply = await self.start_call(self.build_call(bytes(MEMORY + 1)))
+        assert isinstance(reply.outcome, verdict.NotRun), reply
+        self.assertIs(verdict.Reason.BODY_TOO_LARGE, reply.outcome.reason)
+        self.assertEqual([], self.runner.runs)
+
     async def test_crossed_answers_reach_their_own_callers(self) -> None:
         bodies = [b'%d' % index * 40_000 for index in range(8)]
         tasks = [self.start_call(self.build_call(body)) for body in bodies]
