--- a/tests/integration/test_depth.py
+++ b/tests/integration/test_depth.py
@@ -82,12 +82,12 @@
 
 
 class RetryTest(ChainTest):
-    """Two upstreams for each service below the first: room to retry."""
+    """Four upstreams for the leaf: room for more retries than allowed."""
 
-    services = ('a', 'b', 'b', 'c', 'c')
+    services = ('a', 'b', 'c', 'c', 'c', 'c')
 
     def test_retries_do_not_multiply_when_the_leaf_fails(self) -> None:
-        for target in self.setup.targets[3:]:
+        for target in self.setup.targets[2:]:
             self.behave(target, drop_ratio=1.0)
         answer = self.client.get(nest_calls(('a', 'b', 'c')))
         self.assertNotEqual(200, answer.status_code)
