Leave a dead peer before the deadline

An attempt whose link had died waited for its peer to come back until the deadline. Ruled out: the planned stop that ran at the time, by two trials of stops alone and of stops and kills in turn. Change: when the peer refuses a new link, an attempt that may run elsewhere is given up at once and tried elsewhere; any other after 3 s, the time after which the peer would have cancelled its work. Both tell that it may have run.

--- a/src/eelgrasswalk/filters/dispatch.py
+++ b/src/eelgrasswalk/filters/dispatch.py
@@ -197,7 +197,10 @@
                 None,
             )
         return await self._links.call(
-            address, attempt.call, deadline=item.deadline
+            address,
+            attempt.call,
+            deadline=item.deadline,
+            retriable=item.get_route().idempotent,
         )
 
     def _observe_level(
--- a/src/eelgrasswalk/transport/dialler.py
+++ b/src/eelgrasswalk/transport/dialler.py
@@ -17,6 +17,8 @@
 DIAL_TIMEOUT_S = 1.5
 DIAL_BACKOFF_S = 0.05
 MAX_DIAL_BACKOFF_S = 0.5
+# A peer cancels the work of a lost link after as long; no answer comes later.
+RESOLVE_LIMIT_S = 3.0
 ACK_INTERVAL_S = 0.1
 # The upstream's own verdict at the deadline is worth a short wait.
 DEADLINE_GRACE_S = 0.1
@@ -58,6 +60,7 @@
     call: frames.Call
     future: asyncio.Future[Reply]
     deadline: float
+    retriable: bool
     sent: bool = False
 
 
@@ -86,7 +89,12 @@
         self._peers: dict[str, _Peer] = {}
 
     async def call(
-        self, address: Address, call: frames.Call, *, deadline: float
+        self,
+        address: Address,
+        call: frames.Call,
+        *,
+        deadline: float,
+        retriable: bool = False,
     ) -> Reply:
         """Run one attempt at a peer.
 
@@ -94,8 +102,10 @@
             address: The peer.
             call: The attempt.
             deadline: Loop time by which the caller must have its verdict.
+            retriable: Whether another attempt elsewhere does no harm, so
+                that it is not worth while to wait for a dead peer.
         """
-        return await self._get_peer(address).call(call, deadline)
+        return await self._get_peer(address).call(call, deadline, retriable)
 
     def send_control(
         self, address: Address, topic: str, payload: bytes
@@ -162,8 +172,12 @@
         current = self._link.bytes_out if self._link else 0
         return self._past_bytes_out + current
 
-    async def call(self, call: frames.Call, deadline: float) -> Reply:
-        pending = _Pending(call, self._loop.create_future(), deadline)
+    async def call(
+        self, call: frames.Call, deadline: float, retriable: bool
+    ) -> Reply:
+        pending = _Pending(
+            call, self._loop.create_future(), deadline, retriable
+        )
         if self._retired:
             return _refuse(verdict.Reason.LEAVING, 'the upstream is stopping')
         if self._link is None and not await self._dial(deadline):
@@ -342,7 +356,7 @@
         sent = [item for item in self._pending.values() if item.sent]
         if changed:
             for pending in sent:
-                self._doubt(pending)
+                self._doubt(pending, 'the upstream was restarted')
         elif sent:
             self._ask([pending.call.attempt for pending in sent])
         opened.outstanding = len(self._pending)
@@ -355,24 +369,31 @@
 
     async def _resolve(self) -> None:
         backoff = DIAL_BACKOFF_S
+        give_up_at = self._loop.time() + RESOLVE_LIMIT_S
         while self._pending and self._link is None:
             if await self._dial(self._loop.time() + DIAL_TIMEOUT_S):
                 return
+            self._leave_in_doubt(only_retriable=True)
+            if self._loop.time() >= give_up_at:
+                self._leave_in_doubt(only_retriable=False)
             await asyncio.sleep(backoff)
             backoff = min(2 * backoff, MAX_DIAL_BACKOFF_S)
 
+    def _leave_in_doubt(self, *, only_retriable: bool) -> None:
+        for pending in list(self._pending.values()):
+            if pending.sent and (pending.retriable or not only_retriable):
+                self._doubt(pending, 'the upstream cannot be reached')
+
     def _ask(self, attempts: list[bytes]) -> None:
         assert self._link is not None
         limit = frames.MAX_ATTEMPTS_IN_ACK
         for start in range(0, len(attempts), limit):
             self._link.send(frames.Ask(tuple(attempts[start : start + limit])))
 
-    def _doubt(self, pending: _Pending) -> None:
+    def _doubt(self, pending: _Pending, detail: str) -> None:
         if pending.future.done():
             return
-        outcome = verdict.MayHaveRun(
-            verdict.Reason.LINK_LOST, 'the upstream was restarted'
-        )
+        outcome = verdict.MayHaveRun(verdict.Reason.LINK_LOST, detail)
         pending.future.set_result(Reply(outcome, None))
 
 
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -51,6 +51,7 @@
         self.runner = Runner()
         self.acceptor = self.build_acceptor(incarnation=1)
         host, port = await self.acceptor.start('127.0.0.1', 0)
+        self.far_address = (host, port)
         self.valve = valve.Valve(host, port)
         self.address = dialler.Address('up', *await self.valve.start())
         self.dialler = self.build_dialler(SECRET)
@@ -89,10 +90,14 @@
             digest=bodies.compute_digest(body),
         )
 
-    def start_call(self, call: frames.Call) -> asyncio.Task[dialler.Reply]:
+    def start_call(
+        self, call: frames.Call, *, retriable: bool = False
+    ) -> asyncio.Task[dialler.Reply]:
         deadline = asyncio.get_running_loop().time() + WAIT_S
         return asyncio.create_task(
-            self.dialler.call(self.address, call, deadline=deadline)
+            self.dialler.call(
+                self.address, call, deadline=deadline, retriable=retriable
+            )
         )
 
     def get_body(self, reply: dialler.Reply) -> bytes:
@@ -172,6 +177,20 @@
         )
         self.assertEqual(1, len(self.runner.runs))
 
+    async def test_dead_peer_leaves_doubt_before_the_deadline(self) -> None:
+        for retriable in (True, False):
+            with self.subTest(retriable=retriable):
+                self.runner.started.clear()
+                self.runner.gate.clear()
+                task = self.start_call(self.build_call(), retriable=retriable)
+                await self.runner.started.wait()
+                self.valve.far_address = ('127.0.0.1', 1)
+                self.valve.cut()
+                reply = await task
+                assert isinstance(reply.outcome, verdict.MayHaveRun), reply
+                self.assertIs(verdict.Reason.LINK_LOST, reply.outcome.reason)
+                self.valve.far_address = self.far_address
+
     async def test_caller_that_leaves_cancels_the_attempt(self) -> None:
         self.runner.gate.clear()
         task = self.start_call(self.build_call())
--- a/tests/transport/valve.py
+++ b/tests/transport/valve.py
@@ -56,9 +56,13 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        far_reader, far_writer = await asyncio.open_connection(
-            *self.far_address
-        )
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                *self.far_address
+            )
+        except OSError:
+            writer.transport.abort()
+            return
         pair = Pair(writer, far_writer)
         self.pairs.append(pair)
         for relay in (
