--- a/src/eelgrasswalk/filters/guard.py
+++ b/src/eelgrasswalk/filters/guard.py
@@ -1,6 +1,7 @@
 """The filters at the upstream's node, in front of its target."""
 
 import asyncio
+import dataclasses
 import typing
 
 from .. import verdict
@@ -78,7 +79,17 @@
     async def _check_and_run(
         self, call: frames.Call, ledger: retries.Ledger
     ) -> verdict.Verdict:
-        deadline = self._loop.time() + call.remaining_s
+        refusal = self._check(call)
+        if refusal is not None:
+            return refusal
+        job = self._find_job(call, ledger)
+        if job is None:
+            return verdict.NotRun(
+                verdict.Reason.NO_CONFIGURATION, retry_elsewhere=True
+            )
+        return await self._admit(job)
+
+    def _check(self, call: frames.Call) -> verdict.NotRun | None:
         if call.remaining_s <= 0:
             return verdict.NotRun(verdict.Reason.DEADLINE)
         if self.leaving:
@@ -87,95 +98,68 @@
             return verdict.NotRun(
                 verdict.Reason.MEMORY, retry_after_s=1.0, retry_elsewhere=True
             )
+        return self._below.check(call)
+
+    def _find_job(
+        self, call: frames.Call, ledger: retries.Ledger
+    ) -> '_Job | None':
+        """Look the call's route up; None if this node does not know it."""
         table = self._get_table()
         route = table.routes.get(call.route) if table else None
-        service = (
-            table.services.get(route.service) if table and route else None
-        )
-        if route is None or service is None:
-            return verdict.NotRun(
-                verdict.Reason.NO_CONFIGURATION, retry_elsewhere=True
-            )
-        return await self._admit(call, ledger, route, service, deadline)
+        if table is None or route is None:
+            return None
+        service = table.services.get(route.service)
+        if service is None:
+            return None
+        deadline = self._loop.time() + call.remaining_s
+        return _Job(call, ledger, route, service, deadline)
 
-    async def _admit(
-        self,
-        call: frames.Call,
-        ledger: retries.Ledger,
-        route: model.Route,
-        service: model.Service,
-        deadline: float,
-    ) -> verdict.Verdict:
-        shed = self._below.check(call)
-        if shed is not None:
-            return shed
-        admitted = await self._admitter.admit(call.context, deadline=deadline)
+    async def _admit(self, job: '_Job') -> verdict.Verdict:
+        admitted = await self._admitter.admit(
+            job.call.context, deadline=job.deadline
+        )
         if isinstance(admitted, verdict.NotRun):
             return admitted
         slot = _Slot(self._admitter, admitted.call_id)
         try:
-            return await self._claim(
-                call, ledger, route, service, deadline, slot
-            )
+            return await self._claim(job, slot)
         finally:
             slot.release_unused()
 
-    async def _claim(
-        self,
-        call: frames.Call,
-        ledger: retries.Ledger,
-        route: model.Route,
-        service: model.Service,
-        deadline: float,
-        slot: '_Slot',
-    ) -> verdict.Verdict:
+    async def _claim(self, job: '_Job', slot: '_Slot') -> verdict.Verdict:
         async def proceed() -> verdict.Verdict:
             with slot:
-                outcome = await self._deliver(
-                    call, ledger, route, service, deadline, slot
-                )
+                outcome = await self._deliver(job, slot)
                 slot.ok = _is_sound(outcome)
                 self.answers += isinstance(outcome, verdict.Answered)
             return outcome
 
-        if (
-            self._claims is None
-            or route.idempotent
-            or route.once is model.OnceMode.NONE
-            or not call.idempotency_key
-        ):
+        if self._claims is None or not job.needs_claim:
             return await proceed()
-        return await self._claims.run_once(call, route, proceed)
+        return await self._claims.run_once(job.call, job.route, proceed)
 
-    async def _deliver(
-        self,
-        call: frames.Call,
-        ledger: retries.Ledger,
-        route: model.Route,
-        service: model.Service,
-        deadline: float,
-        slot: '_Slot',
-    ) -> verdict.Verdict:
+    async def _deliver(self, job: '_Job', slot: '_Slot') -> verdict.Verdict:
+        call = job.call
         served_call = exchange.ServedCall(
             context=call.context,
             root_started_at=self._loop.time() - call.context.root_age_s,
-            deadline=deadline,
-            ledger=ledger,
+            deadline=job.deadline,
+            ledger=job.ledger,
         )
         token = self._calls.add(served_call)
         try:
             return await self._deliverer.deliver(
                 call.request,
                 token=token,
-                route=route,
-                service=service,
-                deadline=deadline,
+                route=job.route,
+                service=job.service,
+                deadline=job.deadline,
                 has_called=lambda: bool(served_call.services),
             )
         finally:
             self._calls.remove(token)
             slot.child_s = served_call.child_s
-            self._below.observe(route.name, served_call.services)
+            self._below.observe(job.route.name, served_call.services)
 
     def _build_feedback(
         self, route: str, ledger: retries.Ledger
@@ -190,6 +174,26 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Job:
+    """A call and the terms on which it runs here."""
+
+    call: frames.Call
+    ledger: retries.Ledger
+    route: model.Route
+    service: model.Service
+    deadline: float
+
+    @property
+    def needs_claim(self) -> bool:
+        """Whether the call runs only under an at-most-once claim."""
+        return (
+            not self.route.idempotent
+            and self.route.once is not model.OnceMode.NONE
+            and bool(self.call.idempotency_key)
+        )
+
+
 class _Slot:
     """An admitted call's place at the target.
 
