--- a/tests/controllers/test_configuration_slow.py
+++ b/tests/controllers/test_configuration_slow.py
@@ -4,6 +4,7 @@
 import random
 import typing
 import unittest
+import unittest.mock
 
 from eelgrasswalk.bench import virtual_time
 from eelgrasswalk.controllers import audit
@@ -91,6 +92,19 @@
     return came_at - accepted_at
 
 
+async def call_here(
+    function: typing.Callable[..., typing.Any], *args: typing.Any
+) -> typing.Any:
+    """Call a function without a thread.
+
+    Virtual time runs on while the loop waits for a thread, by as much as
+    the thread takes in real time.
+    """
+    return function(*args)
+
+
 class SlowStoreTest(unittest.TestCase):
     def test_version_is_learned_in_time(self) -> None:
-        self.assertLessEqual(virtual_time.run(measure), IN_FORCE_S)
+        with unittest.mock.patch('anyio.to_thread.run_sync', call_here):
+            seconds = virtual_time.run(measure)
+        self.assertLessEqual(seconds, IN_FORCE_S)
