Find silent links before calls have to

Links that had gone silent while idle are found out by the first call on each, after 1.4 s; a tree over three such links has no time left. Change: a call sent after silence is sent with a probe, which finds out within 0.8 s; the dialling side probes idle links every 10 s.

--- a/src/eelgrasswalk/transport/link.py
+++ b/src/eelgrasswalk/transport/link.py
@@ -26,6 +26,9 @@
 # A link that is silent this long with a call outstanding is probed, and
 # abandoned when the probe stays unanswered for as long again.
 SILENCE_S = 0.6
+# An idle link is probed as well, so that the next call does not have to find
+# out that nothing passes any more.
+IDLE_PROBE_S = 10.0
 LIVENESS_INTERVAL_S = 0.2
 
 _PATH = '/link'
@@ -132,6 +135,8 @@
         if self._transport is None:
             return
         self._outbox.add(item)
+        if isinstance(item, frames.Call):
+            self._probe_after(SILENCE_S)
         self._websocket.send_binary(codec.encode_message(item))
         self._flush()
 
@@ -357,17 +362,24 @@
         self._timer = self._loop.call_later(
             LIVENESS_INTERVAL_S, self._check_liveness
         )
-        if not self.outstanding and not self._outbox:
-            self._probed_at = None
-            return
+        is_busy = self.outstanding or self._outbox
+        if self._probed_at is not None:
+            if self._loop.time() - self._probed_at >= SILENCE_S:
+                self.close()
+        elif is_busy:
+            self._probe_after(SILENCE_S)
+        elif self._dialled:
+            self._probe_after(IDLE_PROBE_S)
+
+    def _probe_after(self, silence_s: float) -> None:
+        """Ask for a sign of life if none has come for so long."""
         now = self._loop.time()
-        if self._probed_at is None:
-            if now - self._last_received >= SILENCE_S:
-                self._probed_at = now
-                self._websocket.send_ping(b'')
-                self._flush()
-        elif now - self._probed_at >= SILENCE_S:
-            self.close()
+        if self._probed_at is not None or self.state is not State.OPEN:
+            return
+        if now - self._last_received >= silence_s:
+            self._probed_at = now
+            self._websocket.send_ping(b'')
+            self._flush()
 
     def _flush(self) -> None:
         if self._transport is None:
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -3,6 +3,7 @@
 import asyncio
 import secrets
 import unittest
+import unittest.mock
 
 from eelgrasswalk import verdict
 from eelgrasswalk.policy import attempts
@@ -145,6 +146,18 @@
         self.assertEqual(b'y', self.get_body(await task))
         self.assertEqual(2, len(self.runner.runs))
 
+    async def test_idle_link_that_went_silent_is_abandoned(self) -> None:
+        with unittest.mock.patch.object(link, 'IDLE_PROBE_S', 0.1):
+            await self.start_call(self.build_call())
+            self.assertEqual(1, self.dialler.count_links())
+            self.valve.swallow_back = True
+            async with asyncio.timeout(WAIT_S):
+                while self.dialler.count_links():
+                    await asyncio.sleep(0.01)
+            self.valve.swallow_back = False
+            reply = await self.start_call(self.build_call(b'y'))
+        self.assertEqual(b'y', self.get_body(reply))
+
     async def test_attempt_that_never_arrived_is_fenced(self) -> None:
         await self.start_call(self.build_call())
         self.valve.hold_forth = True
