Do less for each call on a link

Cause: the profile of a saturated node is flat; copying the context by dataclasses.replace and six searches a header stood out among our own lines. Change: the context is built directly, and all headers are searched at once.

--- a/src/eelgrasswalk/filters/dispatch.py
+++ b/src/eelgrasswalk/filters/dispatch.py
@@ -227,8 +227,13 @@
         return frames.Call(
             attempt=attempt,
             route=item.get_route().name,
-            context=dataclasses.replace(
-                context, root_age_s=max(0.0, now - item.root_started_at)
+            context=frames.Context(
+                account=context.account,
+                importance=context.importance,
+                root_id=context.root_id,
+                root_hash=context.root_hash,
+                root_age_s=max(0.0, now - item.root_started_at),
+                depth=context.depth,
             ),
             remaining_s=max(0.0, item.deadline - now),
             allowance=lent,
--- a/src/eelgrasswalk/transport/codec.py
+++ b/src/eelgrasswalk/transport/codec.py
@@ -268,20 +268,18 @@
 def _take_headers(value: typing.Any) -> message.Headers:
     if type(value) is not list:
         raise DecodeError('a list of headers expected')
-    return tuple(_take_header(pair) for pair in value)
+    headers = tuple(_take_header(pair) for pair in value)
+    # One search for all headers; this is done for every call and answer.
+    text = b''.join(map(b''.join, headers))
+    if b'\r' in text or b'\n' in text or b'\0' in text:
+        raise DecodeError('a header holds a line break')
+    return headers
 
 
 def _take_header(pair: typing.Any) -> tuple[bytes, bytes]:
     if type(pair) is not list or len(pair) != 2:
         raise DecodeError('a header is a pair')
-    return _take_field(pair[0]), _take_field(pair[1])
-
-
-def _take_field(value: typing.Any) -> bytes:
-    field = _take_bytes(value)
-    if b'\r' in field or b'\n' in field or b'\0' in field:
-        raise DecodeError('a header holds a line break')
-    return field
+    return _take_bytes(pair[0]), _take_bytes(pair[1])
 
 
 def _take_attempts(value: typing.Any) -> tuple[bytes, ...]:
