--- a/src/eelgrasswalk/controllers/quota_slots.py
+++ b/src/eelgrasswalk/controllers/quota_slots.py
@@ -284,7 +284,7 @@
         # outage limit.
         if entry.probed_at == math.inf:
             entry.probed_at = now
-            self._standbys.hurry()
+            self._standbys.request_early()
         record = entry.keeper.record
         if record is not None and record.owner is not None:
             return False
@@ -428,7 +428,7 @@
             entry.owner = None
         elif entry.owner is None or entry.owner.epoch != record.epoch:
             entry.owner = self._make_owner(entry, record.epoch)
-            self._standbys.hurry()
+            self._standbys.request_early()
         self._on_located(self._locate(entry))
 
     def _make_owner(
--- a/src/eelgrasswalk/controllers/quota_standbys.py
+++ b/src/eelgrasswalk/controllers/quota_standbys.py
@@ -69,7 +69,7 @@
             )
             self._send(node_id, request)
 
-    def hurry(self) -> None:
+    def request_early(self) -> None:
         """Ask at the next occasion."""
         self._due_at = -math.inf
 
--- a/src/eelgrasswalk/transport/http_server.py
+++ b/src/eelgrasswalk/transport/http_server.py
@@ -118,11 +118,14 @@
         for connection in list(self.connections):
             connection.close()
 
-    def _sweep(self) -> None:
-        loop = asyncio.get_running_loop()
-        now = loop.time()
+    def check_timeouts(self, now: float) -> None:
+        """End what has been idle or slow for too long."""
         for connection in list(self.connections):
             connection.check_timeouts(now)
+
+    def _sweep(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.check_timeouts(loop.time())
         self._sweeper = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
 
@@ -139,6 +142,7 @@
         )
         self._task: asyncio.Task[None] | None = None
         self._last_activity = loop.time()
+        self._began_at = self._last_activity
         self._receiving = False
         self._closing = False
         self._header_length = 0
@@ -206,6 +210,7 @@
     def on_message_begin(self) -> None:
         self._reset_request()
         self._receiving = True
+        self._began_at = self._loop.time()
 
     def on_url(self, url: bytes) -> None:
         self._target += url
@@ -376,6 +381,7 @@
         """
         if self._transport is None:
             return
+        self._receiving = False
         self._release_reserved()
         self._body.clear()
         self._write_answer(answer, head=False, keep=False)
@@ -400,7 +406,8 @@
             self._transport.abort()
         if self._task is not None:
             return
-        if self._receiving and idle > limits.request_timeout_s:
+        # Counted from the first byte: one that trickles in is as slow.
+        if self._receiving and now - self._began_at > limits.request_timeout_s:
             self._reject(problem.describe_request_timeout())
         elif not self._receiving and idle > limits.idle_timeout_s:
             self._transport.close()
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import unittest
+import unittest.mock
 
 import hypothesis
 from hypothesis import strategies
@@ -169,6 +170,25 @@
         writer.close()
 
 
+class TimeoutTest(unittest.IsolatedAsyncioTestCase):
+    async def test_request_that_trickles_in_is_ended(self) -> None:
+        recorder = Recorder()
+        server = http_server.HttpServer(recorder.handle, limits=LIMITS)
+        loop = asyncio.get_running_loop()
+        transport = fakes.FakeTransport()
+        started = loop.time()
+        now = started
+        with unittest.mock.patch.object(loop, 'time', lambda: now):
+            protocol = server.build_protocol()
+            protocol.connection_made(transport)
+            protocol.data_received(b'GET / HTTP/1.1\r\nx: ')
+            for _ in range(2 * int(LIMITS.request_timeout_s)):
+                protocol.data_received(b'y')
+                now += 1.0
+                server.check_timeouts(now)
+        self.assertEqual(1, transport.written.count(b'HTTP/1.1 408 '))
+
+
 class FuzzTest(unittest.TestCase):
     """No bytes crash the listener or make it hold more than its limits."""
 
