--- a/src/eelgrasswalk/filters/dispatch.py
+++ b/src/eelgrasswalk/filters/dispatch.py
@@ -13,8 +13,10 @@
 from ..policy import levels
 from ..policy import retries
 from ..transport import bodies
+from ..transport import budget
 from ..transport import dialler
 from ..transport import frames
+from ..transport import message
 from . import exchange
 
 
@@ -60,6 +62,7 @@
         level_table: Levels that upstreams have answered with.
         storm: Stops retries of a service that fails as a whole.
         source: Random numbers for choice and jitter.
+        removed_headers: Headers that cross no link, in lower case.
     """
 
     def __init__(
@@ -73,7 +76,9 @@
         level_table: levels.LevelTable,
         storm: breaker.StormBreaker,
         source: random.Random,
+        removed_headers: frozenset[bytes],
     ) -> None:
+        self._removed = removed_headers
         self._node_id = node_id
         self._book = book
         self._links = links
@@ -87,6 +92,7 @@
 
     async def send(self, item: exchange.Exchange) -> verdict.Verdict:
         """Return what became of a request after at most its allowance."""
+        item.request = self._strip(item.request)
         service = item.get_route().service
         self._storm.count_request(service, self._clock())
         tried: set[str] = set()
@@ -105,6 +111,13 @@
                 self._storm.count_retry(service, self._clock())
             await asyncio.sleep(decision.delay_s)
 
+    def _strip(self, request: message.Request) -> message.Request:
+        headers = message.strip_headers(request.headers, remove=self._removed)
+        stripped = dataclasses.replace(request, headers=headers)
+        if len(request.body) > budget.UNCOUNTED_BYTES:
+            budget.keep_alive(stripped, request)
+        return stripped
+
     def _decide(
         self, item: exchange.Exchange, outcome: verdict.Verdict, attempt: int
     ) -> retries.Retry | retries.GiveUp:
--- a/src/eelgrasswalk/filters/identify.py
+++ b/src/eelgrasswalk/filters/identify.py
@@ -18,7 +18,7 @@
 
     Args:
         calls: The calls that this node's target is serving.
-        key_header: Header that carries the key, in lower case.
+        key_header: Header that carries the key.
         allows_keys: Tells whether the node may go by its list of keys.
     """
 
@@ -31,7 +31,7 @@
     ) -> None:
         self._calls = calls
         self._allows_keys = allows_keys
-        self._key_header = key_header.encode('ascii')
+        self._key_header = key_header.lower().encode('ascii')
 
     def check(self, item: exchange.Exchange) -> verdict.NotRun | None:
         """Set the account or the served call of an exchange."""
--- a/src/eelgrasswalk/wiring.py
+++ b/src/eelgrasswalk/wiring.py
@@ -131,6 +131,11 @@
     return built
 
 
+def _list_removed_headers(config: settings.Settings) -> frozenset[bytes]:
+    """Return the headers that cross no link and reach no target."""
+    return frozenset((config.key_header.lower().encode(),))
+
+
 def _build_balancer(config: settings.Settings) -> balance.Balancer:
     return balance.Balancer(
         balance.BalanceSettings(),
@@ -175,7 +180,7 @@
         get_table=shared.current.get,
         admitter=admitter,
         deliverer=deliver.Deliverer(
-            pool, removed_headers=frozenset((config.key_header.encode(),))
+            pool, removed_headers=_list_removed_headers(config)
         ),
         calls=shared.calls,
         bodies=shared.bodies,
@@ -222,6 +227,7 @@
         level_table=level_table,
         storm=breaker.StormBreaker(),
         source=shared.source,
+        removed_headers=_list_removed_headers(shared.config),
     )
     allows_keys = controllers.allows_keys if controllers else lambda: True
     checks: tuple[exchange.Check, ...] = (
