Send no attempt on a link that is gone again

Cause: a link that was lost between its opening and the first call left that call noted as sent, on no link and with nothing that asked for it, until its deadline: a possible cause of the call trees that the chaos experiment saw end there. Change: without a link after the dial the attempt is refused as not run and tried elsewhere.

--- a/src/eelgrasswalk/transport/dialler.py
+++ b/src/eelgrasswalk/transport/dialler.py
@@ -180,7 +180,9 @@
         )
         if self._retired:
             return _refuse(verdict.Reason.LEAVING, 'the upstream is stopping')
-        if self._link is None and not await self._dial(deadline):
+        # The new link may be gone again by the time that the dial returns;
+        # an attempt noted as sent then would wait for its deadline.
+        if not await self._ensure_link(deadline):
             return _refuse(
                 verdict.Reason.NO_UPSTREAM, 'the upstream could not be reached'
             )
@@ -302,6 +304,11 @@
 
     # Dialling
 
+    async def _ensure_link(self, deadline: float) -> bool:
+        if self._link is None:
+            await self._dial(deadline)
+        return self._link is not None
+
     async def _dial(self, deadline: float) -> bool:
         task = self._dialling or self._start_dialling()
         try:
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -211,6 +211,14 @@
         task.cancel()
         await asyncio.wait_for(self.runner.cancelled.wait(), WAIT_S)
 
+    async def test_link_lost_before_the_first_call_is_no_doubt(self) -> None:
+        dial = unittest.mock.AsyncMock(return_value=True)
+        with unittest.mock.patch.object(dialler._Peer, '_dial', dial):
+            async with asyncio.timeout(WAIT_S / 2):
+                reply = await self.start_call(self.build_call())
+        assert isinstance(reply.outcome, verdict.NotRun), reply
+        self.assertIs(verdict.Reason.NO_UPSTREAM, reply.outcome.reason)
+
     async def test_wrong_secret_opens_no_link(self) -> None:
         self.dialler = self.build_dialler(b'another secret')
         reply = await self.start_call(self.build_call())
