Drop the byte counts of links that nothing reads

Found in the read-through: links and their dialler counted bytes on every read and write, and a constant promised to close idle links; neither was used. Behaviour is as before; lint and 26 tests of links, path and catalogue pass.

--- a/src/eelgrasswalk/transport/dialler.py
+++ b/src/eelgrasswalk/transport/dialler.py
@@ -22,7 +22,6 @@
 ACK_INTERVAL_S = 0.1
 # The upstream's own verdict at the deadline is worth a short wait.
 DEADLINE_GRACE_S = 0.1
-IDLE_CLOSE_S = 60.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -117,12 +116,6 @@
         """Return how many links are open."""
         return sum(1 for peer in self._peers.values() if peer.is_open)
 
-    def count_bytes(self) -> tuple[int, int]:
-        """Return the bytes received and sent on all links."""
-        received = sum(peer.bytes_in for peer in self._peers.values())
-        sent = sum(peer.bytes_out for peer in self._peers.values())
-        return received, sent
-
     async def stop(self) -> None:
         """Close every link."""
         for peer in list(self._peers.values()):
@@ -155,23 +148,11 @@
         self._retired = False
         self._acks: list[bytes] = []
         self._ack_timer: asyncio.TimerHandle | None = None
-        self._past_bytes_in = 0
-        self._past_bytes_out = 0
 
     @property
     def is_open(self) -> bool:
         return self._link is not None
 
-    @property
-    def bytes_in(self) -> int:
-        current = self._link.bytes_in if self._link else 0
-        return self._past_bytes_in + current
-
-    @property
-    def bytes_out(self) -> int:
-        current = self._link.bytes_out if self._link else 0
-        return self._past_bytes_out + current
-
     async def call(
         self, call: frames.Call, deadline: float, retriable: bool
     ) -> Reply:
@@ -224,8 +205,6 @@
             self._opened.set_result(True)
 
     def on_closed(self, closed: link.Link) -> None:
-        self._past_bytes_in += closed.bytes_in
-        self._past_bytes_out += closed.bytes_out
         if self._opened is not None and not self._opened.done():
             self._opened.set_result(False)
         if closed is not self._link:
--- a/src/eelgrasswalk/transport/link.py
+++ b/src/eelgrasswalk/transport/link.py
@@ -96,8 +96,6 @@
         self.sequence = sequence
         self.state = State.CONNECTING
         self.outstanding = 0
-        self.bytes_in = 0
-        self.bytes_out = 0
         self._owner = owner
         self._identity = identity
         self._secret = secret
@@ -182,7 +180,6 @@
         self._owner.on_closed(self)
 
     def data_received(self, data: bytes) -> None:
-        self.bytes_in += len(data)
         self._last_received = self._loop.time()
         self._probed_at = None
         self._websocket.receive_data(data)
@@ -386,7 +383,6 @@
             return
         for data in self._websocket.data_to_send():
             if data:
-                self.bytes_out += len(data)
                 self._transport.write(data)
             else:
                 self._transport.close()
