--- /dev/null
+++ b/src/eelgrasswalk/cli/sidecar.py
@@ -0,0 +1,53 @@
+"""eelgrasswalk-sidecar: the node beside each target on the platform."""
+
+import gc
+import os
+import sys
+
+# The event loop's library reads this when it is loaded.
+os.environ['UV_USE_IO_URING'] = '0'
+
+from .. import app
+from .. import events
+from ..platform import check_ins
+from ..platform import dialect
+from ..platform import operator_config
+from ..platform import process_settings
+from ..platform import rows
+from ..sidecar import node
+from ..sidecar import settings
+from ..sidecar import wiring
+
+EXIT_BAD_SETTINGS = 2
+# Objects before a collection of the youngest, and ratios of the older ones.
+COLLECTOR_THRESHOLDS = (50_000, 20, 50)
+
+
+def main() -> None:
+    """Run a node with the settings that the platform gives it."""
+    try:
+        config = process_settings.load_settings()
+    except process_settings.BadSettingsError as error:
+        events.configure_logging('info', node_id='', stream=sys.stdout)
+        events.log(events.SETTINGS_REJECTED, detail=str(error))
+        sys.exit(EXIT_BAD_SETTINGS)
+    events.configure_logging('info', node_id=config.node_id, stream=sys.stdout)
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*COLLECTOR_THRESHOLDS)
+    app.run_application(lambda: (build_application(config), lambda: None))
+
+
+def build_application(config: settings.SidecarSettings) -> app.Application:
+    """Return the application of one node."""
+    platform = wiring.Platform(
+        store=rows.PlatformRows(config.store.host, config.store.port),
+        rule_source=operator_config.OperatorRules(),
+        check_in_format=check_ins.PlatformCheckIns(),
+        dialect=dialect.PlatformDialect(),
+    )
+    return app.Application([node.Sidecar(config, platform)])
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/eelgrasswalk/controllers/check_ins.py
@@ -0,0 +1,121 @@
+"""Hears the target beside the node and tells the others of it."""
+
+import typing
+
+from .. import events
+from .. import ports
+from .. import verdict
+from ..policy import roster
+from ..policy import target_life
+from ..transport import message
+from . import roster as roster_keeper
+
+# An acknowledged drain must outlast this process, so the store is given
+# this long to take it; check-ins have to be acknowledged within a second.
+ACK_WAIT_S = 0.6
+
+
+class Gate(typing.Protocol):
+    """What admits calls to the target."""
+
+    def set_target(self, target_id: str, slots: int, cold_s: float) -> None:
+        """Deliver to this lifetime from now on."""
+
+    def leave(self) -> None:
+        """Let the target's calls come to an end."""
+
+
+class CheckInKeeper:
+    """Answers check-ins.
+
+    Args:
+        form: Reads check-ins.
+        life: The lifetime that this node serves.
+        keeper: Tells the others.
+        gate: Admits calls to the target.
+        clock: Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        form: ports.CheckInFormat,
+        life: target_life.TargetLife,
+        keeper: roster_keeper.RosterKeeper,
+        gate: Gate,
+        *,
+        clock: typing.Callable[[], float],
+    ) -> None:
+        self._form = form
+        self._life = life
+        self._keeper = keeper
+        self._gate = gate
+        self._clock = clock
+
+    async def handle(self, request: message.Request) -> verdict.Response:
+        """Answer one check-in."""
+        item = self._form.decode(request)
+        if isinstance(item, ports.Unreadable):
+            events.log(events.CHECK_IN_REJECTED, detail=item.detail)
+            return verdict.Response(400, (), b'')
+        if isinstance(item, ports.Departure):
+            change = self._life.depart(item.target_id, self._clock())
+        else:
+            change = self._life.observe(_build_report(item), self._clock())
+        if change in (target_life.Change.ARRIVED, target_life.Change.LEAVING):
+            await self._announce(change)
+        return self._form.acknowledge()
+
+    def restore(self, entry: roster.Entry) -> None:
+        """Go by what an earlier process of this node has said."""
+        if self._life.report is not None or not entry.target_id:
+            return
+        report = target_life.Report(
+            target_id=entry.target_id,
+            born_ms=0,
+            sequence=-1,
+            slots=entry.slots,
+            draining=entry.state is not roster.TargetState.READY,
+            cold_left_s=0.0,
+        )
+        if report.draining:
+            self._life.observe(report, self._clock())
+        else:
+            self._life.restore(report)
+        self._apply()
+
+    async def _announce(self, change: target_life.Change) -> None:
+        self._apply()
+        if change is target_life.Change.LEAVING:
+            await self._keeper.wait_written(ACK_WAIT_S)
+
+    def _apply(self) -> None:
+        report = self._life.report
+        assert report is not None
+        if self._life.is_ready:
+            self._gate.set_target(
+                report.target_id, report.slots, report.cold_left_s
+            )
+            state = roster.TargetState.READY
+        else:
+            self._gate.leave()
+            state = roster.TargetState.DRAINING
+        events.log(
+            events.TARGET_CHANGED, target=report.target_id, state=state.value
+        )
+        self._keeper.change(
+            state=state,
+            target_id=report.target_id,
+            slots=report.slots,
+            cold=report.cold_left_s > 0.0,
+        )
+
+
+def _build_report(item: ports.CheckIn) -> target_life.Report:
+    return target_life.Report(
+        target_id=item.target_id,
+        born_ms=item.born_ms,
+        sequence=item.sequence,
+        slots=item.slots,
+        draining=item.draining,
+        cold_left_s=item.cold_left_s,
+    )
--- /dev/null
+++ b/src/eelgrasswalk/controllers/feed.py
@@ -0,0 +1,115 @@
+"""Follows a table of the store: reads it whole, then its changes."""
+
+import asyncio
+import random
+import typing
+
+from .. import events
+from .. import ports
+
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 1.0
+
+
+class Follower(typing.Protocol):
+    """What is told of the table."""
+
+    def take_all(self, rows: ports.Rows, asked_at: float) -> None:
+        """Take everything that the table holds."""
+
+    def take_changes(self, rows: ports.Rows, asked_at: float) -> None:
+        """Take what has changed; empty when nothing has."""
+
+
+class Feed:
+    """Keeps a follower up to date.
+
+    Args:
+        store: The store.
+        table: The table to follow.
+        follower: Is told of it.
+        wait_s: Seconds after which the store answers without a change.
+        gather_s: Seconds to wait after a change, so that the next answer
+            brings several.
+        clock: Seconds of a clock that runs through suspension.
+        source: Random numbers for pauses.
+    """
+
+    def __init__(
+        self,
+        store: ports.RowStore,
+        table: str,
+        follower: Follower,
+        *,
+        wait_s: float,
+        gather_s: float,
+        clock: typing.Callable[[], float],
+        source: random.Random,
+    ) -> None:
+        self._store = store
+        self._table = table
+        self._follower = follower
+        self._wait_s = wait_s
+        self._gather_s = gather_s
+        self._clock = clock
+        self._random = source
+        self._version: int | None = None
+        self._failures = 0
+        self._task: asyncio.Task[None] | None = None
+        self.filled = asyncio.Event()
+
+    async def start(self) -> None:
+        """Begin to follow; `filled` is set after the first reading."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def stop(self) -> None:
+        """End."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            if self._version is None:
+                outcome = await self._read()
+            else:
+                outcome = await self._watch(self._version)
+            if isinstance(outcome, ports.Unavailable):
+                await self._pause(outcome)
+                continue
+            if self._failures:
+                events.log(events.STORE_BACK, table=self._table)
+            self._failures = 0
+
+    async def _read(self) -> ports.Unavailable | None:
+        asked_at = self._clock()
+        outcome = await self._store.read(self._table)
+        if isinstance(outcome, ports.Unavailable):
+            return outcome
+        self._version = outcome.version
+        self._follower.take_all(outcome, asked_at)
+        self.filled.set()
+        return None
+
+    async def _watch(self, version: int) -> ports.Unavailable | None:
+        asked_at = self._clock()
+        outcome = await self._store.watch(self._table, version, self._wait_s)
+        if isinstance(outcome, ports.Unavailable):
+            return outcome
+        if isinstance(outcome, ports.HistoryGone):
+            events.log(events.HISTORY_GONE, table=self._table)
+            self._version = None
+            return None
+        self._version = max(version, outcome.version)
+        self._follower.take_changes(outcome, asked_at)
+        if outcome.rows and self._gather_s:
+            await asyncio.sleep(self._gather_s)
+        return None
+
+    async def _pause(self, outcome: ports.Unavailable) -> None:
+        if not self._failures:
+            events.log(
+                events.STORE_LOST, table=self._table, detail=outcome.detail
+            )
+        pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2**self._failures)
+        self._failures = min(self._failures + 1, 16)
+        await asyncio.sleep(pause_s * (0.5 + self._random.random()))
--- /dev/null
+++ b/src/eelgrasswalk/controllers/roster.py
@@ -0,0 +1,230 @@
+"""Tells the store and the peers of this node, and hears of the others."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import json
+import typing
+
+from .. import events
+from .. import ports
+from ..policy import roster
+from ..transport import dialler
+from . import directory
+
+TABLE = 'nodes'
+TOPIC = 'node'
+FIRST_PAUSE_S = 0.05
+LONGEST_PAUSE_S = 1.0
+_UNUSABLE = 'unusable'
+
+
+class SendControl(typing.Protocol):
+    """Sends a controller's message to a node."""
+
+    def __call__(self, node_id: str, topic: str, payload: bytes) -> None:
+        """Send one message."""
+
+
+class RosterKeeper:
+    """Keeps the directory of nodes, and this node's entry in the store.
+
+    Args:
+        own: This node's entry before its target is known.
+        store: Where entries are kept.
+        book: The directory that the call path goes by.
+        send: Sends news to peers.
+    """
+
+    def __init__(
+        self,
+        own: roster.Entry,
+        store: ports.RowStore,
+        book: directory.Directory,
+        send: SendControl,
+    ) -> None:
+        self.roster = roster.Roster()
+        self._own = own
+        self._store = store
+        self._book = book
+        self._send = send
+        self._row_version = 0
+        self._written: roster.Entry | None = None
+        self._changed = asyncio.Event()
+        self._waiters: list[tuple[int, asyncio.Future[None]]] = []
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def own(self) -> roster.Entry:
+        """This node's entry."""
+        return self._own
+
+    def find_previous(self) -> roster.Entry | None:
+        """Return what an earlier process of this node has said, if known."""
+        return self.roster.find(self._own.node_id)
+
+    async def start(self) -> None:
+        """Begin to write this node's entry."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def stop(self) -> None:
+        """End."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def change(self, **fields: typing.Any) -> None:
+        """Change this node's entry and tell everyone."""
+        changed = dataclasses.replace(
+            self._own, **fields, revision=self._own.revision + 1
+        )
+        self._own = changed
+        self.roster.update(changed)
+        self._refresh()
+        self._changed.set()
+        payload = encode_entry(changed)
+        for entry in self.roster.list_entries():
+            if entry.node_id != changed.node_id:
+                self._send(entry.node_id, TOPIC, payload)
+
+    async def wait_written(self, limit_s: float) -> bool:
+        """Wait until the store has this node's entry as it is now."""
+        revision = self._own.revision
+        if self._written is not None and self._written.revision >= revision:
+            return True
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.append((revision, waiter))
+        try:
+            async with asyncio.timeout(limit_s):
+                await waiter
+        except TimeoutError:
+            return False
+        return True
+
+    def receive(self, node_id: str, payload: bytes) -> None:
+        """Take a peer's news of itself."""
+        entry = decode_entry(payload)
+        if entry is None or entry.node_id != node_id:
+            events.log(events.ENTRY_REJECTED, entry=node_id)
+            return
+        if self.roster.update(entry):
+            self._refresh()
+
+    def take_all(self, rows: ports.Rows, asked_at: float) -> None:
+        """Take all entries in the store."""
+        kept = {row.key for row in rows.rows} | {self._own.node_id}
+        changed = self.roster.keep_only(kept)
+        self._note_own_row(rows.rows)
+        if self._take_rows(rows.rows) or changed:
+            self._refresh()
+
+    def take_changes(self, rows: ports.Rows, asked_at: float) -> None:
+        """Take entries that have changed."""
+        if self._take_rows(rows.rows):
+            self._refresh()
+
+    def _note_own_row(self, rows: collections.abc.Iterable[ports.Row]) -> None:
+        for row in rows:
+            if row.key == self._own.node_id:
+                self._row_version = row.version
+
+    def _take_rows(self, rows: collections.abc.Iterable[ports.Row]) -> bool:
+        changed = False
+        for row in rows:
+            if row.value is None:
+                changed |= self._take_removal(row)
+                continue
+            entry = decode_entry(row.value)
+            if entry is None or entry.node_id != row.key:
+                events.log(events.ENTRY_REJECTED, entry=row.key)
+                continue
+            changed |= self.roster.update(entry)
+        return changed
+
+    def _take_removal(self, row: ports.Row) -> bool:
+        if row.key != self._own.node_id:
+            return self.roster.remove(row.key)
+        # Another node took this one for gone.
+        self._row_version = 0
+        self._written = None
+        self._changed.set()
+        return False
+
+    def _refresh(self) -> None:
+        self._book.replace(
+            _build_peer(entry) for entry in self.roster.list_entries()
+        )
+
+    # Writing
+
+    async def _run(self) -> None:
+        pause_s = FIRST_PAUSE_S
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            if await self._write(self._own):
+                pause_s = FIRST_PAUSE_S
+                continue
+            self._changed.set()
+            await asyncio.sleep(pause_s)
+            pause_s = min(LONGEST_PAUSE_S, 2 * pause_s)
+
+    async def _write(self, entry: roster.Entry) -> bool:
+        outcome = await self._store.put(
+            TABLE,
+            entry.node_id,
+            encode_entry(entry),
+            expected=self._row_version,
+        )
+        if isinstance(outcome, ports.Conflict):
+            # An earlier write of this node, whose answer was lost.
+            found = outcome.row
+            self._row_version = 0 if found is None else found.version
+            return False
+        if not isinstance(outcome, ports.Written):
+            return False
+        self._row_version = outcome.version
+        self._written = entry
+        self._release_waiters(entry.revision)
+        return True
+
+    def _release_waiters(self, revision: int) -> None:
+        waiting, self._waiters = self._waiters, []
+        for wanted, waiter in waiting:
+            if wanted > revision:
+                self._waiters.append((wanted, waiter))
+            elif not waiter.done():
+                waiter.set_result(None)
+
+
+def encode_entry(entry: roster.Entry) -> bytes:
+    """Return an entry as it is kept and sent."""
+    fields = dataclasses.asdict(entry)
+    fields['state'] = entry.state.value
+    return json.dumps(fields, separators=(',', ':')).encode()
+
+
+def decode_entry(value: bytes) -> roster.Entry | None:
+    """Return an entry, or None when the text is none."""
+    try:
+        fields = json.loads(value)
+        fields['state'] = roster.TargetState(fields['state'])
+        known = {item.name for item in dataclasses.fields(roster.Entry)}
+        return roster.Entry(
+            **{name: item for name, item in fields.items() if name in known}
+        )
+    except (ValueError, TypeError, KeyError):
+        return None
+
+
+def _build_peer(entry: roster.Entry) -> directory.Peer:
+    state = _UNUSABLE
+    if entry.is_usable:
+        state = directory.STATE_READY
+    return directory.Peer(
+        node_id=entry.node_id,
+        host=entry.host,
+        service=entry.service,
+        data_centre=entry.data_centre,
+        state=state,
+        links=dialler.Address(entry.node_id, entry.host, entry.port),
+    )
--- /dev/null
+++ b/src/eelgrasswalk/controllers/rules.py
@@ -0,0 +1,61 @@
+"""Keeps the rules in force up to date with the operator's configuration."""
+
+import typing
+
+from .. import events
+from .. import ports
+from ..policy import call_rules
+from ..policy import freshness
+
+Apply: typing.TypeAlias = typing.Callable[[call_rules.RuleTable], None]
+
+
+class RuleKeeper:
+    """Puts each newer version in force, and never goes back.
+
+    Args:
+        source: Decodes the operator's configuration.
+        fresh: Is told when the version in force was the newest.
+        apply: Puts a version in force.
+    """
+
+    def __init__(
+        self,
+        source: ports.RuleSource,
+        fresh: freshness.Freshness,
+        apply: Apply,
+    ) -> None:
+        self.table: call_rules.RuleTable | None = None
+        self._source = source
+        self._fresh = fresh
+        self._apply = apply
+
+    def get_table(self) -> call_rules.RuleTable | None:
+        """Return the rules in force, or None before the first version."""
+        return self.table
+
+    def take_all(self, rows: ports.Rows, asked_at: float) -> None:
+        """Take everything that the table holds."""
+        self._take(rows, asked_at)
+
+    def take_changes(self, rows: ports.Rows, asked_at: float) -> None:
+        """Take what has changed."""
+        self._take(rows, asked_at)
+
+    def _take(self, rows: ports.Rows, asked_at: float) -> None:
+        try:
+            rules = self._source.decode(rows.rows)
+        except ValueError as error:
+            # Without a confirmation, keys stop to count after a while.
+            events.log(events.CONFIGURATION_REJECTED, problems=str(error))
+            return
+        if rules is not None:
+            self._put_in_force(rules)
+        self._fresh.confirm(asked_at)
+
+    def _put_in_force(self, rules: call_rules.Rules) -> None:
+        if self.table is not None and rules.version <= self.table.version:
+            return
+        self.table = call_rules.RuleTable(rules)
+        self._apply(self.table)
+        events.log(events.CONFIGURATION_APPLIED, version=rules.version)
--- a/src/eelgrasswalk/events.py
+++ b/src/eelgrasswalk/events.py
@@ -30,6 +30,13 @@
 NODE_STARTED = Event(1001, logging.INFO, 'node started')
 NODE_DRAINING = Event(1002, logging.INFO, 'node draining')
 NODE_STOPPED = Event(1003, logging.INFO, 'node stopped')
+SETTINGS_CHANGED = Event(1005, logging.INFO, 'settings were read again')
+SETTINGS_REJECTED = Event(
+    1006,
+    logging.ERROR,
+    'settings cannot be used; the old ones hold',
+    'mend the field that the record names',
+)
 DRAIN_TIMED_OUT = Event(
     1004,
     logging.WARNING,
@@ -50,6 +57,29 @@
     'configuration could not be read',
     'validate the document with the same release as the node',
 )
+STORE_LOST = Event(
+    3003,
+    logging.WARNING,
+    'store does not answer',
+    'look after the platform; keys stop to count before withdrawals could '
+    'be missed',
+)
+STORE_BACK = Event(3004, logging.INFO, 'store answers again')
+HISTORY_GONE = Event(
+    3005, logging.INFO, 'store has dropped its history; reading everything'
+)
+ENTRY_REJECTED = Event(
+    3006,
+    logging.WARNING,
+    'entry of a node cannot be read',
+    'look for another writer of the table of nodes',
+)
+CHECK_IN_REJECTED = Event(
+    3007,
+    logging.WARNING,
+    'check-in of a target cannot be read',
+    'look at what the target beside the node sends',
+)
 CLAIM_LOCAL = Event(
     3101,
     logging.WARNING,
@@ -69,6 +99,7 @@
     'look at the target; the node takes no calls for it meanwhile',
 )
 TARGET_USABLE = Event(4003, logging.INFO, 'target is healthy again')
+TARGET_CHANGED = Event(4004, logging.INFO, 'target has changed its state')
 REQUEST_FAILED = Event(
     5001,
     logging.ERROR,
@@ -77,9 +108,17 @@
 )
 
 
-def configure_logging(level: str, *, node_id: str) -> None:
-    """Write every record as one JSON object a line to standard error."""
-    handler = logging.StreamHandler(sys.stderr)
+def configure_logging(
+    level: str, *, node_id: str, stream: typing.TextIO | None = None
+) -> None:
+    """Write every record as one JSON object a line.
+
+    Args:
+        level: Least level that is written.
+        node_id: Stands in every record.
+        stream: Where to; standard error when left out.
+    """
+    handler = logging.StreamHandler(sys.stderr if stream is None else stream)
     handler.setFormatter(
         pythonjsonlogger.json.JsonFormatter(
             '%(levelname)s %(message)s',
--- /dev/null
+++ b/src/eelgrasswalk/filters/forward.py
@@ -0,0 +1,239 @@
+"""Sends a call to an upstream, and to another where that is safe."""
+
+import asyncio
+import random
+import secrets
+import time
+import typing
+
+from .. import verdict
+from ..policy import balance
+from ..policy import retries
+from ..policy import retry_budget
+from ..transport import bodies
+from ..transport import dialler
+from ..transport import frames
+from . import front
+
+# Upstreams whose gates may refuse one call before it is given up.
+MAX_GATES = 4
+_NEVER_ARRIVED = frozenset(
+    (
+        verdict.Reason.NO_UPSTREAM,
+        verdict.Reason.TARGET_UNREACHABLE,
+        verdict.Reason.FENCED,
+        verdict.Reason.LEAVING,
+        verdict.Reason.OVERLOAD,
+        verdict.Reason.MEMORY,
+    )
+)
+_FAILED = frozenset(
+    (
+        verdict.Reason.NO_UPSTREAM,
+        verdict.Reason.TARGET_UNREACHABLE,
+        verdict.Reason.FENCED,
+    )
+)
+
+
+class AddressBook(typing.Protocol):
+    """Knows where upstreams' nodes accept links."""
+
+    def find_address(self, node_id: str) -> dialler.Address | None:
+        """Return a node's address, or None when it is not known."""
+
+
+class Runner(typing.Protocol):
+    """Runs an attempt at this node's own target."""
+
+    async def run(self, call: frames.Call) -> dialler.Reply:
+        """Run one attempt."""
+
+
+class Forwarder:
+    """The last step of a call at the caller's node.
+
+    Args:
+        node_id: This node; attempts to itself need no link.
+        book: Addresses of the upstreams' nodes.
+        links: Sends attempts to other nodes.
+        runner: Runs attempts at this node's own target.
+        balancer: Chooses upstreams.
+        repeats: This node's part of the bound on repeats.
+        count_nodes: Returns how many nodes share that bound.
+        source: Random numbers.
+    """
+
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        book: AddressBook,
+        links: dialler.Dialler,
+        runner: Runner,
+        balancer: balance.Balancer,
+        repeats: retry_budget.RetryBudget,
+        count_nodes: typing.Callable[[], int],
+        source: random.Random,
+    ) -> None:
+        self._node_id = node_id
+        self._book = book
+        self._links = links
+        self._runner = runner
+        self._balancer = balancer
+        self._repeats = repeats
+        self._count_nodes = count_nodes
+        self._random = source
+        self._loop = asyncio.get_running_loop()
+        # The loop's own time is too coarse for latencies.
+        self._clock = time.monotonic
+
+    async def send(self, item: front.Item) -> verdict.Verdict:
+        """Return what became of a call."""
+        self._repeats.count_call(item.service, self._clock())
+        tried: set[str] = set()
+        arrivals = 0
+        while True:
+            upstream = self._choose(item.service, tried)
+            if upstream is None:
+                return self._give_up(item, None)
+            tried.add(upstream.node_id)
+            outcome = await self._attempt(item, upstream)
+            if isinstance(outcome, verdict.Answered):
+                return outcome
+            if _has_arrived(outcome):
+                arrivals += 1
+            if not self._may_repeat(item, outcome, len(tried), arrivals):
+                return self._give_up(item, outcome)
+
+    def _choose(
+        self, service: str, tried: set[str]
+    ) -> balance.Upstream | None:
+        return self._balancer.choose(
+            service,
+            self._clock(),
+            (self._random.random(), self._random.random()),
+            excluded=tried,
+        )
+
+    def _may_repeat(
+        self,
+        item: front.Item,
+        outcome: verdict.NotRun | verdict.MayHaveRun,
+        gates: int,
+        arrivals: int,
+    ) -> bool:
+        if self._loop.time() >= item.deadline or gates >= MAX_GATES:
+            return False
+        if isinstance(outcome, verdict.MayHaveRun):
+            if not item.route.idempotent:
+                return False
+            if outcome.reason not in retries.RETRYABLE_DOUBTS:
+                return False
+        elif not outcome.retry_elsewhere:
+            return False
+        if not _has_arrived(outcome):
+            return True
+        if arrivals >= item.route.max_upstreams:
+            return False
+        return self._repeats.take(
+            item.service, self._clock(), self._count_nodes()
+        )
+
+    def _give_up(
+        self,
+        item: front.Item,
+        outcome: verdict.NotRun | verdict.MayHaveRun | None,
+    ) -> verdict.NotRun | verdict.MayHaveRun:
+        if isinstance(outcome, verdict.MayHaveRun):
+            return outcome
+        reason = (
+            verdict.Reason.NO_UPSTREAM if outcome is None else outcome.reason
+        )
+        pause_s = item.route.objective_s * (0.25 + self._random.random())
+        return verdict.NotRun(reason, retry_after_s=pause_s)
+
+    async def _attempt(
+        self, item: front.Item, upstream: balance.Upstream
+    ) -> verdict.Verdict:
+        started_at = self._clock()
+        call = self._build_call(item)
+        outcome = balance.Outcome.CANCELLED
+        queue_delay_s = 0.0
+        self._balancer.start(upstream.node_id, started_at)
+        try:
+            reply = await self._transmit(item, upstream, call)
+            outcome = _classify(reply.outcome)
+            if reply.feedback is not None:
+                queue_delay_s = reply.feedback.queue_delay_s
+        finally:
+            now = self._clock()
+            self._balancer.finish(
+                upstream.node_id,
+                now,
+                outcome=outcome,
+                latency_s=now - started_at,
+                queue_delay_s=queue_delay_s,
+            )
+        return reply.outcome
+
+    async def _transmit(
+        self, item: front.Item, upstream: balance.Upstream, call: frames.Call
+    ) -> dialler.Reply:
+        if upstream.node_id == self._node_id:
+            return await self._runner.run(call)
+        address = self._book.find_address(upstream.node_id)
+        if address is None:
+            refusal = verdict.NotRun(
+                verdict.Reason.NO_UPSTREAM, retry_elsewhere=True
+            )
+            return dialler.Reply(refusal, None)
+        return await self._links.call(
+            address,
+            call,
+            deadline=item.deadline,
+            retriable=item.route.idempotent,
+        )
+
+    def _build_call(self, item: front.Item) -> frames.Call:
+        now = self._loop.time()
+        body = item.request.body
+        attempt = secrets.token_bytes(frames.ATTEMPT_BYTES)
+        return frames.Call(
+            attempt=attempt,
+            route=item.route.name,
+            context=frames.Context(
+                account=item.account,
+                importance=item.importance,
+                root_id=attempt,
+                root_hash=self._random.random(),
+                root_age_s=max(0.0, now - item.arrived_at),
+                # Only targets call on open routes.
+                depth=int(item.route.open_to_all),
+            ),
+            remaining_s=max(0.0, item.deadline - now),
+            allowance=0,
+            idempotency_key='',
+            request=item.request,
+            body_length=len(body),
+            digest=bodies.compute_digest(body),
+        )
+
+
+def _has_arrived(outcome: verdict.NotRun | verdict.MayHaveRun) -> bool:
+    """Return whether the target has seen the call, or may have."""
+    if isinstance(outcome, verdict.MayHaveRun):
+        return True
+    return outcome.reason not in _NEVER_ARRIVED
+
+
+def _classify(outcome: verdict.Verdict) -> balance.Outcome:
+    if isinstance(outcome, verdict.Answered):
+        return balance.Outcome.ANSWERED
+    if isinstance(outcome, verdict.MayHaveRun):
+        return balance.Outcome.FAILED
+    if outcome.reason is verdict.Reason.LEAVING:
+        return balance.Outcome.LEAVING
+    if outcome.reason in _FAILED:
+        return balance.Outcome.FAILED
+    return balance.Outcome.REFUSED
--- /dev/null
+++ b/src/eelgrasswalk/filters/front.py
@@ -0,0 +1,205 @@
+"""The caller's side of a call: what it may do, then where it goes."""
+
+import asyncio
+import dataclasses
+import random
+import traceback
+import typing
+
+from .. import events
+from .. import ports
+from .. import verdict
+from ..policy import call_rules
+from ..policy import deadline
+from ..policy import freshness
+from ..policy import quota
+from ..transport import message
+
+# Callers that wait this long find rules, keys or tokens as they should be.
+STALE_RETRY_S = 0.5
+MAX_TIMEOUT_S = 600.0
+
+
+@dataclasses.dataclass(slots=True)
+class Item:
+    """A call and what has been found out about it.
+
+    Args:
+        request: As the caller sent it.
+        request_id: The caller's id of it.
+        arrived_at: Loop time of its arrival.
+        route: The route it takes.
+        service: The service that answers.
+        account: Client account; empty on an open route.
+        importance: How late it is shed.
+        deadline: Loop time by which the caller needs its answer.
+    """
+
+    request: message.Request
+    request_id: str
+    arrived_at: float
+    route: call_rules.RouteRule
+    service: str
+    account: str
+    importance: int
+    deadline: float
+
+
+class Quota(typing.Protocol):
+    """Holds client accounts to their rates."""
+
+    def admit(self, account: call_rules.AccountRule) -> quota.Refused | None:
+        """Charge one call, or refuse it."""
+
+
+class Forward(typing.Protocol):
+    """Sends a call to an upstream."""
+
+    async def __call__(self, item: Item) -> verdict.Verdict:
+        """Return what became of a call."""
+
+
+class Front:
+    """Handles the calls that begin on this host.
+
+    Args:
+        dialect: How callers speak.
+        service: The service beside which the calls begin.
+        get_table: Returns the rules in force, or None.
+        fresh: How old the certainty about them is.
+        quotas: Holds client accounts to their rates.
+        forward: Sends calls on.
+        boot_clock: Seconds of a clock that runs through suspension.
+        source: Random numbers.
+    """
+
+    def __init__(
+        self,
+        dialect: ports.Dialect,
+        *,
+        service: str,
+        get_table: call_rules.Lookup,
+        fresh: freshness.Freshness,
+        quotas: Quota,
+        forward: Forward,
+        boot_clock: typing.Callable[[], float],
+        source: random.Random,
+    ) -> None:
+        self._dialect = dialect
+        self._service = service
+        self._get_table = get_table
+        self._fresh = fresh
+        self._quotas = quotas
+        self._forward = forward
+        self._boot_clock = boot_clock
+        self._random = source
+        self._spread = call_rules.WeightedChoice()
+        self._loop = asyncio.get_running_loop()
+
+    async def handle(self, request: message.Request) -> verdict.Response:
+        """Answer one call."""
+        try:
+            outcome = await self._run(request)
+        except Exception as error:
+            events.log(events.REQUEST_FAILED, traceback=traceback.format_exc())
+            outcome = verdict.MayHaveRun(
+                verdict.Reason.INTERNAL, type(error).__name__
+            )
+        return self._dialect.render(outcome)
+
+    async def _run(self, request: message.Request) -> verdict.Verdict:
+        item = self._open(request)
+        if isinstance(item, verdict.NotRun):
+            return item
+        return await self._forward(item)
+
+    def _open(self, request: message.Request) -> Item | verdict.NotRun:
+        """Return the call on its terms, or why it may not run."""
+        now = self._loop.time()
+        table = self._get_table()
+        if table is None:
+            return self._refuse_stale()
+        hostname = self._dialect.read_hostname(request.headers)
+        route = table.find_route(hostname, request.path)
+        if route is None:
+            return self._refuse_unknown(verdict.Reason.NO_ROUTE)
+        account = self._identify(request, table, route)
+        if isinstance(account, verdict.NotRun):
+            return account
+        timeout = self._dialect.read_timeout(request.headers)
+        if isinstance(timeout, deadline.Malformed):
+            return verdict.NotRun(
+                verdict.Reason.BAD_REQUEST, detail=timeout.detail
+            )
+        waits_s = route.timeout_s
+        if isinstance(timeout, deadline.Given):
+            waits_s = min(waits_s, timeout.seconds)
+        if account is not None:
+            refused = self._quotas.admit(account)
+            if refused is not None:
+                return verdict.NotRun(
+                    verdict.Reason.QUOTA, retry_after_s=refused.retry_after_s
+                )
+        return self._build_item(request, route, account, now, waits_s)
+
+    def _build_item(
+        self,
+        request: message.Request,
+        route: call_rules.RouteRule,
+        account: call_rules.AccountRule | None,
+        now: float,
+        waits_s: float,
+    ) -> Item:
+        name = '' if account is None else account.name
+        importance = route.importance
+        if account is not None and account.importance is not None:
+            importance = account.importance
+        forwarded = message.Request(
+            method=request.method,
+            target=request.target,
+            headers=self._dialect.build_forwarded(
+                request.headers, account=name, service=self._service
+            ),
+            body=request.body,
+        )
+        return Item(
+            request=forwarded,
+            request_id=self._dialect.read_request_id(request.headers),
+            arrived_at=now,
+            route=route,
+            service=self._spread.choose(route, self._random.random()),
+            account=name,
+            importance=int(importance),
+            deadline=now + min(waits_s, MAX_TIMEOUT_S),
+        )
+
+    def _identify(
+        self,
+        request: message.Request,
+        table: call_rules.RuleTable,
+        route: call_rules.RouteRule,
+    ) -> call_rules.AccountRule | verdict.NotRun | None:
+        """Return the client account, or None where none is asked for."""
+        if route.open_to_all or not table.needs_keys:
+            return None
+        if not self._fresh.is_fresh(self._boot_clock()):
+            return self._refuse_stale()
+        key = self._dialect.read_key(request.headers)
+        if key is None:
+            return verdict.NotRun(verdict.Reason.KEY_MISSING)
+        account = table.find_account(key)
+        if account is None:
+            return verdict.NotRun(verdict.Reason.KEY_UNKNOWN)
+        return account
+
+    def _refuse_unknown(self, reason: verdict.Reason) -> verdict.NotRun:
+        """Refuse what the rules do not know, if they may be relied on."""
+        if not self._fresh.is_fresh(self._boot_clock()):
+            return self._refuse_stale()
+        return verdict.NotRun(reason)
+
+    def _refuse_stale(self) -> verdict.NotRun:
+        pause_s = STALE_RETRY_S * (1.0 + self._random.random())
+        return verdict.NotRun(
+            verdict.Reason.NO_CONFIGURATION, retry_after_s=pause_s
+        )
--- /dev/null
+++ b/src/eelgrasswalk/filters/gate.py
@@ -0,0 +1,166 @@
+"""The upstream's side of a call: admits it and delivers it to the target."""
+
+import asyncio
+
+from .. import events
+from .. import ports
+from .. import verdict
+from ..transport import budget
+from ..transport import dialler
+from ..transport import frames
+from ..transport import http_client
+from ..transport import message
+from . import admit
+
+MAX_ANSWER_BYTES = 33_554_432
+MIN_REMAINING_S = 0.002
+# Calls that peers had sent before they heard of a drain are still taken for
+# this share of the time that a drain allows.
+LATE_SHARE = 0.4
+# What waits longer than that must not reach the target any more.
+LAST_SHARE = 0.8
+
+
+class Gate:
+    """Admits calls and delivers them to this node's target.
+
+    Args:
+        dialect: How the target is spoken to.
+        pool: Connections to the target.
+        admitter: Decides which call starts.
+        bodies: Budget for bodies.
+        drain_s: Seconds after an acknowledged drain in which calls may
+            still reach the target.
+    """
+
+    def __init__(
+        self,
+        dialect: ports.Dialect,
+        pool: http_client.TargetPool,
+        admitter: admit.Admitter,
+        bodies: budget.ByteBudget,
+        *,
+        drain_s: float,
+    ) -> None:
+        self._dialect = dialect
+        self._pool = pool
+        self._admitter = admitter
+        self._bodies = bodies
+        self._drain_s = drain_s
+        self._loop = asyncio.get_running_loop()
+        self._target_id = ''
+        self._closes_at = float('inf')
+        self._ends_at = float('inf')
+
+    def set_target(self, target_id: str, slots: int, cold_s: float) -> None:
+        """Deliver to this lifetime from now on."""
+        self._target_id = target_id
+        self._closes_at = float('inf')
+        self._ends_at = float('inf')
+        self._admitter.policy.resize(slots)
+
+    def leave(self) -> None:
+        """Let the target's calls come to an end."""
+        now = self._loop.time()
+        if self._closes_at <= now:
+            return
+        self._closes_at = now + LATE_SHARE * self._drain_s
+        self._ends_at = now + LAST_SHARE * self._drain_s
+
+    async def run(self, call: frames.Call) -> dialler.Reply:
+        """Run one attempt and tell how long it waited."""
+        started_at = self._loop.time()
+        refusal = self._check(call, started_at)
+        if refusal is not None:
+            return dialler.Reply(refusal, None)
+        deadline = started_at + call.remaining_s
+        admitted = await self._admitter.admit(
+            call.context, deadline=min(deadline, self._ends_at)
+        )
+        if isinstance(admitted, verdict.NotRun):
+            return dialler.Reply(admitted, None)
+        waited_s = self._loop.time() - started_at
+        ok = True
+        try:
+            outcome = await self._deliver(call, deadline)
+            ok = _is_sound(outcome)
+        finally:
+            self._admitter.finish(admitted.call_id, ok=ok)
+        return dialler.Reply(outcome, _build_feedback(waited_s))
+
+    def _check(self, call: frames.Call, now: float) -> verdict.NotRun | None:
+        if call.remaining_s <= MIN_REMAINING_S:
+            return verdict.NotRun(verdict.Reason.DEADLINE)
+        if not self._target_id:
+            return _refuse(verdict.Reason.TARGET_UNREACHABLE)
+        if now >= self._closes_at:
+            return _refuse(verdict.Reason.LEAVING)
+        if not self._bodies.admits_calls():
+            return _refuse(verdict.Reason.MEMORY)
+        return None
+
+    async def _deliver(
+        self, call: frames.Call, deadline: float
+    ) -> verdict.Verdict:
+        now = self._loop.time()
+        if now >= self._ends_at:
+            return _refuse(verdict.Reason.LEAVING)
+        remaining_s = deadline - now
+        if remaining_s <= MIN_REMAINING_S:
+            return verdict.NotRun(verdict.Reason.DEADLINE)
+        request = message.Request(
+            method=call.request.method,
+            target=call.request.target,
+            headers=self._dialect.build_delivered(
+                call.request.headers,
+                remaining_s=remaining_s,
+                target_id=self._target_id,
+            ),
+            body=call.request.body,
+        )
+        try:
+            async with asyncio.timeout_at(deadline):
+                outcome = await self._pool.send(
+                    request,
+                    max_answer_bytes=MAX_ANSWER_BYTES,
+                    find_echo=self._dialect.find_echo,
+                )
+        except TimeoutError:
+            return verdict.MayHaveRun(verdict.Reason.DEADLINE)
+        return self._judge(outcome)
+
+    def _judge(self, outcome: http_client.Outcome) -> verdict.Verdict:
+        if isinstance(outcome, http_client.NotSent):
+            events.log(events.TARGET_UNREACHABLE, detail=outcome.detail)
+            return _refuse(verdict.Reason.TARGET_UNREACHABLE)
+        if isinstance(outcome, http_client.Broken):
+            return verdict.MayHaveRun(outcome.reason, outcome.detail)
+        judged = self._dialect.judge(outcome.response)
+        if isinstance(judged, verdict.Answered):
+            answer = judged.response
+            if len(answer.body) > budget.UNCOUNTED_BYTES:
+                # The new answer keeps the old one's place in the budget.
+                budget.keep_alive(answer, outcome.response)
+        return judged
+
+
+def _refuse(reason: verdict.Reason) -> verdict.NotRun:
+    return verdict.NotRun(reason, retry_elsewhere=True)
+
+
+def _is_sound(outcome: verdict.Verdict) -> bool:
+    if isinstance(outcome, verdict.Answered):
+        return True
+    return outcome.reason in (
+        verdict.Reason.CALLER_GONE,
+        verdict.Reason.DEADLINE,
+    )
+
+
+def _build_feedback(waited_s: float) -> frames.Feedback:
+    return frames.Feedback(
+        importance=frames.SILENT_FEEDBACK.importance,
+        fraction=1.0,
+        queue_delay_s=waited_s,
+        unspent=0,
+    )
--- /dev/null
+++ b/src/eelgrasswalk/platform/dialect.py
@@ -0,0 +1,134 @@
+"""How callers and targets of the platform speak of calls."""
+
+from .. import verdict
+from ..policy import deadline
+from ..transport import message
+from . import names
+
+_MS_PER_S = 1000.0
+
+_NOT_RUN_STATUS = {
+    verdict.Reason.BAD_REQUEST: 400,
+    verdict.Reason.KEY_MISSING: 401,
+    verdict.Reason.KEY_UNKNOWN: 401,
+    verdict.Reason.NO_ROUTE: 404,
+    verdict.Reason.BODY_TOO_LARGE: 413,
+    verdict.Reason.HEADERS_TOO_LARGE: 431,
+    verdict.Reason.QUOTA: 429,
+}
+_IN_DOUBT_STATUS = {verdict.Reason.DEADLINE: 504}
+
+# The system sets these itself, whatever a caller sends.
+_OWN = frozenset(
+    (
+        names.DEADLINE,
+        names.ACCOUNT,
+        names.TARGET_ID,
+        names.CALLER_SERVICE,
+        names.AUTHORIZATION,
+    )
+)
+
+
+class PlatformDialect:
+    """Implements ports.Dialect."""
+
+    def read_request_id(self, headers: message.Headers) -> str:
+        """Return the caller's id of a request; empty when there is none."""
+        value = message.find_header(headers, names.REQUEST_ID)
+        return '' if value is None else value.decode('latin-1')
+
+    def read_hostname(self, headers: message.Headers) -> str:
+        """Return the host that a request names, without its port."""
+        value = message.find_header(headers, b'host')
+        if value is None:
+            return ''
+        return value.decode('latin-1').partition(':')[0].lower()
+
+    def read_key(self, headers: message.Headers) -> bytes | None:
+        """Return the caller's key, or None."""
+        value = message.find_header(headers, names.AUTHORIZATION)
+        if value is None or value[:7].lower() != names.BEARER:
+            return None
+        return value[7:].strip()
+
+    def read_timeout(self, headers: message.Headers) -> deadline.Timeout:
+        """Return the time that the caller waits."""
+        value = message.find_header(headers, names.DEADLINE)
+        if value is None:
+            return deadline.Absent()
+        given = deadline.parse_timeout(value.decode('latin-1'))
+        if isinstance(given, deadline.Given):
+            return deadline.Given(given.seconds / _MS_PER_S)
+        return given
+
+    def build_forwarded(
+        self, headers: message.Headers, *, account: str, service: str
+    ) -> message.Headers:
+        """Return the headers that travel to the target."""
+        kept = message.strip_headers(headers, remove=_OWN)
+        added = [(names.CALLER_SERVICE, service.encode('latin-1', 'replace'))]
+        if account:
+            name = account.encode('latin-1', 'replace')
+            added.append((names.ACCOUNT, name))
+        return (*kept, *added)
+
+    def build_delivered(
+        self, headers: message.Headers, *, remaining_s: float, target_id: str
+    ) -> message.Headers:
+        """Return the headers that the target gets."""
+        remaining = b'%d' % max(1, int(remaining_s * _MS_PER_S))
+        return (
+            *headers,
+            (names.DEADLINE, remaining),
+            (names.TARGET_ID, target_id.encode('latin-1', 'replace')),
+        )
+
+    def find_echo(self, headers: message.Headers) -> bytes | None:
+        """Return the id that a request or its answer carries, or None."""
+        return message.find_header(headers, names.REQUEST_ID)
+
+    def judge(self, response: verdict.Response) -> verdict.Verdict:
+        """Return what a target's answer says of its call."""
+        headers = response.headers
+        if response.status == 421 or (
+            message.find_header(headers, names.NOT_RUN) is not None
+        ):
+            return verdict.NotRun(
+                verdict.Reason.TARGET_REFUSED, retry_elsewhere=True
+            )
+        if message.find_header(headers, names.STAMP) is None:
+            return _doubt('the answer has no stamp')
+        if message.find_header(headers, b'content-encoding') is not None:
+            return _doubt('the answer is encoded, which nobody asked for')
+        kept = message.strip_headers(
+            headers, remove=frozenset((b'content-length',))
+        )
+        return verdict.Answered(
+            verdict.Response(response.status, kept, response.body)
+        )
+
+    def render(self, outcome: verdict.Verdict) -> verdict.Response:
+        """Return the answer for the caller."""
+        if isinstance(outcome, verdict.Answered):
+            return outcome.response
+        if isinstance(outcome, verdict.MayHaveRun):
+            status = _IN_DOUBT_STATUS.get(outcome.reason, 502)
+            return _build_answer(status, outcome.reason, None)
+        status = _NOT_RUN_STATUS.get(outcome.reason, 503)
+        return _build_answer(status, outcome.reason, outcome.retry_after_s)
+
+
+def _doubt(detail: str) -> verdict.MayHaveRun:
+    return verdict.MayHaveRun(verdict.Reason.ANSWER_INCOMPLETE, detail)
+
+
+def _build_answer(
+    status: int, reason: verdict.Reason, retry_after_s: float | None
+) -> verdict.Response:
+    headers = [(b'content-type', b'text/plain')]
+    if retry_after_s is not None:
+        headers.append((names.RETRY_AFTER, b'%.3f' % retry_after_s))
+    return verdict.Response(
+        status, tuple(headers), reason.value.encode('ascii') + b'\n'
+    )
--- /dev/null
+++ b/src/eelgrasswalk/platform/operator_config.py
@@ -0,0 +1,139 @@
+"""Decodes the operator's configuration into the product's rules."""
+
+import collections.abc
+import json
+import typing
+
+from .. import ports
+from ..document import model
+from ..policy import call_rules
+from . import names
+
+Fields: typing.TypeAlias = dict[str, typing.Any]
+
+_MS_PER_S = 1000.0
+# Used where a configuration leaves a bound out.
+_HEADER_BYTES = 16_384
+_BODY_BYTES = 67_108_864
+_HEADER_TIMEOUT_MS = 3_000
+_IDLE_TIMEOUT_MS = 15_000
+
+
+class OperatorRules:
+    """Implements ports.RuleSource."""
+
+    table = names.OPERATOR_TABLE
+
+    def decode(
+        self, rows: collections.abc.Iterable[ports.Row]
+    ) -> call_rules.Rules | None:
+        """Return the rules among some rows, or None when there are none.
+
+        Raises:
+            ValueError: The rules cannot be read.
+        """
+        for row in rows:
+            if row.key == names.CONFIGURATION_KEY and row.value is not None:
+                return decode_rules(row.value)
+        return None
+
+
+def decode_rules(value: bytes) -> call_rules.Rules:
+    """Return the rules of one configuration.
+
+    Raises:
+        ValueError: The text is no configuration.
+    """
+    try:
+        fields = json.loads(value)
+        return _decode(fields)
+    except (TypeError, KeyError, AttributeError) as error:
+        raise ValueError(f'field missing or of another type: {error!r}') from (
+            error
+        )
+
+
+def _decode(fields: Fields) -> call_rules.Rules:
+    return call_rules.Rules(
+        version=int(fields['version']),
+        routes=tuple(_decode_routes(fields['listeners'])),
+        accounts=tuple(map(_decode_account, fields.get('tenants') or ())),
+        services=tuple(map(_decode_service, fields.get('clusters') or ())),
+        limits=_decode_limits(fields.get('limits') or {}),
+    )
+
+
+def _decode_routes(
+    listeners: list[Fields],
+) -> typing.Iterator[call_rules.RouteRule]:
+    for listener in listeners:
+        hostname = str(listener['hostname']).lower()
+        for rule in listener['rule_set']:
+            yield _decode_route(hostname, rule)
+
+
+def _decode_route(hostname: str, rule: Fields) -> call_rules.RouteRule:
+    action = rule['action']
+    timeout_s = float(action['timeout_ms']) / _MS_PER_S
+    objective_ms = rule.get('target_latency_ms')
+    return call_rules.RouteRule(
+        name=str(rule['name']),
+        hostname=hostname,
+        prefix=str(rule['match']['prefix']),
+        shares=_decode_shares(action),
+        importance=_decode_importance(rule.get('priority')),
+        idempotent=rule['kind'] == 'safe',
+        open_to_all=bool(rule.get('auth_exempt')),
+        timeout_s=timeout_s,
+        objective_s=(
+            float(objective_ms) / _MS_PER_S if objective_ms else timeout_s
+        ),
+        max_upstreams=max(1, int(action.get('max_attempts') or 1)),
+    )
+
+
+def _decode_shares(action: Fields) -> tuple[call_rules.Share, ...]:
+    split = action.get('weighted_split')
+    if not split:
+        return (call_rules.Share(str(action['service']), 1.0),)
+    return tuple(
+        call_rules.Share(str(part['service']), float(part['weight']))
+        for part in split
+        if float(part['weight']) > 0.0
+    )
+
+
+def _decode_importance(priority: int | None) -> model.Importance:
+    if priority is None:
+        return model.Importance.NORMAL
+    lowest = int(max(model.Importance))
+    return model.Importance(min(max(0, int(priority)), lowest))
+
+
+def _decode_account(fields: Fields) -> call_rules.AccountRule:
+    priority = fields.get('priority')
+    return call_rules.AccountRule(
+        name=str(fields['name']),
+        keys=tuple(map(str, fields.get('api_keys') or ())),
+        rate=float(fields.get('rate_per_s') or 0.0),
+        burst=float(fields.get('burst') or 0.0),
+        importance=None if priority is None else _decode_importance(priority),
+    )
+
+
+def _decode_service(fields: Fields) -> call_rules.ServiceRule:
+    return call_rules.ServiceRule(
+        name=str(fields['name']),
+        connections=int(fields.get('max_connections') or 0),
+    )
+
+
+def _decode_limits(fields: Fields) -> call_rules.ListenerLimits:
+    header_ms = float(fields.get('header_timeout_ms') or _HEADER_TIMEOUT_MS)
+    idle_ms = float(fields.get('idle_timeout_ms') or _IDLE_TIMEOUT_MS)
+    return call_rules.ListenerLimits(
+        header_bytes=int(fields.get('max_header_bytes') or _HEADER_BYTES),
+        body_bytes=int(fields.get('max_body_bytes') or _BODY_BYTES),
+        header_timeout_s=header_ms / _MS_PER_S,
+        idle_timeout_s=idle_ms / _MS_PER_S,
+    )
--- /dev/null
+++ b/src/eelgrasswalk/platform/rows.py
@@ -0,0 +1,177 @@
+"""The client of the platform's store of rows."""
+
+import asyncio
+import base64
+import json
+import typing
+import urllib.parse
+
+from .. import ports
+from .. import verdict
+from ..transport import http_client
+from ..transport import message
+from . import names
+
+READ_TIMEOUT_S = 1.0
+WRITE_TIMEOUT_S = 1.5
+# A feed may answer this much later than it was asked to.
+FEED_SLACK_S = 1.0
+MAX_ANSWER_BYTES = 16_777_216
+_MS_PER_S = 1000.0
+_JSON = (b'content-type', b'application/json')
+
+
+class PlatformRows:
+    """Implements ports.RowStore.
+
+    Args:
+        host: IP address of the store.
+        port: Its port.
+        connections: Most connections open at a time.
+    """
+
+    def __init__(self, host: str, port: int, *, connections: int = 6) -> None:
+        self._host = (b'host', f'{host}:{port}'.encode('ascii'))
+        self._pool = http_client.TargetPool(
+            host, port, connections=connections
+        )
+
+    async def close(self) -> None:
+        """Close every idle connection."""
+        await self._pool.close()
+
+    async def read(self, table: str) -> ports.Rows | ports.Unavailable:
+        """Read a whole table."""
+        rows: list[ports.Row] = []
+        start = ''
+        while True:
+            query = {'table': table, 'part': ''}
+            if start:
+                query['from'] = start
+            fields = await self._get(names.READ_PATH, query, READ_TIMEOUT_S)
+            if isinstance(fields, ports.Unavailable | ports.HistoryGone):
+                return ports.Unavailable('the store refused to read')
+            page = _decode_rows(fields)
+            rows.extend(page.rows)
+            if not fields.get('has_more') or not page.rows:
+                return ports.Rows(tuple(rows), page.version)
+            start = page.rows[-1].key + '\0'
+
+    async def watch(
+        self, table: str, after: int, wait_s: float
+    ) -> ports.Rows | ports.HistoryGone | ports.Unavailable:
+        """Wait for changes of a table."""
+        query = {
+            'table': table,
+            'after': str(after),
+            'wait_ms': str(int(wait_s * _MS_PER_S)),
+        }
+        fields = await self._get(names.FEED_PATH, query, wait_s + FEED_SLACK_S)
+        if isinstance(fields, ports.Unavailable | ports.HistoryGone):
+            return fields
+        return _decode_rows(fields)
+
+    async def put(
+        self, table: str, key: str, value: bytes, *, expected: int
+    ) -> ports.Written | ports.Conflict | ports.Unavailable | ports.Unknown:
+        """Write a row."""
+        place = {'table': table, 'part': '', 'key': key}
+        text = base64.b64encode(value).decode('ascii')
+        return await self._write(
+            {
+                'expected': [{**place, 'ver': expected}],
+                'puts': [{**place, 'value': text}],
+                'removals': [],
+            }
+        )
+
+    async def remove(
+        self, table: str, key: str, *, expected: int
+    ) -> ports.Written | ports.Conflict | ports.Unavailable | ports.Unknown:
+        """Remove a row that is at the expected version."""
+        place = {'table': table, 'part': '', 'key': key}
+        return await self._write(
+            {
+                'expected': [{**place, 'ver': expected}],
+                'puts': [],
+                'removals': [place],
+            }
+        )
+
+    async def _get(
+        self, path: str, query: dict[str, str], timeout_s: float
+    ) -> dict[str, typing.Any] | ports.HistoryGone | ports.Unavailable:
+        target = f'{path}?{urllib.parse.urlencode(query)}'
+        request = message.Request('GET', target, (self._host,), b'')
+        outcome = await self._send(request, timeout_s)
+        if not isinstance(outcome, http_client.Received):
+            return ports.Unavailable(outcome.detail)
+        response = outcome.response
+        if response.status == 410:
+            return ports.HistoryGone()
+        fields = _read_body(response)
+        if response.status != 200 or fields is None:
+            return ports.Unavailable(f'status {response.status}')
+        return fields
+
+    async def _write(
+        self, body: dict[str, typing.Any]
+    ) -> ports.Written | ports.Conflict | ports.Unavailable | ports.Unknown:
+        request = message.Request(
+            'POST',
+            names.WRITE_PATH,
+            (self._host, _JSON),
+            json.dumps(body).encode(),
+        )
+        outcome = await self._send(request, WRITE_TIMEOUT_S)
+        if isinstance(outcome, http_client.NotSent):
+            return ports.Unavailable(outcome.detail)
+        if isinstance(outcome, http_client.Broken):
+            return ports.Unknown(outcome.detail)
+        response = outcome.response
+        fields = _read_body(response)
+        if response.status == 412 and fields is not None:
+            found = _decode_rows(fields).rows
+            return ports.Conflict(found[0] if found else None)
+        if response.status == 200 and fields is not None:
+            return ports.Written(int(fields['ver']))
+        if 400 <= response.status < 500 or response.status == 503:
+            return ports.Unavailable(f'status {response.status}')
+        return ports.Unknown(f'status {response.status}')
+
+    async def _send(
+        self, request: message.Request, timeout_s: float
+    ) -> http_client.Outcome:
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._pool.send(
+                    request, max_answer_bytes=MAX_ANSWER_BYTES
+                )
+        except TimeoutError:
+            return http_client.Broken(
+                verdict.Reason.DEADLINE, f'no answer in {timeout_s:.1f} s'
+            )
+
+
+def _read_body(response: verdict.Response) -> dict[str, typing.Any] | None:
+    try:
+        fields = json.loads(response.body)
+    except ValueError:
+        return None
+    return fields if isinstance(fields, dict) else None
+
+
+def _decode_rows(fields: dict[str, typing.Any]) -> ports.Rows:
+    rows = tuple(
+        _decode_row(item) for item in fields.get('rows') or () if item
+    )
+    return ports.Rows(rows, int(fields.get('ver') or 0))
+
+
+def _decode_row(item: dict[str, typing.Any]) -> ports.Row:
+    value = item.get('value')
+    if item.get('deleted') or value is None:
+        return ports.Row(str(item['key']), None, int(item.get('ver') or 0))
+    return ports.Row(
+        str(item['key']), base64.b64decode(value), int(item['ver'])
+    )
--- /dev/null
+++ b/src/eelgrasswalk/policy/retry_budget.py
@@ -0,0 +1,81 @@
+"""Bounds repeats of calls over the whole fleet without any agreement.
+
+Each node may repeat a share of the calls that it sends itself, and has a
+fixed part of the fleet's slack. The parts add up to the fleet's bound
+whatever the nodes know of each other.
+"""
+
+import collections
+import dataclasses
+
+BUCKETS = 20
+# Repeats beget repeats: calls made by a run that was itself a repeat count
+# as well, so a node plans to use only this part of its bound.
+PLANNED_SHARE = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryBounds:
+    """The fleet's bound.
+
+    Args:
+        ratio: Repeats for each call to a service.
+        window_s: Seconds over which they are counted.
+        slack: Repeats beyond that in a window, over all nodes.
+    """
+
+    ratio: float
+    window_s: float
+    slack: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Bucket:
+    index: int
+    calls: int = 0
+    repeats: int = 0
+
+
+class RetryBudget:
+    """This node's part of the bound, for each service.
+
+    Args:
+        bounds: The fleet's bound.
+    """
+
+    def __init__(self, bounds: RetryBounds) -> None:
+        self._bounds = bounds
+        self._bucket_s = bounds.window_s / BUCKETS
+        self._services: dict[str, collections.deque[_Bucket]] = {}
+
+    def count_call(self, service: str, now: float) -> None:
+        """Note a call that is sent for the first time."""
+        self._find_bucket(service, now).calls += 1
+
+    def take(self, service: str, now: float, nodes: int) -> bool:
+        """Take one repeat, and return whether there was one.
+
+        Args:
+            service: The service that gets the repeat.
+            now: The time, in seconds.
+            nodes: Nodes that share the slack, this one among them.
+        """
+        bucket = self._find_bucket(service, now)
+        buckets = self._services[service]
+        calls = sum(item.calls for item in buckets)
+        repeats = sum(item.repeats for item in buckets)
+        allowed = self._bounds.ratio * calls
+        allowed += self._bounds.slack / max(1, nodes)
+        if repeats + 1 > PLANNED_SHARE * allowed:
+            return False
+        bucket.repeats += 1
+        return True
+
+    def _find_bucket(self, service: str, now: float) -> _Bucket:
+        index = int(now / self._bucket_s)
+        buckets = self._services.setdefault(service, collections.deque())
+        if not buckets or buckets[-1].index != index:
+            buckets.append(_Bucket(index))
+        while buckets[0].index < index - BUCKETS:
+            buckets.popleft()
+        return buckets[-1]
--- /dev/null
+++ b/src/eelgrasswalk/ports.py
@@ -0,0 +1,241 @@
+"""What the product asks of the platform, whichever platform it is."""
+
+import collections.abc
+import dataclasses
+import typing
+
+from . import verdict
+from .policy import call_rules
+from .policy import deadline
+from .transport import message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """A row of a table.
+
+    Args:
+        key: Its key.
+        value: Its value; None when the row has been removed.
+        version: Grows with every transaction of the whole store.
+    """
+
+    key: str
+    value: bytes | None
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rows:
+    """What a table holds, or what has changed in it.
+
+    Args:
+        rows: The rows in order.
+        version: The store's newest version when they were read.
+    """
+
+    rows: tuple[Row, ...]
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HistoryGone:
+    """The changes since a version are no longer kept; read everything."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unavailable:
+    """Nothing was read, or the write certainly took no effect.
+
+    Args:
+        detail: Why, for logs.
+    """
+
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unknown:
+    """The answer to a write was lost; it may take effect, even later.
+
+    Args:
+        detail: Why, for logs.
+    """
+
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Written:
+    """The write took effect.
+
+    Args:
+        version: The version that it made.
+    """
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Conflict:
+    """The write took no effect: the row was not at the expected version.
+
+    Args:
+        row: The row as it is; None when there is none.
+    """
+
+    row: Row | None
+
+
+class RowStore(typing.Protocol):
+    """Tables of rows with conditional writes and a feed of changes."""
+
+    async def read(self, table: str) -> Rows | Unavailable:
+        """Read a whole table."""
+
+    async def watch(
+        self, table: str, after: int, wait_s: float
+    ) -> Rows | HistoryGone | Unavailable:
+        """Wait for changes of a table.
+
+        Args:
+            table: The table.
+            after: Version after which changes count.
+            wait_s: Seconds after which an empty answer comes.
+        """
+
+    async def put(
+        self, table: str, key: str, value: bytes, *, expected: int
+    ) -> Written | Conflict | Unavailable | Unknown:
+        """Write a row.
+
+        Args:
+            table: The table.
+            key: Its key.
+            value: Its new value.
+            expected: Version that the row must have; 0 for no such row.
+        """
+
+    async def remove(
+        self, table: str, key: str, *, expected: int
+    ) -> Written | Conflict | Unavailable | Unknown:
+        """Remove a row that is at the expected version."""
+
+
+class RuleSource(typing.Protocol):
+    """Where the operator's configuration comes from."""
+
+    table: str
+
+    def decode(
+        self, rows: collections.abc.Iterable[Row]
+    ) -> call_rules.Rules | None:
+        """Return the rules among some rows, or None when there are none.
+
+        Raises:
+            ValueError: The rules cannot be read.
+        """
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CheckIn:
+    """What a target says of itself to the node beside it.
+
+    Args:
+        target_id: Id of the target's lifetime.
+        born_ms: Unix milliseconds of its start; 0 when not told.
+        sequence: Grows with each check-in of a lifetime.
+        service: The service that it serves.
+        slots: Calls that it runs at a time.
+        draining: Whether it is leaving.
+        cold_left_s: Seconds for which it is still slow after its start.
+    """
+
+    target_id: str
+    born_ms: int
+    sequence: int
+    service: str
+    slots: int
+    draining: bool
+    cold_left_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Departure:
+    """A target says that it leaves.
+
+    Args:
+        target_id: Id of the target's lifetime.
+    """
+
+    target_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unreadable:
+    """A message that names no target to use.
+
+    Args:
+        detail: Why, for logs.
+    """
+
+    detail: str
+
+
+class CheckInFormat(typing.Protocol):
+    """Reads what targets say of themselves."""
+
+    def decode(
+        self, request: message.Request
+    ) -> CheckIn | Departure | Unreadable:
+        """Return what a request says."""
+
+    def acknowledge(self) -> verdict.Response:
+        """Return the answer that acknowledges a check-in."""
+
+
+class Dialect(typing.Protocol):
+    """How callers and targets say what a call is and what became of it."""
+
+    def read_request_id(self, headers: message.Headers) -> str:
+        """Return the caller's id of a request; empty when there is none."""
+
+    def read_hostname(self, headers: message.Headers) -> str:
+        """Return the host that a request names, without its port."""
+
+    def read_key(self, headers: message.Headers) -> bytes | None:
+        """Return the caller's key, or None."""
+
+    def read_timeout(self, headers: message.Headers) -> deadline.Timeout:
+        """Return the time that the caller waits."""
+
+    def build_forwarded(
+        self, headers: message.Headers, *, account: str, service: str
+    ) -> message.Headers:
+        """Return the headers that travel to the target.
+
+        Args:
+            headers: As the caller sent them.
+            account: The client account; empty on an open route.
+            service: The service beside which the call began.
+        """
+
+    def build_delivered(
+        self, headers: message.Headers, *, remaining_s: float, target_id: str
+    ) -> message.Headers:
+        """Return the headers that the target gets.
+
+        Args:
+            headers: As they were forwarded.
+            remaining_s: Seconds that the target may take.
+            target_id: The lifetime that alone may run the call.
+        """
+
+    def find_echo(self, headers: message.Headers) -> bytes | None:
+        """Return the id that a request or its answer carries, or None."""
+
+    def judge(self, response: verdict.Response) -> verdict.Verdict:
+        """Return what a target's answer says of its call."""
+
+    def render(self, outcome: verdict.Verdict) -> verdict.Response:
+        """Return the answer for the caller."""
--- a/src/eelgrasswalk/settings.py
+++ b/src/eelgrasswalk/settings.py
@@ -9,6 +9,7 @@
 import cattrs.errors
 import cattrs.gen
 
+from . import address
 from .document import nodes
 from .document import problem
 
@@ -34,21 +35,8 @@
         super().__init__('\n'.join(lines))
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Address:
-    """An IP address and a port.
-
-    Args:
-        host: IP address.
-        port: Port; 0 for any free one.
-    """
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        return f'{self.host}:{self.port}'
-
+Address = address.Address
+parse_address = address.parse_address
 
 _ANY = Address('127.0.0.1', 0)
 
@@ -225,28 +213,6 @@
     return settings
 
 
-def parse_address(value: typing.Any) -> Address:
-    """Read `IP:port`.
-
-    Raises:
-        ValueError: The text is not an IP address and a port.
-    """
-    if not isinstance(value, str):
-        raise ValueError(f'must be IP:port, not {value!r}')
-    host, _, port = value.rpartition(':')
-    host = host.strip('[]')
-    try:
-        ipaddress.ip_address(host)
-        number = int(port)
-    except ValueError:
-        raise ValueError(
-            f'must be IP:port such as 10.1.2.3:8080, not {value!r}'
-        ) from None
-    if not 0 <= number <= 65_535:
-        raise ValueError(f'port must be 0 to 65535, not {number}')
-    return Address(host, number)
-
-
 def _check(
     settings: Settings,
 ) -> typing.Iterator[tuple[problem.Path, str]]:
--- /dev/null
+++ b/src/eelgrasswalk/sidecar/node.py
@@ -0,0 +1,173 @@
+"""The life of a node beside a target on a platform."""
+
+import asyncio
+import time
+
+from .. import events
+from .. import verdict
+from ..controllers import mesh_secret
+from ..policy import call_rules
+from ..transport import http_server
+from ..transport import message
+from . import settings
+from . import wiring
+
+MAX_HEADERS = 256
+# The platform asks each second and takes a host out after two misses; calls
+# come until then.
+LEAVE_S = 3.0
+# Left of the grace period for closing down.
+CLOSE_MARGIN_S = 0.7
+_NOT_READY = verdict.Response(503, (), b'')
+_READY = verdict.Response(200, (), b'ready\n')
+
+
+class Sidecar:
+    """Entry for callers, exit for its target's calls, gate of its target.
+
+    Args:
+        config: Its settings.
+        platform: The adapter's parts.
+    """
+
+    def __init__(
+        self, config: settings.SidecarSettings, platform: wiring.Platform
+    ) -> None:
+        self.config = config
+        self.path: wiring.Path | None = None
+        self.stopping = False
+        self._platform = platform
+        self._state = wiring.build_state(
+            config, platform, apply_rules=self._apply_rules
+        )
+        self._callers = http_server.HttpServer(
+            self._handle_call,
+            limits=http_server.Limits(headers=MAX_HEADERS),
+            bodies=self._state.bodies,
+        )
+        self._readiness = http_server.HttpServer(
+            self._handle_readiness, limits=http_server.Limits()
+        )
+        self._check_ins = http_server.HttpServer(
+            self._handle_check_in, limits=http_server.Limits()
+        )
+        self._starting: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Listen, then learn of rules and nodes and take calls."""
+        config = self.config
+        for listener, address in (
+            (self._readiness, config.readiness),
+            (self._check_ins, config.check_ins),
+            (self._callers, config.callers),
+        ):
+            await listener.start(address.host, address.port)
+        events.log(events.NODE_STARTED, service=config.service)
+        await self._state.rules_feed.start()
+        await self._state.roster_feed.start()
+        self._starting = asyncio.get_running_loop().create_task(self._join())
+
+    async def stop(self) -> None:
+        """Announce the stop, finish what runs, then close everything."""
+        events.log(events.NODE_DRAINING)
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + self.config.bounds.grace_s - CLOSE_MARGIN_S
+        self.stopping = True
+        self._callers.announce()
+        if self._starting is not None and not self._starting.done():
+            self._starting.cancel()
+        if self.path is not None:
+            self._state.roster.change(stopping=True)
+        await asyncio.sleep(min(LEAVE_S, ends_at - loop.time()))
+        try:
+            async with asyncio.timeout_at(ends_at):
+                await self._finish_calls()
+        except TimeoutError:
+            events.log(events.DRAIN_TIMED_OUT)
+        await self._close()
+        events.log(events.NODE_STOPPED)
+
+    async def _join(self) -> None:
+        """Learn of the other nodes, then build what calls pass through."""
+        state = self._state
+        secret = await mesh_secret.fetch_secret(self._platform.store)
+        await state.roster_feed.filled.wait()
+        previous = state.roster.find_previous()
+        incarnation = time.time_ns()
+        if previous is not None:
+            # The time of day may have gone back since.
+            incarnation = max(incarnation, previous.incarnation + 1)
+        path = wiring.build_path(state, incarnation=incarnation, secret=secret)
+        links = self.config.links
+        await path.acceptor.start(links.host, links.port)
+        self.path = path
+        if state.rules.table is not None:
+            self._apply_rules(state.rules.table)
+        await state.roster.start()
+        state.roster.change(incarnation=incarnation)
+        if previous is not None:
+            path.check_ins.restore(previous)
+
+    async def _finish_calls(self) -> None:
+        await self._callers.drain()
+        if self.path is not None:
+            await self.path.acceptor.drain()
+
+    async def _close(self) -> None:
+        for listener in (self._callers, self._readiness, self._check_ins):
+            for connection in list(listener.connections):
+                connection.close()
+        path = self.path
+        if path is not None:
+            await path.dialler.stop()
+            await path.acceptor.stop()
+            await path.pool.close()
+            path.admitter.stop()
+        await self._state.roster.stop()
+        await self._state.rules_feed.stop()
+        await self._state.roster_feed.stop()
+
+    def _apply_rules(self, table: call_rules.RuleTable) -> None:
+        limits = table.rules.limits
+        self._callers.limits = http_server.Limits(
+            body_bytes=limits.body_bytes,
+            header_bytes=limits.header_bytes,
+            headers=MAX_HEADERS,
+            request_timeout_s=limits.header_timeout_s,
+            idle_timeout_s=limits.idle_timeout_s,
+        )
+        service = table.services.get(self.config.service)
+        if self.path is not None and service is not None:
+            self.path.pool.connections = max(1, service.connections)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may come."""
+        return (
+            self.path is not None
+            and self._state.rules.table is not None
+            and not self.stopping
+        )
+
+    # Listeners
+
+    async def _handle_call(self, request: message.Request) -> verdict.Response:
+        if self.path is None:
+            return self._platform.dialect.render(
+                verdict.NotRun(
+                    verdict.Reason.NO_CONFIGURATION, retry_after_s=0.5
+                )
+            )
+        return await self.path.front.handle(request)
+
+    async def _handle_readiness(
+        self, request: message.Request
+    ) -> verdict.Response:
+        return _READY if self.is_ready else _NOT_READY
+
+    async def _handle_check_in(
+        self, request: message.Request
+    ) -> verdict.Response:
+        if self.path is None:
+            return _NOT_READY
+        return await self.path.check_ins.handle(request)
--- /dev/null
+++ b/src/eelgrasswalk/sidecar/wiring.py
@@ -0,0 +1,267 @@
+"""The composition root of the node beside a target on a platform."""
+
+import dataclasses
+import random
+import time
+
+from .. import clock
+from .. import ports
+from ..controllers import check_ins
+from ..controllers import control_router
+from ..controllers import directory
+from ..controllers import feed
+from ..controllers import roster as roster_keeper
+from ..controllers import rules
+from ..filters import admit
+from ..filters import forward
+from ..filters import front
+from ..filters import gate
+from ..policy import account_rates
+from ..policy import admission
+from ..policy import attempts
+from ..policy import balance
+from ..policy import concurrency
+from ..policy import freshness
+from ..policy import retry_budget
+from ..policy import roster
+from ..policy import target_life
+from ..transport import acceptor
+from ..transport import budget
+from ..transport import dialler
+from ..transport import http_client
+from ..transport import link
+from . import settings
+
+# Feeds are asked again after this long, which also confirms the rules.
+RULES_WAIT_S = 1.0
+ROSTER_WAIT_S = 20.0
+ROSTER_GATHER_S = 0.1
+# A confirmation counts this much shorter than a withdrawn key may work, for
+# a store whose feed hides a change for a second, and for the way.
+FRESH_MARGIN_S = 1.25
+BODY_MEMORY_SHARE = 0.3
+RETAINED_ANSWER_SHARE = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Platform:
+    """The adapter's parts.
+
+    Args:
+        store: The platform's store.
+        rule_source: Reads the operator's configuration.
+        check_in_format: Reads what targets say of themselves.
+        dialect: How callers and targets speak of calls.
+    """
+
+    store: ports.RowStore
+    rule_source: ports.RuleSource
+    check_in_format: ports.CheckInFormat
+    dialect: ports.Dialect
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class State:
+    """What a node knows, before it has any links."""
+
+    config: settings.SidecarSettings
+    platform: Platform
+    source: random.Random
+    fresh: freshness.Freshness
+    rules: rules.RuleKeeper
+    rules_feed: feed.Feed
+    book: directory.Directory
+    roster: roster_keeper.RosterKeeper
+    roster_feed: feed.Feed
+    router: control_router.ControlRouter
+    bodies: budget.ByteBudget
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Path:
+    """The parts that calls pass through."""
+
+    front: front.Front
+    gate: gate.Gate
+    admitter: admit.Admitter
+    pool: http_client.TargetPool
+    dialler: dialler.Dialler
+    acceptor: acceptor.Acceptor
+    check_ins: check_ins.CheckInKeeper
+    book: directory.Directory
+
+    def find_address(self, node_id: str) -> control_router.Address | None:
+        """Return where a node accepts links, or None."""
+        return self.book.find_address(node_id)
+
+
+def build_state(
+    config: settings.SidecarSettings,
+    platform: Platform,
+    *,
+    apply_rules: rules.Apply,
+) -> State:
+    """Build what hears of rules and nodes."""
+    source = random.Random()
+    fresh = freshness.Freshness(config.bounds.withdraw_s - FRESH_MARGIN_S)
+    keeper = rules.RuleKeeper(platform.rule_source, fresh, apply_rules)
+    book = directory.Directory(
+        balance.Balancer(
+            balance.BalanceSettings(),
+            data_centre=config.data_centre,
+            node_id=config.node_id,
+        )
+    )
+    router = control_router.ControlRouter()
+    nodes = roster_keeper.RosterKeeper(
+        _build_entry(config), platform.store, book, router.send
+    )
+    router.register(roster_keeper.TOPIC, nodes.receive)
+    return State(
+        config=config,
+        platform=platform,
+        source=source,
+        fresh=fresh,
+        rules=keeper,
+        rules_feed=feed.Feed(
+            platform.store,
+            platform.rule_source.table,
+            keeper,
+            wait_s=RULES_WAIT_S,
+            gather_s=0.0,
+            clock=clock.read_boot_time,
+            source=source,
+        ),
+        book=book,
+        roster=nodes,
+        roster_feed=feed.Feed(
+            platform.store,
+            roster_keeper.TABLE,
+            nodes,
+            wait_s=ROSTER_WAIT_S,
+            gather_s=ROSTER_GATHER_S,
+            clock=clock.read_boot_time,
+            source=source,
+        ),
+        router=router,
+        bodies=budget.ByteBudget(int(config.memory_bytes * BODY_MEMORY_SHARE)),
+    )
+
+
+def build_path(state: State, *, incarnation: int, secret: bytes) -> Path:
+    """Build what calls pass through."""
+    config = state.config
+    identity = link.Identity(config.node_id, incarnation)
+    pool = http_client.TargetPool(
+        config.target.host,
+        config.target.port,
+        connections=1,
+        bodies=state.bodies,
+    )
+    admitter = admit.Admitter(_build_admission(), source=state.source)
+    guard = gate.Gate(
+        state.platform.dialect,
+        pool,
+        admitter,
+        state.bodies,
+        drain_s=config.bounds.drain_s,
+    )
+    links = dialler.Dialler(
+        identity,
+        secret=secret,
+        bodies=state.bodies,
+        on_control=state.router.receive,
+    )
+    path = Path(
+        front=_build_front(state, links, guard),
+        gate=guard,
+        admitter=admitter,
+        pool=pool,
+        dialler=links,
+        acceptor=_build_acceptor(state, identity, secret, guard),
+        check_ins=check_ins.CheckInKeeper(
+            state.platform.check_in_format,
+            target_life.TargetLife(),
+            state.roster,
+            guard,
+            clock=time.monotonic,
+        ),
+        book=state.book,
+    )
+    state.router.links = path
+    return path
+
+
+def _build_entry(config: settings.SidecarSettings) -> roster.Entry:
+    return roster.Entry(
+        node_id=config.node_id,
+        incarnation=0,
+        revision=0,
+        service=config.service,
+        data_centre=config.data_centre,
+        host=config.links.host,
+        port=config.links.port,
+        state=roster.TargetState.ABSENT,
+    )
+
+
+def _build_admission() -> admission.Admission:
+    limit = concurrency.ConcurrencySettings(
+        start_fraction=1.0, min_fraction=1.0
+    )
+    return admission.Admission(
+        admission.AdmissionSettings(limit=limit), slots=1
+    )
+
+
+def _build_front(
+    state: State, links: dialler.Dialler, guard: gate.Gate
+) -> front.Front:
+    config = state.config
+    bounds = config.bounds
+    forwarder = forward.Forwarder(
+        node_id=config.node_id,
+        book=state.book,
+        links=links,
+        runner=guard,
+        balancer=state.book.balancer,
+        repeats=retry_budget.RetryBudget(
+            retry_budget.RetryBounds(
+                ratio=bounds.retry_ratio,
+                window_s=bounds.retry_window_s,
+                slack=bounds.retry_slack,
+            )
+        ),
+        count_nodes=lambda: len(state.roster.roster),
+        source=state.source,
+    )
+    return front.Front(
+        state.platform.dialect,
+        service=config.service,
+        get_table=state.rules.get_table,
+        fresh=state.fresh,
+        quotas=account_rates.AccountRates(
+            clock=time.monotonic,
+            get_share=lambda _: 1.0 / max(1, len(state.roster.roster)),
+        ),
+        forward=forwarder.send,
+        boot_clock=clock.read_boot_time,
+        source=state.source,
+    )
+
+
+def _build_acceptor(
+    state: State, identity: link.Identity, secret: bytes, guard: gate.Gate
+) -> acceptor.Acceptor:
+    return acceptor.Acceptor(
+        identity,
+        secret=secret,
+        runner=guard,
+        bodies=state.bodies,
+        table=attempts.AttemptTable(
+            max_answer_bytes=int(
+                state.config.memory_bytes * RETAINED_ANSWER_SHARE
+            )
+        ),
+        on_control=state.router.receive,
+    )
--- a/src/eelgrasswalk/transport/http_client.py
+++ b/src/eelgrasswalk/transport/http_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import re
 import typing
 
 import httptools
@@ -14,8 +15,15 @@
 MAX_ANSWER_HEADERS = 256
 CONNECT_TIMEOUT_S = 2.0
 # A target may close an idle connection at any moment; a connection that has
-# been idle for longer than this is replaced rather than risked.
+# been idle for longer than this is replaced rather than risked, unless the
+# target states its own timeout.
 MAX_IDLE_S = 4.0
+# A connection is left this long before the timeout that the target states.
+IDLE_MARGIN_S = 1.5
+
+_TIMEOUT = re.compile(rb'timeout=(\d{1,6})')
+
+Headers: typing.TypeAlias = message.Headers
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,18 +85,30 @@
         )
 
     async def send(
-        self, request: message.Request, *, max_answer_bytes: int
+        self,
+        request: message.Request,
+        *,
+        max_answer_bytes: int,
+        find_echo: typing.Callable[[Headers], bytes | None] | None = None,
     ) -> Outcome:
         """Send a request and wait for the whole answer.
 
         Cancelling the call closes its connection, so that the target sees
         that nobody waits any more.
+
+        Args:
+            request: The request.
+            max_answer_bytes: Longest answer that is taken.
+            find_echo: Returns the id that a request and its answer share.
+                An answer with another id is dropped and the next awaited.
         """
         connection = await self._acquire()
         if isinstance(connection, NotSent):
             return connection
         try:
-            outcome = await connection.exchange(request, max_answer_bytes)
+            outcome = await connection.exchange(
+                request, max_answer_bytes, find_echo
+            )
         finally:
             self._release(connection)
         return outcome
@@ -118,7 +138,7 @@
         now = asyncio.get_running_loop().time()
         while self._idle:
             connection = self._idle.pop()
-            if connection.usable and now - connection.idle_since < MAX_IDLE_S:
+            if connection.usable and now < connection.idle_until:
                 return connection
             connection.close()
         return None
@@ -143,7 +163,8 @@
 
     def _release(self, connection: '_Connection') -> None:
         if connection.usable:
-            connection.idle_since = asyncio.get_running_loop().time()
+            now = asyncio.get_running_loop().time()
+            connection.idle_until = now + connection.max_idle_s
             self._idle.append(connection)
             self._wake_one()
         else:
@@ -171,13 +192,16 @@
         self._bodies = bodies
         self._reserved = 0
         self.usable = True
-        self.idle_since = 0.0
+        self.idle_until = 0.0
+        self.max_idle_s = MAX_IDLE_S
         self._loop = loop
         self._on_lost = on_lost
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future[Outcome] | None = None
         self._clean_end = False
         self._head = False
+        self._find_echo: typing.Callable[[Headers], bytes | None] | None = None
+        self._echo: bytes | None = None
         self._limit = 0
 
     # asyncio.Protocol
@@ -211,11 +235,16 @@
     # Exchange
 
     async def exchange(
-        self, request: message.Request, max_answer_bytes: int
+        self,
+        request: message.Request,
+        max_answer_bytes: int,
+        find_echo: typing.Callable[[Headers], bytes | None] | None,
     ) -> Outcome:
         """Send one request and return what came of it."""
         if self._transport is None:
             return NotSent('the connection was closed before use')
+        self._find_echo = find_echo
+        self._echo = None if find_echo is None else find_echo(request.headers)
         self._begin(request, max_answer_bytes)
         assert self._waiter is not None
         try:
@@ -314,8 +343,34 @@
     def _complete(self) -> None:
         if self._waiter is None or self._waiter.done():
             return
+        self._note_keep_alive()
+        if self._is_foreign():
+            self._drop_answer()
+            return
         self._waiter.set_result(Received(self._build_answer()))
 
+    def _note_keep_alive(self) -> None:
+        value = message.find_header(tuple(self._headers), b'keep-alive')
+        match = _TIMEOUT.search(value) if value is not None else None
+        if match is not None:
+            self.max_idle_s = max(0.0, int(match[1]) - IDLE_MARGIN_S)
+
+    def _is_foreign(self) -> bool:
+        """Whether the answer belongs to another request."""
+        if self._find_echo is None or self._echo is None:
+            return False
+        echo = self._find_echo(tuple(self._headers))
+        return echo is not None and echo != self._echo
+
+    def _drop_answer(self) -> None:
+        if not self.usable:
+            self._fail('the target answered another request')
+            return
+        self._headers.clear()
+        self._body.clear()
+        self._body_length = 0
+        self._headers_done = False
+
     def _fail(
         self,
         detail: str,
@@ -340,6 +395,11 @@
                 verdict.Reason.ANSWER_INCOMPLETE,
                 'the target closed the connection within its answer',
             )
+        if self._is_foreign():
+            return Broken(
+                verdict.Reason.ANSWER_INCOMPLETE,
+                'the target answered another request',
+            )
         return Received(self._build_answer())
 
 
