Hold accounts to their rates by one owner for each account

Ruled out: shares by reported demand, which refuse while they follow a change. Change: each account has one owner, chosen alike by all nodes, whose bucket is asked for each call; a node that cannot reach it has a fixed part, filled from nothing.

--- /dev/null
+++ b/src/eelgrasswalk/controllers/account_quota.py
@@ -0,0 +1,218 @@
+"""Asks the owners of client accounts for tokens, and answers as an owner."""
+
+import asyncio
+import collections
+import dataclasses
+import random
+import time
+import typing
+
+import cbor2
+
+from .. import events
+from ..policy import account_rates
+from ..policy import call_rules
+from ..policy import quota
+
+TOPIC_ASK = 'quota-ask'
+TOPIC_GRANT = 'quota-grant'
+# An owner answers within a round trip; without an answer for so long, it is
+# taken for unreachable.
+ANSWER_LIMIT_S = 0.15
+# Pause before an owner that did not answer is asked again.
+ALONE_S = 0.25
+
+
+class SendControl(typing.Protocol):
+    """Sends a controller's message to a node."""
+
+    def __call__(self, node_id: str, topic: str, payload: bytes) -> None:
+        """Send one message."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Asking:
+    """What this node wants of one account."""
+
+    waiting: collections.deque[asyncio.Future[quota.Refused | None]]
+    asked: int = 0
+    number: int = 0
+    timer: asyncio.TimerHandle | None = None
+    alone_until: float = 0.0
+
+
+class AccountQuota:
+    """Charges calls to client accounts.
+
+    Args:
+        node_id: This node.
+        list_owners: Returns the nodes that may own accounts.
+        count_nodes: Returns how many nodes there are.
+        get_table: Returns the rules in force.
+        send: Sends messages to other nodes.
+        source: Random numbers.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        *,
+        list_owners: typing.Callable[[], typing.Sequence[str]],
+        count_nodes: typing.Callable[[], int],
+        get_table: call_rules.Lookup,
+        send: SendControl,
+        source: random.Random,
+    ) -> None:
+        self._node_id = node_id
+        self._list_owners = list_owners
+        self._count_nodes = count_nodes
+        self._get_table = get_table
+        self._send = send
+        self._random = source
+        self._clock = time.monotonic
+        self._owned = account_rates.OwnedAccounts()
+        self._alone = account_rates.SharesAlone()
+        self._asking: dict[str, _Asking] = {}
+        self._owners: dict[str, str] = {}
+
+    def note_nodes(self) -> None:
+        """Choose the owners anew: nodes have come or gone."""
+        self._owners.clear()
+
+    async def admit(
+        self, account: call_rules.AccountRule
+    ) -> quota.Refused | None:
+        """Charge one call, or refuse it."""
+        if account.rate <= 0.0:
+            return None
+        owner = self._find_owner(account.name)
+        if owner is None or owner == self._node_id:
+            return self._judge(self._grant(account, 1))
+        return await self._ask(account, owner)
+
+    def _find_owner(self, account: str) -> str | None:
+        owner = self._owners.get(account)
+        if owner is None:
+            owner = account_rates.choose_owner(account, self._list_owners())
+            if owner is not None:
+                self._owners[account] = owner
+        return owner
+
+    def _grant(
+        self, account: call_rules.AccountRule, wanted: int
+    ) -> account_rates.Grant:
+        return self._owned.grant(
+            account.name,
+            wanted,
+            self._clock(),
+            rate=account.rate,
+            burst=account.burst,
+        )
+
+    def _judge(self, grant: account_rates.Grant) -> quota.Refused | None:
+        if grant.tokens:
+            return None
+        # Callers that were refused together come back one after the other.
+        return quota.Refused(grant.wait_s * (1.0 + self._random.random()))
+
+    # The side that asks
+
+    async def _ask(
+        self, account: call_rules.AccountRule, owner: str
+    ) -> quota.Refused | None:
+        asking = self._asking.get(account.name)
+        if asking is None:
+            asking = self._asking[account.name] = _Asking(collections.deque())
+        if self._clock() < asking.alone_until:
+            return self._take_alone(account)
+        future: asyncio.Future[quota.Refused | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        asking.waiting.append(future)
+        if not asking.asked:
+            self._send_ask(account.name, asking, owner)
+        return await future
+
+    def _send_ask(self, account: str, asking: _Asking, owner: str) -> None:
+        asking.asked = len(asking.waiting)
+        asking.number += 1
+        asking.timer = asyncio.get_running_loop().call_later(
+            ANSWER_LIMIT_S, self._give_up, account, asking
+        )
+        payload = cbor2.dumps([account, asking.number, asking.asked])
+        self._send(owner, TOPIC_ASK, payload)
+
+    def receive_grant(self, node_id: str, payload: bytes) -> None:
+        """Take an owner's answer."""
+        account, number, tokens, wait_s = cbor2.loads(payload)
+        asking = self._asking.get(account)
+        if asking is None or asking.number != number or not asking.asked:
+            return
+        if tokens < 0:
+            # The node that was asked does not take itself for the owner.
+            self._give_up(account, asking)
+            return
+        self._settle(asking, account_rates.Grant(tokens, wait_s))
+        self._alone.forget(account)
+        owner = self._find_owner(account)
+        if asking.waiting and owner is not None:
+            self._send_ask(account, asking, owner)
+
+    def _settle(self, asking: _Asking, grant: account_rates.Grant) -> None:
+        if asking.timer is not None:
+            asking.timer.cancel()
+        tokens = grant.tokens
+        for _ in range(min(asking.asked, len(asking.waiting))):
+            future = asking.waiting.popleft()
+            if future.done():
+                continue
+            if tokens:
+                tokens -= 1
+                future.set_result(None)
+            else:
+                refused = self._judge(account_rates.Grant(0, grant.wait_s))
+                future.set_result(refused)
+        asking.asked = 0
+
+    def _give_up(self, account: str, asking: _Asking) -> None:
+        """Go on without the owner for a moment."""
+        if asking.timer is not None:
+            asking.timer.cancel()
+        asking.asked = 0
+        asking.alone_until = self._clock() + ALONE_S
+        events.log(events.OWNER_SILENT, account=account)
+        table = self._get_table()
+        rule = None if table is None else table.accounts.get(account)
+        while asking.waiting:
+            future = asking.waiting.popleft()
+            if future.done():
+                continue
+            if rule is None:
+                future.set_result(quota.Refused(ALONE_S))
+            else:
+                future.set_result(self._take_alone(rule))
+
+    def _take_alone(
+        self, account: call_rules.AccountRule
+    ) -> quota.Refused | None:
+        grant = self._alone.take(
+            account.name,
+            self._clock(),
+            rate=account.rate,
+            nodes=self._count_nodes(),
+        )
+        return self._judge(grant)
+
+    # The side that owns
+
+    def receive_ask(self, node_id: str, payload: bytes) -> None:
+        """Answer a node that asks for tokens."""
+        account, number, wanted = cbor2.loads(payload)
+        table = self._get_table()
+        rule = None if table is None else table.accounts.get(account)
+        if rule is None or self._find_owner(account) != self._node_id:
+            answer = [account, number, -1, 0.0]
+        else:
+            grant = self._grant(rule, wanted)
+            answer = [account, number, grant.tokens, grant.wait_s]
+        self._send(node_id, TOPIC_GRANT, cbor2.dumps(answer))
--- a/src/eelgrasswalk/controllers/roster.py
+++ b/src/eelgrasswalk/controllers/roster.py
@@ -34,6 +34,9 @@
         store: Where entries are kept.
         book: The directory that the call path goes by.
         send: Sends news to peers.
+
+    Attributes:
+        on_change: Called when nodes have come, changed or gone.
     """
 
     def __init__(
@@ -48,6 +51,7 @@
         self._store = store
         self._book = book
         self._send = send
+        self.on_change: typing.Callable[[], None] = _do_nothing
         self._row_version = 0
         self._written: roster.Entry | None = None
         self._changed = asyncio.Event()
@@ -153,6 +157,15 @@
         self._book.replace(
             _build_peer(entry) for entry in self.roster.list_entries()
         )
+        self.on_change()
+
+    def list_lasting(self) -> list[str]:
+        """Return the nodes that are not about to stop."""
+        return [
+            entry.node_id
+            for entry in self.roster.list_entries()
+            if not entry.stopping
+        ]
 
     # Writing
 
@@ -196,6 +209,10 @@
                 waiter.set_result(None)
 
 
+def _do_nothing() -> None:
+    pass
+
+
 def encode_entry(entry: roster.Entry) -> bytes:
     """Return an entry as it is kept and sent."""
     fields = dataclasses.asdict(entry)
--- a/src/eelgrasswalk/events.py
+++ b/src/eelgrasswalk/events.py
@@ -86,6 +86,12 @@
     'request run without a claim in the table',
     'look after the platform; this route goes on without it',
 )
+OWNER_SILENT = Event(
+    3102,
+    logging.WARNING,
+    "owner of an account's rate does not answer; using the node's own share",
+    'look at the node that owns the account and at the links to it',
+)
 TARGET_UNREACHABLE = Event(
     4001,
     logging.WARNING,
--- a/src/eelgrasswalk/filters/front.py
+++ b/src/eelgrasswalk/filters/front.py
@@ -48,7 +48,9 @@
 class Quota(typing.Protocol):
     """Holds client accounts to their rates."""
 
-    def admit(self, account: call_rules.AccountRule) -> quota.Refused | None:
+    async def admit(
+        self, account: call_rules.AccountRule
+    ) -> quota.Refused | None:
         """Charge one call, or refuse it."""
 
 
@@ -108,12 +110,12 @@
         return self._dialect.render(outcome)
 
     async def _run(self, request: message.Request) -> verdict.Verdict:
-        item = self._open(request)
+        item = await self._open(request)
         if isinstance(item, verdict.NotRun):
             return item
         return await self._forward(item)
 
-    def _open(self, request: message.Request) -> Item | verdict.NotRun:
+    async def _open(self, request: message.Request) -> Item | verdict.NotRun:
         """Return the call on its terms, or why it may not run."""
         now = self._loop.time()
         table = self._get_table()
@@ -135,7 +137,7 @@
         if isinstance(timeout, deadline.Given):
             waits_s = min(waits_s, timeout.seconds)
         if account is not None:
-            refused = self._quotas.admit(account)
+            refused = await self._quotas.admit(account)
             if refused is not None:
                 return verdict.NotRun(
                     verdict.Reason.QUOTA, retry_after_s=refused.retry_after_s
--- a/src/eelgrasswalk/policy/account_rates.py
+++ b/src/eelgrasswalk/policy/account_rates.py
@@ -1,55 +1,142 @@
-"""Holds client accounts to this node's part of their rates."""
+"""Holds client accounts to rate and burst over the whole fleet.
 
+Each account has one owner among the nodes, chosen by all alike from the
+same list. The owner keeps the account's only token bucket, and nodes ask it
+for a token for each call. Nodes that cannot reach it use a fixed part of the
+rate that they fill from nothing.
+"""
+
+import collections.abc
 import dataclasses
-import typing
 
-from . import call_rules
-from . import quota
+import xxhash
+
+# Part of a second's tokens with which a new owner begins: others may have
+# granted until a moment ago.
+FIRST_SHARE = 0.3
+# Part of its share that a node without an owner uses; the owner may go on
+# granting to the others.
+ALONE_SHARE = 0.7
+# Seconds of tokens that a node without an owner may save up.
+ALONE_DEPTH_S = 1.0
+LEAST_WAIT_S = 0.02
+
+
+def choose_owner(
+    account: str, node_ids: collections.abc.Iterable[str]
+) -> str | None:
+    """Return the node that owns an account, by highest random weight."""
+    return max(
+        node_ids,
+        key=lambda node_id: _weigh(account, node_id),
+        default=None,
+    )
+
+
+def _weigh(account: str, node_id: str) -> int:
+    return xxhash.xxh3_64_intdigest(f'{account}\n{node_id}'.encode())
 
-RETRY_MIN_S = 0.05
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """What an owner says to a node that asked for tokens.
 
-@dataclasses.dataclass(slots=True)
-class _Bucket:
-    tokens: float
-    filled_at: float
+    Args:
+        tokens: Tokens granted.
+        wait_s: Seconds after which one more may be there.
+    """
+
+    tokens: int
+    wait_s: float
 
 
-class AccountRates:
-    """A token bucket for each account.
+class TokenBucket:
+    """Tokens that come at a rate, up to a depth.
 
     Args:
-        clock: Monotonic seconds.
-        get_share: Returns the part of an account's rate and burst that
-            this node may use.
+        tokens: Tokens at the start.
+        now: The time, in seconds.
     """
 
-    def __init__(
+    def __init__(self, tokens: float, now: float) -> None:
+        self._tokens = tokens
+        self._filled_at = now
+
+    def take(
+        self, wanted: int, now: float, *, rate: float, depth: float
+    ) -> Grant:
+        """Take tokens.
+
+        Args:
+            wanted: Tokens asked for.
+            now: The time, in seconds.
+            rate: Tokens a second.
+            depth: Most tokens saved up.
+        """
+        elapsed = max(0.0, now - self._filled_at)
+        self._filled_at = now
+        self._tokens = min(depth, self._tokens + elapsed * rate)
+        granted = min(wanted, int(self._tokens))
+        self._tokens -= granted
+        missing = max(0.0, 1.0 - self._tokens)
+        wait_s = missing / rate if rate > 0.0 else 1.0
+        return Grant(granted, max(LEAST_WAIT_S, wait_s))
+
+
+class OwnedAccounts:
+    """The buckets of the accounts that this node owns."""
+
+    def __init__(self) -> None:
+        self._buckets: dict[str, TokenBucket] = {}
+
+    def grant(
         self,
+        account: str,
+        wanted: int,
+        now: float,
         *,
-        clock: typing.Callable[[], float],
-        get_share: typing.Callable[[str], float],
-    ) -> None:
-        self._clock = clock
-        self._get_share = get_share
-        self._buckets: dict[str, _Bucket] = {}
-
-    def admit(self, account: call_rules.AccountRule) -> quota.Refused | None:
-        """Charge one call, or refuse it."""
-        if account.rate <= 0.0:
-            return None
-        now = self._clock()
-        share = self._get_share(account.name)
-        rate = account.rate * share
-        burst = max(1.0, account.burst * share)
-        bucket = self._buckets.get(account.name)
+        rate: float,
+        burst: float,
+    ) -> Grant:
+        """Grant tokens of an account.
+
+        Args:
+            account: The account.
+            wanted: Tokens asked for.
+            now: The time, in seconds.
+            rate: Its tokens a second.
+            burst: Its burst.
+        """
+        bucket = self._buckets.get(account)
         if bucket is None:
-            bucket = self._buckets[account.name] = _Bucket(burst, now)
-        gained = (now - bucket.filled_at) * rate
-        bucket.tokens = min(burst, bucket.tokens + gained)
-        bucket.filled_at = now
-        if bucket.tokens >= 1.0:
-            bucket.tokens -= 1.0
-            return None
-        wait_s = (1.0 - bucket.tokens) / max(rate, 1e-6)
-        return quota.Refused(max(RETRY_MIN_S, wait_s))
+            first = min(max(1.0, burst), FIRST_SHARE * rate)
+            bucket = self._buckets[account] = TokenBucket(first, now)
+        return bucket.take(wanted, now, rate=rate, depth=max(1.0, burst))
+
+    def keep_only(self, accounts: collections.abc.Container[str]) -> None:
+        """Forget the accounts that others own now."""
+        for account in list(self._buckets):
+            if account not in accounts:
+                del self._buckets[account]
+
+
+class SharesAlone:
+    """What this node may use of accounts whose owner it cannot reach."""
+
+    def __init__(self) -> None:
+        self._buckets: dict[str, TokenBucket] = {}
+
+    def take(
+        self, account: str, now: float, *, rate: float, nodes: int
+    ) -> Grant:
+        """Take one token of this node's fixed share."""
+        share = ALONE_SHARE * rate / max(1, nodes)
+        bucket = self._buckets.get(account)
+        if bucket is None:
+            bucket = self._buckets[account] = TokenBucket(0.0, now)
+        depth = max(1.0, ALONE_DEPTH_S * share)
+        return bucket.take(1, now, rate=share, depth=depth)
+
+    def forget(self, account: str) -> None:
+        """Begin from nothing the next time; the owner is back."""
+        self._buckets.pop(account, None)
--- a/src/eelgrasswalk/sidecar/wiring.py
+++ b/src/eelgrasswalk/sidecar/wiring.py
@@ -6,6 +6,7 @@
 
 from .. import clock
 from .. import ports
+from ..controllers import account_quota
 from ..controllers import check_ins
 from ..controllers import control_router
 from ..controllers import directory
@@ -16,7 +17,6 @@
 from ..filters import forward
 from ..filters import front
 from ..filters import gate
-from ..policy import account_rates
 from ..policy import admission
 from ..policy import attempts
 from ..policy import balance
@@ -240,16 +240,28 @@
         service=config.service,
         get_table=state.rules.get_table,
         fresh=state.fresh,
-        quotas=account_rates.AccountRates(
-            clock=time.monotonic,
-            get_share=lambda _: 1.0 / max(1, len(state.roster.roster)),
-        ),
+        quotas=_build_quotas(state),
         forward=forwarder.send,
         boot_clock=clock.read_boot_time,
         source=state.source,
     )
 
 
+def _build_quotas(state: State) -> account_quota.AccountQuota:
+    quotas = account_quota.AccountQuota(
+        state.config.node_id,
+        list_owners=state.roster.list_lasting,
+        count_nodes=lambda: len(state.roster.roster),
+        get_table=state.rules.get_table,
+        send=state.router.send,
+        source=state.source,
+    )
+    state.router.register(account_quota.TOPIC_ASK, quotas.receive_ask)
+    state.router.register(account_quota.TOPIC_GRANT, quotas.receive_grant)
+    state.roster.on_change = quotas.note_nodes
+    return quotas
+
+
 def _build_acceptor(
     state: State, identity: link.Identity, secret: bytes, guard: gate.Gate
 ) -> acceptor.Acceptor:
