Read deadlines of more than 600 ms as they are

Cause: the parser of the product's own header, which bounds seconds, was used on milliseconds, so every call had 0.6 s at most. Seen as 504 after 0.6 s on a route of 4 s.

--- a/src/eelgrasswalk/platform/dialect.py
+++ b/src/eelgrasswalk/platform/dialect.py
@@ -6,6 +6,7 @@
 from . import names
 
 _MS_PER_S = 1000.0
+_MAX_DEADLINE_DIGITS = 12
 
 _NOT_RUN_STATUS = {
     verdict.Reason.BAD_REQUEST: 400,
@@ -57,10 +58,9 @@
         value = message.find_header(headers, names.DEADLINE)
         if value is None:
             return deadline.Absent()
-        given = deadline.parse_timeout(value.decode('latin-1'))
-        if isinstance(given, deadline.Given):
-            return deadline.Given(given.seconds / _MS_PER_S)
-        return given
+        if not value.isdigit() or len(value) > _MAX_DEADLINE_DIGITS:
+            return deadline.Malformed('The deadline is not in milliseconds.')
+        return deadline.Given(int(value) / _MS_PER_S)
 
     def build_forwarded(
         self, headers: message.Headers, *, account: str, service: str
