Queue by slack at the target's node and choose upstreams by their load

Cause: the queue in front of the target knew nothing of objectives, the choice of upstreams only the node's own calls. Change: a queue by work already begun, importance and slack that refuses at once what would be too late; upstreams tell their load with each answer and are priced by it, near ones first. The feed of rules waits 2 s: the store's own clock tells when an answer was true.

--- a/src/eelgrasswalk/controllers/account_quota.py
+++ b/src/eelgrasswalk/controllers/account_quota.py
@@ -50,6 +50,8 @@
         count_nodes: Returns how many nodes there are.
         get_table: Returns the rules in force.
         send: Sends messages to other nodes.
+        slack: What accounts may get beyond their rates.
+        is_dead: Tells whether a node is known not to run.
         source: Random numbers.
     """
 
@@ -61,6 +63,8 @@
         count_nodes: typing.Callable[[], int],
         get_table: call_rules.Lookup,
         send: SendControl,
+        is_dead: typing.Callable[[str], bool],
+        slack: account_rates.Slack,
         source: random.Random,
     ) -> None:
         self._node_id = node_id
@@ -68,6 +72,8 @@
         self._count_nodes = count_nodes
         self._get_table = get_table
         self._send = send
+        self._is_dead = is_dead
+        self._slack = slack
         self._random = source
         self._clock = time.monotonic
         self._owned = account_rates.OwnedAccounts()
@@ -195,12 +201,14 @@
     def _take_alone(
         self, account: call_rules.AccountRule
     ) -> quota.Refused | None:
-        grant = self._alone.take(
-            account.name,
-            self._clock(),
-            rate=account.rate,
+        owner = self._find_owner(account.name)
+        rate = account_rates.compute_share_alone(
+            account.rate,
             nodes=self._count_nodes(),
+            is_dead=owner is not None and self._is_dead(owner),
+            slack=self._slack,
         )
+        grant = self._alone.take(account.name, self._clock(), rate=rate)
         return self._judge(grant)
 
     # The side that owns
--- a/src/eelgrasswalk/controllers/directory.py
+++ b/src/eelgrasswalk/controllers/directory.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 import time
+import typing
 
 from ..policy import balance
 from ..transport import dialler
@@ -24,6 +25,7 @@
         links: Where it accepts links.
         admin: Where operators reach it, `IP:port`; empty when unknown.
         config_version: Version in force there, as far as known.
+        slots: Calls that its target runs at a time; 0 when not known.
     """
 
     node_id: str
@@ -34,16 +36,32 @@
     links: dialler.Address
     admin: str = ''
     config_version: int | None = None
+    slots: int = 0
 
 
-class Directory:
+class Balancer(typing.Protocol):
+    """Chooses among the upstreams of a service."""
+
+    def replace(
+        self,
+        service: str,
+        upstreams: collections.abc.Sequence[balance.Upstream],
+        now: float,
+    ) -> None:
+        """Set the upstreams of a service."""
+
+
+BalancerT = typing.TypeVar('BalancerT', bound=Balancer)
+
+
+class Directory(typing.Generic[BalancerT]):
     """Keeps the balancer's upstreams and the addresses of their nodes.
 
     Args:
         balancer: Chooses among the ready upstreams.
     """
 
-    def __init__(self, balancer: balance.Balancer) -> None:
+    def __init__(self, balancer: BalancerT) -> None:
         self.balancer = balancer
         self._peers: dict[str, Peer] = {}
         self._services: set[str] = set()
@@ -83,4 +101,5 @@
         node_id=peer.node_id,
         data_centre=peer.data_centre,
         service=peer.service,
+        slots=peer.slots,
     )
--- a/src/eelgrasswalk/controllers/feed.py
+++ b/src/eelgrasswalk/controllers/feed.py
@@ -6,6 +6,7 @@
 
 from .. import events
 from .. import ports
+from ..policy import store_clock
 
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 1.0
@@ -14,11 +15,11 @@
 class Follower(typing.Protocol):
     """What is told of the table."""
 
-    def take_all(self, rows: ports.Rows, asked_at: float) -> None:
-        """Take everything that the table holds."""
+    def take_all(self, rows: ports.Rows, true_at: float) -> None:
+        """Take everything that the table held at a time."""
 
-    def take_changes(self, rows: ports.Rows, asked_at: float) -> None:
-        """Take what has changed; empty when nothing has."""
+    def take_changes(self, rows: ports.Rows, true_at: float) -> None:
+        """Take what has changed until a time; empty when nothing has."""
 
 
 class Feed:
@@ -53,6 +54,7 @@
         self._gather_s = gather_s
         self._clock = clock
         self._random = source
+        self._store_clock = store_clock.StoreClock()
         self._version: int | None = None
         self._failures = 0
         self._task: asyncio.Task[None] | None = None
@@ -86,7 +88,7 @@
         if isinstance(outcome, ports.Unavailable):
             return outcome
         self._version = outcome.version
-        self._follower.take_all(outcome, asked_at)
+        self._follower.take_all(outcome, self._date(outcome, asked_at))
         self.filled.set()
         return None
 
@@ -100,11 +102,16 @@
             self._version = None
             return None
         self._version = max(version, outcome.version)
-        self._follower.take_changes(outcome, asked_at)
+        self._follower.take_changes(outcome, self._date(outcome, asked_at))
         if outcome.rows and self._gather_s:
             await asyncio.sleep(self._gather_s)
         return None
 
+    def _date(self, rows: ports.Rows, asked_at: float) -> float:
+        return self._store_clock.date_answer(
+            asked_at, self._clock(), rows.store_s
+        )
+
     async def _pause(self, outcome: ports.Unavailable) -> None:
         if not self._failures:
             events.log(
--- a/src/eelgrasswalk/controllers/roster.py
+++ b/src/eelgrasswalk/controllers/roster.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import dataclasses
 import json
 import typing
@@ -16,6 +17,8 @@
 TOPIC = 'node'
 FIRST_PAUSE_S = 0.05
 LONGEST_PAUSE_S = 1.0
+# A node that starts writes its entry once it knows its target, or after this.
+FIRST_WRITE_S = 0.5
 _UNUSABLE = 'unusable'
 
 
@@ -26,6 +29,13 @@
         """Send one message."""
 
 
+class Book(typing.Protocol):
+    """The directory that the call path goes by."""
+
+    def replace(self, peers: collections.abc.Iterable[directory.Peer]) -> None:
+        """Set all known nodes."""
+
+
 class RosterKeeper:
     """Keeps the directory of nodes, and this node's entry in the store.
 
@@ -43,7 +53,7 @@
         self,
         own: roster.Entry,
         store: ports.RowStore,
-        book: directory.Directory,
+        book: Book,
         send: SendControl,
     ) -> None:
         self.roster = roster.Roster()
@@ -55,6 +65,7 @@
         self._row_version = 0
         self._written: roster.Entry | None = None
         self._changed = asyncio.Event()
+        self._reported = asyncio.Event()
         self._waiters: list[tuple[int, asyncio.Future[None]]] = []
         self._task: asyncio.Task[None] | None = None
 
@@ -85,6 +96,8 @@
         self.roster.update(changed)
         self._refresh()
         self._changed.set()
+        if changed.target_id:
+            self._reported.set()
         payload = encode_entry(changed)
         for entry in self.roster.list_entries():
             if entry.node_id != changed.node_id:
@@ -113,7 +126,7 @@
         if self.roster.update(entry):
             self._refresh()
 
-    def take_all(self, rows: ports.Rows, asked_at: float) -> None:
+    def take_all(self, rows: ports.Rows, true_at: float) -> None:
         """Take all entries in the store."""
         kept = {row.key for row in rows.rows} | {self._own.node_id}
         changed = self.roster.keep_only(kept)
@@ -121,7 +134,7 @@
         if self._take_rows(rows.rows) or changed:
             self._refresh()
 
-    def take_changes(self, rows: ports.Rows, asked_at: float) -> None:
+    def take_changes(self, rows: ports.Rows, true_at: float) -> None:
         """Take entries that have changed."""
         if self._take_rows(rows.rows):
             self._refresh()
@@ -171,6 +184,9 @@
 
     async def _run(self) -> None:
         pause_s = FIRST_PAUSE_S
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_WRITE_S):
+                await self._reported.wait()
         while True:
             await self._changed.wait()
             self._changed.clear()
@@ -244,4 +260,5 @@
         data_centre=entry.data_centre,
         state=state,
         links=dialler.Address(entry.node_id, entry.host, entry.port),
+        slots=entry.slots,
     )
--- a/src/eelgrasswalk/controllers/rules.py
+++ b/src/eelgrasswalk/controllers/rules.py
@@ -34,15 +34,15 @@
         """Return the rules in force, or None before the first version."""
         return self.table
 
-    def take_all(self, rows: ports.Rows, asked_at: float) -> None:
+    def take_all(self, rows: ports.Rows, true_at: float) -> None:
         """Take everything that the table holds."""
-        self._take(rows, asked_at)
+        self._take(rows, true_at)
 
-    def take_changes(self, rows: ports.Rows, asked_at: float) -> None:
+    def take_changes(self, rows: ports.Rows, true_at: float) -> None:
         """Take what has changed."""
-        self._take(rows, asked_at)
+        self._take(rows, true_at)
 
-    def _take(self, rows: ports.Rows, asked_at: float) -> None:
+    def _take(self, rows: ports.Rows, true_at: float) -> None:
         try:
             rules = self._source.decode(rows.rows)
         except ValueError as error:
@@ -51,7 +51,7 @@
             return
         if rules is not None:
             self._put_in_force(rules)
-        self._fresh.confirm(asked_at)
+        self._fresh.confirm(true_at)
 
     def _put_in_force(self, rules: call_rules.Rules) -> None:
         if self.table is not None and rules.version <= self.table.version:
--- a/src/eelgrasswalk/filters/admit.py
+++ b/src/eelgrasswalk/filters/admit.py
@@ -3,16 +3,19 @@
 import asyncio
 import dataclasses
 import itertools
+import math
 import random
 import time
+import typing
 
 from .. import verdict
 from ..document import model
 from ..policy import admission
-from ..policy import levels
 from ..policy import retries
 from ..transport import frames
 
+_RETRY_ELSEWHERE = frozenset((verdict.Reason.LEAVING,))
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Admitted:
@@ -25,17 +28,53 @@
     call_id: int
 
 
-class Admitter:
+class Policy(typing.Protocol):
+    """Decides which call starts, waits or is refused."""
+
+    def offer(
+        self, candidate: admission.Candidate, now: float
+    ) -> list[admission.Action]:
+        """Offer a call."""
+
+    def finish(
+        self, call_id: int, now: float, *, ok: bool, child_s: float = 0.0
+    ) -> list[admission.Action]:
+        """End a started call."""
+
+    def cancel(self, call_id: int, now: float) -> list[admission.Action]:
+        """Drop a call whose caller has gone."""
+
+    def expire(self, now: float) -> list[admission.Action]:
+        """Refuse what has waited too long and start what can start."""
+
+    def next_event_at(self) -> float | None:
+        """Return when to call expire, or None while nothing waits."""
+
+    def drain(self, now: float) -> list[admission.Action]:
+        """Take no new calls."""
+
+
+PolicyT = typing.TypeVar('PolicyT', bound=Policy)
+
+
+class Admitter(typing.Generic[PolicyT]):
     """Lets calls wait for their turn at the target.
 
     Args:
         policy: Decides which call starts.
         source: Random numbers for jitter.
+        retry_elsewhere: Reasons of refusals after which another upstream
+            may take the call.
     """
 
     def __init__(
-        self, policy: admission.Admission, *, source: random.Random
+        self,
+        policy: PolicyT,
+        *,
+        source: random.Random,
+        retry_elsewhere: frozenset[verdict.Reason] = _RETRY_ELSEWHERE,
     ) -> None:
+        self._retry_elsewhere = retry_elsewhere
         self.policy = policy
         self._random = source
         self._loop = asyncio.get_running_loop()
@@ -49,9 +88,21 @@
         self._timer_at = float('inf')
 
     async def admit(
-        self, context: frames.Context, *, deadline: float
+        self,
+        context: frames.Context,
+        *,
+        deadline: float,
+        route: str = '',
+        objective_at: float = math.inf,
     ) -> Admitted | verdict.NotRun:
-        """Wait until the call may start, or return why it may not."""
+        """Wait until the call may start, or return why it may not.
+
+        Args:
+            context: What the call inherits.
+            deadline: When its answer must be there.
+            route: Name of its route.
+            objective_at: When its answer should be there.
+        """
         now = self._clock()
         call_id = next(self._ids)
         candidate = admission.Candidate(
@@ -62,6 +113,8 @@
             root_started_at=now - context.root_age_s,
             deadline=deadline,
             depth=context.depth,
+            route=route,
+            objective_at=objective_at,
         )
         actions = self.policy.offer(candidate, now)
         for action in actions:
@@ -93,10 +146,6 @@
         if self._timer is not None:
             self._timer.cancel()
 
-    def get_level(self) -> levels.Level:
-        """Return the level that answers carry."""
-        return self.policy.level(self._clock())
-
     async def _wait(self, call_id: int) -> Admitted | verdict.NotRun:
         future: asyncio.Future[admission.Start | admission.Refuse] = (
             self._loop.create_future()
@@ -131,7 +180,7 @@
             retry_after_s=retries.compute_retry_after(
                 action.retry_after_s, self._random.random()
             ),
-            retry_elsewhere=action.reason is verdict.Reason.LEAVING,
+            retry_elsewhere=action.reason in self._retry_elsewhere,
         )
 
     def _carry_out(
--- a/src/eelgrasswalk/filters/forward.py
+++ b/src/eelgrasswalk/filters/forward.py
@@ -10,6 +10,7 @@
 from ..policy import balance
 from ..policy import retries
 from ..policy import retry_budget
+from ..policy import spread
 from ..transport import bodies
 from ..transport import dialler
 from ..transport import frames
@@ -17,6 +18,8 @@
 
 # Upstreams whose gates may refuse one call before it is given up.
 MAX_GATES = 4
+# Shortest time after which a refused caller may come back.
+LEAST_PAUSE_S = 0.1
 _NEVER_ARRIVED = frozenset(
     (
         verdict.Reason.NO_UPSTREAM,
@@ -71,7 +74,7 @@
         book: AddressBook,
         links: dialler.Dialler,
         runner: Runner,
-        balancer: balance.Balancer,
+        balancer: spread.Spread,
         repeats: retry_budget.RetryBudget,
         count_nodes: typing.Callable[[], int],
         source: random.Random,
@@ -150,7 +153,12 @@
         reason = (
             verdict.Reason.NO_UPSTREAM if outcome is None else outcome.reason
         )
-        pause_s = item.route.objective_s * (0.25 + self._random.random())
+        backlog_s = 0.0
+        if outcome is not None and outcome.retry_after_s is not None:
+            backlog_s = outcome.retry_after_s
+        # Callers that were refused together come back spread out, when the
+        # queue that refused them has had time to empty.
+        pause_s = max(LEAST_PAUSE_S, backlog_s) * (1.0 + self._random.random())
         return verdict.NotRun(reason, retry_after_s=pause_s)
 
     async def _attempt(
@@ -159,21 +167,27 @@
         started_at = self._clock()
         call = self._build_call(item)
         outcome = balance.Outcome.CANCELLED
-        queue_delay_s = 0.0
+        load: float | None = None
+        failed = False
         self._balancer.start(upstream.node_id, started_at)
         try:
             reply = await self._transmit(item, upstream, call)
             outcome = _classify(reply.outcome)
+            failed = _is_failure(reply.outcome)
             if reply.feedback is not None:
-                queue_delay_s = reply.feedback.queue_delay_s
+                load = reply.feedback.load
+            if _is_unreachable(reply.outcome):
+                self._balancer.mark_down(upstream.node_id, self._clock())
         finally:
             now = self._clock()
             self._balancer.finish(
                 upstream.node_id,
                 now,
+                route=item.route.name,
                 outcome=outcome,
                 latency_s=now - started_at,
-                queue_delay_s=queue_delay_s,
+                load=load,
+                failed=failed,
             )
         return reply.outcome
 
@@ -217,6 +231,9 @@
             request=item.request,
             body_length=len(body),
             digest=bodies.compute_digest(body),
+            objective_s=max(
+                0.0, item.arrived_at + item.route.objective_s - now
+            ),
         )
 
 
@@ -227,6 +244,21 @@
     return outcome.reason not in _NEVER_ARRIVED
 
 
+def _is_failure(outcome: verdict.Verdict) -> bool:
+    return (
+        isinstance(outcome, verdict.Answered)
+        and outcome.response.status >= 500
+    )
+
+
+def _is_unreachable(outcome: verdict.Verdict) -> bool:
+    if isinstance(outcome, verdict.Answered):
+        return False
+    return outcome.reason in _FAILED or (
+        outcome.reason is verdict.Reason.LINK_LOST
+    )
+
+
 def _classify(outcome: verdict.Verdict) -> balance.Outcome:
     if isinstance(outcome, verdict.Answered):
         return balance.Outcome.ANSWERED
--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -5,6 +5,7 @@
 from .. import events
 from .. import ports
 from .. import verdict
+from ..policy import slot_queue
 from ..transport import budget
 from ..transport import dialler
 from ..transport import frames
@@ -37,7 +38,7 @@
         self,
         dialect: ports.Dialect,
         pool: http_client.TargetPool,
-        admitter: admit.Admitter,
+        admitter: admit.Admitter[slot_queue.SlotQueue],
         bodies: budget.ByteBudget,
         *,
         drain_s: float,
@@ -75,10 +76,13 @@
             return dialler.Reply(refusal, None)
         deadline = started_at + call.remaining_s
         admitted = await self._admitter.admit(
-            call.context, deadline=min(deadline, self._ends_at)
+            call.context,
+            deadline=min(deadline, self._ends_at),
+            route=call.route,
+            objective_at=started_at + call.objective_s,
         )
         if isinstance(admitted, verdict.NotRun):
-            return dialler.Reply(admitted, None)
+            return dialler.Reply(admitted, self._build_feedback(0.0))
         waited_s = self._loop.time() - started_at
         ok = True
         try:
@@ -86,7 +90,7 @@
             ok = _is_sound(outcome)
         finally:
             self._admitter.finish(admitted.call_id, ok=ok)
-        return dialler.Reply(outcome, _build_feedback(waited_s))
+        return dialler.Reply(outcome, self._build_feedback(waited_s))
 
     def _check(self, call: frames.Call, now: float) -> verdict.NotRun | None:
         if call.remaining_s <= MIN_REMAINING_S:
@@ -143,6 +147,17 @@
                 budget.keep_alive(answer, outcome.response)
         return judged
 
+    def _build_feedback(self, waited_s: float) -> frames.Feedback:
+        policy = self._admitter.policy
+        busy = policy.in_flight + policy.queued
+        return frames.Feedback(
+            importance=frames.SILENT_FEEDBACK.importance,
+            fraction=1.0,
+            queue_delay_s=waited_s,
+            unspent=0,
+            load=busy / policy.limit,
+        )
+
 
 def _refuse(reason: verdict.Reason) -> verdict.NotRun:
     return verdict.NotRun(reason, retry_elsewhere=True)
@@ -155,12 +170,3 @@
         verdict.Reason.CALLER_GONE,
         verdict.Reason.DEADLINE,
     )
-
-
-def _build_feedback(waited_s: float) -> frames.Feedback:
-    return frames.Feedback(
-        importance=frames.SILENT_FEEDBACK.importance,
-        fraction=1.0,
-        queue_delay_s=waited_s,
-        unspent=0,
-    )
--- a/src/eelgrasswalk/filters/guard.py
+++ b/src/eelgrasswalk/filters/guard.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import dataclasses
+import time
 import typing
 
 from .. import verdict
 from ..document import model
+from ..policy import admission
 from ..policy import levels
 from ..policy import retries
 from ..policy import routing
@@ -52,7 +54,7 @@
         self,
         *,
         get_table: typing.Callable[[], routing.RoutingTable | None],
-        admitter: admit.Admitter,
+        admitter: admit.Admitter[admission.Admission],
         deliverer: deliver.Deliverer,
         calls: served.ServedCalls,
         bodies: budget.ByteBudget,
@@ -164,7 +166,7 @@
     def _build_feedback(
         self, route: str, ledger: retries.Ledger
     ) -> frames.Feedback:
-        own: levels.Level = self._admitter.get_level()
+        own: levels.Level = self._admitter.policy.level(time.monotonic())
         level = self._below.combine(route, own)
         return frames.Feedback(
             importance=level.importance,
@@ -201,7 +203,9 @@
     given back when the target has ended, not when the wait for it has.
     """
 
-    def __init__(self, admitter: admit.Admitter, call_id: int) -> None:
+    def __init__(
+        self, admitter: admit.Admitter[admission.Admission], call_id: int
+    ) -> None:
         self.ok = True
         self.child_s = 0.0
         self._admitter = admitter
--- a/src/eelgrasswalk/node.py
+++ b/src/eelgrasswalk/node.py
@@ -17,6 +17,8 @@
 from .document import model
 from .filters import admit
 from .filters import guard
+from .policy import admission
+from .policy import balance
 from .policy import routing
 from .transport import acceptor
 from .transport import budget
@@ -74,12 +76,12 @@
     current: Current
     counts: counters.Counters
     bodies: budget.ByteBudget
-    admitter: admit.Admitter
+    admitter: admit.Admitter[admission.Admission]
     guard: guard.Guard
     pool: http_client.TargetPool
     dialler: dialler.Dialler
     acceptor: acceptor.Acceptor
-    directory: directory.Directory
+    directory: directory.Directory[balance.Balancer]
     caller_listener: http_server.HttpServer
     target_listener: http_server.HttpServer
 
@@ -209,7 +211,7 @@
         """Return the status as plain data."""
         parts = self.parts
         policy = parts.admitter.policy
-        level = parts.admitter.get_level()
+        level = parts.admitter.policy.level(time.monotonic())
         status = {
             'node_id': self.config.node_id,
             'host': self.config.host or self.config.node_id,
@@ -316,7 +318,9 @@
                 'eelgrasswalk.admission.queue_delay',
                 's',
                 'Time that calls wait for the target',
-                lambda: parts.admitter.get_level().queue_delay_s,
+                lambda: (
+                    parts.admitter.policy.level(time.monotonic()).queue_delay_s
+                ),
             ),
             gauge(
                 'eelgrasswalk.links.open',
--- a/src/eelgrasswalk/platform/rows.py
+++ b/src/eelgrasswalk/platform/rows.py
@@ -54,7 +54,7 @@
             page = _decode_rows(fields)
             rows.extend(page.rows)
             if not fields.get('has_more') or not page.rows:
-                return ports.Rows(tuple(rows), page.version)
+                return ports.Rows(tuple(rows), page.version, page.store_s)
             start = page.rows[-1].key + '\0'
 
     async def watch(
@@ -165,7 +165,11 @@
     rows = tuple(
         _decode_row(item) for item in fields.get('rows') or () if item
     )
-    return ports.Rows(rows, int(fields.get('ver') or 0))
+    return ports.Rows(
+        rows,
+        int(fields.get('ver') or 0),
+        float(fields.get('now_ms') or 0.0) / _MS_PER_S,
+    )
 
 
 def _decode_row(item: dict[str, typing.Any]) -> ports.Row:
--- a/src/eelgrasswalk/policy/account_rates.py
+++ b/src/eelgrasswalk/policy/account_rates.py
@@ -2,8 +2,11 @@
 
 Each account has one owner among the nodes, chosen by all alike from the
 same list. The owner keeps the account's only token bucket, and nodes ask it
-for a token for each call. Nodes that cannot reach it use a fixed part of the
-rate that they fill from nothing.
+for a token for each call.
+
+A node that cannot reach the owner does not know whether the owner grants the
+whole rate to others. It then uses its part of what accounts may get beyond
+their rates, and its part of the rate only when the owner is known not to run.
 """
 
 import collections.abc
@@ -14,9 +17,9 @@
 # Part of a second's tokens with which a new owner begins: others may have
 # granted until a moment ago.
 FIRST_SHARE = 0.3
-# Part of its share that a node without an owner uses; the owner may go on
-# granting to the others.
-ALONE_SHARE = 0.7
+# Part of its share that a node without an owner uses; what the owner had
+# granted before still counts.
+ALONE_SHARE = 0.9
 # Seconds of tokens that a node without an owner may save up.
 ALONE_DEPTH_S = 1.0
 LEAST_WAIT_S = 0.02
@@ -120,22 +123,51 @@
                 del self._buckets[account]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Slack:
+    """What accounts may get beyond their rates.
+
+    Args:
+        overage: Share of the rate.
+        tokens: Tokens besides, in a window.
+        window_s: Seconds of the window.
+    """
+
+    overage: float
+    tokens: float
+    window_s: float
+
+
+def compute_share_alone(
+    rate: float, *, nodes: int, is_dead: bool, slack: Slack
+) -> float:
+    """Return the rate that a node may use without its account's owner.
+
+    Args:
+        rate: The account's rate.
+        nodes: Nodes that share, this one among them.
+        is_dead: Whether the owner is known not to run.
+        slack: What accounts may get beyond their rates.
+    """
+    whole = rate
+    if not is_dead:
+        whole = slack.overage * rate + slack.tokens / slack.window_s
+    return ALONE_SHARE * whole / max(1, nodes)
+
+
 class SharesAlone:
     """What this node may use of accounts whose owner it cannot reach."""
 
     def __init__(self) -> None:
         self._buckets: dict[str, TokenBucket] = {}
 
-    def take(
-        self, account: str, now: float, *, rate: float, nodes: int
-    ) -> Grant:
-        """Take one token of this node's fixed share."""
-        share = ALONE_SHARE * rate / max(1, nodes)
+    def take(self, account: str, now: float, *, rate: float) -> Grant:
+        """Take one token of what this node may use a second."""
         bucket = self._buckets.get(account)
         if bucket is None:
             bucket = self._buckets[account] = TokenBucket(0.0, now)
-        depth = max(1.0, ALONE_DEPTH_S * share)
-        return bucket.take(1, now, rate=share, depth=depth)
+        depth = max(1.0, ALONE_DEPTH_S * rate)
+        return bucket.take(1, now, rate=rate, depth=depth)
 
     def forget(self, account: str) -> None:
         """Begin from nothing the next time; the owner is back."""
--- a/src/eelgrasswalk/policy/balance.py
+++ b/src/eelgrasswalk/policy/balance.py
@@ -35,11 +35,13 @@
         node_id: The node.
         data_centre: Where it is.
         service: What its target serves.
+        slots: Calls that its target runs at a time; 0 when not known.
     """
 
     node_id: str
     data_centre: str
     service: str
+    slots: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/eelgrasswalk/policy/freshness.py
+++ b/src/eelgrasswalk/policy/freshness.py
@@ -22,14 +22,14 @@
         """When the configuration in force was the newest for certain."""
         return self._confirmed_at
 
-    def confirm(self, asked_at: float) -> None:
+    def confirm(self, true_at: float) -> None:
         """Take a confirmation.
 
         Args:
-            asked_at: When the question was sent, in seconds of a clock that
-                runs through suspension; the answer may be old.
+            true_at: When it was true for certain, in seconds of a clock
+                that runs through suspension.
         """
-        self._confirmed_at = max(self._confirmed_at, asked_at)
+        self._confirmed_at = max(self._confirmed_at, true_at)
 
     def get_age(self, now: float) -> float:
         """Return the seconds since the last certainty."""
--- a/src/eelgrasswalk/policy/queue.py
+++ b/src/eelgrasswalk/policy/queue.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import heapq
+import math
 
 from ..document import model
 
@@ -23,6 +24,9 @@
             with that of other roots.
         deadline: When the answer must be there, on the clock of now.
         depth: Hops below the root; 0 for a new root.
+        route: Name of the route.
+        objective_at: When the answer should be there for its full worth, on
+            the clock of now.
     """
 
     call_id: int
@@ -32,6 +36,8 @@
     root_started_at: float
     deadline: float
     depth: int
+    route: str = ''
+    objective_at: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/eelgrasswalk/ports.py
+++ b/src/eelgrasswalk/ports.py
@@ -32,10 +32,13 @@
     Args:
         rows: The rows in order.
         version: The store's newest version when they were read.
+        store_s: The store's own steady clock then, in seconds; 0 when it
+            does not tell.
     """
 
     rows: tuple[Row, ...]
     version: int
+    store_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/eelgrasswalk/sidecar/wiring.py
+++ b/src/eelgrasswalk/sidecar/wiring.py
@@ -6,6 +6,7 @@
 
 from .. import clock
 from .. import ports
+from .. import verdict
 from ..controllers import account_quota
 from ..controllers import check_ins
 from ..controllers import control_router
@@ -17,13 +18,13 @@
 from ..filters import forward
 from ..filters import front
 from ..filters import gate
-from ..policy import admission
+from ..policy import account_rates
 from ..policy import attempts
-from ..policy import balance
-from ..policy import concurrency
 from ..policy import freshness
 from ..policy import retry_budget
 from ..policy import roster
+from ..policy import slot_queue
+from ..policy import spread
 from ..policy import target_life
 from ..transport import acceptor
 from ..transport import budget
@@ -32,10 +33,11 @@
 from ..transport import link
 from . import settings
 
-# Feeds are asked again after this long, which also confirms the rules.
-RULES_WAIT_S = 1.0
+# The feed of rules is asked again after this long, which confirms them; half
+# of what a confirmation counts leaves time for a store that fails at first.
+RULES_WAIT_S = 2.0
 ROSTER_WAIT_S = 20.0
-ROSTER_GATHER_S = 0.1
+ROSTER_GATHER_S = 1.0
 # A confirmation counts this much shorter than a withdrawn key may work, for
 # a store whose feed hides a change for a second, and for the way.
 FRESH_MARGIN_S = 1.25
@@ -70,7 +72,7 @@
     fresh: freshness.Freshness
     rules: rules.RuleKeeper
     rules_feed: feed.Feed
-    book: directory.Directory
+    book: directory.Directory[spread.Spread]
     roster: roster_keeper.RosterKeeper
     roster_feed: feed.Feed
     router: control_router.ControlRouter
@@ -83,12 +85,12 @@
 
     front: front.Front
     gate: gate.Gate
-    admitter: admit.Admitter
+    admitter: admit.Admitter[slot_queue.SlotQueue]
     pool: http_client.TargetPool
     dialler: dialler.Dialler
     acceptor: acceptor.Acceptor
     check_ins: check_ins.CheckInKeeper
-    book: directory.Directory
+    book: directory.Directory[spread.Spread]
 
     def find_address(self, node_id: str) -> control_router.Address | None:
         """Return where a node accepts links, or None."""
@@ -106,11 +108,7 @@
     fresh = freshness.Freshness(config.bounds.withdraw_s - FRESH_MARGIN_S)
     keeper = rules.RuleKeeper(platform.rule_source, fresh, apply_rules)
     book = directory.Directory(
-        balance.Balancer(
-            balance.BalanceSettings(),
-            data_centre=config.data_centre,
-            node_id=config.node_id,
-        )
+        spread.Spread(spread.SpreadSettings(), data_centre=config.data_centre)
     )
     router = control_router.ControlRouter()
     nodes = roster_keeper.RosterKeeper(
@@ -158,7 +156,7 @@
         connections=1,
         bodies=state.bodies,
     )
-    admitter = admit.Admitter(_build_admission(), source=state.source)
+    admitter = _build_admitter(state)
     guard = gate.Gate(
         state.platform.dialect,
         pool,
@@ -205,12 +203,16 @@
     )
 
 
-def _build_admission() -> admission.Admission:
-    limit = concurrency.ConcurrencySettings(
-        start_fraction=1.0, min_fraction=1.0
-    )
-    return admission.Admission(
-        admission.AdmissionSettings(limit=limit), slots=1
+def _build_admitter(
+    state: State,
+) -> admit.Admitter[slot_queue.SlotQueue]:
+    policy = slot_queue.SlotQueue(slot_queue.SlotSettings(), slots=1)
+    return admit.Admitter(
+        policy,
+        source=state.source,
+        retry_elsewhere=frozenset(
+            (verdict.Reason.LEAVING, verdict.Reason.OVERLOAD)
+        ),
     )
 
 
@@ -240,20 +242,29 @@
         service=config.service,
         get_table=state.rules.get_table,
         fresh=state.fresh,
-        quotas=_build_quotas(state),
+        quotas=_build_quotas(state, links),
         forward=forwarder.send,
         boot_clock=clock.read_boot_time,
         source=state.source,
     )
 
 
-def _build_quotas(state: State) -> account_quota.AccountQuota:
+def _build_quotas(
+    state: State, links: dialler.Dialler
+) -> account_quota.AccountQuota:
+    bounds = state.config.bounds
     quotas = account_quota.AccountQuota(
         state.config.node_id,
         list_owners=state.roster.list_lasting,
         count_nodes=lambda: len(state.roster.roster),
         get_table=state.rules.get_table,
         send=state.router.send,
+        is_dead=links.is_refused,
+        slack=account_rates.Slack(
+            overage=bounds.quota_overage,
+            tokens=bounds.quota_slack,
+            window_s=bounds.quota_window_s,
+        ),
         source=state.source,
     )
     state.router.register(account_quota.TOPIC_ASK, quotas.receive_ask)
--- a/src/eelgrasswalk/transport/codec.py
+++ b/src/eelgrasswalk/transport/codec.py
@@ -70,6 +70,7 @@
         request.body[: frames.INLINE_BYTES],
         item.body_length,
         item.digest,
+        item.objective_s,
     ]
 
 
@@ -91,6 +92,7 @@
     body: typing.Any,
     body_length: typing.Any,
     digest: typing.Any,
+    objective_s: typing.Any,
 ) -> frames.Call:
     context = frames.Context(
         account=_take_text(account),
@@ -115,6 +117,7 @@
         ),
         body_length=_take_length(body_length),
         digest=_take_count(digest),
+        objective_s=_take_number(objective_s),
     )
 
 
@@ -138,6 +141,7 @@
     fraction: typing.Any,
     queue_delay_s: typing.Any,
     unspent: typing.Any,
+    load: typing.Any,
     status: typing.Any,
     headers: typing.Any,
     body: typing.Any,
@@ -146,7 +150,9 @@
 ) -> frames.Answer:
     return frames.Answer(
         attempt=_take_id(attempt),
-        feedback=_take_feedback(importance, fraction, queue_delay_s, unspent),
+        feedback=_take_feedback(
+            importance, fraction, queue_delay_s, unspent, load
+        ),
         response=verdict.Response(
             status=_take_count(status),
             headers=_take_headers(headers),
@@ -178,6 +184,7 @@
     fraction: typing.Any,
     queue_delay_s: typing.Any,
     unspent: typing.Any,
+    load: typing.Any,
     not_run: typing.Any,
     reason: typing.Any,
     detail: typing.Any,
@@ -198,17 +205,22 @@
         outcome = verdict.MayHaveRun(_REASONS[reason], _take_text(detail))
     return frames.Failure(
         attempt=_take_id(attempt),
-        feedback=_take_feedback(importance, fraction, queue_delay_s, unspent),
+        feedback=_take_feedback(
+            importance, fraction, queue_delay_s, unspent, load
+        ),
         outcome=outcome,
     )
 
 
-def _list_feedback(feedback: frames.Feedback) -> tuple[int, float, float, int]:
+def _list_feedback(
+    feedback: frames.Feedback,
+) -> tuple[int, float, float, int, float]:
     return (
         feedback.importance,
         feedback.fraction,
         feedback.queue_delay_s,
         feedback.unspent,
+        feedback.load,
     )
 
 
@@ -217,12 +229,14 @@
     fraction: typing.Any,
     queue_delay_s: typing.Any,
     unspent: typing.Any,
+    load: typing.Any,
 ) -> frames.Feedback:
     return frames.Feedback(
         importance=_take_count(importance),
         fraction=_take_number(fraction),
         queue_delay_s=_take_number(queue_delay_s),
         unspent=_take_count(unspent),
+        load=_take_number(load),
     )
 
 
--- a/src/eelgrasswalk/transport/dialler.py
+++ b/src/eelgrasswalk/transport/dialler.py
@@ -112,6 +112,15 @@
         """Send a controller's message; lost when the peer is unreachable."""
         self._get_peer(address).send_control(frames.Control(topic, payload))
 
+    def is_refused(self, node_id: str) -> bool:
+        """Return whether the peer's host refused the last link.
+
+        A host that answers, but has no process that listens, has none that
+        works either; silence says nothing.
+        """
+        peer = self._peers.get(node_id)
+        return peer is not None and peer.refused
+
     def count_links(self) -> int:
         """Return how many links are open."""
         return sum(1 for peer in self._peers.values() if peer.is_open)
@@ -136,6 +145,7 @@
 
     def __init__(self, dialler: Dialler, address: Address) -> None:
         self.address = address
+        self.refused = False
         self._dialler = dialler
         self._loop = asyncio.get_running_loop()
         self._link: link.Link | None = None
@@ -302,9 +312,13 @@
         return task
 
     async def _open_link(self) -> bool:
+        self.refused = False
         try:
             async with asyncio.timeout(DIAL_TIMEOUT_S):
                 return await self._connect()
+        except ConnectionRefusedError:
+            self.refused = True
+            return False
         except (OSError, TimeoutError):
             return False
         finally:
--- a/src/eelgrasswalk/transport/frames.py
+++ b/src/eelgrasswalk/transport/frames.py
@@ -90,6 +90,8 @@
         request: The request; its body is cut to INLINE_BYTES on the wire.
         body_length: Length of the whole body.
         digest: Digest of the whole body, 0 when the body is inline.
+        objective_s: Seconds left in which an answer has its full worth; 0
+            when not stated.
     """
 
     attempt: bytes
@@ -101,6 +103,7 @@
     request: message.Request
     body_length: int
     digest: int
+    objective_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -112,12 +115,14 @@
         fraction: Share of that importance that is admitted.
         queue_delay_s: Seconds that calls wait in the queue.
         unspent: Lent attempts that the call's tree did not use.
+        load: Calls that run or wait at the target, per call that may run.
     """
 
     importance: int
     fraction: float
     queue_delay_s: float
     unspent: int
+    load: float = 0.0
 
 
 SILENT_FEEDBACK = Feedback(
--- a/src/eelgrasswalk/wiring.py
+++ b/src/eelgrasswalk/wiring.py
@@ -145,7 +145,7 @@
 
 
 def _build_controllers(
-    shared: Shared, book: directory.Directory
+    shared: Shared, book: directory.Directory[balance.Balancer]
 ) -> wiring_controllers.Controllers | None:
     platform = shared.config.platform
     if platform is None:
@@ -163,7 +163,7 @@
 
 def _build_parts(
     shared: Shared,
-    book: directory.Directory,
+    book: directory.Directory[balance.Balancer],
     controllers: wiring_controllers.Controllers | None,
 ) -> node.Parts:
     config = shared.config
@@ -212,7 +212,7 @@
 
 def _build_chain(
     shared: Shared,
-    book: directory.Directory,
+    book: directory.Directory[balance.Balancer],
     links: dialler.Dialler,
     gate: guard.Guard,
     level_table: levels.LevelTable,
--- a/src/eelgrasswalk/wiring_controllers.py
+++ b/src/eelgrasswalk/wiring_controllers.py
@@ -22,6 +22,7 @@
 from .controllers import quota_entry
 from .document import model
 from .platform import http
+from .policy import balance
 from .policy import member
 from .policy import quota_messages
 from .transport import dialler
@@ -52,7 +53,7 @@
 
     config: settings.Settings
     identity: link.Identity
-    book: directory.Directory
+    book: directory.Directory[balance.Balancer]
     send: SendControl
     register: Register
     source: random.Random
