--- /dev/null
+++ b/tests/policy/test_account_rates.py
@@ -0,0 +1,95 @@
+"""Tests of rates that hold over the whole fleet."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from eelgrasswalk.policy import account_rates
+
+SLACK = account_rates.Slack(overage=0.1, tokens=20.0, window_s=5.0)
+
+
+class ChooseOwnerTest(unittest.TestCase):
+    def test_order_of_the_nodes_does_not_matter(self) -> None:
+        nodes = [f'n{number}' for number in range(16)]
+        self.assertEqual(
+            account_rates.choose_owner('lake', nodes),
+            account_rates.choose_owner('lake', reversed(nodes)),
+        )
+
+    def test_a_node_that_leaves_moves_only_its_own_accounts(self) -> None:
+        nodes = [f'n{number}' for number in range(16)]
+        for number in range(50):
+            account = f'a{number}'
+            before = account_rates.choose_owner(account, nodes)
+            after = account_rates.choose_owner(account, nodes[1:])
+            if before != nodes[0]:
+                self.assertEqual(before, after)
+
+    def test_nobody_owns_without_nodes(self) -> None:
+        self.assertIsNone(account_rates.choose_owner('lake', []))
+
+
+class OwnedAccountsTest(unittest.TestCase):
+    def test_new_owner_begins_with_little(self) -> None:
+        owned = account_rates.OwnedAccounts()
+        grant = owned.grant('lake', 100, 0.0, rate=50.0, burst=50.0)
+        self.assertEqual(15, grant.tokens)
+
+    def test_refusal_tells_when_the_next_token_comes(self) -> None:
+        owned = account_rates.OwnedAccounts()
+        owned.grant('lake', 1000, 0.0, rate=10.0, burst=10.0)
+        grant = owned.grant('lake', 1, 0.0, rate=10.0, burst=10.0)
+        self.assertEqual(0, grant.tokens)
+        self.assertAlmostEqual(0.1, grant.wait_s, places=3)
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.floats(0.0, 1.0), strategies.integers(1, 30)
+            ),
+            max_size=100,
+        )
+    )
+    def test_no_window_gets_more_than_rate_and_burst(
+        self, asks: list[tuple[float, int]]
+    ) -> None:
+        owned = account_rates.OwnedAccounts()
+        now = 0.0
+        granted: list[tuple[float, int]] = []
+        for pause, wanted in asks:
+            now += pause
+            grant = owned.grant('lake', wanted, now, rate=20.0, burst=10.0)
+            granted.append((now, grant.tokens))
+        for end, _ in granted:
+            window = sum(n for at, n in granted if end - 5.0 <= at <= end)
+            self.assertLessEqual(window, 20.0 * 5.0 + 10.0 + 1e-6)
+
+
+class SharesAloneTest(unittest.TestCase):
+    def test_silent_owner_leaves_only_the_slack(self) -> None:
+        """All nodes but the owner are cut off, which grants on."""
+        nodes = 16
+        rate = 100.0
+        alone = (nodes - 1) * account_rates.compute_share_alone(
+            rate, nodes=nodes, is_dead=False, slack=SLACK
+        )
+        window = 5.0 * (rate + alone) + rate
+        bound = 1.1 * (5.0 * rate + rate) + 20.0
+        self.assertLessEqual(window, bound)
+
+    def test_dead_owner_leaves_most_of_the_rate(self) -> None:
+        nodes = 16
+        alone = (nodes - 1) * account_rates.compute_share_alone(
+            100.0, nodes=nodes, is_dead=True, slack=SLACK
+        )
+        self.assertGreater(alone, 80.0)
+        self.assertLessEqual(alone, 100.0)
+
+    def test_share_fills_from_nothing(self) -> None:
+        shares = account_rates.SharesAlone()
+        self.assertEqual(0, shares.take('lake', 0.0, rate=5.0).tokens)
+        self.assertEqual(1, shares.take('lake', 0.21, rate=5.0).tokens)
+        shares.forget('lake')
+        self.assertEqual(0, shares.take('lake', 9.0, rate=5.0).tokens)
--- /dev/null
+++ b/tests/policy/test_slot_queue.py
@@ -0,0 +1,155 @@
+"""Tests of the queue in front of a target: burst, slow target, returns."""
+
+import unittest
+
+from eelgrasswalk import verdict
+from eelgrasswalk.document import model
+from eelgrasswalk.policy import admission
+from eelgrasswalk.policy import slot_queue
+
+SETTINGS = slot_queue.SlotSettings(fill=1.0)
+
+
+def build_candidate(
+    call_id: int,
+    *,
+    importance: model.Importance = model.Importance.NORMAL,
+    objective_at: float = 1.0,
+    deadline: float = 5.0,
+    depth: int = 0,
+    route: str = 'browse',
+) -> slot_queue.Candidate:
+    return slot_queue.Candidate(
+        call_id=call_id,
+        importance=importance,
+        account='',
+        root_hash=0.0,
+        root_started_at=0.0,
+        deadline=deadline,
+        depth=depth,
+        route=route,
+        objective_at=objective_at,
+    )
+
+
+def build_busy(slots: int = 1, service_s: float = 0.1) -> slot_queue.SlotQueue:
+    """Return a queue that knows its service time and is full at 0."""
+    queue = slot_queue.SlotQueue(SETTINGS, slots=slots)
+    for call_id in range(1000, 1100):
+        queue.offer(build_candidate(call_id, deadline=9e9), -service_s)
+        queue.finish(call_id, 0.0, ok=True)
+    for call_id in range(2000, 2000 + slots):
+        queue.offer(build_candidate(call_id, deadline=9e9), 0.0)
+    return queue
+
+
+class SlotQueueTest(unittest.TestCase):
+    def test_free_slot_starts_at_once(self) -> None:
+        queue = slot_queue.SlotQueue(SETTINGS, slots=2)
+        self.assertEqual(
+            [admission.Start(1)], queue.offer(build_candidate(1), 0.0)
+        )
+
+    def test_some_slots_are_left_free(self) -> None:
+        queue = slot_queue.SlotQueue(slot_queue.SlotSettings(), slots=17)
+        self.assertLess(queue.limit, 17)
+        self.assertGreaterEqual(queue.limit, 15)
+
+    def test_begun_work_goes_before_new_roots(self) -> None:
+        queue = build_busy()
+        queue.offer(
+            build_candidate(1, importance=model.Importance.CRITICAL), 0.0
+        )
+        queue.offer(build_candidate(2, depth=1), 0.0)
+        self.assertEqual(
+            [admission.Start(2)], queue.finish(2000, 0.1, ok=True)
+        )
+
+    def test_more_important_goes_first(self) -> None:
+        queue = build_busy()
+        queue.offer(build_candidate(1), 0.0)
+        queue.offer(
+            build_candidate(2, importance=model.Importance.CRITICAL), 0.0
+        )
+        self.assertEqual(
+            [admission.Start(2)], queue.finish(2000, 0.1, ok=True)
+        )
+
+    def test_least_slack_goes_first(self) -> None:
+        queue = build_busy()
+        queue.offer(build_candidate(1, objective_at=2.0), 0.0)
+        queue.offer(build_candidate(2, objective_at=0.5), 0.0)
+        self.assertEqual(
+            [admission.Start(2)], queue.finish(2000, 0.1, ok=True)
+        )
+
+    def test_burst_is_refused_at_once_beyond_what_can_be_in_time(self) -> None:
+        """Thirty calls at once: those that would be late do not wait."""
+        queue = build_busy(slots=1, service_s=0.1)
+        refused = []
+        for call_id in range(30):
+            refused += queue.offer(build_candidate(call_id), 0.0)
+        self.assertTrue(
+            all(
+                isinstance(action, admission.Refuse)
+                and action.reason is verdict.Reason.OVERLOAD
+                and action.retry_after_s > 0.0
+                for action in refused
+            )
+        )
+        self.assertGreaterEqual(queue.queued, 7)
+        self.assertLessEqual(queue.queued, 10)
+
+    def test_everything_admitted_is_answered_in_time(self) -> None:
+        queue = build_busy(slots=1, service_s=0.1)
+        for call_id in range(30):
+            queue.offer(build_candidate(call_id), 0.0)
+        now = 0.1
+        running = 2000
+        while True:
+            actions = queue.finish(running, now, ok=True)
+            starts = [a for a in actions if isinstance(a, admission.Start)]
+            if not starts:
+                break
+            running = starts[0].call_id
+            now += 0.1
+        self.assertEqual(0, queue.queued)
+        self.assertLessEqual(now, 1.0 + 1e-9)
+
+    def test_slow_target_refuses_what_has_become_too_late(self) -> None:
+        queue = build_busy(slots=1, service_s=0.1)
+        queue.offer(build_candidate(1), 0.0)
+        at = queue.next_event_at()
+        assert at is not None
+        self.assertLess(at, 1.0)
+        actions = queue.expire(at)
+        self.assertEqual([1], [action.call_id for action in actions])
+        self.assertIsInstance(actions[0], admission.Refuse)
+
+    def test_begun_work_may_wait_until_its_deadline(self) -> None:
+        queue = build_busy(slots=1, service_s=0.1)
+        queue.offer(build_candidate(1, depth=1, objective_at=0.0), 0.0)
+        self.assertEqual(1, queue.queued)
+
+    def test_cancelled_call_leaves_the_queue(self) -> None:
+        queue = build_busy()
+        queue.offer(build_candidate(1), 0.0)
+        queue.cancel(1, 0.05)
+        self.assertEqual([], queue.finish(2000, 0.1, ok=True))
+        self.assertEqual(0.0, queue.backlog_s)
+
+    def test_call_without_time_is_refused(self) -> None:
+        queue = build_busy(slots=2, service_s=0.1)
+        actions = queue.offer(build_candidate(1, deadline=0.05), 0.0)
+        assert isinstance(actions[0], admission.Refuse)
+        self.assertIs(verdict.Reason.DEADLINE, actions[0].reason)
+
+    def test_new_lifetime_takes_calls_again(self) -> None:
+        queue = slot_queue.SlotQueue(SETTINGS, slots=1)
+        queue.drain(0.0)
+        refused = queue.offer(build_candidate(1), 0.0)
+        self.assertIsInstance(refused[0], admission.Refuse)
+        queue.resize(1)
+        self.assertEqual(
+            [admission.Start(2)], queue.offer(build_candidate(2), 0.0)
+        )
--- /dev/null
+++ b/tests/policy/test_store_clock.py
@@ -0,0 +1,45 @@
+"""Tests of the moment at which an answer was true."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from eelgrasswalk.policy import store_clock
+
+delays = strategies.floats(0.0, 3.0)
+exchanges = strategies.lists(
+    strategies.tuples(delays, delays, delays), min_size=1, max_size=20
+)
+
+
+class StoreClockTest(unittest.TestCase):
+    def test_answer_after_a_wait_is_young(self) -> None:
+        clock = store_clock.StoreClock()
+        clock.date_answer(100.0, 100.01, 5.005)
+        self.assertAlmostEqual(
+            102.0, clock.date_answer(100.01, 102.02, 7.01), delta=0.01
+        )
+
+    def test_without_the_stores_clock_the_question_counts(self) -> None:
+        clock = store_clock.StoreClock()
+        self.assertEqual(100.0, clock.date_answer(100.0, 102.0, 0.0))
+
+    def test_clock_that_begins_anew_is_not_believed(self) -> None:
+        clock = store_clock.StoreClock()
+        clock.date_answer(100.0, 100.01, 5.0)
+        self.assertEqual(101.0, clock.date_answer(101.0, 101.1, 900.0))
+
+    @hypothesis.given(exchanges)
+    def test_never_later_than_the_answer_was_formed(
+        self, taken: list[tuple[float, float, float]]
+    ) -> None:
+        clock = store_clock.StoreClock()
+        now = 1000.0
+        for before, out, back in taken:
+            asked_at = now + before
+            formed_at = asked_at + out
+            now = formed_at + back
+            dated = clock.date_answer(asked_at, now, formed_at - 990.0)
+            self.assertLessEqual(dated, formed_at + 1e-6)
+            self.assertGreaterEqual(dated, asked_at - 1e-6)
--- /dev/null
+++ b/tests/policy/test_target_life.py
@@ -0,0 +1,76 @@
+"""Tests of a target's lifetimes as the node beside it hears of them."""
+
+import unittest
+
+from eelgrasswalk.policy import target_life
+
+Change = target_life.Change
+
+
+def build_report(
+    target_id: str = 'i-1',
+    *,
+    born_ms: int = 1000,
+    sequence: int = 1,
+    draining: bool = False,
+) -> target_life.Report:
+    return target_life.Report(target_id, born_ms, sequence, 8, draining, 0.0)
+
+
+class TargetLifeTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.life = target_life.TargetLife()
+        self.life.observe(build_report(sequence=5), 0.0)
+
+    def test_first_report_arrives(self) -> None:
+        self.assertTrue(self.life.is_ready)
+
+    def test_late_report_is_stale(self) -> None:
+        change = self.life.observe(build_report(sequence=4), 1.0)
+        self.assertIs(Change.STALE, change)
+
+    def test_drain_lasts_whatever_comes_later(self) -> None:
+        leaving = build_report(sequence=6, draining=True)
+        self.assertIs(Change.LEAVING, self.life.observe(leaving, 1.0))
+        self.life.observe(build_report(sequence=7), 2.0)
+        self.assertFalse(self.life.is_ready)
+        self.assertEqual(1.0, self.life.leaving_since)
+
+    def test_departure_of_the_lifetime_is_a_drain(self) -> None:
+        self.assertIs(Change.LEAVING, self.life.depart('i-1', 3.0))
+        self.assertFalse(self.life.is_ready)
+
+    def test_departure_of_another_lifetime_changes_nothing(self) -> None:
+        self.assertIs(Change.STALE, self.life.depart('i-0', 3.0))
+        self.assertTrue(self.life.is_ready)
+
+    def test_lifetime_that_began_later_replaces(self) -> None:
+        new = build_report('i-2', born_ms=2000)
+        self.assertIs(Change.ARRIVED, self.life.observe(new, 1.0))
+
+    def test_check_in_of_an_earlier_lifetime_is_stale(self) -> None:
+        self.life.observe(build_report('i-2', born_ms=2000), 1.0)
+        late = build_report('i-1', born_ms=1000, sequence=99)
+        self.assertIs(Change.STALE, self.life.observe(late, 2.0))
+        assert self.life.report is not None
+        self.assertEqual('i-2', self.life.report.target_id)
+
+    def test_same_id_born_again_counts_anew(self) -> None:
+        self.life.depart('i-1', 1.0)
+        again = build_report('i-1', born_ms=3000, sequence=1)
+        self.assertIs(Change.ARRIVED, self.life.observe(again, 2.0))
+        self.assertTrue(self.life.is_ready)
+
+    def test_departed_lifetime_does_not_come_back(self) -> None:
+        self.life.observe(build_report('i-2', born_ms=2000), 1.0)
+        self.life.depart('i-2', 2.0)
+        late = build_report('i-2', born_ms=2000, sequence=9)
+        self.assertIsNot(Change.ARRIVED, self.life.observe(late, 3.0))
+        self.assertFalse(self.life.is_ready)
+
+    def test_restored_lifetime_is_confirmed_by_its_next_report(self) -> None:
+        life = target_life.TargetLife()
+        life.restore(build_report(born_ms=0, sequence=-1))
+        change = life.observe(build_report(sequence=12), 1.0)
+        self.assertIs(Change.NONE, change)
+        self.assertTrue(life.is_ready)
