--- /dev/null
+++ b/tests/platform/test_check_ins.py
@@ -0,0 +1,80 @@
+"""Tests of what targets tell, as it is decoded."""
+
+import json
+import typing
+import unittest
+
+from eelgrasswalk import ports
+from eelgrasswalk.platform import check_ins
+from eelgrasswalk.transport import message
+
+BEAT: dict[str, typing.Any] = {
+    'service': 'orders',
+    'address': '10.0.0.1:80',
+    'zone': 'erie',
+    'version': 'v1',
+    'slots': 125,
+    'state': 'ready',
+    'cold_left_ms': 1500,
+    'sequence': 4,
+    'born': 1700000000000,
+}
+
+
+def decode(
+    target: str, body: typing.Any
+) -> ports.CheckIn | ports.Departure | ports.Unreadable:
+    request = message.Request('POST', target, (), json.dumps(body).encode())
+    return check_ins.PlatformCheckIns().decode(request)
+
+
+class CheckInsTest(unittest.TestCase):
+    beat = '/-/rpc?call=instances.heartbeat&of=i-1'
+
+    def test_check_in(self) -> None:
+        self.assertEqual(
+            ports.CheckIn(
+                target_id='i-1',
+                born_ms=1700000000000,
+                sequence=4,
+                service='orders',
+                slots=125,
+                draining=False,
+                cold_left_s=1.5,
+            ),
+            decode(self.beat, BEAT),
+        )
+
+    def test_draining(self) -> None:
+        item = decode(self.beat, {**BEAT, 'state': 'draining'})
+        assert isinstance(item, ports.CheckIn)
+        self.assertTrue(item.draining)
+
+    def test_departure(self) -> None:
+        target = '/-/rpc?call=instances.deregister&of=i-1'
+        self.assertEqual(ports.Departure('i-1'), decode(target, {}))
+
+    def test_what_others_write_names_no_target(self) -> None:
+        for body in (
+            {**BEAT, 'state': 'asleep'},
+            {**BEAT, 'slots': 'many'},
+            {**BEAT, 'sequence': None},
+            {**BEAT, 'service': 7},
+            {**BEAT, 'born': True},
+            {},
+            [],
+            None,
+        ):
+            with self.subTest(body):
+                self.assertIsInstance(
+                    decode(self.beat, body), ports.Unreadable
+                )
+
+    def test_other_calls(self) -> None:
+        for target in (
+            '/',
+            '/-/rpc?call=instances.heartbeat',
+            '/-/rpc?call=other&of=i-1',
+        ):
+            with self.subTest(target):
+                self.assertIsInstance(decode(target, BEAT), ports.Unreadable)
--- /dev/null
+++ b/tests/platform/test_dialect.py
@@ -0,0 +1,145 @@
+"""Tests of how callers and targets speak."""
+
+import unittest
+
+from eelgrasswalk import verdict
+from eelgrasswalk.platform import dialect
+from eelgrasswalk.policy import deadline
+
+DIALECT = dialect.PlatformDialect()
+
+
+def build_answer(
+    status: int, *headers: tuple[bytes, bytes]
+) -> verdict.Response:
+    return verdict.Response(status, headers, b'body')
+
+
+class ReadTest(unittest.TestCase):
+    def test_deadline_is_in_milliseconds(self) -> None:
+        """A parser of seconds once cut every deadline to 0.6 s."""
+        for value, seconds in ((b'8000', 8.0), (b'5', 0.005)):
+            timeout = DIALECT.read_timeout(((b'request-deadline', value),))
+            self.assertEqual(deadline.Given(seconds), timeout)
+
+    def test_missing_deadline(self) -> None:
+        self.assertEqual(deadline.Absent(), DIALECT.read_timeout(()))
+
+    def test_malformed_deadline(self) -> None:
+        for value in (b'', b'-1', b'1.5', b'1e3', b'9' * 13, b'soon'):
+            with self.subTest(value):
+                headers = ((b'request-deadline', value),)
+                self.assertIsInstance(
+                    DIALECT.read_timeout(headers), deadline.Malformed
+                )
+
+    def test_key_comes_with_its_scheme(self) -> None:
+        headers = ((b'authorization', b'bearer secret'),)
+        self.assertEqual(b'secret', DIALECT.read_key(headers))
+        self.assertIsNone(DIALECT.read_key(((b'authorization', b'Basic x'),)))
+        self.assertIsNone(DIALECT.read_key(()))
+
+    def test_hostname_has_no_port(self) -> None:
+        headers = ((b'host', b'Shop.Example:80'),)
+        self.assertEqual('shop.example', DIALECT.read_hostname(headers))
+
+
+class HeadersTest(unittest.TestCase):
+    def test_own_headers_are_never_taken_from_callers(self) -> None:
+        forwarded = DIALECT.build_forwarded(
+            (
+                (b'attempt-id', b'a1'),
+                (b'authorization', b'Bearer secret'),
+                (b'caller-service', b'forged'),
+                (b'tenant-id', b'forged'),
+                (b'target-instance', b'forged'),
+                (b'request-deadline', b'9999'),
+                (b'connection', b'close, x-hop'),
+                (b'x-hop', b'1'),
+                (b'x-end', b'2'),
+            ),
+            account='lake',
+            service='orders',
+        )
+        self.assertEqual(
+            {
+                b'attempt-id': b'a1',
+                b'x-end': b'2',
+                b'caller-service': b'orders',
+                b'tenant-id': b'lake',
+            },
+            dict(forwarded),
+        )
+
+    def test_open_route_names_no_account(self) -> None:
+        forwarded = DIALECT.build_forwarded((), account='', service='orders')
+        self.assertNotIn(b'tenant-id', dict(forwarded))
+
+    def test_target_gets_what_is_left_and_who_may_run_it(self) -> None:
+        delivered = DIALECT.build_delivered(
+            ((b'attempt-id', b'a1'),), remaining_s=1.2345, target_id='i-7'
+        )
+        self.assertEqual(
+            {
+                b'attempt-id': b'a1',
+                b'request-deadline': b'1234',
+                b'target-instance': b'i-7',
+            },
+            dict(delivered),
+        )
+
+
+class JudgeTest(unittest.TestCase):
+    def test_stamped_answer_is_passed_on_as_it_is(self) -> None:
+        for status in (200, 404, 500, 504):
+            answer = build_answer(status, (b'response-stamp', b's'))
+            self.assertEqual(verdict.Answered(answer), DIALECT.judge(answer))
+
+    def test_answer_that_says_not_run(self) -> None:
+        for status in (400, 429, 503):
+            answer = build_answer(status, (b'not-executed', b'1'))
+            judged = DIALECT.judge(answer)
+            assert isinstance(judged, verdict.NotRun)
+            self.assertTrue(judged.retry_elsewhere)
+
+    def test_another_lifetime_has_not_run_it(self) -> None:
+        judged = DIALECT.judge(build_answer(421, (b'instance-id', b'i-8')))
+        self.assertIsInstance(judged, verdict.NotRun)
+
+    def test_other_refusals_prove_nothing(self) -> None:
+        for status in (200, 429, 503):
+            judged = DIALECT.judge(build_answer(status))
+            self.assertIsInstance(judged, verdict.MayHaveRun)
+
+    def test_encoded_answer_is_not_the_targets_body(self) -> None:
+        answer = build_answer(
+            200, (b'response-stamp', b's'), (b'content-encoding', b'gzip')
+        )
+        self.assertIsInstance(DIALECT.judge(answer), verdict.MayHaveRun)
+
+
+class RenderTest(unittest.TestCase):
+    def test_only_proven_refusals_promise(self) -> None:
+        promises = {429, 503, 408, 421}
+        for reason in verdict.Reason:
+            doubt = DIALECT.render(verdict.MayHaveRun(reason))
+            self.assertNotIn(doubt.status, promises)
+            self.assertGreaterEqual(doubt.status, 500)
+
+    def test_refusal_tells_when_to_come_back(self) -> None:
+        refusal = verdict.NotRun(verdict.Reason.OVERLOAD, retry_after_s=0.25)
+        answer = DIALECT.render(refusal)
+        self.assertEqual(503, answer.status)
+        self.assertEqual(b'0.250', dict(answer.headers)[b'retry-after'])
+
+    def test_unknown_key_and_route(self) -> None:
+        for reason, status in (
+            (verdict.Reason.KEY_MISSING, 401),
+            (verdict.Reason.KEY_UNKNOWN, 401),
+            (verdict.Reason.NO_ROUTE, 404),
+            (verdict.Reason.QUOTA, 429),
+            (verdict.Reason.NO_CONFIGURATION, 503),
+            (verdict.Reason.DEADLINE, 503),
+        ):
+            answer = DIALECT.render(verdict.NotRun(reason))
+            self.assertEqual(status, answer.status, reason)
--- /dev/null
+++ b/tests/platform/test_process_settings.py
@@ -0,0 +1,75 @@
+"""Tests of the settings file that the platform gives."""
+
+import json
+import os
+import pathlib
+import tempfile
+import typing
+import unittest
+import unittest.mock
+
+from eelgrasswalk.platform import process_settings
+
+FIELDS: dict[str, typing.Any] = {
+    'node_id': 'sidecar-erie-1',
+    'ip': '10.1.0.26',
+    'zone': 'erie',
+    'listen': {
+        'inbound': '10.1.0.26:8543',
+        'outbound': '10.1.0.26:8548',
+        'ready': '10.1.0.26:8546',
+        'control': '10.1.0.26:8540',
+    },
+    'internal_ports': [7000, 7015],
+    'limits': {'memory_mb': 300},
+    'bounds': {'drain_ms': 2500, 'grace_s': 7, 'budget_slack': 49},
+    'app_addr': '10.1.0.26:8547',
+    'service': 'orders',
+    'platform': {'address': '10.200.1.7:8545'},
+    'unknown': 1,
+}
+
+
+class DecodeSettingsTest(unittest.TestCase):
+    def test_addresses_and_bounds(self) -> None:
+        config = process_settings.decode_settings(FIELDS)
+        self.assertEqual('10.1.0.26:8548', str(config.callers))
+        self.assertEqual('10.1.0.26:7000', str(config.links))
+        self.assertEqual('10.200.1.7:8545', str(config.store))
+        self.assertEqual(2.5, config.bounds.drain_s)
+        self.assertEqual(7.0, config.bounds.grace_s)
+        self.assertEqual(49.0, config.bounds.retry_slack)
+        self.assertEqual(5.0, config.bounds.withdraw_s)
+
+
+class LoadSettingsTest(unittest.TestCase):
+    def load(self, text: str) -> str:
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, 'node.json')
+            path.write_text(text, 'utf-8')
+            variables = {process_settings.FILE_VARIABLE: str(path)}
+            with (
+                unittest.mock.patch.dict(os.environ, variables),
+                self.assertRaises(process_settings.BadSettingsError) as caught,
+            ):
+                process_settings.load_settings()
+        return str(caught.exception)
+
+    def test_missing_field_is_named(self) -> None:
+        fields = {**FIELDS}
+        del fields['app_addr']
+        self.assertIn('app_addr', self.load(json.dumps(fields)))
+
+    def test_bad_value_is_named(self) -> None:
+        fields = {**FIELDS, 'app_addr': 'nowhere'}
+        self.assertIn("'nowhere'", self.load(json.dumps(fields)))
+
+    def test_text_that_is_no_json(self) -> None:
+        self.assertIn('cannot be read', self.load('{'))
+
+    def test_variable_that_is_not_set(self) -> None:
+        with (
+            unittest.mock.patch.dict(os.environ, clear=True),
+            self.assertRaises(process_settings.BadSettingsError),
+        ):
+            process_settings.load_settings()
--- /dev/null
+++ b/tests/platform/test_rows.py
@@ -0,0 +1,92 @@
+"""Tests of the store's client against the stand-in."""
+
+import unittest
+
+from eelgrasswalk import ports
+from eelgrasswalk.platform import rows
+from eelgrasswalk.standins import rows as standin
+
+
+class PlatformRowsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.standin = standin.RowsStandin()
+        port = await self.standin.start()
+        self.addAsyncCleanup(self.standin.stop)
+        self.store = rows.PlatformRows('127.0.0.1', port)
+        self.addAsyncCleanup(self.store.close)
+
+    async def test_written_row_is_read(self) -> None:
+        written = await self.store.put('nodes', 'n1', b'\x00x', expected=0)
+        assert isinstance(written, ports.Written), written
+        found = await self.store.read('nodes')
+        assert isinstance(found, ports.Rows), found
+        self.assertEqual(
+            (ports.Row('n1', b'\x00x', written.version),), found.rows
+        )
+        self.assertEqual(written.version, found.version)
+
+    async def test_table_of_several_pages_is_read_whole(self) -> None:
+        for number in range(standin.MOST_ROWS + 20):
+            self.standin.put('nodes', f'n{number:04}', b'x')
+        found = await self.store.read('nodes')
+        assert isinstance(found, ports.Rows), found
+        self.assertEqual(standin.MOST_ROWS + 20, len(found.rows))
+
+    async def test_conflict_tells_the_row_as_it_is(self) -> None:
+        version = self.standin.put('nodes', 'n1', b'theirs')
+        outcome = await self.store.put('nodes', 'n1', b'mine', expected=0)
+        self.assertEqual(
+            ports.Conflict(ports.Row('n1', b'theirs', version)), outcome
+        )
+
+    async def test_conflict_with_a_missing_row(self) -> None:
+        outcome = await self.store.put('nodes', 'n1', b'mine', expected=7)
+        self.assertEqual(ports.Conflict(None), outcome)
+
+    async def test_feed_tells_changes_and_removals(self) -> None:
+        version = self.standin.put('nodes', 'n1', b'a')
+        self.standin.remove('nodes', 'n1')
+        self.standin.put('other', 'n2', b'b')
+        found = await self.store.watch('nodes', version, 0.0)
+        assert isinstance(found, ports.Rows), found
+        self.assertEqual(
+            [('n1', None)], [(row.key, row.value) for row in found.rows]
+        )
+        self.assertGreater(found.version, version)
+        self.assertGreater(found.store_s, 0.0)
+
+    async def test_feed_without_history_says_so(self) -> None:
+        version = self.standin.put('nodes', 'n1', b'a')
+        self.standin.put('nodes', 'n1', b'b')
+        self.standin.forget_history()
+        found = await self.store.watch('nodes', version, 0.0)
+        self.assertEqual(ports.HistoryGone(), found)
+
+    async def test_removal_needs_the_version(self) -> None:
+        version = self.standin.put('nodes', 'n1', b'a')
+        outcome = await self.store.remove('nodes', 'n1', expected=version + 1)
+        self.assertIsInstance(outcome, ports.Conflict)
+        outcome = await self.store.remove('nodes', 'n1', expected=version)
+        self.assertIsInstance(outcome, ports.Written)
+        self.assertIsNone(self.standin.read('nodes', 'n1'))
+
+    async def test_refusals_have_no_effect(self) -> None:
+        for status in (429, 503):
+            self.standin.faults.status = status
+            with self.subTest(status):
+                outcome = await self.store.put('nodes', 'n1', b'', expected=0)
+                self.assertIsInstance(outcome, ports.Unavailable)
+                found = await self.store.read('nodes')
+                self.assertIsInstance(found, ports.Unavailable)
+
+    async def test_lost_answer_leaves_doubt(self) -> None:
+        self.standin.faults.lose_writes = 1
+        outcome = await self.store.put('nodes', 'n1', b'mine', expected=0)
+        self.assertIsInstance(outcome, ports.Unknown)
+        self.assertEqual(b'mine', self.standin.read('nodes', 'n1'))
+
+    async def test_unreachable_store_has_no_effect(self) -> None:
+        await self.standin.stop()
+        store = rows.PlatformRows('127.0.0.1', 1)
+        outcome = await store.put('nodes', 'n1', b'mine', expected=0)
+        self.assertIsInstance(outcome, ports.Unavailable)
