Put the last of several configurations in force

Cause: the feed tells every change in order, and the first row of the configuration was taken. Ruled out: the age of the certainty (in the log, nothing was confirmed during the outage). The test failed before the change.

--- a/src/eelgrasswalk/platform/operator_config.py
+++ b/src/eelgrasswalk/platform/operator_config.py
@@ -32,10 +32,11 @@
         Raises:
             ValueError: The rules cannot be read.
         """
+        newest = None
         for row in rows:
             if row.key == names.CONFIGURATION_KEY and row.value is not None:
-                return decode_rules(row.value)
-        return None
+                newest = row.value
+        return None if newest is None else decode_rules(newest)
 
 
 def decode_rules(value: bytes) -> call_rules.Rules:
--- a/tests/platform/test_operator_config.py
+++ b/tests/platform/test_operator_config.py
@@ -124,4 +124,20 @@
         assert decoded is not None
         self.assertEqual(7, decoded.version)
         self.assertIsNone(source.decode(rows[:1]))
+
+    def test_last_of_several_changes_counts(self) -> None:
+        """A feed that was away for long tells every change in between.
+
+        The first was put in force once, and a withdrawn key went on.
+        """
+        rows = [
+            ports.Row('config', encode({**CONFIG, 'version': number}), number)
+            for number in (7, 9, 24)
+        ]
+        decoded = operator_config.OperatorRules().decode(rows)
+        assert decoded is not None
+        self.assertEqual(24, decoded.version)
+
+    def test_removed_configuration_is_none(self) -> None:
+        source = operator_config.OperatorRules()
         self.assertIsNone(source.decode([ports.Row('config', None, 3)]))
