Write a line for each decision on a call, within bounds, and serve metrics

Lines go to standard output and never make the node wait; failures are kept before routine, and what is left out is counted in a line.

--- a/src/eelgrasswalk/cli/sidecar.py
+++ b/src/eelgrasswalk/cli/sidecar.py
@@ -9,6 +9,7 @@
 
 from .. import app
 from .. import events
+from .. import log_stream
 from ..platform import check_ins
 from ..platform import dialect
 from ..platform import operator_config
@@ -28,10 +29,18 @@
     try:
         config = process_settings.load_settings()
     except process_settings.BadSettingsError as error:
-        events.configure_logging('info', node_id='', stream=sys.stdout)
+        events.configure_logging(
+            'info',
+            node_id='',
+            stream=log_stream.LogStream(sys.stdout.fileno()),
+        )
         events.log(events.SETTINGS_REJECTED, detail=str(error))
         sys.exit(EXIT_BAD_SETTINGS)
-    events.configure_logging('info', node_id=config.node_id, stream=sys.stdout)
+    events.configure_logging(
+        'info',
+        node_id=config.node_id,
+        stream=log_stream.LogStream(sys.stdout.fileno()),
+    )
     gc.collect()
     gc.freeze()
     gc.set_threshold(*COLLECTOR_THRESHOLDS)
--- a/src/eelgrasswalk/events.py
+++ b/src/eelgrasswalk/events.py
@@ -10,6 +10,16 @@
 _LOGGER = logging.getLogger('eelgrasswalk')
 
 
+class Stream(typing.Protocol):
+    """Where lines are written."""
+
+    def write(self, text: str, /) -> int:
+        """Take a line."""
+
+    def flush(self) -> None:
+        """Write what was taken."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Event:
     """A kind of log record.
@@ -43,6 +53,9 @@
     'planned stop cut calls that ran for too long',
     'raise limits.drain_s above the longest deadline of a route',
 )
+LINES_OMITTED = Event(
+    1007, logging.WARNING, 'log lines were left out to bound their number'
+)
 LINK_OPENED = Event(2001, logging.INFO, 'link opened')
 LINK_LOST = Event(
     2002,
@@ -114,8 +127,16 @@
 )
 
 
+CALL_ENDED = Event(
+    5002, logging.INFO, 'call has ended at the node where it began'
+)
+ATTEMPT_ENDED = Event(
+    5003, logging.INFO, 'attempt has ended at the node of its target'
+)
+
+
 def configure_logging(
-    level: str, *, node_id: str, stream: typing.TextIO | None = None
+    level: str, *, node_id: str, stream: Stream | None = None
 ) -> None:
     """Write every record as one JSON object a line.
 
--- a/src/eelgrasswalk/filters/forward.py
+++ b/src/eelgrasswalk/filters/forward.py
@@ -169,10 +169,12 @@
         outcome = balance.Outcome.CANCELLED
         load: float | None = None
         failed = False
+        ended: verdict.Verdict | None = None
         self._balancer.start(upstream.node_id, started_at)
         try:
             reply = await self._transmit(item, upstream, call)
-            outcome = _classify(reply.outcome)
+            ended = reply.outcome
+            outcome = _classify(ended)
             failed = _is_failure(reply.outcome)
             if reply.feedback is not None:
                 load = reply.feedback.load
@@ -180,6 +182,14 @@
                 self._balancer.mark_down(upstream.node_id, self._clock())
         finally:
             now = self._clock()
+            item.attempts.append(
+                front.Attempt(
+                    node_id=upstream.node_id,
+                    outcome=_name_outcome(ended),
+                    latency_s=now - started_at,
+                    load=load,
+                )
+            )
             self._balancer.finish(
                 upstream.node_id,
                 now,
@@ -237,6 +247,14 @@
         )
 
 
+def _name_outcome(outcome: verdict.Verdict | None) -> str:
+    if outcome is None:
+        return 'cancelled'
+    if isinstance(outcome, verdict.Answered):
+        return str(outcome.response.status)
+    return outcome.reason.value
+
+
 def _has_arrived(outcome: verdict.NotRun | verdict.MayHaveRun) -> bool:
     """Return whether the target has seen the call, or may have."""
     if isinstance(outcome, verdict.MayHaveRun):
--- a/src/eelgrasswalk/filters/front.py
+++ b/src/eelgrasswalk/filters/front.py
@@ -8,6 +8,7 @@
 
 from .. import events
 from .. import ports
+from .. import request_log
 from .. import verdict
 from ..policy import call_rules
 from ..policy import deadline
@@ -20,6 +21,23 @@
 MAX_TIMEOUT_S = 600.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attempt:
+    """What became of one attempt.
+
+    Args:
+        node_id: The upstream's node.
+        outcome: The verdict's reason, or the status of the answer.
+        latency_s: Seconds from start to end.
+        load: What the upstream said of its load; None for nothing.
+    """
+
+    node_id: str
+    outcome: str
+    latency_s: float
+    load: float | None
+
+
 @dataclasses.dataclass(slots=True)
 class Item:
     """A call and what has been found out about it.
@@ -33,6 +51,7 @@
         account: Client account; empty on an open route.
         importance: How late it is shed.
         deadline: Loop time by which the caller needs its answer.
+        attempts: What became of each attempt, for the log.
     """
 
     request: message.Request
@@ -43,6 +62,7 @@
     account: str
     importance: int
     deadline: float
+    attempts: list[Attempt] = dataclasses.field(default_factory=list)
 
 
 class Quota(typing.Protocol):
@@ -71,6 +91,7 @@
         fresh: How old the certainty about them is.
         quotas: Holds client accounts to their rates.
         forward: Sends calls on.
+        log: Takes what became of each call.
         boot_clock: Seconds of a clock that runs through suspension.
         source: Random numbers.
     """
@@ -84,6 +105,7 @@
         fresh: freshness.Freshness,
         quotas: Quota,
         forward: Forward,
+        log: request_log.RequestLog,
         boot_clock: typing.Callable[[], float],
         source: random.Random,
     ) -> None:
@@ -93,6 +115,7 @@
         self._fresh = fresh
         self._quotas = quotas
         self._forward = forward
+        self._log = log
         self._boot_clock = boot_clock
         self._random = source
         self._spread = call_rules.WeightedChoice()
@@ -110,10 +133,71 @@
         return self._dialect.render(outcome)
 
     async def _run(self, request: message.Request) -> verdict.Verdict:
+        arrived_at = self._loop.time()
         item = await self._open(request)
         if isinstance(item, verdict.NotRun):
+            self._record_refusal(request, item, arrived_at)
             return item
-        return await self._forward(item)
+        outcome = await self._forward(item)
+        self._record_call(item, outcome)
+        return outcome
+
+    def _record_refusal(
+        self,
+        request: message.Request,
+        refusal: verdict.NotRun,
+        arrived_at: float,
+    ) -> None:
+        self._log.record(
+            events.CALL_ENDED,
+            refusal,
+            hop='entry',
+            service='',
+            account='',
+            latency_s=self._loop.time() - arrived_at,
+            describe=lambda: {
+                'request': self._dialect.read_request_id(request.headers),
+                'path': request.path,
+                'detail': refusal.detail,
+                'retry_after_s': refusal.retry_after_s,
+                **self._describe_rules(),
+            },
+        )
+
+    def _record_call(self, item: Item, outcome: verdict.Verdict) -> None:
+        now = self._loop.time()
+        self._log.record(
+            events.CALL_ENDED,
+            outcome,
+            hop='entry',
+            service=item.service,
+            account=item.account,
+            latency_s=now - item.arrived_at,
+            describe=lambda: {
+                'request': item.request_id,
+                'route': item.route.name,
+                'importance': item.importance,
+                'left_ms': round((item.deadline - now) * 1000.0),
+                'attempts': [
+                    {
+                        'node': attempt.node_id,
+                        'outcome': attempt.outcome,
+                        'ms': round(attempt.latency_s * 1000.0, 1),
+                        'load': attempt.load,
+                    }
+                    for attempt in item.attempts
+                ],
+                **self._describe_rules(),
+            },
+        )
+
+    def _describe_rules(self) -> dict[str, typing.Any]:
+        table = self._get_table()
+        age_s = self._fresh.get_age(self._boot_clock())
+        return {
+            'rules_version': None if table is None else table.version,
+            'rules_age_s': round(age_s, 2) if age_s < 1e6 else None,
+        }
 
     async def _open(self, request: message.Request) -> Item | verdict.NotRun:
         """Return the call on its terms, or why it may not run."""
--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -1,9 +1,11 @@
 """The upstream's side of a call: admits it and delivers it to the target."""
 
 import asyncio
+import typing
 
 from .. import events
 from .. import ports
+from .. import request_log
 from .. import verdict
 from ..policy import slot_queue
 from ..transport import budget
@@ -30,6 +32,8 @@
         pool: Connections to the target.
         admitter: Decides which call starts.
         bodies: Budget for bodies.
+        log: Takes what became of each attempt.
+        service: The target's service, for the log.
         drain_s: Seconds after an acknowledged drain in which calls may
             still reach the target.
     """
@@ -41,12 +45,16 @@
         admitter: admit.Admitter[slot_queue.SlotQueue],
         bodies: budget.ByteBudget,
         *,
+        log: request_log.RequestLog,
+        service: str,
         drain_s: float,
     ) -> None:
         self._dialect = dialect
         self._pool = pool
         self._admitter = admitter
         self._bodies = bodies
+        self._log = log
+        self._service = service
         self._drain_s = drain_s
         self._loop = asyncio.get_running_loop()
         self._target_id = ''
@@ -69,8 +77,15 @@
         self._ends_at = now + LAST_SHARE * self._drain_s
 
     async def run(self, call: frames.Call) -> dialler.Reply:
-        """Run one attempt and tell how long it waited."""
+        """Run one attempt and tell the target's load with its outcome."""
         started_at = self._loop.time()
+        reply = await self._run(call, started_at)
+        self._record(call, reply, started_at)
+        return reply
+
+    async def _run(
+        self, call: frames.Call, started_at: float
+    ) -> dialler.Reply:
         refusal = self._check(call, started_at)
         if refusal is not None:
             return dialler.Reply(refusal, None)
@@ -92,6 +107,40 @@
             self._admitter.finish(admitted.call_id, ok=ok)
         return dialler.Reply(outcome, self._build_feedback(waited_s))
 
+    def _record(
+        self, call: frames.Call, reply: dialler.Reply, started_at: float
+    ) -> None:
+        self._log.record(
+            events.ATTEMPT_ENDED,
+            reply.outcome,
+            hop='gate',
+            service=self._service,
+            account=call.context.account,
+            latency_s=self._loop.time() - started_at,
+            describe=lambda: self._describe(call, reply),
+        )
+
+    def _describe(
+        self, call: frames.Call, reply: dialler.Reply
+    ) -> dict[str, typing.Any]:
+        policy = self._admitter.policy
+        echo = self._dialect.find_echo(call.request.headers) or b''
+        feedback = reply.feedback
+        return {
+            'request': echo.decode('latin-1'),
+            'route': call.route,
+            'target': self._target_id,
+            'left_ms': round(call.remaining_s * 1000.0),
+            'waited_ms': (
+                None
+                if feedback is None
+                else round(feedback.queue_delay_s * 1000.0, 1)
+            ),
+            'running': policy.in_flight,
+            'queued': policy.queued,
+            'limit': policy.limit,
+        }
+
     def _check(self, call: frames.Call, now: float) -> verdict.NotRun | None:
         if call.remaining_s <= MIN_REMAINING_S:
             return verdict.NotRun(verdict.Reason.DEADLINE)
--- a/src/eelgrasswalk/platform/process_settings.py
+++ b/src/eelgrasswalk/platform/process_settings.py
@@ -69,7 +69,7 @@
         readiness=address.parse_address(listen['ready']),
         check_ins=address.parse_address(listen['control']),
         links=address.Address(ip, int(ports[0])),
-        admin=address.Address(ip, int(ports[1])),
+        admin=address.Address(ip, int(ports[0]) + 1),
         store=address.parse_address(fields['platform']['address']),
         memory_bytes=int(limits.get('memory_mb') or _MEMORY_MB) * 1_000_000,
         bounds=_decode_bounds(bounds),
--- /dev/null
+++ b/src/eelgrasswalk/policy/log_budget.py
@@ -0,0 +1,72 @@
+"""Which log lines are written when there are more than a reader can use.
+
+What went wrong is kept before what went well. What is left out is counted,
+so that a reader knows.
+"""
+
+import collections
+import dataclasses
+import enum
+
+
+class Weight(enum.Enum):
+    """How much a line tells."""
+
+    ROUTINE = 'routine'
+    FAILURE = 'failure'
+    BELIEF = 'belief'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogBounds:
+    """Lines in a second of each weight.
+
+    Args:
+        routine: Calls that went well.
+        failure: Calls that were refused, failed or are in doubt.
+        belief: Changes of what the node believes.
+    """
+
+    routine: int = 5
+    failure: int = 40
+    belief: int = 40
+
+
+class LogBudget:
+    """Counts lines in windows of a second.
+
+    Args:
+        bounds: Lines in a second.
+    """
+
+    def __init__(self, bounds: LogBounds) -> None:
+        self._most = {
+            Weight.ROUTINE: bounds.routine,
+            Weight.FAILURE: bounds.failure,
+            Weight.BELIEF: bounds.belief,
+        }
+        self._window = 0
+        self._written: collections.Counter[Weight] = collections.Counter()
+        self._omitted: collections.Counter[Weight] = collections.Counter()
+
+    def admit(self, weight: Weight, now: float) -> bool:
+        """Return whether a line may be written now, and count it."""
+        window = int(now)
+        if window != self._window:
+            self._window = window
+            self._written.clear()
+        if self._written[weight] >= self._most[weight]:
+            self._omitted[weight] += 1
+            return False
+        self._written[weight] += 1
+        return True
+
+    def take_omitted(self, now: float) -> dict[str, int]:
+        """Return and reset what earlier seconds have left out, by weight."""
+        if int(now) == self._window or not self._omitted:
+            return {}
+        omitted = {
+            weight.value: count for weight, count in self._omitted.items()
+        }
+        self._omitted.clear()
+        return omitted
--- a/src/eelgrasswalk/sidecar/node.py
+++ b/src/eelgrasswalk/sidecar/node.py
@@ -3,7 +3,9 @@
 import asyncio
 import time
 
+from .. import clock
 from .. import events
+from .. import metrics_page
 from .. import verdict
 from ..controllers import mesh_secret
 from ..policy import call_rules
@@ -22,7 +24,10 @@
 # A check-in that comes while the node starts is held for so long; it has to
 # be acknowledged within a second.
 BUILD_WAIT_S = 0.8
+METRICS_PATH = '/metrics'
 _NOT_READY = verdict.Response(503, (), b'')
+_NOT_FOUND = verdict.Response(404, (), b'')
+_TEXT = ((b'content-type', b'text/plain; version=0.0.4'),)
 _READY = verdict.Response(200, (), b'ready\n')
 
 
@@ -55,6 +60,12 @@
         self._check_ins = http_server.HttpServer(
             self._handle_check_in, limits=http_server.Limits()
         )
+        self._admin = http_server.HttpServer(
+            self._handle_admin, limits=http_server.Limits()
+        )
+        self._metrics = metrics_page.MetricsPage(
+            self._state.log, self._read_gauges
+        )
         self._starting: asyncio.Task[None] | None = None
         self._built = asyncio.Event()
 
@@ -65,6 +76,7 @@
             (self._readiness, config.readiness),
             (self._check_ins, config.check_ins),
             (self._callers, config.callers),
+            (self._admin, config.admin),
         ):
             await listener.start(address.host, address.port)
         events.log(events.NODE_STARTED, service=config.service)
@@ -120,7 +132,12 @@
             await self.path.acceptor.drain()
 
     async def _close(self) -> None:
-        for listener in (self._callers, self._readiness, self._check_ins):
+        for listener in (
+            self._callers,
+            self._readiness,
+            self._check_ins,
+            self._admin,
+        ):
             for connection in list(listener.connections):
                 connection.close()
         path = self.path
@@ -181,3 +198,48 @@
             return _NOT_READY
         assert self.path is not None
         return await self.path.check_ins.handle(request)
+
+    async def _handle_admin(
+        self, request: message.Request
+    ) -> verdict.Response:
+        if request.path != METRICS_PATH:
+            return _NOT_FOUND
+        return verdict.Response(200, _TEXT, self._metrics.render())
+
+    def _read_gauges(self) -> metrics_page.Gauges:
+        state = self._state
+        gauges: metrics_page.Gauges = {
+            'eelgrasswalk_rules_age_seconds': (
+                'Seconds since the rules were the newest for certain',
+                state.fresh.get_age(clock.read_boot_time()),
+            ),
+            'eelgrasswalk_nodes': (
+                'Nodes that this node knows',
+                len(state.roster.roster),
+            ),
+            'eelgrasswalk_body_bytes': (
+                'Bytes of bodies held',
+                state.bodies.used,
+            ),
+        }
+        if self.path is not None:
+            policy = self.path.admitter.policy
+            gauges |= {
+                'eelgrasswalk_target_running': (
+                    'Calls that the target runs',
+                    policy.in_flight,
+                ),
+                'eelgrasswalk_target_queued': (
+                    'Calls that wait for the target',
+                    policy.queued,
+                ),
+                'eelgrasswalk_target_limit': (
+                    'Calls that the target may run at a time',
+                    policy.limit,
+                ),
+                'eelgrasswalk_links_dialled': (
+                    'Links to other nodes that are open',
+                    self.path.dialler.count_links(),
+                ),
+            }
+        return gauges
--- a/src/eelgrasswalk/sidecar/wiring.py
+++ b/src/eelgrasswalk/sidecar/wiring.py
@@ -6,6 +6,7 @@
 
 from .. import clock
 from .. import ports
+from .. import request_log
 from .. import verdict
 from ..controllers import account_quota
 from ..controllers import check_ins
@@ -21,6 +22,7 @@
 from ..policy import account_rates
 from ..policy import attempts
 from ..policy import freshness
+from ..policy import log_budget
 from ..policy import retry_budget
 from ..policy import roster
 from ..policy import slot_queue
@@ -77,6 +79,7 @@
     roster_feed: feed.Feed
     router: control_router.ControlRouter
     bodies: budget.ByteBudget
+    log: request_log.RequestLog
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -143,6 +146,9 @@
         ),
         router=router,
         bodies=budget.ByteBudget(int(config.memory_bytes * BODY_MEMORY_SHARE)),
+        log=request_log.RequestLog(
+            log_budget.LogBudget(log_budget.LogBounds())
+        ),
     )
 
 
@@ -162,6 +168,8 @@
         pool,
         admitter,
         state.bodies,
+        log=state.log,
+        service=config.service,
         drain_s=config.bounds.drain_s,
     )
     links = dialler.Dialler(
@@ -244,6 +252,7 @@
         fresh=state.fresh,
         quotas=_build_quotas(state, links),
         forward=forwarder.send,
+        log=state.log,
         boot_clock=clock.read_boot_time,
         source=state.source,
     )
