Test the whole path on the platform with real processes

20 tests: serving, refusals, lost answers, callers that leave, drains that outlast a kill, planned stops, withdrawn keys in a silent store, rates over all nodes, logs. One failed first: a target that refuses though it has room was chosen again and again; such refusals now count as failures of it.

--- a/src/eelgrasswalk/filters/forward.py
+++ b/src/eelgrasswalk/filters/forward.py
@@ -263,10 +263,9 @@
 
 
 def _is_failure(outcome: verdict.Verdict) -> bool:
-    return (
-        isinstance(outcome, verdict.Answered)
-        and outcome.response.status >= 500
-    )
+    if isinstance(outcome, verdict.Answered):
+        return outcome.response.status >= 500
+    return outcome.reason is verdict.Reason.TARGET_REFUSED
 
 
 def _is_unreachable(outcome: verdict.Verdict) -> bool:
--- a/src/eelgrasswalk/policy/spread.py
+++ b/src/eelgrasswalk/policy/spread.py
@@ -177,7 +177,8 @@
             outcome: How the call ended.
             latency_s: Seconds from start to end.
             load: What the upstream said of its load; None for nothing.
-            failed: Whether the upstream answered with a failure.
+            failed: Whether the target answered with a failure or refused
+                the call, though there was room for it.
         """
         state = self._states.get(node_id)
         if state is None:
@@ -198,8 +199,9 @@
         state.progress_at = now
         state.downs = 0
         state.down_until = -math.inf
-        if outcome is balance.Outcome.ANSWERED:
+        if failed or outcome is balance.Outcome.ANSWERED:
             self._count(state, 1.0 if failed else 0.0)
+        if outcome is balance.Outcome.ANSWERED:
             self._measure(state, route, latency_s)
 
     def mark_down(self, node_id: str, now: float) -> None:
--- /dev/null
+++ b/tests/integration/sidecars.py
@@ -0,0 +1,260 @@
+"""Nodes of the platform as real processes, beside stand-ins in the test."""
+
+import asyncio
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import typing
+import unittest
+
+from eelgrasswalk import verdict
+from eelgrasswalk.bench import mesh
+from eelgrasswalk.platform import process_settings
+from eelgrasswalk.standins import app
+from eelgrasswalk.standins import rows
+from eelgrasswalk.transport import http_client
+from eelgrasswalk.transport import message
+
+HOST = 'shop.example'
+KEY = 'key-of-lake'
+ACCOUNT = 'lake'
+WAIT_S = 15.0
+POLL_S = 0.02
+# Callers, readiness, check-ins, and the two internal ports of a node.
+PORTS_PER_NODE = 5
+
+
+def build_config(
+    version: int,
+    services: typing.Sequence[str],
+    **options: typing.Any,
+) -> bytes:
+    """Return a configuration with a safe and an unsafe route a service."""
+    rules = []
+    for service in services:
+        for kind in ('safe', 'unsafe'):
+            rules.append(
+                {
+                    'name': f'{service}-{kind}',
+                    'kind': kind,
+                    'target_latency_ms': 1000,
+                    'priority': 1,
+                    'auth_exempt': False,
+                    'match': {'prefix': f'/{service}/{kind}/'},
+                    'action': {
+                        'service': service,
+                        'timeout_ms': options.get('timeout_ms', 3000),
+                        'max_attempts': 2,
+                    },
+                }
+            )
+    tenant = {
+        'name': ACCOUNT,
+        'api_keys': options.get('keys', [KEY]),
+        'rate_per_s': options.get('rate', 0),
+        'burst': options.get('burst', 0),
+    }
+    config = {
+        'version': version,
+        'limits': {},
+        'tenants': [tenant],
+        'listeners': [{'hostname': HOST, 'rule_set': rules}],
+        'clusters': [
+            {'name': service, 'max_connections': 100} for service in services
+        ],
+    }
+    return json.dumps(config).encode()
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """One node process and the application beside it.
+
+    Args:
+        node_id: Its id.
+        app: The application.
+        ports: Callers, readiness, check-ins, links and metrics.
+        settings: Path of its settings.
+        log: Path of its standard output.
+        process: The process; None before it is started.
+    """
+
+    node_id: str
+    app: app.AppStandin
+    ports: list[int]
+    settings: pathlib.Path
+    log: pathlib.Path
+    process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Start the process."""
+        environment = {
+            **os.environ,
+            process_settings.FILE_VARIABLE: str(self.settings),
+        }
+        with self.log.open('ab') as output:
+            self.process = subprocess.Popen(
+                [sys.executable, '-m', 'eelgrasswalk.cli.sidecar'],
+                env=environment,
+                stdout=output,
+            )
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send the process a signal."""
+        assert self.process is not None
+        self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+
+    def read_log(self) -> list[dict[str, typing.Any]]:
+        """Return the lines that it has written."""
+        return [json.loads(line) for line in self.log.read_text().splitlines()]
+
+
+class SidecarTestCase(unittest.IsolatedAsyncioTestCase):
+    """Starts a store, applications and nodes for each test."""
+
+    services: tuple[str, ...] = ('front', 'back')
+    bounds: typing.ClassVar[dict[str, typing.Any]] = {}
+
+    async def asyncSetUp(self) -> None:
+        self.store = rows.RowsStandin()
+        self.store_port = await self.store.start()
+        self.addAsyncCleanup(self.store.stop)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.nodes: list[Node] = []
+        self._requests = 0
+        ports = mesh.find_free_ports(PORTS_PER_NODE * len(self.services))
+        for index, service in enumerate(self.services):
+            own = ports[index * PORTS_PER_NODE :][:PORTS_PER_NODE]
+            node = await self._prepare(
+                pathlib.Path(folder.name), index, service, own
+            )
+            self.nodes.append(node)
+
+    async def _prepare(
+        self, folder: pathlib.Path, index: int, service: str, ports: list[int]
+    ) -> Node:
+        target = app.AppStandin(f'i-{index}', service)
+        await target.start()
+        self.addAsyncCleanup(target.stop)
+        node_id = f'{service}-{index}'
+        path = folder / f'{node_id}.json'
+        # Metrics stand on the port after the one of the links.
+        links = ports[3]
+        path.write_text(
+            json.dumps(
+                {
+                    'node_id': node_id,
+                    'ip': '127.0.0.1',
+                    'zone': f'zone-{index}',
+                    'service': service,
+                    'listen': {
+                        'outbound': f'127.0.0.1:{ports[0]}',
+                        'ready': f'127.0.0.1:{ports[1]}',
+                        'control': f'127.0.0.1:{ports[2]}',
+                    },
+                    'internal_ports': [links, links + 1],
+                    'app_addr': f'127.0.0.1:{target.port}',
+                    'platform': {'address': f'127.0.0.1:{self.store_port}'},
+                    'bounds': self.bounds,
+                }
+            )
+        )
+        node = Node(node_id, target, ports, path, folder / f'{node_id}.log')
+        self.addCleanup(node.kill)
+        return node
+
+    async def start_all(self, config: bytes | None = None) -> None:
+        """Start every node and wait until all can serve."""
+        if config is None:
+            config = build_config(1, sorted(set(self.services)))
+        self.store.put('op', 'config', config)
+        for node in self.nodes:
+            node.start()
+        for node in self.nodes:
+            await self.wait_for(lambda node=node: self.check_in(node))
+        for node in self.nodes:
+            for service in set(self.services):
+                await self.wait_for(
+                    lambda node=node, service=service: self.is_served(
+                        node, service
+                    )
+                )
+
+    async def check_in(self, node: Node, state: str = 'ready') -> bool:
+        """Let a node's application check in."""
+        return await node.app.check_in(node.ports[2], state)
+
+    async def is_served(self, node: Node, service: str) -> bool:
+        """Return whether a call at a node is answered."""
+        answer = await self.call(node, f'/{service}/safe/')
+        return answer is not None and answer.status == 200
+
+    async def wait_for(
+        self, check: typing.Callable[[], typing.Awaitable[bool]]
+    ) -> None:
+        """Wait until a check holds."""
+        async with asyncio.timeout(WAIT_S):
+            while not await check():
+                await asyncio.sleep(POLL_S)
+
+    async def call(
+        self,
+        node: Node,
+        path: str,
+        *,
+        method: str = 'GET',
+        key: str | None = KEY,
+        deadline_ms: int = 3000,
+        request_id: str = '',
+        body: bytes = b'',
+    ) -> verdict.Response | None:
+        """Send one call; return its answer, or None without a whole one."""
+        self._requests += 1
+        headers = [
+            (b'host', HOST.encode()),
+            (b'attempt-id', (request_id or f'r{self._requests}').encode()),
+            (b'request-deadline', b'%d' % deadline_ms),
+        ]
+        if key is not None:
+            headers.append((b'authorization', f'Bearer {key}'.encode()))
+        pool = http_client.TargetPool(
+            '127.0.0.1', node.ports[0], connections=1
+        )
+        try:
+            outcome = await pool.send(
+                message.Request(method, path, tuple(headers), body),
+                max_answer_bytes=1_000_000,
+            )
+        finally:
+            await pool.close()
+        if isinstance(outcome, http_client.Received):
+            return outcome.response
+        return None
+
+    async def ask_readiness(self, node: Node) -> int:
+        """Return the status of a node's readiness; 0 without an answer."""
+        pool = http_client.TargetPool(
+            '127.0.0.1', node.ports[1], connections=1
+        )
+        request = message.Request(
+            'GET', '/-/readiness', ((b'host', b'ready'),), b''
+        )
+        try:
+            outcome = await pool.send(request, max_answer_bytes=4096)
+        finally:
+            await pool.close()
+        if isinstance(outcome, http_client.Received):
+            return outcome.response.status
+        return 0
--- /dev/null
+++ b/tests/integration/test_sidecar_path.py
@@ -0,0 +1,383 @@
+"""The whole path on the platform, with real node processes."""
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+import time
+import typing
+import unittest
+
+from eelgrasswalk import verdict
+from tests.integration import sidecars
+
+
+class ServeTest(sidecars.SidecarTestCase):
+    async def test_call_crosses_to_the_target_of_another_node(self) -> None:
+        await self.start_all()
+        front, back = self.nodes
+        back.app.arrivals.clear()
+        answer = await self.call(
+            front,
+            '/back/unsafe/x?a=1',
+            method='POST',
+            request_id='r-cross',
+            body=b'order',
+        )
+        assert answer is not None
+        self.assertEqual(200, answer.status)
+        self.assertEqual(b'answer to r-cross', answer.body)
+        self.assertEqual(
+            b'stamp-r-cross', dict(answer.headers)[b'response-stamp']
+        )
+        (arrival,) = back.app.arrivals
+        self.assertEqual(
+            ('POST', '/back/unsafe/x?a=1', b'order'),
+            (arrival.method, arrival.path, arrival.body),
+        )
+        headers = arrival.headers
+        self.assertEqual(b'front', headers[b'caller-service'])
+        self.assertEqual(b'lake', headers[b'tenant-id'])
+        self.assertNotIn(b'authorization', headers)
+        self.assertLessEqual(int(headers[b'request-deadline']), 3000)
+
+    async def test_refusals_before_the_target(self) -> None:
+        await self.start_all()
+        front, back = self.nodes
+        arrived = len(back.app.arrivals)
+        for path, key, status in (
+            ('/none/', sidecars.KEY, 404),
+            ('/back/safe/', 'unknown', 401),
+            ('/back/safe/', None, 401),
+        ):
+            answer = await self.call(front, path, key=key)
+            assert answer is not None
+            self.assertEqual(status, answer.status, path)
+        self.assertEqual(arrived, len(back.app.arrivals))
+
+    async def test_node_without_configuration_answers_503(self) -> None:
+        (front, _) = self.nodes
+        front.start()
+        await self.wait_for(lambda: self._is_listening(front))
+        answer = await self.call(front, '/back/safe/')
+        assert answer is not None
+        self.assertEqual(503, answer.status)
+        self.assertEqual(503, await self.ask_readiness(front))
+
+    async def _is_listening(self, node: sidecars.Node) -> bool:
+        return await self.ask_readiness(node) != 0
+
+
+class TargetFaultsTest(sidecars.SidecarTestCase):
+    services = ('front', 'back', 'back')
+
+    async def test_refused_call_is_served_by_another_target(self) -> None:
+        await self.start_all()
+        front, one, other = self.nodes
+        one.app.behaviour.shed = True
+        for number in range(10):
+            answer = await self.call(
+                front, '/back/unsafe/', method='POST', request_id=f'u{number}'
+            )
+            assert answer is not None
+            self.assertEqual(200, answer.status)
+        self.assertTrue(other.app.arrivals)
+
+    async def test_failure_of_the_target_is_passed_on_as_it_is(self) -> None:
+        await self.start_all()
+        front, one, other = self.nodes
+        for node in (one, other):
+            node.app.behaviour.status = 500
+        answer = await self.call(front, '/back/unsafe/', method='POST')
+        assert answer is not None
+        self.assertEqual(500, answer.status)
+        self.assertIn(b'response-stamp', dict(answer.headers))
+
+    async def test_unsafe_call_runs_once_when_its_answer_is_lost(
+        self,
+    ) -> None:
+        await self.start_all()
+        front, one, other = self.nodes
+        for node in (one, other):
+            node.app.arrivals.clear()
+            node.app.behaviour.silent = True
+        call = asyncio.create_task(
+            self.call(front, '/back/unsafe/', method='POST', deadline_ms=900)
+        )
+        await self.wait_for(self._build_check(one, other))
+        for node in (one, other):
+            node.kill()
+        answer = await call
+        assert answer is not None
+        self.assertIn(answer.status, (502, 504))
+        arrivals = [*one.app.arrivals, *other.app.arrivals]
+        self.assertEqual(1, len(arrivals))
+
+    def _build_check(
+        self, *nodes: sidecars.Node
+    ) -> typing.Callable[[], typing.Awaitable[bool]]:
+        async def has_arrived() -> bool:
+            return any(node.app.arrivals for node in nodes)
+
+        return has_arrived
+
+    async def test_caller_that_leaves_frees_the_target(self) -> None:
+        await self.start_all()
+        front, one, other = self.nodes
+        for node in (one, other):
+            node.app.arrivals.clear()
+            node.app.behaviour.silent = True
+        call = asyncio.create_task(self.call(front, '/back/safe/'))
+        await self.wait_for(self._build_check(one, other))
+        call.cancel()
+
+        async def is_freed() -> bool:
+            return not any(
+                connection._task is not None
+                for node in (one, other)
+                for connection in node.app._server.connections
+            )
+
+        started_at = time.monotonic()
+        await self.wait_for(is_freed)
+        self.assertLess(time.monotonic() - started_at, 0.5)
+
+
+class DrainTest(sidecars.SidecarTestCase):
+    services = ('front', 'back', 'back')
+    bounds = {'drain_ms': 1000}
+
+    async def test_no_call_reaches_a_target_that_has_left(self) -> None:
+        await self.start_all()
+        front, one, other = self.nodes
+        self.assertTrue(await self.check_in(one, 'draining'))
+        acknowledged_at = asyncio.get_running_loop().time()
+        while asyncio.get_running_loop().time() < acknowledged_at + 1.5:
+            answer = await self.call(front, '/back/safe/')
+            assert answer is not None
+            self.assertEqual(200, answer.status)
+        late = [
+            arrival
+            for arrival in one.app.arrivals
+            if arrival.at > acknowledged_at + 1.0
+        ]
+        self.assertEqual([], late)
+        self.assertTrue(other.app.arrivals)
+
+    async def test_drain_outlasts_a_kill_of_the_node(self) -> None:
+        await self.start_all()
+        front, one, _ = self.nodes
+        self.assertTrue(await self.check_in(one, 'draining'))
+        one.kill()
+        one.start()
+        await self.wait_for(lambda: self.is_served(one, 'back'))
+        await asyncio.sleep(1.0)
+        one.app.arrivals.clear()
+        for _ in range(20):
+            await self.call(front, '/back/safe/')
+        self.assertEqual([], one.app.arrivals)
+
+
+class StopTest(sidecars.SidecarTestCase):
+    services = ('front', 'back', 'back')
+    bounds = {'grace_s': 6}
+
+    async def test_planned_stop_cuts_no_call(self) -> None:
+        await self.start_all()
+        front, one, other = self.nodes
+        for node in (one, other):
+            node.app.behaviour.work_s = 0.1
+        one.send_signal(signal.SIGTERM)
+        started_at = time.monotonic()
+        assert one.process is not None
+        while one.process.poll() is None:
+            self.assertLess(time.monotonic() - started_at, 6.0)
+            answers = await asyncio.gather(
+                self.call(front, '/back/safe/'),
+                self.call(front, '/back/unsafe/', method='POST'),
+            )
+            self.assertEqual([200, 200], [_get_status(a) for a in answers])
+        self.assertEqual(0, one.process.returncode)
+
+    async def test_node_that_stops_is_not_ready(self) -> None:
+        await self.start_all()
+        front = self.nodes[0]
+        self.assertEqual(200, await self.ask_readiness(front))
+        front.send_signal(signal.SIGTERM)
+
+        async def is_unready() -> bool:
+            return await self.ask_readiness(front) == 503
+
+        await self.wait_for(is_unready)
+
+    async def test_killed_node_serves_its_target_at_once_again(self) -> None:
+        """The target's next check-in may be seconds away."""
+        await self.start_all()
+        front, one, other = self.nodes
+        for node in (one, other):
+            node.kill()
+        for node in (one, other):
+            node.start()
+        await self.wait_for(lambda: self.is_served(front, 'back'))
+
+
+def _get_status(answer: verdict.Response | None) -> int:
+    return 0 if answer is None else answer.status
+
+
+class StoreTest(sidecars.SidecarTestCase):
+    bounds = {'revoke_ms': 3500}
+
+    async def test_withdrawn_key_stops_though_the_store_is_silent(
+        self,
+    ) -> None:
+        await self.start_all()
+        front = self.nodes[0]
+        self.store.faults.silent = True
+        config = sidecars.build_config(2, self.services, keys=['other'])
+        self.store.put('op', 'config', config)
+        withdrawn_at = time.monotonic()
+        while time.monotonic() < withdrawn_at + 3.5:
+            await asyncio.sleep(0.1)
+        answer = await self.call(front, '/back/safe/')
+        self.assertEqual(503, _get_status(answer))
+
+    async def test_calls_go_on_while_the_store_refuses_for_a_moment(
+        self,
+    ) -> None:
+        await self.start_all()
+        front = self.nodes[0]
+        self.store.faults.status = 503
+        for _ in range(20):
+            answer = await self.call(front, '/back/safe/')
+            self.assertEqual(200, _get_status(answer))
+        self.store.faults.status = 0
+
+    async def test_newest_configuration_counts_after_an_outage(self) -> None:
+        await self.start_all()
+        front = self.nodes[0]
+        self.store.faults.status = 503
+        for version, key in ((2, 'second'), (3, 'third')):
+            config = sidecars.build_config(version, self.services, keys=[key])
+            self.store.put('op', 'config', config)
+        self.store.faults.status = 0
+
+        async def is_in_force() -> bool:
+            answer = await self.call(front, '/back/safe/', key='third')
+            return _get_status(answer) == 200
+
+        await self.wait_for(is_in_force)
+        for key in (sidecars.KEY, 'second'):
+            answer = await self.call(front, '/back/safe/', key=key)
+            self.assertEqual(401, _get_status(answer))
+
+    async def test_history_that_is_gone_is_read_anew(self) -> None:
+        await self.start_all()
+        front = self.nodes[0]
+        self.store.forget_history()
+        config = sidecars.build_config(2, self.services, keys=['second'])
+        self.store.put('op', 'config', config)
+
+        async def is_in_force() -> bool:
+            answer = await self.call(front, '/back/safe/', key='second')
+            return _get_status(answer) == 200
+
+        await self.wait_for(is_in_force)
+
+
+class QuotaTest(sidecars.SidecarTestCase):
+    services = ('front', 'front', 'back')
+
+    async def test_rate_and_burst_hold_over_all_nodes(self) -> None:
+        services = sorted(set(self.services))
+        await self.start_all(
+            sidecars.build_config(1, services, rate=20, burst=20)
+        )
+        started_at = time.monotonic()
+        ended_at = started_at + 3.0
+        served = 0
+        while time.monotonic() < ended_at:
+            answers = await asyncio.gather(
+                *(
+                    self.call(node, '/back/safe/')
+                    for node in self.nodes
+                    for _ in range(5)
+                )
+            )
+            served += sum(_get_status(answer) == 200 for answer in answers)
+            self.assertLessEqual(
+                {_get_status(answer) for answer in answers}, {200, 429}
+            )
+            await asyncio.sleep(0.02)
+        elapsed = time.monotonic() - started_at
+        self.assertLessEqual(served, 20 * elapsed + 20)
+        self.assertGreaterEqual(served, 0.8 * 20 * 3.0)
+
+
+class LogTest(sidecars.SidecarTestCase):
+    async def test_both_hops_of_a_call_are_found_by_its_id(self) -> None:
+        await self.start_all()
+        front, back = self.nodes
+        back.app.behaviour.status = 500
+        await self.call(
+            front, '/back/unsafe/', method='POST', request_id='r-broken'
+        )
+
+        async def are_logged() -> bool:
+            return all(
+                any(
+                    line.get('request') == 'r-broken'
+                    for line in node.read_log()
+                )
+                for node in (front, back)
+            )
+
+        await self.wait_for(are_logged)
+        text = front.log.read_text() + back.log.read_text()
+        self.assertNotIn(sidecars.KEY, text)
+
+    async def test_reader_that_stops_does_not_delay_calls(self) -> None:
+        front = self.nodes[0]
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        os.set_blocking(writer, False)
+        try:
+            while True:
+                os.write(writer, b'x' * 4096)
+        except BlockingIOError:
+            os.set_blocking(writer, True)
+        front.log = _Pipe(writer)  # type: ignore[assignment]
+        await self.start_all()
+        os.close(writer)
+        for _ in range(50):
+            answer = await self.call(front, '/back/safe/', key='unknown')
+            self.assertEqual(401, _get_status(answer))
+        self.assertTrue(await self.is_served(front, 'back'))
+
+
+class _Pipe:
+    """Stands for a log whose reader has stopped."""
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+
+    def open(self, _: str) -> object:
+        return os.fdopen(os.dup(self._descriptor), 'wb')
+
+
+class BadSettingsTest(unittest.TestCase):
+    def test_missing_settings_are_told_and_end_the_process(self) -> None:
+        ended = subprocess.run(
+            [sys.executable, '-m', 'eelgrasswalk.cli.sidecar'],
+            env={
+                name: value
+                for name, value in os.environ.items()
+                if name != 'EELGRASSWALK_NODE_FILE'
+            },
+            stdout=subprocess.PIPE,
+            timeout=30,
+            check=False,
+        )
+        self.assertEqual(2, ended.returncode)
+        self.assertIn(b'EELGRASSWALK_NODE_FILE', ended.stdout)
--- a/tests/policy/test_spread.py
+++ b/tests/policy/test_spread.py
@@ -74,6 +74,16 @@
         only = self.choose(excluded={'n1', 'n2', 'n3'})
         self.assertEqual('n0', only)
 
+    def test_upstream_whose_target_refuses_gets_less(self) -> None:
+        """Grey targets refuse calls though they have room."""
+        for _ in range(10):
+            self.report('n0', outcome=balance.Outcome.REFUSED, failed=True)
+            for node_id in ('n1', 'n2', 'n3'):
+                self.report(node_id)
+        for _ in range(5):
+            self.spread.start('n0', 10.0)
+        self.assertNotIn('n0', self.count())
+
     def test_service_that_fails_as_a_whole_is_spread_as_before(self) -> None:
         for _ in range(60):
             for node_id in ('n0', 'n1', 'n2', 'n3'):
