--- a/src/eelgrasswalk/controllers/account_quota.py
+++ b/src/eelgrasswalk/controllers/account_quota.py
@@ -52,6 +52,7 @@
         send: Sends messages to other nodes.
         slack: What accounts may get beyond their rates.
         is_dead: Tells whether a node is known not to run.
+        lower_after_s: Seconds after which a lower limit counts.
         source: Random numbers.
     """
 
@@ -65,6 +66,7 @@
         send: SendControl,
         is_dead: typing.Callable[[str], bool],
         slack: account_rates.Slack,
+        lower_after_s: float,
         source: random.Random,
     ) -> None:
         self._node_id = node_id
@@ -77,6 +79,7 @@
         self._random = source
         self._clock = time.monotonic
         self._owned = account_rates.OwnedAccounts()
+        self._lower = account_rates.LowerLimits(lower_after_s)
         self._alone = account_rates.SharesAlone()
         self._asking: dict[str, _Asking] = {}
         self._owners: dict[str, str] = {}
@@ -107,12 +110,18 @@
     def _grant(
         self, account: call_rules.AccountRule, wanted: int
     ) -> account_rates.Grant:
+        now = self._clock()
+        limits = self._lower.find_limits(
+            account.name,
+            account_rates.Limits(account.rate, account.burst),
+            now,
+        )
         return self._owned.grant(
             account.name,
             wanted,
-            self._clock(),
-            rate=account.rate,
-            burst=account.burst,
+            now,
+            rate=limits.rate,
+            burst=limits.burst,
         )
 
     def _judge(self, grant: account_rates.Grant) -> quota.Refused | None:
--- a/src/eelgrasswalk/policy/account_rates.py
+++ b/src/eelgrasswalk/policy/account_rates.py
@@ -86,6 +86,66 @@
         return Grant(granted, max(LEAST_WAIT_S, wait_s))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """What an account may use.
+
+    Args:
+        rate: Tokens a second.
+        burst: Tokens saved up.
+    """
+
+    rate: float
+    burst: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Held:
+    limits: Limits
+    until: float
+
+
+class LowerLimits:
+    """Puts lower limits in force a little later than others.
+
+    Operators may lower a limit far below what an account sends. The account
+    is owed its old limit until the version has to be in force everywhere.
+
+    Args:
+        grace_s: Seconds for which an old limit still counts.
+    """
+
+    def __init__(self, grace_s: float) -> None:
+        self._grace_s = grace_s
+        self._known: dict[str, Limits] = {}
+        self._held: dict[str, _Held] = {}
+
+    def find_limits(self, account: str, new: Limits, now: float) -> Limits:
+        """Return the limits that count now.
+
+        Args:
+            account: The account.
+            new: Its limits in the newest version.
+            now: The time, in seconds.
+        """
+        known = self._known.get(account)
+        if known is None or known == new:
+            self._known[account] = new
+        elif new.rate < known.rate or new.burst < known.burst:
+            self._held[account] = _Held(known, now + self._grace_s)
+            self._known[account] = new
+        else:
+            self._held.pop(account, None)
+            self._known[account] = new
+        held = self._held.get(account)
+        if held is None:
+            return new
+        if now < held.until:
+            return held.limits
+        del self._held[account]
+        return new
+
+
 class OwnedAccounts:
     """The buckets of the accounts that this node owns."""
 
--- a/src/eelgrasswalk/sidecar/wiring.py
+++ b/src/eelgrasswalk/sidecar/wiring.py
@@ -43,6 +43,8 @@
 # A confirmation counts this much shorter than a withdrawn key may work, for
 # a store whose feed hides a change for a second, and for the way.
 FRESH_MARGIN_S = 1.25
+# A lower limit of an account counts this much before it has to.
+LOWER_MARGIN_S = 0.5
 BODY_MEMORY_SHARE = 0.3
 RETAINED_ANSWER_SHARE = 0.1
 
@@ -274,6 +276,7 @@
             tokens=bounds.quota_slack,
             window_s=bounds.quota_window_s,
         ),
+        lower_after_s=max(0.0, bounds.apply_s - LOWER_MARGIN_S),
         source=state.source,
     )
     state.router.register(account_quota.TOPIC_ASK, quotas.receive_ask)
--- a/tests/policy/test_account_rates.py
+++ b/tests/policy/test_account_rates.py
@@ -67,6 +67,38 @@
             self.assertLessEqual(window, 20.0 * 5.0 + 10.0 + 1e-6)
 
 
+class LowerLimitsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.lower = account_rates.LowerLimits(1.5)
+        self.old = account_rates.Limits(90.0, 90.0)
+        self.new = account_rates.Limits(30.0, 30.0)
+        self.lower.find_limits('lake', self.old, 0.0)
+
+    def find(
+        self, limits: account_rates.Limits, now: float
+    ) -> account_rates.Limits:
+        return self.lower.find_limits('lake', limits, now)
+
+    def test_lower_limit_counts_after_the_grace(self) -> None:
+        self.assertEqual(self.old, self.find(self.new, 10.0))
+        self.assertEqual(self.old, self.find(self.new, 11.4))
+        self.assertEqual(self.new, self.find(self.new, 11.5))
+        self.assertEqual(self.new, self.find(self.new, 11.6))
+
+    def test_higher_limit_counts_at_once(self) -> None:
+        higher = account_rates.Limits(100.0, 100.0)
+        self.assertEqual(higher, self.find(higher, 10.0))
+
+    def test_limit_that_is_raised_again_meanwhile(self) -> None:
+        self.find(self.new, 10.0)
+        self.assertEqual(self.old, self.find(self.old, 10.5))
+        self.assertEqual(self.old, self.find(self.old, 20.0))
+
+    def test_new_account_has_its_limits_at_once(self) -> None:
+        found = self.lower.find_limits('creek', self.new, 0.0)
+        self.assertEqual(self.new, found)
+
+
 class SharesAloneTest(unittest.TestCase):
     def test_silent_owner_leaves_only_the_slack(self) -> None:
         """All nodes but the owner are cut off, which grants on."""
