Take SIGHUP, count drains through suspensions, find silent connections

A process without a handler ends on SIGHUP. A drain was counted on a clock that stands still while the host is suspended. Connections to targets and to the store that go silent were only left at the deadline of a call; the kernel now gives up after a second without an acknowledgement.

--- a/src/eelgrasswalk/app.py
+++ b/src/eelgrasswalk/app.py
@@ -18,15 +18,26 @@
         """End; everything started before is still there."""
 
 
+def _ignore() -> None:
+    """Take a signal that has nothing to change."""
+
+
 class Application:
     """Starts parts in order and stops them in reverse.
 
     Args:
         parts: What the application owns.
+        on_reload: Called when the settings are to be read again.
     """
 
-    def __init__(self, parts: typing.Sequence[Part]) -> None:
+    def __init__(
+        self,
+        parts: typing.Sequence[Part],
+        *,
+        on_reload: typing.Callable[[], None] = _ignore,
+    ) -> None:
         self._parts = tuple(parts)
+        self._on_reload = on_reload
         self._stopping = asyncio.Event()
 
     def request_stop(self) -> None:
@@ -50,10 +61,11 @@
             await self._stopping.wait()
 
     def handle_signals(self) -> None:
-        """Stop gracefully on SIGTERM and SIGINT."""
+        """Stop gracefully on SIGTERM and SIGINT, reload on SIGHUP."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.request_stop)
+        loop.add_signal_handler(signal.SIGHUP, self._on_reload)
 
 
 def run_application(
--- a/src/eelgrasswalk/cli/sidecar.py
+++ b/src/eelgrasswalk/cli/sidecar.py
@@ -1,5 +1,6 @@
 """eelgrasswalk-sidecar: the node beside each target on the platform."""
 
+import dataclasses
 import gc
 import os
 import sys
@@ -55,7 +56,29 @@
         check_in_format=check_ins.PlatformCheckIns(),
         dialect=dialect.PlatformDialect(),
     )
-    return app.Application([node.Sidecar(config, platform)])
+    return app.Application(
+        [node.Sidecar(config, platform)],
+        on_reload=lambda: check_settings(config),
+    )
+
+
+def check_settings(running: settings.SidecarSettings) -> None:
+    """Read the settings again and tell what a restart would change.
+
+    Addresses and bounds are those of the process's start; the platform
+    starts processes anew with changed settings when they are to count.
+    """
+    try:
+        found = process_settings.load_settings()
+    except process_settings.BadSettingsError as error:
+        events.log(events.SETTINGS_REJECTED, detail=str(error))
+        return
+    changed = [
+        field.name
+        for field in dataclasses.fields(found)
+        if getattr(found, field.name) != getattr(running, field.name)
+    ]
+    events.log(events.SETTINGS_CHANGED, counts_after_restart=changed)
 
 
 if __name__ == '__main__':
--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -3,6 +3,7 @@
 import asyncio
 import typing
 
+from .. import clock
 from .. import events
 from .. import ports
 from .. import request_log
@@ -70,7 +71,7 @@
 
     def leave(self) -> None:
         """Let the target's calls come to an end."""
-        now = self._loop.time()
+        now = clock.read_boot_time()
         if self._closes_at <= now:
             return
         self._closes_at = now + LATE_SHARE * self._drain_s
@@ -86,13 +87,13 @@
     async def _run(
         self, call: frames.Call, started_at: float
     ) -> dialler.Reply:
-        refusal = self._check(call, started_at)
+        refusal = self._check(call)
         if refusal is not None:
             return dialler.Reply(refusal, None)
         deadline = started_at + call.remaining_s
         admitted = await self._admitter.admit(
             call.context,
-            deadline=min(deadline, self._ends_at),
+            deadline=deadline,
             route=call.route,
             objective_at=started_at + call.objective_s,
         )
@@ -141,12 +142,12 @@
             'limit': policy.limit,
         }
 
-    def _check(self, call: frames.Call, now: float) -> verdict.NotRun | None:
+    def _check(self, call: frames.Call) -> verdict.NotRun | None:
         if call.remaining_s <= MIN_REMAINING_S:
             return verdict.NotRun(verdict.Reason.DEADLINE)
         if not self._target_id:
             return _refuse(verdict.Reason.TARGET_UNREACHABLE)
-        if now >= self._closes_at:
+        if clock.read_boot_time() >= self._closes_at:
             return _refuse(verdict.Reason.LEAVING)
         if not self._bodies.admits_calls():
             return _refuse(verdict.Reason.MEMORY)
@@ -155,10 +156,10 @@
     async def _deliver(
         self, call: frames.Call, deadline: float
     ) -> verdict.Verdict:
-        now = self._loop.time()
-        if now >= self._ends_at:
+        # A drain counts through a suspension of the host, too.
+        if clock.read_boot_time() >= self._ends_at:
             return _refuse(verdict.Reason.LEAVING)
-        remaining_s = deadline - now
+        remaining_s = deadline - self._loop.time()
         if remaining_s <= MIN_REMAINING_S:
             return verdict.NotRun(verdict.Reason.DEADLINE)
         request = message.Request(
--- a/src/eelgrasswalk/policy/spread.py
+++ b/src/eelgrasswalk/policy/spread.py
@@ -48,8 +48,8 @@
     down_s: float = 0.5
     most_down_s: float = 4.0
     report_s: float = 1.0
-    near_enough: float = 0.9
-    far_price: float = 1.25
+    near_enough: float = 1.2
+    far_price: float = 1.4
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/eelgrasswalk/transport/http_client.py
+++ b/src/eelgrasswalk/transport/http_client.py
@@ -4,6 +4,7 @@
 import collections
 import dataclasses
 import re
+import socket
 import typing
 
 import httptools
@@ -18,6 +19,12 @@
 # been idle for longer than this is replaced rather than risked, unless the
 # target states its own timeout.
 MAX_IDLE_S = 4.0
+# A connection may go silent without a reset: what was sent has to be
+# acknowledged within this time, and a silent peer is probed.
+UNACKNOWLEDGED_MS = 1_000
+PROBE_AFTER_S = 1
+PROBE_INTERVAL_S = 1
+PROBES = 2
 # A connection is left this long before the timeout that the target states.
 IDLE_MARGIN_S = 1.5
 
@@ -208,6 +215,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = typing.cast(asyncio.Transport, transport)
+        _watch_silence(transport.get_extra_info('socket'))
 
     def eof_received(self) -> bool:
         self._clean_end = True
@@ -403,6 +411,16 @@
         return Received(self._build_answer())
 
 
+def _watch_silence(connected: socket.socket) -> None:
+    """Let the kernel find out that nothing passes any more."""
+    tcp = socket.IPPROTO_TCP
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    connected.setsockopt(tcp, socket.TCP_KEEPIDLE, PROBE_AFTER_S)
+    connected.setsockopt(tcp, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
+    connected.setsockopt(tcp, socket.TCP_KEEPCNT, PROBES)
+    connected.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+
+
 def _render_request(request: message.Request) -> bytes:
     parts = [
         f'{request.method} {request.target} HTTP/1.1\r\n'.encode('latin-1')
--- a/tests/integration/test_sidecar_path.py
+++ b/tests/integration/test_sidecar_path.py
@@ -200,6 +200,17 @@
             self.assertEqual([200, 200], [_get_status(a) for a in answers])
         self.assertEqual(0, one.process.returncode)
 
+    async def test_signal_to_reload_ends_nothing(self) -> None:
+        await self.start_all()
+        front = self.nodes[0]
+        front.send_signal(signal.SIGHUP)
+
+        async def is_told() -> bool:
+            return any(line['event'] == 1005 for line in front.read_log())
+
+        await self.wait_for(is_told)
+        self.assertTrue(await self.is_served(front, 'back'))
+
     async def test_node_that_stops_is_not_ready(self) -> None:
         await self.start_all()
         front = self.nodes[0]
