--- a/src/eelgrasswalk/policy/slot_queue.py
+++ b/src/eelgrasswalk/policy/slot_queue.py
@@ -29,6 +29,8 @@
     Args:
         fill: Share of the slots that are used; many targets slow down when
             they are nearly full.
+        hopeless: Share of the expected time below which a call that has no
+            more left is not begun; many calls take less than the mean.
         margin: Share of the expected time that is added when it is decided
             whether a call will be answered in time.
         least_wait_s: Wait that is always allowed, for bursts of a moment.
@@ -37,6 +39,7 @@
     """
 
     fill: float = 0.94
+    hopeless: float = 0.5
     margin: float = 0.25
     least_wait_s: float = 0.01
     longest_retry_s: float = 2.0
@@ -122,7 +125,8 @@
         if self._draining:
             return [_refuse(candidate.call_id, verdict.Reason.LEAVING, 0.0)]
         expected_s = self._times.estimate(candidate.route)
-        if now + expected_s > candidate.deadline and self._running:
+        least_s = self._settings.hopeless * expected_s
+        if now + least_s > candidate.deadline and self._running:
             return [_refuse(candidate.call_id, verdict.Reason.DEADLINE, 0.0)]
         if not self._waiting and len(self._running) < self._limit:
             return [self._start(candidate, expected_s, now)]
