--- a/src/eelgrasswalk/events.py
+++ b/src/eelgrasswalk/events.py
@@ -54,7 +54,10 @@
     'raise limits.drain_s above the longest deadline of a route',
 )
 LINES_OMITTED = Event(
-    1007, logging.WARNING, 'log lines were left out to bound their number'
+    1007,
+    logging.INFO,
+    'log lines were left out to bound their number',
+    'read the counts of calls from the metrics',
 )
 LINK_OPENED = Event(2001, logging.INFO, 'link opened')
 LINK_LOST = Event(
--- /dev/null
+++ b/tests/transport/test_http_client.py
@@ -0,0 +1,115 @@
+"""Tests of the client for targets and the store."""
+
+import asyncio
+import unittest
+
+from eelgrasswalk.transport import http_client
+from eelgrasswalk.transport import message
+
+REQUEST = message.Request('GET', '/', ((b'id', b'mine'),), b'')
+BIG = 1_000_000
+
+
+def render(request_id: bytes, body: bytes, *extra: bytes) -> bytes:
+    head = b'HTTP/1.1 200 OK\r\nid: %b\r\ncontent-length: %d\r\n%b\r\n'
+    return head % (request_id, len(body), b''.join(extra)) + body
+
+
+def find_id(headers: message.Headers) -> bytes | None:
+    return message.find_header(headers, b'id')
+
+
+class ClientTestCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.answers: list[bytes] = []
+        self.connections = 0
+        self.closes = False
+        server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        self.pool = http_client.TargetPool('127.0.0.1', port, connections=2)
+        self.addAsyncCleanup(self.pool.close)
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        try:
+            while await reader.readuntil(b'\r\n\r\n'):
+                writer.write(self.answers.pop(0))
+                if self.closes:
+                    break
+        except asyncio.IncompleteReadError:
+            pass
+        writer.close()
+
+    async def send(self) -> http_client.Outcome:
+        return await self.pool.send(
+            REQUEST, max_answer_bytes=BIG, find_echo=find_id
+        )
+
+
+class EchoTest(ClientTestCase):
+    async def test_answer_to_another_request_is_dropped(self) -> None:
+        self.answers = [render(b'other', b'late') + render(b'mine', b'right')]
+        outcome = await self.send()
+        assert isinstance(outcome, http_client.Received), outcome
+        self.assertEqual(b'right', outcome.response.body)
+
+    async def test_answer_without_an_id_is_taken(self) -> None:
+        self.answers = [
+            b'HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\n\r\n'
+        ]
+        outcome = await self.send()
+        assert isinstance(outcome, http_client.Received), outcome
+        self.assertEqual(400, outcome.response.status)
+
+    async def test_second_answer_is_never_taken_for_the_next(self) -> None:
+        self.answers = [
+            render(b'mine', b'first') + render(b'mine', b'extra'),
+            render(b'mine', b'second'),
+        ]
+        await self.send()
+        outcome = await self.send()
+        assert isinstance(outcome, http_client.Received), outcome
+        self.assertEqual(b'second', outcome.response.body)
+
+    async def test_foreign_answer_that_ends_the_connection(self) -> None:
+        self.closes = True
+        self.answers = [render(b'other', b'late', b'connection: close\r\n')]
+        outcome = await self.send()
+        self.assertIsInstance(outcome, http_client.Broken)
+
+    async def test_answer_without_a_length_ends_with_its_connection(
+        self,
+    ) -> None:
+        self.closes = True
+        self.answers = [b'HTTP/1.1 200 OK\r\nid: mine\r\n\r\nwhole']
+        outcome = await self.send()
+        assert isinstance(outcome, http_client.Received), outcome
+        self.assertEqual(b'whole', outcome.response.body)
+
+    async def test_answer_that_breaks_off_is_not_whole(self) -> None:
+        self.closes = True
+        self.answers = [render(b'mine', b'whole')[:-1]]
+        self.assertIsInstance(await self.send(), http_client.Broken)
+
+    async def test_bytes_that_are_no_answer(self) -> None:
+        self.answers = [b'garbage\r\n\r\n']
+        self.assertIsInstance(await self.send(), http_client.Broken)
+
+
+class KeepAliveTest(ClientTestCase):
+    async def test_connection_is_used_again(self) -> None:
+        self.answers = [render(b'mine', b'1'), render(b'mine', b'2')]
+        await self.send()
+        await self.send()
+        self.assertEqual(1, self.connections)
+
+    async def test_connection_is_left_before_the_stated_timeout(self) -> None:
+        soon = b'keep-alive: timeout=1\r\n'
+        self.answers = [render(b'mine', b'1', soon), render(b'mine', b'2')]
+        await self.send()
+        await self.send()
+        self.assertEqual(2, self.connections)
