--- a/src/eelgrasswalk/cli/sidecar.py
+++ b/src/eelgrasswalk/cli/sidecar.py
@@ -11,11 +11,13 @@
 from .. import app
 from .. import events
 from .. import log_stream
+from .. import request_log
 from ..platform import check_ins
 from ..platform import dialect
 from ..platform import operator_config
 from ..platform import process_settings
 from ..platform import rows
+from ..policy import log_budget
 from ..sidecar import node
 from ..sidecar import settings
 from ..sidecar import wiring
@@ -37,18 +39,24 @@
         )
         events.log(events.SETTINGS_REJECTED, detail=str(error))
         sys.exit(EXIT_BAD_SETTINGS)
+    budget = log_budget.LogBudget(log_budget.LogBounds())
     events.configure_logging(
         'info',
         node_id=config.node_id,
         stream=log_stream.LogStream(sys.stdout.fileno()),
+        budget=budget,
     )
     gc.collect()
     gc.freeze()
     gc.set_threshold(*COLLECTOR_THRESHOLDS)
-    app.run_application(lambda: (build_application(config), lambda: None))
+    app.run_application(
+        lambda: (build_application(config, budget), lambda: None)
+    )
 
 
-def build_application(config: settings.SidecarSettings) -> app.Application:
+def build_application(
+    config: settings.SidecarSettings, budget: log_budget.LogBudget
+) -> app.Application:
     """Return the application of one node."""
     platform = wiring.Platform(
         store=rows.PlatformRows(config.store.host, config.store.port),
@@ -57,7 +65,7 @@
         dialect=dialect.PlatformDialect(),
     )
     return app.Application(
-        [node.Sidecar(config, platform)],
+        [node.Sidecar(config, platform, request_log.RequestLog(budget))],
         on_reload=lambda: check_settings(config),
     )
 
--- a/src/eelgrasswalk/events.py
+++ b/src/eelgrasswalk/events.py
@@ -3,11 +3,15 @@
 import dataclasses
 import logging
 import sys
+import time
 import typing
 
 import pythonjsonlogger.json
 
+from .policy import log_budget
+
 _LOGGER = logging.getLogger('eelgrasswalk')
+_COUNTED = 'counted'
 
 
 class Stream(typing.Protocol):
@@ -53,17 +57,11 @@
     'planned stop cut calls that ran for too long',
     'raise limits.drain_s above the longest deadline of a route',
 )
-LINES_OMITTED = Event(
-    1007,
-    logging.INFO,
-    'log lines were left out to bound their number',
-    'read the counts of calls from the metrics',
-)
 LINK_OPENED = Event(2001, logging.INFO, 'link opened')
 LINK_LOST = Event(
     2002,
     logging.WARNING,
-    'link lost with calls outstanding',
+    'upstream could not be reached by its link',
     'look for lost connections between the two hosts',
 )
 CONFIGURATION_APPLIED = Event(3001, logging.INFO, 'configuration in force')
@@ -138,8 +136,34 @@
 )
 
 
+class _BoundedLines(logging.Filter):
+    """Lets through as many records as the budget allows.
+
+    The first record after some were left out says how many.
+    """
+
+    def __init__(self, budget: log_budget.LogBudget) -> None:
+        super().__init__()
+        self._budget = budget
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        if record.__dict__.pop(_COUNTED, False):
+            return True
+        now = time.monotonic()
+        if not self._budget.admit(log_budget.Weight.BELIEF, now):
+            return False
+        omitted = self._budget.take_omitted(now)
+        if omitted:
+            record.omitted = omitted
+        return True
+
+
 def configure_logging(
-    level: str, *, node_id: str, stream: Stream | None = None
+    level: str,
+    *,
+    node_id: str,
+    stream: Stream | None = None,
+    budget: log_budget.LogBudget | None = None,
 ) -> None:
     """Write every record as one JSON object a line.
 
@@ -147,6 +171,7 @@
         level: Least level that is written.
         node_id: Stands in every record.
         stream: Where to; standard error when left out.
+        budget: Bounds the number of records; no bound when left out.
     """
     handler = logging.StreamHandler(sys.stderr if stream is None else stream)
     handler.setFormatter(
@@ -157,6 +182,8 @@
             static_fields={'node_id': node_id},
         )
     )
+    if budget is not None:
+        handler.addFilter(_BoundedLines(budget))
     root = logging.getLogger()
     root.handlers = [handler]
     root.setLevel(logging.WARNING)
@@ -170,6 +197,12 @@
         _LOGGER.log(event.level, event.text, extra=fields)
 
 
+def log_counted(event: Event, **fields: typing.Any) -> None:
+    """Write one record for which the budget has been asked already."""
+    fields[_COUNTED] = True
+    log(event, **fields)
+
+
 def list_events() -> tuple[Event, ...]:
     """Return every event, in the order of their numbers."""
     found = [item for item in globals().values() if isinstance(item, Event)]
--- a/src/eelgrasswalk/filters/forward.py
+++ b/src/eelgrasswalk/filters/forward.py
@@ -6,6 +6,7 @@
 import time
 import typing
 
+from .. import events
 from .. import verdict
 from ..policy import balance
 from ..policy import retries
@@ -178,8 +179,8 @@
             failed = _is_failure(reply.outcome)
             if reply.feedback is not None:
                 load = reply.feedback.load
-            if _is_unreachable(reply.outcome):
-                self._balancer.mark_down(upstream.node_id, self._clock())
+            if _is_unreachable(ended):
+                self._mark_down(upstream, ended)
         finally:
             now = self._clock()
             item.attempts.append(
@@ -201,6 +202,17 @@
             )
         return reply.outcome
 
+    def _mark_down(
+        self, upstream: balance.Upstream, outcome: verdict.Verdict
+    ) -> None:
+        events.log(
+            events.LINK_LOST,
+            peer=upstream.node_id,
+            service=upstream.service,
+            reason=_name_outcome(outcome),
+        )
+        self._balancer.mark_down(upstream.node_id, self._clock())
+
     async def _transmit(
         self, item: front.Item, upstream: balance.Upstream, call: frames.Call
     ) -> dialler.Reply:
--- a/src/eelgrasswalk/policy/log_budget.py
+++ b/src/eelgrasswalk/policy/log_budget.py
@@ -46,6 +46,7 @@
             Weight.BELIEF: bounds.belief,
         }
         self._window = 0
+        self._told_in = 0
         self._written: collections.Counter[Weight] = collections.Counter()
         self._omitted: collections.Counter[Weight] = collections.Counter()
 
@@ -62,9 +63,10 @@
         return True
 
     def take_omitted(self, now: float) -> dict[str, int]:
-        """Return and reset what earlier seconds have left out, by weight."""
-        if int(now) == self._window or not self._omitted:
+        """Return and reset what was left out, by weight, once a second."""
+        if int(now) == self._told_in or not self._omitted:
             return {}
+        self._told_in = int(now)
         omitted = {
             weight.value: count for weight, count in self._omitted.items()
         }
--- a/src/eelgrasswalk/request_log.py
+++ b/src/eelgrasswalk/request_log.py
@@ -112,19 +112,21 @@
         if name == 'answered' and reason < '500':
             weight = log_budget.Weight.ROUTINE
         now = time.monotonic()
+        if not self._budget.admit(weight, now):
+            return
+        fields = describe()
         omitted = self._budget.take_omitted(now)
         if omitted:
-            events.log(events.LINES_OMITTED, omitted=omitted)
-        if self._budget.admit(weight, now):
-            events.log(
-                event,
-                service=service,
-                account=account,
-                outcome=name,
-                reason=reason,
-                latency_ms=round(latency_s * 1000.0, 1),
-                **describe(),
-            )
+            fields['omitted'] = omitted
+        events.log_counted(
+            event,
+            service=service,
+            account=account,
+            outcome=name,
+            reason=reason,
+            latency_ms=round(latency_s * 1000.0, 1),
+            **fields,
+        )
 
 
 def _name_outcome(outcome: verdict.Verdict) -> tuple[str, str]:
--- a/src/eelgrasswalk/sidecar/node.py
+++ b/src/eelgrasswalk/sidecar/node.py
@@ -1,11 +1,13 @@
 """The life of a node beside a target on a platform."""
 
 import asyncio
+import dataclasses
 import time
 
 from .. import clock
 from .. import events
 from .. import metrics_page
+from .. import request_log
 from .. import verdict
 from ..controllers import mesh_secret
 from ..policy import call_rules
@@ -37,17 +39,21 @@
     Args:
         config: Its settings.
         platform: The adapter's parts.
+        log: Takes what became of calls.
     """
 
     def __init__(
-        self, config: settings.SidecarSettings, platform: wiring.Platform
+        self,
+        config: settings.SidecarSettings,
+        platform: wiring.Platform,
+        log: request_log.RequestLog,
     ) -> None:
         self.config = config
         self.path: wiring.Path | None = None
         self.stopping = False
         self._platform = platform
         self._state = wiring.build_state(
-            config, platform, apply_rules=self._apply_rules
+            config, platform, log, apply_rules=self._apply_rules
         )
         self._callers = http_server.HttpServer(
             self._handle_call,
@@ -79,7 +85,14 @@
             (self._admin, config.admin),
         ):
             await listener.start(address.host, address.port)
-        events.log(events.NODE_STARTED, service=config.service)
+        events.log(
+            events.NODE_STARTED,
+            service=config.service,
+            data_centre=config.data_centre,
+            target=str(config.target),
+            store=str(config.store),
+            bounds=dataclasses.asdict(config.bounds),
+        )
         await self._state.rules_feed.start()
         await self._state.roster_feed.start()
         self._starting = asyncio.get_running_loop().create_task(self._join())
--- a/src/eelgrasswalk/sidecar/wiring.py
+++ b/src/eelgrasswalk/sidecar/wiring.py
@@ -22,7 +22,6 @@
 from ..policy import account_rates
 from ..policy import attempts
 from ..policy import freshness
-from ..policy import log_budget
 from ..policy import retry_budget
 from ..policy import roster
 from ..policy import slot_queue
@@ -105,6 +104,7 @@
 def build_state(
     config: settings.SidecarSettings,
     platform: Platform,
+    log: request_log.RequestLog,
     *,
     apply_rules: rules.Apply,
 ) -> State:
@@ -148,9 +148,7 @@
         ),
         router=router,
         bodies=budget.ByteBudget(int(config.memory_bytes * BODY_MEMORY_SHARE)),
-        log=request_log.RequestLog(
-            log_budget.LogBudget(log_budget.LogBounds())
-        ),
+        log=log,
     )
 
 
