--- /dev/null
+++ b/tests/controllers/test_account_quota.py
@@ -0,0 +1,135 @@
+"""Tests of asking the owners of accounts for tokens."""
+
+import asyncio
+import collections.abc
+import random
+import unittest
+import unittest.mock
+
+from eelgrasswalk.controllers import account_quota
+from eelgrasswalk.policy import account_rates
+from eelgrasswalk.policy import call_rules
+from eelgrasswalk.policy import quota
+
+LAKE = call_rules.AccountRule('lake', ('k',), 50.0, 50.0)
+TABLE = call_rules.RuleTable(
+    call_rules.Rules(
+        1, (), (LAKE,), (), call_rules.ListenerLimits(1, 1, 1.0, 1.0)
+    )
+)
+NODES = ('n1', 'n2', 'n3')
+
+
+class Mesh:
+    """Nodes whose messages arrive in the next round of the loop."""
+
+    def __init__(self) -> None:
+        self.nodes: dict[str, account_quota.AccountQuota] = {}
+        self.silent: set[str] = set()
+        self.dead: set[str] = set()
+        self.members = list(NODES)
+        for node_id in NODES:
+            self.nodes[node_id] = account_quota.AccountQuota(
+                node_id,
+                list_owners=lambda: self.members,
+                count_nodes=lambda: len(NODES),
+                get_table=lambda: TABLE,
+                send=self._build_send(node_id),
+                is_dead=lambda other: other in self.dead,
+                slack=account_rates.Slack(0.1, 20.0, 5.0),
+                lower_after_s=1.5,
+                source=random.Random(1),
+            )
+        self.owner = account_rates.choose_owner('lake', NODES) or ''
+        self.others = [name for name in NODES if name != self.owner]
+
+    def _build_send(
+        self, sender: str
+    ) -> collections.abc.Callable[[str, str, bytes], None]:
+        def send(receiver: str, topic: str, payload: bytes) -> None:
+            if {sender, receiver} & self.silent:
+                return
+            target = self.nodes[receiver]
+            handler = target.receive_grant
+            if topic == account_quota.TOPIC_ASK:
+                handler = target.receive_ask
+            loop = asyncio.get_running_loop()
+            loop.call_soon(handler, sender, payload)
+
+        return send
+
+    async def count_admitted(self, node_id: str, calls: int) -> int:
+        """Return how many of so many calls at once are admitted."""
+        outcomes = await asyncio.gather(
+            *(self.nodes[node_id].admit(LAKE) for _ in range(calls))
+        )
+        return outcomes.count(None)
+
+
+class AccountQuotaTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.mesh = Mesh()
+
+    async def test_all_nodes_share_one_bucket(self) -> None:
+        admitted = 0
+        for node_id in NODES:
+            admitted += await self.mesh.count_admitted(node_id, 30)
+        first = account_rates.FIRST_SHARE * LAKE.rate
+        self.assertGreaterEqual(admitted, int(first))
+        self.assertLessEqual(admitted, first + 5)
+
+    async def test_refusal_says_when_to_come_back(self) -> None:
+        other = self.mesh.others[0]
+        await self.mesh.count_admitted(other, 60)
+        refused = await self.mesh.nodes[other].admit(LAKE)
+        assert isinstance(refused, quota.Refused)
+        self.assertGreater(refused.retry_after_s, 0.0)
+        self.assertLess(refused.retry_after_s, 0.2)
+
+    async def test_silent_owner_leaves_nearly_nothing(self) -> None:
+        """It may go on granting the whole rate to others."""
+        self.mesh.silent = {self.mesh.owner}
+        other = self.mesh.others[0]
+        with (
+            unittest.mock.patch.object(account_quota, 'ANSWER_LIMIT_S', 0.0),
+            self.assertLogs('eelgrasswalk', 'WARNING'),
+        ):
+            admitted = await self.mesh.count_admitted(other, 30)
+        self.assertEqual(0, admitted)
+
+    async def test_node_that_does_not_own_does_not_grant(self) -> None:
+        """Views of who is there differ for a moment."""
+        asked, asking = self.mesh.others
+        self.mesh.nodes[asking]._owners['lake'] = asked
+        with self.assertLogs('eelgrasswalk', 'WARNING'):
+            admitted = await self.mesh.count_admitted(asking, 5)
+        self.assertEqual(0, admitted)
+
+    async def test_owner_that_leaves_is_followed_by_another(self) -> None:
+        self.mesh.members.remove(self.mesh.owner)
+        for node in self.mesh.nodes.values():
+            node.note_nodes()
+        admitted = 0
+        for node_id in self.mesh.others:
+            admitted += await self.mesh.count_admitted(node_id, 10)
+        self.assertGreaterEqual(admitted, 15)
+
+    async def test_late_grant_is_not_used_twice(self) -> None:
+        other = self.mesh.others[0]
+        node = self.mesh.nodes[other]
+        self.assertEqual(1, await self.mesh.count_admitted(other, 1))
+        node.receive_grant(
+            self.mesh.owner,
+            account_quota.cbor2.dumps(['lake', 1, 50, 0.0]),
+        )
+        self.mesh.silent = {self.mesh.owner}
+        with (
+            unittest.mock.patch.object(account_quota, 'ANSWER_LIMIT_S', 0.0),
+            self.assertLogs('eelgrasswalk', 'WARNING'),
+        ):
+            self.assertEqual(0, await self.mesh.count_admitted(other, 5))
+
+    async def test_account_without_a_limit_asks_nobody(self) -> None:
+        free = call_rules.AccountRule('free', ('k',), 0.0, 0.0)
+        self.mesh.silent = set(NODES)
+        self.assertIsNone(await self.mesh.nodes['n1'].admit(free))
--- /dev/null
+++ b/tests/controllers/test_check_ins.py
@@ -0,0 +1,139 @@
+"""Tests of hearing the target beside the node."""
+
+import dataclasses
+import typing
+import unittest
+import unittest.mock
+
+from eelgrasswalk import ports
+from eelgrasswalk import verdict
+from eelgrasswalk.controllers import check_ins
+from eelgrasswalk.controllers import roster as roster_keeper
+from eelgrasswalk.policy import roster
+from eelgrasswalk.policy import target_life
+from eelgrasswalk.transport import message
+from tests.controllers import fake_store
+from tests.controllers import test_roster
+
+BEAT = ports.CheckIn('i-1', 1000, 1, 'orders', 8, False, 0.0)
+
+
+class Form:
+    """Returns what the test wants to be said."""
+
+    def __init__(self) -> None:
+        self.said: ports.CheckIn | ports.Departure | ports.Unreadable = BEAT
+
+    def decode(
+        self, request: message.Request
+    ) -> ports.CheckIn | ports.Departure | ports.Unreadable:
+        return self.said
+
+    def acknowledge(self) -> verdict.Response:
+        return verdict.Response(200, (), b'{}')
+
+
+class Gate:
+    """Keeps what it was told."""
+
+    def __init__(self) -> None:
+        self.told: list[str] = []
+
+    def set_target(self, target_id: str, slots: int, cold_s: float) -> None:
+        self.told.append(target_id)
+
+    def leave(self) -> None:
+        self.told.append('leave')
+
+
+class CheckInKeeperTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.form = Form()
+        self.gate = Gate()
+        self.store = fake_store.FakeStore()
+        self.roster = roster_keeper.RosterKeeper(
+            test_roster.OWN,
+            self.store,
+            test_roster.Book(),
+            lambda node_id, topic, payload: None,
+        )
+        self.keeper = check_ins.CheckInKeeper(
+            self.form,
+            target_life.TargetLife(),
+            self.roster,
+            self.gate,
+            clock=lambda: 0.0,
+        )
+
+    async def say(
+        self, said: ports.CheckIn | ports.Departure | ports.Unreadable
+    ) -> int:
+        self.form.said = said
+        request = message.Request('POST', '/', (), b'')
+        return (await self.keeper.handle(request)).status
+
+    async def test_target_that_arrives_gets_calls(self) -> None:
+        self.assertEqual(200, await self.say(BEAT))
+        self.assertEqual(['i-1'], self.gate.told)
+        self.assertTrue(self.roster.own.is_usable)
+
+    async def test_drain_is_acknowledged_though_the_store_is_away(
+        self,
+    ) -> None:
+        await self.say(BEAT)
+        with unittest.mock.patch.object(check_ins, 'ACK_WAIT_S', 0.01):
+            status = await self.say(
+                dataclasses.replace(BEAT, sequence=2, draining=True)
+            )
+        self.assertEqual(200, status)
+        self.assertEqual(['i-1', 'leave'], self.gate.told)
+        self.assertFalse(self.roster.own.is_usable)
+
+    async def test_drain_is_in_the_store_before_it_is_acknowledged(
+        self,
+    ) -> None:
+        self.store.outcomes = [ports.Written(1), ports.Written(2)]
+        with unittest.mock.patch.object(roster_keeper, 'FIRST_WRITE_S', 0.0):
+            await self.roster.start()
+            self.addAsyncCleanup(self.roster.stop)
+            await self.say(BEAT)
+            await self.say(ports.Departure('i-1'))
+        entry = roster_keeper.decode_entry(self.store.written[-1][1])
+        assert entry is not None
+        self.assertIs(roster.TargetState.DRAINING, entry.state)
+
+    async def test_late_check_in_of_an_ended_lifetime_is_acknowledged(
+        self,
+    ) -> None:
+        await self.say(
+            dataclasses.replace(BEAT, target_id='i-2', born_ms=9000)
+        )
+        self.assertEqual(200, await self.say(BEAT))
+        self.assertEqual(['i-2'], self.gate.told)
+
+    async def test_unreadable_check_in_changes_nothing(self) -> None:
+        with self.assertLogs('eelgrasswalk', 'WARNING'):
+            status = await self.say(ports.Unreadable('broken'))
+        self.assertEqual(400, status)
+        self.assertEqual([], self.gate.told)
+
+    async def test_what_an_earlier_process_knew_is_restored(self) -> None:
+        known: dict[str, typing.Any] = {'target_id': 'i-1', 'slots': 8}
+        ready = dataclasses.replace(
+            test_roster.OWN, state=roster.TargetState.READY, **known
+        )
+        self.keeper.restore(ready)
+        self.assertEqual(['i-1'], self.gate.told)
+
+    async def test_drain_that_an_earlier_process_acknowledged_holds(
+        self,
+    ) -> None:
+        leaving = dataclasses.replace(
+            test_roster.OWN,
+            state=roster.TargetState.DRAINING,
+            target_id='i-1',
+            slots=8,
+        )
+        self.keeper.restore(leaving)
+        await self.say(dataclasses.replace(BEAT, sequence=50))
+        self.assertNotIn('i-1', self.gate.told)
--- /dev/null
+++ b/tests/controllers/test_roster.py
@@ -0,0 +1,148 @@
+"""Tests of this node's entry in the store, and of the others'."""
+
+import collections.abc
+import dataclasses
+import unittest
+import unittest.mock
+
+from eelgrasswalk import ports
+from eelgrasswalk.controllers import directory
+from eelgrasswalk.controllers import roster as roster_keeper
+from eelgrasswalk.policy import roster
+from tests.controllers import fake_store
+
+OWN = roster.Entry(
+    node_id='n1',
+    incarnation=5,
+    revision=0,
+    service='orders',
+    data_centre='erie',
+    host='10.0.0.1',
+    port=7000,
+    state=roster.TargetState.ABSENT,
+)
+OTHER = dataclasses.replace(
+    OWN, node_id='n2', state=roster.TargetState.READY, target_id='i-2'
+)
+
+
+class Book:
+    """Keeps the nodes that it was given last."""
+
+    def __init__(self) -> None:
+        self.peers: list[directory.Peer] = []
+
+    def replace(self, peers: collections.abc.Iterable[directory.Peer]) -> None:
+        self.peers = list(peers)
+
+    def list_ready(self) -> list[str]:
+        return [
+            peer.node_id
+            for peer in self.peers
+            if peer.state == directory.STATE_READY
+        ]
+
+
+def build_row(entry: roster.Entry, version: int = 1) -> ports.Row:
+    return ports.Row(entry.node_id, roster_keeper.encode_entry(entry), version)
+
+
+class RosterKeeperTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.store = fake_store.FakeStore()
+        self.book = Book()
+        self.sent: list[str] = []
+        self.keeper = roster_keeper.RosterKeeper(
+            OWN,
+            self.store,
+            self.book,
+            lambda node_id, topic, payload: self.sent.append(node_id),
+        )
+        for name in ('FIRST_PAUSE_S', 'FIRST_WRITE_S'):
+            patch = unittest.mock.patch.object(roster_keeper, name, 0.0)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.addAsyncCleanup(self.keeper.stop)
+
+    async def announce(self) -> None:
+        await self.keeper.start()
+        self.keeper.change(
+            state=roster.TargetState.READY, target_id='i-1', slots=8
+        )
+        await fake_store.settle()
+
+    async def test_change_is_written_and_told(self) -> None:
+        self.keeper.take_all(ports.Rows((build_row(OTHER),), 1), 0.0)
+        self.store.outcomes = [ports.Written(4)]
+        await self.announce()
+        ((key, value, expected),) = self.store.written
+        self.assertEqual(('n1', 0), (key, expected))
+        entry = roster_keeper.decode_entry(value)
+        assert entry is not None
+        self.assertEqual('i-1', entry.target_id)
+        self.assertEqual(['n2'], self.sent)
+        self.assertTrue(await self.keeper.wait_written(1.0))
+
+    async def test_write_that_met_an_earlier_one_is_repeated(self) -> None:
+        """The answer to an earlier write was lost."""
+        earlier = build_row(OWN, version=7)
+        self.store.outcomes = [
+            ports.Unknown('lost'),
+            ports.Conflict(earlier),
+            ports.Written(9),
+        ]
+        await self.announce()
+        self.assertEqual([0, 0, 7], [item[2] for item in self.store.written])
+
+    async def test_entry_that_others_removed_is_written_again(self) -> None:
+        self.store.outcomes = [ports.Written(4), ports.Written(6)]
+        await self.announce()
+        gone = ports.Row('n1', None, 5)
+        self.keeper.take_changes(ports.Rows((gone,), 5), 0.0)
+        await fake_store.settle()
+        self.assertEqual([0, 0], [item[2] for item in self.store.written])
+
+    async def test_waiting_for_a_store_that_is_away_ends(self) -> None:
+        await self.announce()
+        self.assertFalse(await self.keeper.wait_written(0.01))
+
+    async def test_news_of_peers_go_before_late_rows(self) -> None:
+        self.keeper.take_all(ports.Rows((build_row(OTHER),), 1), 0.0)
+        self.assertEqual(['n2'], self.book.list_ready())
+        leaving = dataclasses.replace(
+            OTHER, revision=3, state=roster.TargetState.DRAINING
+        )
+        self.keeper.receive('n2', roster_keeper.encode_entry(leaving))
+        self.assertEqual([], self.book.list_ready())
+        late = dataclasses.replace(OTHER, revision=2)
+        self.keeper.take_changes(ports.Rows((build_row(late),), 2), 0.0)
+        self.assertEqual([], self.book.list_ready())
+
+    async def test_removed_node_is_forgotten(self) -> None:
+        self.keeper.take_all(ports.Rows((build_row(OTHER),), 1), 0.0)
+        self.keeper.take_all(ports.Rows((), 2), 0.0)
+        self.assertEqual([], self.book.list_ready())
+
+    async def test_what_another_writer_left_is_ignored(self) -> None:
+        rows = (
+            ports.Row('n3', b'{', 1),
+            ports.Row('n4', b'{"node_id": "n4"}', 2),
+            ports.Row('n5', roster_keeper.encode_entry(OTHER), 3),
+            build_row(OTHER),
+        )
+        with self.assertLogs('eelgrasswalk', 'WARNING') as logs:
+            self.keeper.take_all(ports.Rows(rows, 3), 0.0)
+        self.assertEqual(3, len(logs.records))
+        self.assertEqual(['n2'], self.book.list_ready())
+
+    async def test_nobody_speaks_for_another_node(self) -> None:
+        with self.assertLogs('eelgrasswalk', 'WARNING'):
+            self.keeper.receive('n9', roster_keeper.encode_entry(OTHER))
+        self.assertEqual([], self.book.list_ready())
+
+    async def test_stopping_nodes_own_nothing(self) -> None:
+        stopping = dataclasses.replace(OTHER, stopping=True)
+        self.keeper.take_all(
+            ports.Rows((build_row(OWN), build_row(stopping)), 1), 0.0
+        )
+        self.assertEqual(['n1'], self.keeper.list_lasting())
