Take nodes for gone that cannot be reached for long

Cause: entries of nodes that vanish without a word stayed for good: calls tried them again and again, and the accounts that they owned were left with what a silent owner allows. Now a node that reaches most others removes such an entry at its version; a node that is alive writes it again and owns nothing for ten seconds. An account that comes back to an owner begins with little.

--- a/src/eelgrasswalk/controllers/account_quota.py
+++ b/src/eelgrasswalk/controllers/account_quota.py
@@ -87,6 +87,9 @@
     def note_nodes(self) -> None:
         """Choose the owners anew: nodes have come or gone."""
         self._owners.clear()
+        self._owned.keep_only(
+            lambda account: self._find_owner(account) == self._node_id
+        )
 
     async def admit(
         self, account: call_rules.AccountRule
--- a/src/eelgrasswalk/controllers/roster.py
+++ b/src/eelgrasswalk/controllers/roster.py
@@ -19,6 +19,8 @@
 LONGEST_PAUSE_S = 1.0
 # A node that starts writes its entry once it knows its target, or after this.
 FIRST_WRITE_S = 0.5
+# A node that others could not reach owns nothing for so long.
+SECLUSION_S = 10.0
 _UNUSABLE = 'unusable'
 
 
@@ -63,6 +65,7 @@
         self._send = send
         self.on_change: typing.Callable[[], None] = _do_nothing
         self._row_version = 0
+        self._versions: dict[str, int] = {}
         self._written: roster.Entry | None = None
         self._changed = asyncio.Event()
         self._reported = asyncio.Event()
@@ -130,6 +133,7 @@
         """Take all entries in the store."""
         kept = {row.key for row in rows.rows} | {self._own.node_id}
         changed = self.roster.keep_only(kept)
+        self._versions.clear()
         self._note_own_row(rows.rows)
         if self._take_rows(rows.rows) or changed:
             self._refresh()
@@ -148,8 +152,10 @@
         changed = False
         for row in rows:
             if row.value is None:
+                self._versions.pop(row.key, None)
                 changed |= self._take_removal(row)
                 continue
+            self._versions[row.key] = row.version
             entry = decode_entry(row.value)
             if entry is None or entry.node_id != row.key:
                 events.log(events.ENTRY_REJECTED, entry=row.key)
@@ -163,9 +169,14 @@
         # Another node took this one for gone.
         self._row_version = 0
         self._written = None
-        self._changed.set()
+        self.change(secluded=True)
+        asyncio.get_running_loop().call_later(SECLUSION_S, self._end_seclusion)
         return False
 
+    def _end_seclusion(self) -> None:
+        if self._own.secluded:
+            self.change(secluded=False)
+
     def _refresh(self) -> None:
         self._book.replace(
             _build_peer(entry) for entry in self.roster.list_entries()
@@ -173,13 +184,25 @@
         self.on_change()
 
     def list_lasting(self) -> list[str]:
-        """Return the nodes that are not about to stop."""
+        """Return the nodes that others reach and that are not stopping."""
         return [
             entry.node_id
             for entry in self.roster.list_entries()
-            if not entry.stopping
+            if not entry.stopping and not entry.secluded
         ]
 
+    async def remove(self, node_id: str) -> None:
+        """Take a node for gone; it comes back by itself if it is not."""
+        version = self._versions.get(node_id)
+        if version is None:
+            return
+        events.log(events.NODE_GONE, peer=node_id)
+        outcome = await self._store.remove(TABLE, node_id, expected=version)
+        if isinstance(outcome, ports.Written):
+            self._versions.pop(node_id, None)
+            if self.roster.remove(node_id):
+                self._refresh()
+
     # Writing
 
     async def _run(self) -> None:
--- a/src/eelgrasswalk/events.py
+++ b/src/eelgrasswalk/events.py
@@ -64,6 +64,12 @@
     'upstream could not be reached by its link',
     'look for lost connections between the two hosts',
 )
+NODE_GONE = Event(
+    2003,
+    logging.WARNING,
+    'node is taken for gone: it could not be reached for long',
+    'look at its host; it comes back by itself when it is reached again',
+)
 CONFIGURATION_APPLIED = Event(3001, logging.INFO, 'configuration in force')
 CONFIGURATION_REJECTED = Event(
     3002,
--- a/src/eelgrasswalk/policy/account_rates.py
+++ b/src/eelgrasswalk/policy/account_rates.py
@@ -11,12 +11,14 @@
 
 import collections.abc
 import dataclasses
+import typing
 
 import xxhash
 
 # Part of a second's tokens with which a new owner begins: others may have
-# granted until a moment ago.
-FIRST_SHARE = 0.3
+# granted until a moment ago. Three new owners within five seconds add less
+# than the tenth by which accounts may exceed rate and burst.
+FIRST_SHARE = 0.2
 # Part of its share that a node without an owner uses; what the owner had
 # granted before still counts.
 ALONE_SHARE = 0.9
@@ -176,10 +178,14 @@
             bucket = self._buckets[account] = TokenBucket(first, now)
         return bucket.take(wanted, now, rate=rate, depth=max(1.0, burst))
 
-    def keep_only(self, accounts: collections.abc.Container[str]) -> None:
-        """Forget the accounts that others own now."""
+    def keep_only(self, is_owned: typing.Callable[[str], bool]) -> None:
+        """Forget the accounts that others own now.
+
+        Args:
+            is_owned: Tells whether this node owns an account.
+        """
         for account in list(self._buckets):
-            if account not in accounts:
+            if not is_owned(account):
                 del self._buckets[account]
 
 
--- a/src/eelgrasswalk/policy/roster.py
+++ b/src/eelgrasswalk/policy/roster.py
@@ -1,8 +1,12 @@
 """Which nodes there are and what each says of the target beside it."""
 
+import collections.abc
 import dataclasses
 import enum
 
+# Nodes that must be reached for each one that is taken for gone.
+REACHED_PER_LOST = 2
+
 
 class TargetState(enum.Enum):
     """What a node says of its target.
@@ -32,6 +36,7 @@
         slots: Calls that the target runs at a time.
         cold: Whether the target said that it had just started.
         stopping: Whether the node itself is about to stop.
+        secluded: Whether others could not reach it a while ago.
     """
 
     node_id: str
@@ -46,6 +51,7 @@
     slots: int = 0
     cold: bool = False
     stopping: bool = False
+    secluded: bool = False
 
     @property
     def is_usable(self) -> bool:
@@ -58,6 +64,23 @@
         return mine > (other.incarnation, other.revision)
 
 
+def choose_lost(
+    failing: collections.abc.Sequence[str], *, reached: int
+) -> tuple[str, ...]:
+    """Return the nodes that are to be taken for gone.
+
+    A node that cannot reach most others is itself the one that is cut off,
+    and must not take all of them for gone.
+
+    Args:
+        failing: Nodes that could not be reached for long.
+        reached: Nodes that are reached.
+    """
+    if reached < REACHED_PER_LOST * len(failing):
+        return ()
+    return tuple(failing)
+
+
 class Roster:
     """The newest entry of every node, whichever way it came."""
 
--- a/src/eelgrasswalk/sidecar/node.py
+++ b/src/eelgrasswalk/sidecar/node.py
@@ -134,6 +134,7 @@
         if state.rules.table is not None:
             self._apply_rules(state.rules.table)
         await state.roster.start()
+        await path.reaper.start()
         state.roster.change(incarnation=incarnation)
         if previous is not None:
             path.check_ins.restore(previous)
@@ -155,6 +156,7 @@
                 connection.close()
         path = self.path
         if path is not None:
+            await path.reaper.stop()
             await path.dialler.stop()
             await path.acceptor.stop()
             await path.pool.close()
--- a/src/eelgrasswalk/sidecar/wiring.py
+++ b/src/eelgrasswalk/sidecar/wiring.py
@@ -13,6 +13,7 @@
 from ..controllers import control_router
 from ..controllers import directory
 from ..controllers import feed
+from ..controllers import reaper
 from ..controllers import roster as roster_keeper
 from ..controllers import rules
 from ..filters import admit
@@ -38,7 +39,7 @@
 # of what a confirmation counts leaves time for a store that fails at first.
 RULES_WAIT_S = 2.0
 ROSTER_WAIT_S = 20.0
-ROSTER_GATHER_S = 1.0
+ROSTER_GATHER_S = 0.5
 # A confirmation counts this much shorter than a withdrawn key may work, for
 # a store whose feed hides a change for a second, and for the way.
 FRESH_MARGIN_S = 1.25
@@ -94,6 +95,7 @@
     dialler: dialler.Dialler
     acceptor: acceptor.Acceptor
     check_ins: check_ins.CheckInKeeper
+    reaper: reaper.Reaper
     book: directory.Directory[spread.Spread]
 
     def find_address(self, node_id: str) -> control_router.Address | None:
@@ -192,6 +194,12 @@
             guard,
             clock=time.monotonic,
         ),
+        reaper=reaper.Reaper(
+            state.roster,
+            links,
+            count_nodes=lambda: len(state.roster.roster),
+            source=state.source,
+        ),
         book=state.book,
     )
     state.router.links = path
--- a/src/eelgrasswalk/transport/dialler.py
+++ b/src/eelgrasswalk/transport/dialler.py
@@ -16,6 +16,8 @@
 
 DIAL_TIMEOUT_S = 1.5
 DIAL_BACKOFF_S = 0.05
+# A failure that is older says nothing of now.
+RECENT_FAILURE_S = 2.0
 MAX_DIAL_BACKOFF_S = 0.5
 # A peer cancels the work of a lost link after as long; no answer comes later.
 RESOLVE_LIMIT_S = 3.0
@@ -121,6 +123,26 @@
         peer = self._peers.get(node_id)
         return peer is not None and peer.refused
 
+    def list_failing(self, least_s: float) -> list[str]:
+        """Return the peers that could not be reached for so long.
+
+        Only those that were tried a moment ago count; another may be back.
+        """
+        now = asyncio.get_running_loop().time()
+        return [
+            node_id
+            for node_id, peer in self._peers.items()
+            if peer.failing_since is not None
+            and now - peer.failing_since >= least_s
+            and now - peer.failed_at <= RECENT_FAILURE_S
+        ]
+
+    def forget_failures(self, node_id: str) -> None:
+        """Count the failures of a peer anew."""
+        peer = self._peers.get(node_id)
+        if peer is not None:
+            peer.failing_since = None
+
     def count_links(self) -> int:
         """Return how many links are open."""
         return sum(1 for peer in self._peers.values() if peer.is_open)
@@ -146,6 +168,8 @@
     def __init__(self, dialler: Dialler, address: Address) -> None:
         self.address = address
         self.refused = False
+        self.failing_since: float | None = None
+        self.failed_at = 0.0
         self._dialler = dialler
         self._loop = asyncio.get_running_loop()
         self._link: link.Link | None = None
@@ -313,16 +337,24 @@
 
     async def _open_link(self) -> bool:
         self.refused = False
+        started_at = self._loop.time()
+        opened = False
         try:
             async with asyncio.timeout(DIAL_TIMEOUT_S):
-                return await self._connect()
+                opened = await self._connect()
         except ConnectionRefusedError:
             self.refused = True
-            return False
         except (OSError, TimeoutError):
-            return False
+            pass
         finally:
             self._dialling = None
+        if opened:
+            self.failing_since = None
+            return True
+        self.failed_at = self._loop.time()
+        if self.failing_since is None:
+            self.failing_since = started_at
+        return False
 
     async def _connect(self) -> bool:
         self._sequence += 1
--- a/tests/policy/test_roster.py
+++ b/tests/policy/test_roster.py
@@ -41,3 +41,13 @@
         self.assertTrue(ENTRY.is_usable)
         stopping = dataclasses.replace(ENTRY, stopping=True)
         self.assertFalse(stopping.is_usable)
+
+
+class ChooseLostTest(unittest.TestCase):
+    def test_single_node_that_is_gone(self) -> None:
+        self.assertEqual(('n2',), roster.choose_lost(['n2'], reached=8))
+
+    def test_node_that_is_cut_off_takes_nobody_for_gone(self) -> None:
+        failing = [f'n{number}' for number in range(12)]
+        self.assertEqual((), roster.choose_lost(failing, reached=3))
+        self.assertEqual((), roster.choose_lost(['n2'], reached=0))
