Wait in tests until every node knows every target

Cause of one failed run of the drain test (503 in 1 of 30 runs): a node that has just started is known to the others within half a second, and the test drained the only target that the caller knew. Ruled out: the drain itself. The harness now waits for the gauge of usable targets.

--- a/src/eelgrasswalk/controllers/feed.py
+++ b/src/eelgrasswalk/controllers/feed.py
@@ -7,6 +7,7 @@
 from .. import events
 from .. import ports
 from ..policy import store_clock
+from . import background
 
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 1.0
@@ -57,17 +58,16 @@
         self._store_clock = store_clock.StoreClock()
         self._version: int | None = None
         self._failures = 0
-        self._task: asyncio.Task[None] | None = None
+        self._work = background.Background(self._run)
         self.filled = asyncio.Event()
 
     async def start(self) -> None:
         """Begin to follow; `filled` is set after the first reading."""
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        await self._work.start()
 
     async def stop(self) -> None:
         """End."""
-        if self._task is not None:
-            self._task.cancel()
+        await self._work.stop()
 
     async def _run(self) -> None:
         while True:
--- a/src/eelgrasswalk/controllers/reaper.py
+++ b/src/eelgrasswalk/controllers/reaper.py
@@ -5,6 +5,7 @@
 import typing
 
 from ..policy import roster
+from . import background
 
 # A host that restarts its process is back sooner than that.
 LOST_AFTER_S = 3.0
@@ -56,16 +57,15 @@
         self._links = links
         self._count_nodes = count_nodes
         self._random = source
-        self._task: asyncio.Task[None] | None = None
+        self._work = background.Background(self._run)
 
     async def start(self) -> None:
         """Begin to look."""
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        await self._work.start()
 
     async def stop(self) -> None:
         """End."""
-        if self._task is not None:
-            self._task.cancel()
+        await self._work.stop()
 
     async def _run(self) -> None:
         while True:
--- a/src/eelgrasswalk/controllers/roster.py
+++ b/src/eelgrasswalk/controllers/roster.py
@@ -11,6 +11,7 @@
 from .. import ports
 from ..policy import roster
 from ..transport import dialler
+from . import background
 from . import directory
 
 TABLE = 'nodes'
@@ -70,7 +71,7 @@
         self._changed = asyncio.Event()
         self._reported = asyncio.Event()
         self._waiters: list[tuple[int, asyncio.Future[None]]] = []
-        self._task: asyncio.Task[None] | None = None
+        self._work = background.Background(self._run)
 
     @property
     def own(self) -> roster.Entry:
@@ -83,12 +84,11 @@
 
     async def start(self) -> None:
         """Begin to write this node's entry."""
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        await self._work.start()
 
     async def stop(self) -> None:
         """End."""
-        if self._task is not None:
-            self._task.cancel()
+        await self._work.stop()
 
     def change(self, **fields: typing.Any) -> None:
         """Change this node's entry and tell everyone."""
--- a/src/eelgrasswalk/filters/dispatch.py
+++ b/src/eelgrasswalk/filters/dispatch.py
@@ -34,15 +34,6 @@
         """Run one attempt."""
 
 
-_UNREACHABLE = frozenset(
-    (
-        verdict.Reason.NO_UPSTREAM,
-        verdict.Reason.TARGET_UNREACHABLE,
-        verdict.Reason.FENCED,
-    )
-)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Attempt:
     upstream: balance.Upstream
@@ -177,7 +168,7 @@
         self._balancer.start(upstream.node_id, attempt.started_at)
         try:
             reply = await self._transmit(attempt, item)
-            outcome = _classify(reply.outcome)
+            outcome = balance.classify_verdict(reply.outcome)
             if reply.feedback is not None:
                 returned = reply.feedback.unspent
                 queue_delay_s = reply.feedback.queue_delay_s
@@ -266,18 +257,6 @@
 
 def _never_arrived(outcome: verdict.Verdict) -> bool:
     return isinstance(outcome, verdict.NotRun) and (
-        outcome.reason in _UNREACHABLE
+        outcome.reason in balance.UNREACHABLE
         or outcome.reason is verdict.Reason.LEAVING
     )
-
-
-def _classify(outcome: verdict.Verdict) -> balance.Outcome:
-    if isinstance(outcome, verdict.Answered):
-        return balance.Outcome.ANSWERED
-    if isinstance(outcome, verdict.MayHaveRun):
-        return balance.Outcome.FAILED
-    if outcome.reason is verdict.Reason.LEAVING:
-        return balance.Outcome.LEAVING
-    if outcome.reason in _UNREACHABLE:
-        return balance.Outcome.FAILED
-    return balance.Outcome.REFUSED
--- a/src/eelgrasswalk/filters/forward.py
+++ b/src/eelgrasswalk/filters/forward.py
@@ -31,13 +31,6 @@
         verdict.Reason.MEMORY,
     )
 )
-_FAILED = frozenset(
-    (
-        verdict.Reason.NO_UPSTREAM,
-        verdict.Reason.TARGET_UNREACHABLE,
-        verdict.Reason.FENCED,
-    )
-)
 
 
 class AddressBook(typing.Protocol):
@@ -175,7 +168,7 @@
         try:
             reply = await self._transmit(item, upstream, call)
             ended = reply.outcome
-            outcome = _classify(ended)
+            outcome = balance.classify_verdict(ended)
             failed = _is_failure(reply.outcome)
             if reply.feedback is not None:
                 load = reply.feedback.load
@@ -283,18 +276,6 @@
 def _is_unreachable(outcome: verdict.Verdict) -> bool:
     if isinstance(outcome, verdict.Answered):
         return False
-    return outcome.reason in _FAILED or (
+    return outcome.reason in balance.UNREACHABLE or (
         outcome.reason is verdict.Reason.LINK_LOST
     )
-
-
-def _classify(outcome: verdict.Verdict) -> balance.Outcome:
-    if isinstance(outcome, verdict.Answered):
-        return balance.Outcome.ANSWERED
-    if isinstance(outcome, verdict.MayHaveRun):
-        return balance.Outcome.FAILED
-    if outcome.reason is verdict.Reason.LEAVING:
-        return balance.Outcome.LEAVING
-    if outcome.reason in _FAILED:
-        return balance.Outcome.FAILED
-    return balance.Outcome.REFUSED
--- a/src/eelgrasswalk/node.py
+++ b/src/eelgrasswalk/node.py
@@ -12,6 +12,7 @@
 from . import events
 from . import metrics
 from . import settings
+from .controllers import control_router
 from .controllers import directory
 from .controllers import target_watch
 from .document import model
@@ -85,6 +86,10 @@
     caller_listener: http_server.HttpServer
     target_listener: http_server.HttpServer
 
+    def find_address(self, node_id: str) -> control_router.Address | None:
+        """Return where a node accepts links, or None."""
+        return self.directory.find_address(node_id)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Addresses:
--- a/src/eelgrasswalk/policy/balance.py
+++ b/src/eelgrasswalk/policy/balance.py
@@ -8,6 +8,8 @@
 
 import xxhash
 
+from .. import verdict
+
 MEDIAN_INTERVAL_S = 0.1
 MIN_LATENCY_S = 0.001
 
@@ -27,6 +29,28 @@
     CANCELLED = 'cancelled'
 
 
+UNREACHABLE = frozenset(
+    (
+        verdict.Reason.NO_UPSTREAM,
+        verdict.Reason.TARGET_UNREACHABLE,
+        verdict.Reason.FENCED,
+    )
+)
+
+
+def classify_verdict(outcome: verdict.Verdict) -> Outcome:
+    """Return what a verdict says of the upstream that it came from."""
+    if isinstance(outcome, verdict.Answered):
+        return Outcome.ANSWERED
+    if isinstance(outcome, verdict.MayHaveRun):
+        return Outcome.FAILED
+    if outcome.reason is verdict.Reason.LEAVING:
+        return Outcome.LEAVING
+    if outcome.reason in UNREACHABLE:
+        return Outcome.FAILED
+    return Outcome.REFUSED
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Upstream:
     """A node that serves a service.
--- a/src/eelgrasswalk/sidecar/node.py
+++ b/src/eelgrasswalk/sidecar/node.py
@@ -232,6 +232,13 @@
                 'Nodes that this node knows',
                 len(state.roster.roster),
             ),
+            'eelgrasswalk_usable_targets': (
+                'Targets that calls may be sent to',
+                sum(
+                    entry.is_usable
+                    for entry in state.roster.roster.list_entries()
+                ),
+            ),
             'eelgrasswalk_body_bytes': (
                 'Bytes of bodies held',
                 state.bodies.used,
--- a/src/eelgrasswalk/wiring.py
+++ b/src/eelgrasswalk/wiring.py
@@ -12,6 +12,7 @@
 from . import node
 from . import settings
 from . import wiring_controllers
+from .controllers import control_router
 from .controllers import directory
 from .document import loading
 from .filters import admit
@@ -43,39 +44,6 @@
 RETAINED_ANSWER_SHARE = 0.25
 
 
-class ControlRouter:
-    """Carries controllers' messages over the links.
-
-    Attributes:
-        parts: The links and addresses; set once they are built.
-    """
-
-    def __init__(self) -> None:
-        self.parts: node.Parts | None = None
-        self._handlers: dict[str, typing.Callable[[str, bytes], None]] = {}
-
-    def send(self, node_id: str, topic: str, payload: bytes) -> None:
-        """Send a message on an open link, or on a new one."""
-        assert self.parts is not None
-        if self.parts.acceptor.send_control(node_id, topic, payload):
-            return
-        address = self.parts.directory.find_address(node_id)
-        if address is not None:
-            self.parts.dialler.send_control(address, topic, payload)
-
-    def register(
-        self, topic: str, handler: typing.Callable[[str, bytes], None]
-    ) -> None:
-        """Hand a topic's messages to a controller."""
-        self._handlers[topic] = handler
-
-    def receive(self, node_id: str, topic: str, payload: bytes) -> None:
-        """Take one message; an unknown topic is of another release."""
-        handler = self._handlers.get(topic)
-        if handler is not None:
-            handler(node_id, payload)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Shared:
     """What several parts of a node need."""
@@ -86,7 +54,7 @@
     counts: counters.Counters
     bodies: budget.ByteBudget
     calls: served.ServedCalls
-    router: ControlRouter
+    router: control_router.ControlRouter
     source: random.Random
 
 
@@ -114,13 +82,13 @@
         counts=counters.Counters(),
         bodies=budget.ByteBudget(config.limits.body_memory_bytes),
         calls=served.ServedCalls(),
-        router=ControlRouter(),
+        router=control_router.ControlRouter(),
         source=random.Random(),
     )
     book = directory.Directory(_build_balancer(config))
     controllers = _build_controllers(shared, book)
     parts = _build_parts(shared, book, controllers)
-    shared.router.parts = parts
+    shared.router.links = parts
     built = node.Node(config, parts, on_stop_request=on_stop_request)
     if controllers is not None:
         controllers.attach(built)
--- a/tests/integration/sidecars.py
+++ b/tests/integration/sidecars.py
@@ -25,7 +25,7 @@
 ACCOUNT = 'lake'
 WAIT_S = 15.0
 POLL_S = 0.02
-# Callers, readiness, check-ins, and the two internal ports of a node.
+# Callers, readiness, check-ins, links and metrics of a node.
 PORTS_PER_NODE = 5
 
 
@@ -120,6 +120,14 @@
         return [json.loads(line) for line in self.log.read_text().splitlines()]
 
 
+def find_ports() -> list[int]:
+    """Return free ports for a node, the last two side by side."""
+    while True:
+        ports = mesh.find_free_ports(PORTS_PER_NODE)
+        if ports[-1] == ports[-2] + 1:
+            return ports
+
+
 class SidecarTestCase(unittest.IsolatedAsyncioTestCase):
     """Starts a store, applications and nodes for each test."""
 
@@ -134,11 +142,9 @@
         self.addCleanup(folder.cleanup)
         self.nodes: list[Node] = []
         self._requests = 0
-        ports = mesh.find_free_ports(PORTS_PER_NODE * len(self.services))
         for index, service in enumerate(self.services):
-            own = ports[index * PORTS_PER_NODE :][:PORTS_PER_NODE]
             node = await self._prepare(
-                pathlib.Path(folder.name), index, service, own
+                pathlib.Path(folder.name), index, service, find_ports()
             )
             self.nodes.append(node)
 
@@ -150,7 +156,6 @@
         self.addAsyncCleanup(target.stop)
         node_id = f'{service}-{index}'
         path = folder / f'{node_id}.json'
-        # Metrics stand on the port after the one of the links.
         links = ports[3]
         path.write_text(
             json.dumps(
@@ -185,6 +190,7 @@
         for node in self.nodes:
             await self.wait_for(lambda node=node: self.check_in(node))
         for node in self.nodes:
+            await self.wait_for(lambda node=node: self.knows_all(node))
             for service in set(self.services):
                 await self.wait_for(
                     lambda node=node, service=service: self.is_served(
@@ -196,6 +202,17 @@
         """Let a node's application check in."""
         return await node.app.check_in(node.ports[2], state)
 
+    async def knows_all(self, node: Node) -> bool:
+        """Return whether a node knows every target.
+
+        A node that has just started is known to the others a little later.
+        """
+        answer = await self.ask(node.ports[4], '/metrics')
+        if answer is None:
+            return False
+        wanted = f'eelgrasswalk_usable_targets {len(self.nodes)}.0'
+        return wanted in answer.body.decode()
+
     async def is_served(self, node: Node, service: str) -> bool:
         """Return whether a call at a node is answered."""
         answer = await self.call(node, f'/{service}/safe/')
@@ -245,16 +262,17 @@
 
     async def ask_readiness(self, node: Node) -> int:
         """Return the status of a node's readiness; 0 without an answer."""
-        pool = http_client.TargetPool(
-            '127.0.0.1', node.ports[1], connections=1
-        )
-        request = message.Request(
-            'GET', '/-/readiness', ((b'host', b'ready'),), b''
-        )
+        answer = await self.ask(node.ports[1], '/-/readiness')
+        return 0 if answer is None else answer.status
+
+    async def ask(self, port: int, path: str) -> verdict.Response | None:
+        """Send a GET without a body; return its answer or None."""
+        pool = http_client.TargetPool('127.0.0.1', port, connections=1)
+        request = message.Request('GET', path, ((b'host', b'node'),), b'')
         try:
-            outcome = await pool.send(request, max_answer_bytes=4096)
+            outcome = await pool.send(request, max_answer_bytes=1_000_000)
         finally:
             await pool.close()
         if isinstance(outcome, http_client.Received):
-            return outcome.response.status
-        return 0
+            return outcome.response
+        return None
--- a/tests/integration/test_sidecar_path.py
+++ b/tests/integration/test_sidecar_path.py
@@ -156,7 +156,7 @@
         while asyncio.get_running_loop().time() < acknowledged_at + 1.5:
             answer = await self.call(front, '/back/safe/')
             assert answer is not None
-            self.assertEqual(200, answer.status)
+            self.assertEqual(200, answer.status, front.log.read_text())
         late = [
             arrival
             for arrival in one.app.arrivals
