--- a/src/eelgrasswalk/filters/front.py
+++ b/src/eelgrasswalk/filters/front.py
@@ -19,6 +19,7 @@
 # Callers that wait this long find rules, keys or tokens as they should be.
 STALE_RETRY_S = 0.5
 MAX_TIMEOUT_S = 600.0
+_CALLER_GONE = verdict.MayHaveRun(verdict.Reason.CALLER_GONE)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -138,7 +139,11 @@
         if isinstance(item, verdict.NotRun):
             self._record_refusal(request, item, arrived_at)
             return item
-        outcome = await self._forward(item)
+        try:
+            outcome = await self._forward(item)
+        except asyncio.CancelledError:
+            self._record_call(item, _CALLER_GONE)
+            raise
         self._record_call(item, outcome)
         return outcome
 
--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -23,6 +23,9 @@
 LATE_SHARE = 0.4
 # What waits longer than that must not reach the target any more.
 LAST_SHARE = 0.8
+_CALLER_GONE = dialler.Reply(
+    verdict.MayHaveRun(verdict.Reason.CALLER_GONE), None
+)
 
 
 class Gate:
@@ -80,7 +83,11 @@
     async def run(self, call: frames.Call) -> dialler.Reply:
         """Run one attempt and tell the target's load with its outcome."""
         started_at = self._loop.time()
-        reply = await self._run(call, started_at)
+        try:
+            reply = await self._run(call, started_at)
+        except asyncio.CancelledError:
+            self._record(call, _CALLER_GONE, started_at)
+            raise
         self._record(call, reply, started_at)
         return reply
 
--- a/tests/integration/test_sidecar_path.py
+++ b/tests/integration/test_sidecar_path.py
@@ -143,6 +143,18 @@
         await self.wait_for(is_freed)
         self.assertLess(time.monotonic() - started_at, 0.5)
 
+        async def is_told() -> bool:
+            return all(
+                any(
+                    line.get('reason') == 'caller-gone'
+                    for node in nodes
+                    for line in node.read_log()
+                )
+                for nodes in ((front,), (one, other))
+            )
+
+        await self.wait_for(is_told)
+
 
 class DrainTest(sidecars.SidecarTestCase):
     services = ('front', 'back', 'back')
