--- a/src/eelgrasswalk/controllers/account_quota.py
+++ b/src/eelgrasswalk/controllers/account_quota.py
@@ -54,6 +54,7 @@
         is_dead: Tells whether a node is known not to run.
         lower_after_s: Seconds after which a lower limit counts.
         source: Random numbers.
+        clock: Monotonic seconds.
     """
 
     def __init__(
@@ -68,6 +69,7 @@
         slack: account_rates.Slack,
         lower_after_s: float,
         source: random.Random,
+        clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
         self._node_id = node_id
         self._list_owners = list_owners
@@ -77,7 +79,7 @@
         self._is_dead = is_dead
         self._slack = slack
         self._random = source
-        self._clock = time.monotonic
+        self._clock = clock
         self._owned = account_rates.OwnedAccounts()
         self._lower = account_rates.LowerLimits(lower_after_s)
         self._alone = account_rates.SharesAlone()
--- a/tests/controllers/test_account_quota.py
+++ b/tests/controllers/test_account_quota.py
@@ -28,6 +28,7 @@
         self.silent: set[str] = set()
         self.dead: set[str] = set()
         self.members = list(NODES)
+        self.now = 1000.0
         for node_id in NODES:
             self.nodes[node_id] = account_quota.AccountQuota(
                 node_id,
@@ -39,6 +40,7 @@
                 slack=account_rates.Slack(0.1, 20.0, 5.0),
                 lower_after_s=1.5,
                 source=random.Random(1),
+                clock=lambda: self.now,
             )
         self.owner = account_rates.choose_owner('lake', NODES) or ''
         self.others = [name for name in NODES if name != self.owner]
@@ -75,8 +77,7 @@
         for node_id in NODES:
             admitted += await self.mesh.count_admitted(node_id, 30)
         first = account_rates.FIRST_SHARE * LAKE.rate
-        self.assertGreaterEqual(admitted, int(first))
-        self.assertLessEqual(admitted, first + 5)
+        self.assertEqual(int(first), admitted)
 
     async def test_refusal_says_when_to_come_back(self) -> None:
         other = self.mesh.others[0]
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -20,7 +20,12 @@
 
     def test_every_promise_has_tests(self) -> None:
         lines = PAGE.read_text().splitlines()
-        rows = [line for line in lines if line.startswith('| ')][2:]
+        rows = [
+            line
+            for line in lines
+            if line.startswith('| ')
+            and line.split('|')[2].strip() not in ('Tests', '---')
+        ]
         self.assertGreaterEqual(len(rows), PROMISES)
         for row in rows:
             self.assertIn('`tests.', row.split('|')[2])
