--- a/src/eelgrasswalk/cli/node.py
+++ b/src/eelgrasswalk/cli/node.py
@@ -1,7 +1,6 @@
 """eelgrasswalk-node: the process beside each target."""
 
 import dataclasses
-import gc
 import json
 import os
 import pathlib
@@ -11,14 +10,13 @@
 import click
 
 from .. import app
+from .. import collector
 from .. import events
 from .. import node
 from .. import settings
 from .. import wiring
 
 EXIT_BAD_SETTINGS = 2
-# Objects before a collection of the youngest, and ratios of the older ones.
-COLLECTOR_THRESHOLDS = (50_000, 20, 50)
 
 
 @click.command()
@@ -40,7 +38,7 @@
         sys.exit(EXIT_BAD_SETTINGS)
     events.configure_logging(config.log_level, node_id=config.node_id)
 
-    tune_collector()
+    collector.tune_collector()
 
     def build() -> tuple[app.Application, typing.Callable[[], None]]:
         application, built = wiring.build_application(config)
@@ -49,17 +47,6 @@
     app.run_application(build)
 
 
-def tune_collector() -> None:
-    """Keep long collections of garbage out of calls.
-
-    What has been loaded by now is never garbage, and the objects of a call
-    are freed without the collector.
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*COLLECTOR_THRESHOLDS)
-
-
 def announce(started: node.Node) -> None:
     """Print where the node listens."""
     addresses = started.addresses
--- a/src/eelgrasswalk/cli/sidecar.py
+++ b/src/eelgrasswalk/cli/sidecar.py
@@ -1,7 +1,6 @@
 """eelgrasswalk-sidecar: the node beside each target on the platform."""
 
 import dataclasses
-import gc
 import os
 import sys
 
@@ -9,6 +8,7 @@
 os.environ['UV_USE_IO_URING'] = '0'
 
 from .. import app
+from .. import collector
 from .. import events
 from .. import log_stream
 from .. import request_log
@@ -23,8 +23,6 @@
 from ..sidecar import wiring
 
 EXIT_BAD_SETTINGS = 2
-# Objects before a collection of the youngest, and ratios of the older ones.
-COLLECTOR_THRESHOLDS = (50_000, 20, 50)
 
 
 def main() -> None:
@@ -46,9 +44,7 @@
         stream=log_stream.LogStream(sys.stdout.fileno()),
         budget=budget,
     )
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*COLLECTOR_THRESHOLDS)
+    collector.tune_collector()
     app.run_application(
         lambda: (build_application(config, budget), lambda: None)
     )
--- a/src/eelgrasswalk/platform/names.py
+++ b/src/eelgrasswalk/platform/names.py
@@ -1,14 +1,21 @@
 """Names of the platform's headers, fields and tables."""
 
 # Headers, in lower case.
+# Names one client attempt; a caller's own retry has another.
 REQUEST_ID = b'attempt-id'
+# Milliseconds that are left, not a moment.
 DEADLINE = b'request-deadline'
+# The target's signature; only answers that it has made carry it.
 STAMP = b'response-stamp'
+# Name of the client account, in place of its key.
 ACCOUNT = b'tenant-id'
+# The lifetime that alone may run the request.
 TARGET_ID = b'target-instance'
-LOAD = b'server-load'
+# Its presence says that the target has not run the request.
 NOT_RUN = b'not-executed'
+# Seconds, with fractions.
 RETRY_AFTER = b'retry-after'
+# Service beside which the request began.
 CALLER_SERVICE = b'caller-service'
 AUTHORIZATION = b'authorization'
 BEARER = b'bearer '
@@ -18,7 +25,6 @@
 CONFIGURATION_KEY = 'config'
 
 # Paths.
-READINESS_PATH = '/-/readiness'
 CALL_PATH = '/-/rpc'
 CHECK_IN_CALL = 'instances.heartbeat'
 LEAVE_CALL = 'instances.deregister'
--- a/src/eelgrasswalk/policy/freshness.py
+++ b/src/eelgrasswalk/policy/freshness.py
@@ -17,11 +17,6 @@
         self._limit_s = limit_s
         self._confirmed_at = -math.inf
 
-    @property
-    def confirmed_at(self) -> float:
-        """When the configuration in force was the newest for certain."""
-        return self._confirmed_at
-
     def confirm(self, true_at: float) -> None:
         """Take a confirmation.
 
