--- a/src/eelgrasswalk/cli/sidecar.py
+++ b/src/eelgrasswalk/cli/sidecar.py
@@ -4,9 +4,6 @@
 import os
 import sys
 
-# The event loop's library reads this when it is loaded.
-os.environ['UV_USE_IO_URING'] = '0'
-
 from .. import app
 from .. import collector
 from .. import events
@@ -27,6 +24,8 @@
 
 def main() -> None:
     """Run a node with the settings that the platform gives it."""
+    # The event loop's library reads this when it is loaded.
+    os.environ['UV_USE_IO_URING'] = '0'
     try:
         config = process_settings.load_settings()
     except process_settings.BadSettingsError as error:
--- a/tests/controllers/test_feed.py
+++ b/tests/controllers/test_feed.py
@@ -83,7 +83,9 @@
         asked: list[int] = []
         watch = self.store.watch
 
-        async def note(table: str, after: int, wait_s: float):  # type: ignore[no-untyped-def]
+        async def note(
+            table: str, after: int, wait_s: float
+        ) -> fake_store.Answer:
             asked.append(after)
             return await watch(table, after, wait_s)
 
