Finish calls until shortly before the end of the grace time

Cause: calls were cut 1.7 s before the kill, though those that are sent until 3 s after the signal are to be finished until a sixth of the grace time is left; the rest was kept for parting from peers, which takes a second when one is cut off and now takes 0.3 s at most. That also is the likeliest cause of the one process that was killed at the end of its grace time (not shown). The test fails with the old margin.

--- a/src/eelgrasswalk/sidecar/node.py
+++ b/src/eelgrasswalk/sidecar/node.py
@@ -1,6 +1,7 @@
 """The life of a node beside a target on a platform."""
 
 import asyncio
+import contextlib
 import dataclasses
 import time
 
@@ -20,9 +21,10 @@
 # The platform asks each second and takes a host out after two misses; calls
 # come until then.
 LEAVE_S = 3.0
-# Left of the grace period for closing down; parting from peers alone may take
-# a second.
-CLOSE_MARGIN_S = 1.7
+# Left of the grace period for closing down; calls may be finished until then.
+CLOSE_MARGIN_S = 0.9
+# Parting from peers takes at most this; one that is cut off never answers.
+PART_LIMIT_S = 0.3
 # A check-in that comes while the node starts is held for so long; it has to
 # be acknowledged within a second.
 BUILD_WAIT_S = 0.8
@@ -158,7 +160,9 @@
         if path is not None:
             await path.reaper.stop()
             await path.dialler.stop()
-            await path.acceptor.stop()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(PART_LIMIT_S):
+                    await path.acceptor.stop()
             await path.pool.close()
             path.admitter.stop()
         await self._state.roster.stop()
--- a/tests/integration/sidecars.py
+++ b/tests/integration/sidecars.py
@@ -132,6 +132,7 @@
     """Starts a store, applications and nodes for each test."""
 
     services: tuple[str, ...] = ('front', 'back')
+    timeout_ms = 3000
     bounds: typing.ClassVar[dict[str, typing.Any]] = {}
 
     async def asyncSetUp(self) -> None:
@@ -183,7 +184,9 @@
     async def start_all(self, config: bytes | None = None) -> None:
         """Start every node and wait until all can serve."""
         if config is None:
-            config = build_config(1, sorted(set(self.services)))
+            config = build_config(
+                1, sorted(set(self.services)), timeout_ms=self.timeout_ms
+            )
         self.store.put('op', 'config', config)
         for node in self.nodes:
             node.start()
--- a/tests/integration/test_sidecar_path.py
+++ b/tests/integration/test_sidecar_path.py
@@ -192,6 +192,7 @@
 
 
 class StopTest(sidecars.SidecarTestCase):
+    timeout_ms = 8000
     services = ('front', 'back', 'back')
     bounds = {'grace_s': 6}
 
@@ -212,6 +213,26 @@
             self.assertEqual([200, 200], [_get_status(a) for a in answers])
         self.assertEqual(0, one.process.returncode)
 
+    async def test_long_call_is_finished_within_the_grace_time(self) -> None:
+        """Calls may be finished until shortly before the kill."""
+        await self.start_all()
+        front, one, other = self.nodes
+        for node in (one, other):
+            node.app.behaviour.work_s = 4.9
+        call = asyncio.create_task(
+            self.call(front, '/back/safe/', deadline_ms=6000)
+        )
+        await asyncio.sleep(0.2)
+        for node in self.nodes:
+            node.send_signal(signal.SIGTERM)
+        started_at = time.monotonic()
+        self.assertEqual(200, _get_status(await call))
+        for node in self.nodes:
+            assert node.process is not None
+            while node.process.poll() is None:
+                self.assertLess(time.monotonic() - started_at, 6.0)
+                await asyncio.sleep(0.05)
+
     async def test_signal_to_reload_ends_nothing(self) -> None:
         await self.start_all()
         front = self.nodes[0]
