--- a/src/eelgrasswalk/transport/link.py
+++ b/src/eelgrasswalk/transport/link.py
@@ -130,7 +130,7 @@
         The part of a body that does not fit inline follows as the receiver
         gives credit.
         """
-        if self._transport is None:
+        if self._transport is None or not self._is_connected():
             return
         self._outbox.add(item)
         if isinstance(item, frames.Call):
@@ -138,6 +138,11 @@
         self._websocket.send_binary(codec.encode_message(item))
         self._flush()
 
+    def _is_connected(self) -> bool:
+        """Tell whether the peer still reads; its end may come before ours."""
+        state = self._websocket.state
+        return state is websockets.protocol.State.OPEN
+
     def _deliver(self, item: frames.Message) -> None:
         self._owner.on_message(self, item)
 
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -14,6 +14,7 @@
 from eelgrasswalk.transport import frames
 from eelgrasswalk.transport import link
 from eelgrasswalk.transport import message
+from tests.transport import fakes
 from tests.transport import valve
 
 SECRET = b'secret of the tests'
@@ -247,3 +248,19 @@
             verdict.MayHaveRun(verdict.Reason.DEADLINE), reply.outcome
         )
         await asyncio.wait_for(self.runner.cancelled.wait(), WAIT_S)
+
+
+class ClosedLinkTest(unittest.IsolatedAsyncioTestCase):
+    async def test_message_on_a_link_that_the_peer_has_ended(self) -> None:
+        """Nodes that stop together end their links at the same moment."""
+        ended = link.Link(
+            unittest.mock.Mock(),
+            link.Identity('n1', 1),
+            secret=b'secret',
+            memory=budget.ByteBudget(1000),
+            dialled=False,
+        )
+        ended.connection_made(fakes.FakeTransport())
+        ended.eof_received()
+        ended.send(frames.Goodbye())
+        ended.connection_lost(None)
