--- a/src/eelgrasswalk/bench/replay.py
+++ b/src/eelgrasswalk/bench/replay.py
@@ -9,6 +9,7 @@
 from . import admission_replay
 from . import replayers
 from . import report
+from . import share_replay
 from . import traces
 
 
@@ -24,6 +25,7 @@
     'levels': replayers.LevelReplayer,
     'retries': replayers.RetryReplayer,
     'balance': replayers.BalanceReplayer,
+    'share': share_replay.ShareReplayer,
 }
 
 
--- a/src/eelgrasswalk/cli/operator.py
+++ b/src/eelgrasswalk/cli/operator.py
@@ -4,6 +4,7 @@
 import click.shell_completion
 
 from ..operations import connections
+from . import explaining
 from . import files
 from . import keys
 from . import nodes
@@ -75,7 +76,7 @@
     click.echo(found(main, {}, PROGRAM, variable).source())
 
 
-for _module in (files, versions, keys, progress, nodes):
+for _module in (files, versions, keys, progress, nodes, explaining):
     for _command in _module.COMMANDS:
         main.add_command(_command)
 
--- a/src/eelgrasswalk/controllers/account_quota.py
+++ b/src/eelgrasswalk/controllers/account_quota.py
@@ -80,17 +80,23 @@
         self._slack = slack
         self._random = source
         self._clock = clock
-        self._owned = account_rates.OwnedAccounts()
+        self._owned = account_rates.OwnedAccounts(clock())
         self._lower = account_rates.LowerLimits(lower_after_s)
         self._alone = account_rates.SharesAlone()
         self._asking: dict[str, _Asking] = {}
         self._owners: dict[str, str] = {}
+        self._node_ids: tuple[str, ...] = ()
 
     def note_nodes(self) -> None:
-        """Choose the owners anew: nodes have come or gone."""
+        """Choose the owners anew if nodes have come or gone."""
+        node_ids = tuple(self._list_owners())
+        if node_ids == self._node_ids:
+            return
+        self._node_ids = node_ids
         self._owners.clear()
-        self._owned.keep_only(
-            lambda account: self._find_owner(account) == self._node_id
+        self._owned.change_owners(
+            lambda account: self._find_owner(account) == self._node_id,
+            self._clock(),
         )
 
     async def admit(
@@ -104,6 +110,19 @@
             return self._judge(self._grant(account, 1))
         return await self._ask(account, owner)
 
+    def describe(
+        self, account: call_rules.AccountRule
+    ) -> dict[str, typing.Any]:
+        """Return what decides on the account's calls, for the log."""
+        asking = self._asking.get(account.name)
+        is_silent = asking is not None and self._clock() < asking.alone_until
+        return {
+            'rate': account.rate,
+            'burst': account.burst,
+            'owner': self._find_owner(account.name),
+            'owner_is_silent': is_silent,
+        }
+
     def _find_owner(self, account: str) -> str | None:
         owner = self._owners.get(account)
         if owner is None:
--- a/src/eelgrasswalk/controllers/check_ins.py
+++ b/src/eelgrasswalk/controllers/check_ins.py
@@ -18,7 +18,7 @@
 class Gate(typing.Protocol):
     """What admits calls to the target."""
 
-    def set_target(self, target_id: str, slots: int, cold_s: float) -> None:
+    def set_target(self, target_id: str, slots: int) -> None:
         """Deliver to this lifetime from now on."""
 
     def leave(self) -> None:
@@ -75,7 +75,6 @@
             sequence=-1,
             slots=entry.slots,
             draining=entry.state is not roster.TargetState.READY,
-            cold_left_s=0.0,
         )
         if report.draining:
             self._life.observe(report, self._clock())
@@ -92,9 +91,7 @@
         report = self._life.report
         assert report is not None
         if self._life.is_ready:
-            self._gate.set_target(
-                report.target_id, report.slots, report.cold_left_s
-            )
+            self._gate.set_target(report.target_id, report.slots)
             state = roster.TargetState.READY
         else:
             self._gate.leave()
@@ -106,7 +103,6 @@
             state=state,
             target_id=report.target_id,
             slots=report.slots,
-            cold=report.cold_left_s > 0.0,
         )
 
 
@@ -117,5 +113,4 @@
         sequence=item.sequence,
         slots=item.slots,
         draining=item.draining,
-        cold_left_s=item.cold_left_s,
     )
--- a/src/eelgrasswalk/controllers/quota.py
+++ b/src/eelgrasswalk/controllers/quota.py
@@ -22,6 +22,10 @@
 MAX_WAIT_S = 0.05
 # The same, as a share of the time left until its deadline.
 WAIT_SHARE = 0.25
+# The same until an owner has answered for the first time: slots have no
+# owner after a start of the whole mesh, and get one within about a second.
+FIRST_WAIT_S = 3.0
+FIRST_WAIT_SHARE = 0.5
 # A single request waits for a token that is due within this time.
 NEAR_S = 0.015
 # A shorter wait is not worth a timer.
@@ -197,13 +201,14 @@
             deadline: Its deadline on the event loop's clock, in seconds.
 
         Returns:
-            The decision, after a wait of at most 50 ms for tokens.
+            The decision, after a wait of at most 50 ms for tokens, or of
+            3 s for the first answer of an owner.
         """
         waiters = self._waiters.get(account)
         if waiters is None:
             return quota.Refused(UNKNOWN_ACCOUNT_RETRY_S)
         now = anyio.current_time()
-        end = now + min(MAX_WAIT_S, (deadline - now) * WAIT_SHARE)
+        end = now + self._compute_wait(account, deadline - now)
         waiter = Waiter()
         waiters.append(waiter)
         self._serve(account)
@@ -220,6 +225,11 @@
             waiters.remove(waiter)
         return quota.Refused(quota_holder.SUSPECT_S)
 
+    def _compute_wait(self, account: str, remaining_s: float) -> float:
+        if self._accounts[account].was_answered:
+            return min(MAX_WAIT_S, remaining_s * WAIT_SHARE)
+        return min(FIRST_WAIT_S, remaining_s * FIRST_WAIT_SHARE)
+
     def on_message(
         self, from_node: str, message: quota_messages.Message
     ) -> None:
--- a/src/eelgrasswalk/filters/dispatch.py
+++ b/src/eelgrasswalk/filters/dispatch.py
@@ -19,19 +19,9 @@
 from ..transport import message
 from . import exchange
 
-
-class AddressBook(typing.Protocol):
-    """Knows where upstreams' nodes accept links."""
-
-    def find_address(self, node_id: str) -> dialler.Address | None:
-        """Return a node's address, or None when it is not a member."""
-
-
-class Runner(typing.Protocol):
-    """Runs an attempt at this node's own target."""
-
-    async def run(self, call: frames.Call) -> dialler.Reply:
-        """Run one attempt."""
+# Attempts that reached no upstream cost no allowance, as they loaded none;
+# with their backoff they bridge the start of a node.
+MAX_MISSES = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,14 +31,60 @@
     started_at: float
 
 
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """What the attempts of one request have met so far.
+
+    Args:
+        tried: Nodes that the next attempt avoids.
+        attempts: Attempts made.
+        misses: Attempts in a row that reached no upstream.
+        failure: What came of them all; None before the first.
+    """
+
+    tried: set[str] = dataclasses.field(default_factory=set)
+    attempts: int = 0
+    misses: int = 0
+    failure: verdict.Failure | None = None
+
+    def note(self, outcome: verdict.Failure) -> None:
+        """Take what became of an attempt."""
+        self.attempts += 1
+        self.failure = verdict.combine(self.failure, outcome)
+        self.misses = self.misses + 1 if _never_arrived(outcome) else 0
+        if outcome.reason is verdict.Reason.FENCED:
+            # The link failed, not the upstream, which may be the only one.
+            self.tried.clear()
+
+    def may_miss(self) -> bool:
+        """Return whether upstreams that are out of reach get more time.
+
+        While one upstream stops and another has just started, each of them
+        is out of reach for a moment.
+        """
+        is_unknown = self.attempts == 1 and not self.tried
+        return not is_unknown and self.misses <= MAX_MISSES
+
+
+class Transmitter(typing.Protocol):
+    """Hands attempts to the nodes of their upstreams."""
+
+    async def transmit(
+        self,
+        node_id: str,
+        call: frames.Call,
+        *,
+        deadline: float,
+        retriable: bool,
+    ) -> dialler.Reply:
+        """Run one attempt at an upstream and return its reply."""
+
+
 class Dispatcher:
     """The last step of the chain.
 
     Args:
-        node_id: This node; attempts to itself need no link.
-        book: Addresses of the upstreams' nodes.
-        links: Sends attempts to other nodes.
-        runner: Runs attempts at this node's own target.
+        transmitter: Hands attempts to the upstreams' nodes.
         balancer: Chooses upstreams.
         level_table: Levels that upstreams have answered with.
         storm: Stops retries of a service that fails as a whole.
@@ -59,10 +95,7 @@
     def __init__(
         self,
         *,
-        node_id: str,
-        book: AddressBook,
-        links: dialler.Dialler,
-        runner: Runner,
+        transmitter: Transmitter,
         balancer: balance.Balancer,
         level_table: levels.LevelTable,
         storm: breaker.StormBreaker,
@@ -70,10 +103,7 @@
         removed_headers: frozenset[bytes],
     ) -> None:
         self._removed = removed_headers
-        self._node_id = node_id
-        self._book = book
-        self._links = links
-        self._runner = runner
+        self._transmitter = transmitter
         self._balancer = balancer
         self._levels = level_table
         self._storm = storm
@@ -86,18 +116,15 @@
         item.request = self._strip(item.request)
         service = item.get_route().service
         self._storm.count_request(service, self._clock())
-        tried: set[str] = set()
-        attempts = 0
+        progress = _Progress()
         while True:
-            outcome = await self._send_once(item, tried)
-            attempts += 1
-            decision = self._decide(item, outcome, attempts)
+            outcome = await self._send_once(item, progress.tried)
+            if isinstance(outcome, verdict.Answered):
+                return outcome
+            progress.note(outcome)
+            decision = self._decide(item, outcome, progress)
             if isinstance(decision, retries.GiveUp):
-                return decision.verdict
-            if _is_fenced(outcome):
-                # The link failed, not the upstream, which may be the only
-                # one; the next attempt goes by a new link.
-                tried.clear()
+                return verdict.combine(progress.failure, decision.verdict)
             if not _never_arrived(outcome):
                 self._storm.count_retry(service, self._clock())
             await asyncio.sleep(decision.delay_s)
@@ -110,12 +137,18 @@
         return stripped
 
     def _decide(
-        self, item: exchange.Exchange, outcome: verdict.Verdict, attempt: int
+        self,
+        item: exchange.Exchange,
+        outcome: verdict.Failure,
+        progress: _Progress,
     ) -> retries.Retry | retries.GiveUp:
-        if isinstance(outcome, verdict.Answered):
-            return retries.GiveUp(outcome)
         route = item.get_route()
         now = self._clock()
+        random_value = self._random.random()
+        if _never_arrived(outcome) and progress.may_miss():
+            delay_s = retries.compute_backoff(progress.misses, random_value)
+            if now + delay_s < item.deadline:
+                return retries.Retry(delay_s)
         return retries.decide_retry(
             outcome,
             idempotent=route.idempotent,
@@ -126,8 +159,8 @@
             and self._storm.is_open(route.service, now),
             now=now,
             deadline=item.deadline,
-            attempt=attempt,
-            random_value=self._random.random(),
+            attempt=progress.attempts,
+            random_value=random_value,
         )
 
     async def _send_once(
@@ -141,6 +174,8 @@
             excluded=tried,
         )
         if upstream is None:
+            # Each of them has been tried; the first may be back by now.
+            tried.clear()
             return verdict.NotRun(
                 verdict.Reason.NO_UPSTREAM,
                 retry_after_s=retries.compute_retry_after(
@@ -167,7 +202,12 @@
         queue_delay_s = 0.0
         self._balancer.start(upstream.node_id, attempt.started_at)
         try:
-            reply = await self._transmit(attempt, item)
+            reply = await self._transmitter.transmit(
+                upstream.node_id,
+                attempt.call,
+                deadline=item.deadline,
+                retriable=item.get_route().idempotent,
+            )
             outcome = balance.classify_verdict(reply.outcome)
             if reply.feedback is not None:
                 returned = reply.feedback.unspent
@@ -187,26 +227,6 @@
             )
         return reply
 
-    async def _transmit(
-        self, attempt: _Attempt, item: exchange.Exchange
-    ) -> dialler.Reply:
-        if attempt.upstream.node_id == self._node_id:
-            return await self._runner.run(attempt.call)
-        address = self._book.find_address(attempt.upstream.node_id)
-        if address is None:
-            return dialler.Reply(
-                verdict.NotRun(
-                    verdict.Reason.NO_UPSTREAM, retry_elsewhere=True
-                ),
-                None,
-            )
-        return await self._links.call(
-            address,
-            attempt.call,
-            deadline=item.deadline,
-            retriable=item.get_route().idempotent,
-        )
-
     def _observe_level(
         self, upstream: balance.Upstream, feedback: frames.Feedback
     ) -> None:
@@ -248,13 +268,6 @@
         )
 
 
-def _is_fenced(outcome: verdict.Verdict) -> bool:
-    return (
-        isinstance(outcome, verdict.NotRun)
-        and outcome.reason is verdict.Reason.FENCED
-    )
-
-
 def _never_arrived(outcome: verdict.Verdict) -> bool:
     return isinstance(outcome, verdict.NotRun) and (
         outcome.reason in balance.UNREACHABLE
--- a/src/eelgrasswalk/filters/forward.py
+++ b/src/eelgrasswalk/filters/forward.py
@@ -1,6 +1,7 @@
 """Sends a call to an upstream, and to another where that is safe."""
 
 import asyncio
+import math
 import random
 import secrets
 import time
@@ -11,11 +12,14 @@
 from ..policy import balance
 from ..policy import retries
 from ..policy import retry_budget
+from ..policy import root_share
+from ..policy import running_calls
 from ..policy import spread
 from ..transport import bodies
 from ..transport import dialler
 from ..transport import frames
 from . import front
+from . import transmit
 
 # Upstreams whose gates may refuse one call before it is given up.
 MAX_GATES = 4
@@ -33,29 +37,14 @@
 )
 
 
-class AddressBook(typing.Protocol):
-    """Knows where upstreams' nodes accept links."""
-
-    def find_address(self, node_id: str) -> dialler.Address | None:
-        """Return a node's address, or None when it is not known."""
-
-
-class Runner(typing.Protocol):
-    """Runs an attempt at this node's own target."""
-
-    async def run(self, call: frames.Call) -> dialler.Reply:
-        """Run one attempt."""
-
-
 class Forwarder:
     """The last step of a call at the caller's node.
 
     Args:
-        node_id: This node; attempts to itself need no link.
-        book: Addresses of the upstreams' nodes.
-        links: Sends attempts to other nodes.
-        runner: Runs attempts at this node's own target.
+        transmitter: Hands attempts to the upstreams' nodes.
         balancer: Chooses upstreams.
+        running: What this node's own target runs.
+        shares: Hear whether calls of this node's own target starve.
         repeats: This node's part of the bound on repeats.
         count_nodes: Returns how many nodes share that bound.
         source: Random numbers.
@@ -64,20 +53,18 @@
     def __init__(
         self,
         *,
-        node_id: str,
-        book: AddressBook,
-        links: dialler.Dialler,
-        runner: Runner,
+        transmitter: transmit.Transmitter,
         balancer: spread.Spread,
+        running: running_calls.RunningCalls,
+        shares: root_share.RootShares,
         repeats: retry_budget.RetryBudget,
         count_nodes: typing.Callable[[], int],
         source: random.Random,
     ) -> None:
-        self._node_id = node_id
-        self._book = book
-        self._links = links
-        self._runner = runner
+        self._transmitter = transmitter
         self._balancer = balancer
+        self._running = running
+        self._shares = shares
         self._repeats = repeats
         self._count_nodes = count_nodes
         self._random = source
@@ -87,36 +74,78 @@
 
     async def send(self, item: front.Item) -> verdict.Verdict:
         """Return what became of a call."""
+        outcome, starved_below = await self._try_upstreams(item)
+        if _is_own_call(item):
+            self._note_own_call(item, outcome, starved_below)
+        return outcome
+
+    def _note_own_call(
+        self,
+        item: front.Item,
+        outcome: verdict.Verdict,
+        starved_below: float,
+    ) -> None:
+        """Hold the end of a call against the request that it served."""
+        if _has_failed(outcome):
+            self._running.note_failed_call(item.parent_id)
+        self._shares.observe(
+            self._running.find_route(item.parent_id),
+            root_share.has_starved(outcome, starved_below),
+            self._clock(),
+        )
+
+    async def _try_upstreams(
+        self, item: front.Item
+    ) -> tuple[verdict.Verdict, float]:
+        """Return what became of a call, and what starves at its upstream."""
         self._repeats.count_call(item.service, self._clock())
         tried: set[str] = set()
         arrivals = 0
+        failure: verdict.Failure = verdict.NotRun(verdict.Reason.NO_UPSTREAM)
+        starved = 0.0
         while True:
-            upstream = self._choose(item.service, tried)
+            upstream = self._choose(item, tried)
             if upstream is None:
-                return self._give_up(item, None)
+                return self._give_up(failure), starved
             tried.add(upstream.node_id)
-            outcome = await self._attempt(item, upstream)
+            reply = await self._attempt(item, upstream)
+            outcome = reply.outcome
+            if reply.feedback is not None:
+                starved = reply.feedback.starved
             if isinstance(outcome, verdict.Answered):
-                return outcome
+                return outcome, starved
+            failure = verdict.combine(failure, outcome)
             if _has_arrived(outcome):
                 arrivals += 1
             if not self._may_repeat(item, outcome, len(tried), arrivals):
-                return self._give_up(item, outcome)
+                return self._give_up(failure), starved
 
     def _choose(
-        self, service: str, tried: set[str]
+        self, item: front.Item, tried: set[str]
     ) -> balance.Upstream | None:
         return self._balancer.choose(
-            service,
+            item.service,
             self._clock(),
             (self._random.random(), self._random.random()),
             excluded=tried,
+            route=item.route.name,
+            left_s=self._compute_left(item),
         )
 
+    def _compute_left(self, item: front.Item) -> float:
+        """Return the seconds by which an upstream is chosen.
+
+        Bodies of calls of clients are large; sending them to other data
+        centres costs more than it gains.
+        """
+        if not _is_own_call(item):
+            return math.inf
+        return item.deadline - self._loop.time()
+
     def _may_repeat(
         self,
         item: front.Item,
-        outcome: verdict.NotRun | verdict.MayHaveRun,
+        outcome: verdict.Failure,
         gates: int,
         arrivals: int,
     ) -> bool:
@@ -137,63 +166,71 @@
             item.service, self._clock(), self._count_nodes()
         )
 
-    def _give_up(
-        self,
-        item: front.Item,
-        outcome: verdict.NotRun | verdict.MayHaveRun | None,
-    ) -> verdict.NotRun | verdict.MayHaveRun:
-        if isinstance(outcome, verdict.MayHaveRun):
-            return outcome
-        reason = (
-            verdict.Reason.NO_UPSTREAM if outcome is None else outcome.reason
-        )
-        backlog_s = 0.0
-        if outcome is not None and outcome.retry_after_s is not None:
-            backlog_s = outcome.retry_after_s
+    def _give_up(self, failure: verdict.Failure) -> verdict.Failure:
+        if isinstance(failure, verdict.MayHaveRun):
+            return failure
         # Callers that were refused together come back spread out, when the
         # queue that refused them has had time to empty.
+        backlog_s = failure.retry_after_s or 0.0
         pause_s = max(LEAST_PAUSE_S, backlog_s) * (1.0 + self._random.random())
-        return verdict.NotRun(reason, retry_after_s=pause_s)
+        return verdict.NotRun(failure.reason, retry_after_s=pause_s)
 
     async def _attempt(
         self, item: front.Item, upstream: balance.Upstream
-    ) -> verdict.Verdict:
+    ) -> dialler.Reply:
         started_at = self._clock()
-        call = self._build_call(item)
-        outcome = balance.Outcome.CANCELLED
-        load: float | None = None
-        failed = False
-        ended: verdict.Verdict | None = None
         self._balancer.start(upstream.node_id, started_at)
         try:
-            reply = await self._transmit(item, upstream, call)
-            ended = reply.outcome
-            outcome = balance.classify_verdict(ended)
-            failed = _is_failure(reply.outcome)
-            if reply.feedback is not None:
-                load = reply.feedback.load
-            if _is_unreachable(ended):
-                self._mark_down(upstream, ended)
-        finally:
-            now = self._clock()
-            item.attempts.append(
-                front.Attempt(
-                    node_id=upstream.node_id,
-                    outcome=_name_outcome(ended),
-                    latency_s=now - started_at,
-                    load=load,
-                )
-            )
-            self._balancer.finish(
+            reply = await self._transmitter.transmit(
                 upstream.node_id,
-                now,
-                route=item.route.name,
-                outcome=outcome,
+                self._build_call(item),
+                deadline=item.deadline,
+                retriable=item.route.idempotent,
+            )
+        except BaseException:
+            self._settle(item, upstream, None, started_at)
+            raise
+        self._settle(item, upstream, reply, started_at)
+        if _is_unreachable(reply.outcome):
+            self._mark_down(upstream, reply.outcome)
+        return reply
+
+    def _settle(
+        self,
+        item: front.Item,
+        upstream: balance.Upstream,
+        reply: dialler.Reply | None,
+        started_at: float,
+    ) -> None:
+        """Note how an attempt ended; without a reply it was cancelled."""
+        now = self._clock()
+        outcome = None if reply is None else reply.outcome
+        load: float | None = None
+        failing: float | None = None
+        if reply is not None and reply.feedback is not None:
+            load = reply.feedback.load
+            failing = reply.feedback.failing
+        item.attempts.append(
+            front.Attempt(
+                node_id=upstream.node_id,
+                outcome=_name_outcome(outcome),
                 latency_s=now - started_at,
                 load=load,
-                failed=failed,
             )
-        return reply.outcome
+        )
+        self._balancer.finish(
+            upstream.node_id,
+            now,
+            route=item.route.name,
+            outcome=(
+                balance.Outcome.CANCELLED
+                if outcome is None
+                else balance.classify_verdict(outcome)
+            ),
+            latency_s=now - started_at,
+            load=load,
+            failing=failing,
+        )
 
     def _mark_down(
         self, upstream: balance.Upstream, outcome: verdict.Verdict
@@ -206,24 +243,6 @@
         )
         self._balancer.mark_down(upstream.node_id, self._clock())
 
-    async def _transmit(
-        self, item: front.Item, upstream: balance.Upstream, call: frames.Call
-    ) -> dialler.Reply:
-        if upstream.node_id == self._node_id:
-            return await self._runner.run(call)
-        address = self._book.find_address(upstream.node_id)
-        if address is None:
-            refusal = verdict.NotRun(
-                verdict.Reason.NO_UPSTREAM, retry_elsewhere=True
-            )
-            return dialler.Reply(refusal, None)
-        return await self._links.call(
-            address,
-            call,
-            deadline=item.deadline,
-            retriable=item.route.idempotent,
-        )
-
     def _build_call(self, item: front.Item) -> frames.Call:
         now = self._loop.time()
         body = item.request.body
@@ -235,10 +254,9 @@
                 account=item.account,
                 importance=item.importance,
                 root_id=attempt,
-                root_hash=self._random.random(),
+                root_hash=item.root_hash,
                 root_age_s=max(0.0, now - item.arrived_at),
-                # Only targets call on open routes.
-                depth=int(item.route.open_to_all),
+                depth=int(_is_own_call(item)),
             ),
             remaining_s=max(0.0, item.deadline - now),
             allowance=0,
@@ -260,17 +278,21 @@
     return outcome.reason.value
 
 
-def _has_arrived(outcome: verdict.NotRun | verdict.MayHaveRun) -> bool:
+def _has_arrived(outcome: verdict.Failure) -> bool:
     """Return whether the target has seen the call, or may have."""
     if isinstance(outcome, verdict.MayHaveRun):
         return True
     return outcome.reason not in _NEVER_ARRIVED
 
 
-def _is_failure(outcome: verdict.Verdict) -> bool:
-    if isinstance(outcome, verdict.Answered):
-        return outcome.response.status >= 500
-    return outcome.reason is verdict.Reason.TARGET_REFUSED
+def _is_own_call(item: front.Item) -> bool:
+    """Return whether this node's own target makes the call."""
+    # Only targets call on open routes.
+    return item.route.open_to_all
+
+
+def _has_failed(outcome: verdict.Verdict) -> bool:
+    return not isinstance(outcome, verdict.Answered) or outcome.is_failure
 
 
 def _is_unreachable(outcome: verdict.Verdict) -> bool:
--- a/src/eelgrasswalk/filters/front.py
+++ b/src/eelgrasswalk/filters/front.py
@@ -14,6 +14,7 @@
 from ..policy import deadline
 from ..policy import freshness
 from ..policy import quota
+from ..policy import root_hash
 from ..transport import message
 
 # Callers that wait this long find rules, keys or tokens as they should be.
@@ -52,6 +53,8 @@
         account: Client account; empty on an open route.
         importance: How late it is shed.
         deadline: Loop time by which the caller needs its answer.
+        root_hash: Position of its root request, 0 <= hash < 1.
+        parent_id: The request that made it; empty if unknown.
         attempts: What became of each attempt, for the log.
     """
 
@@ -63,12 +66,34 @@
     account: str
     importance: int
     deadline: float
+    root_hash: float
+    parent_id: str = ''
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """A call that may not run, and what is known of it.
+
+    Args:
+        outcome: Why.
+        account: Its client account; empty where it was not yet known.
+        inputs: What decided, for the log.
+    """
+
+    outcome: verdict.NotRun
+    account: str = ''
+    inputs: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
+
+
 class Quota(typing.Protocol):
     """Holds client accounts to their rates."""
 
+    def describe(
+        self, account: call_rules.AccountRule
+    ) -> dict[str, typing.Any]:
+        """Return what decides on the account's calls, for the log."""
+
     async def admit(
         self, account: call_rules.AccountRule
     ) -> quota.Refused | None:
@@ -136,9 +161,9 @@
     async def _run(self, request: message.Request) -> verdict.Verdict:
         arrived_at = self._loop.time()
         item = await self._open(request)
-        if isinstance(item, verdict.NotRun):
+        if isinstance(item, Refusal):
             self._record_refusal(request, item, arrived_at)
-            return item
+            return item.outcome
         try:
             outcome = await self._forward(item)
         except asyncio.CancelledError:
@@ -150,21 +175,23 @@
     def _record_refusal(
         self,
         request: message.Request,
-        refusal: verdict.NotRun,
+        refusal: Refusal,
         arrived_at: float,
     ) -> None:
+        outcome = refusal.outcome
         self._log.record(
             events.CALL_ENDED,
-            refusal,
+            outcome,
             hop='entry',
             service='',
-            account='',
+            account=refusal.account,
             latency_s=self._loop.time() - arrived_at,
             describe=lambda: {
                 'request': self._dialect.read_request_id(request.headers),
                 'path': request.path,
-                'detail': refusal.detail,
-                'retry_after_s': refusal.retry_after_s,
+                'detail': outcome.detail,
+                'retry_after_s': outcome.retry_after_s,
+                **refusal.inputs,
                 **self._describe_rules(),
             },
         )
@@ -180,6 +207,7 @@
             latency_s=now - item.arrived_at,
             describe=lambda: {
                 'request': item.request_id,
+                'parent': item.parent_id,
                 'route': item.route.name,
                 'importance': item.importance,
                 'left_ms': round((item.deadline - now) * 1000.0),
@@ -204,23 +232,25 @@
             'rules_age_s': round(age_s, 2) if age_s < 1e6 else None,
         }
 
-    async def _open(self, request: message.Request) -> Item | verdict.NotRun:
+    async def _open(self, request: message.Request) -> Item | Refusal:
         """Return the call on its terms, or why it may not run."""
         now = self._loop.time()
         table = self._get_table()
         if table is None:
-            return self._refuse_stale()
+            return Refusal(self._refuse_stale())
         hostname = self._dialect.read_hostname(request.headers)
         route = table.find_route(hostname, request.path)
         if route is None:
-            return self._refuse_unknown(verdict.Reason.NO_ROUTE)
+            return Refusal(self._refuse_unknown(verdict.Reason.NO_ROUTE))
         account = self._identify(request, table, route)
         if isinstance(account, verdict.NotRun):
-            return account
+            return Refusal(account)
         timeout = self._dialect.read_timeout(request.headers)
         if isinstance(timeout, deadline.Malformed):
-            return verdict.NotRun(
-                verdict.Reason.BAD_REQUEST, detail=timeout.detail
+            return Refusal(
+                verdict.NotRun(
+                    verdict.Reason.BAD_REQUEST, detail=timeout.detail
+                )
             )
         waits_s = route.timeout_s
         if isinstance(timeout, deadline.Given):
@@ -228,9 +258,7 @@
         if account is not None:
             refused = await self._quotas.admit(account)
             if refused is not None:
-                return verdict.NotRun(
-                    verdict.Reason.QUOTA, retry_after_s=refused.retry_after_s
-                )
+                return self._refuse_over_rate(account, route, refused)
         return self._build_item(request, route, account, now, waits_s)
 
     def _build_item(
@@ -242,6 +270,7 @@
         waits_s: float,
     ) -> Item:
         name = '' if account is None else account.name
+        request_id = self._dialect.read_request_id(request.headers)
         importance = route.importance
         if account is not None and account.importance is not None:
             importance = account.importance
@@ -255,15 +284,23 @@
         )
         return Item(
             request=forwarded,
-            request_id=self._dialect.read_request_id(request.headers),
+            request_id=request_id,
             arrived_at=now,
             route=route,
             service=self._spread.choose(route, self._random.random()),
             account=name,
             importance=int(importance),
             deadline=now + min(waits_s, MAX_TIMEOUT_S),
+            root_hash=self._find_root_hash(request_id),
+            parent_id=self._dialect.find_parent_id(request_id),
         )
 
+    def _find_root_hash(self, request_id: str) -> float:
+        root_id = self._dialect.find_root_id(request_id)
+        if not root_id:
+            return self._random.random()
+        return root_hash.compute_root_hash(root_id)
+
     def _identify(
         self,
         request: message.Request,
@@ -283,6 +320,20 @@
             return verdict.NotRun(verdict.Reason.KEY_UNKNOWN)
         return account
 
+    def _refuse_over_rate(
+        self,
+        account: call_rules.AccountRule,
+        route: call_rules.RouteRule,
+        refused: quota.Refused,
+    ) -> Refusal:
+        return Refusal(
+            verdict.NotRun(
+                verdict.Reason.QUOTA, retry_after_s=refused.retry_after_s
+            ),
+            account.name,
+            {'route': route.name, **self._quotas.describe(account)},
+        )
+
     def _refuse_unknown(self, reason: verdict.Reason) -> verdict.NotRun:
         """Refuse what the rules do not know, if they may be relied on."""
         if not self._fresh.is_fresh(self._boot_clock()):
--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -1,6 +1,7 @@
 """The upstream's side of a call: admits it and delivers it to the target."""
 
 import asyncio
+import time
 import typing
 
 from .. import clock
@@ -8,7 +9,10 @@
 from .. import ports
 from .. import request_log
 from .. import verdict
+from ..policy import root_share
+from ..policy import running_calls
 from ..policy import slot_queue
+from ..policy import target_faults
 from ..transport import budget
 from ..transport import dialler
 from ..transport import frames
@@ -36,6 +40,8 @@
         pool: Connections to the target.
         admitter: Decides which call starts.
         bodies: Budget for bodies.
+        running: What the target runs.
+        shares: Which new calls are begun while the target's own starve.
         log: Takes what became of each attempt.
         service: The target's service, for the log.
         drain_s: Seconds after an acknowledged drain in which calls may
@@ -48,6 +54,8 @@
         pool: http_client.TargetPool,
         admitter: admit.Admitter[slot_queue.SlotQueue],
         bodies: budget.ByteBudget,
+        running: running_calls.RunningCalls,
+        shares: root_share.RootShares,
         *,
         log: request_log.RequestLog,
         service: str,
@@ -57,6 +65,9 @@
         self._pool = pool
         self._admitter = admitter
         self._bodies = bodies
+        self._running = running
+        self._shares = shares
+        self._faults = target_faults.TargetFaults()
         self._log = log
         self._service = service
         self._drain_s = drain_s
@@ -65,8 +76,10 @@
         self._closes_at = float('inf')
         self._ends_at = float('inf')
 
-    def set_target(self, target_id: str, slots: int, cold_s: float) -> None:
+    def set_target(self, target_id: str, slots: int) -> None:
         """Deliver to this lifetime from now on."""
+        if target_id != self._target_id:
+            self._faults = target_faults.TargetFaults()
         self._target_id = target_id
         self._closes_at = float('inf')
         self._ends_at = float('inf')
@@ -105,15 +118,23 @@
             objective_at=started_at + call.objective_s,
         )
         if isinstance(admitted, verdict.NotRun):
-            return dialler.Reply(admitted, self._build_feedback(0.0))
+            return dialler.Reply(
+                admitted, self._build_feedback(call.route, 0.0)
+            )
         waited_s = self._loop.time() - started_at
         ok = True
+        request_id = self._dialect.read_request_id(call.request.headers)
+        self._running.begin(request_id, call.route)
         try:
             outcome = await self._deliver(call, deadline)
             ok = _is_sound(outcome)
         finally:
+            has_failed_call = self._running.end(request_id)
             self._admitter.finish(admitted.call_id, ok=ok)
-        return dialler.Reply(outcome, self._build_feedback(waited_s))
+        self._faults.observe(outcome, has_failed_call=has_failed_call)
+        return dialler.Reply(
+            outcome, self._build_feedback(call.route, waited_s)
+        )
 
     def _record(
         self, call: frames.Call, reply: dialler.Reply, started_at: float
@@ -132,10 +153,9 @@
         self, call: frames.Call, reply: dialler.Reply
     ) -> dict[str, typing.Any]:
         policy = self._admitter.policy
-        echo = self._dialect.find_echo(call.request.headers) or b''
         feedback = reply.feedback
         return {
-            'request': echo.decode('latin-1'),
+            'request': self._dialect.read_request_id(call.request.headers),
             'route': call.route,
             'target': self._target_id,
             'left_ms': round(call.remaining_s * 1000.0),
@@ -147,6 +167,9 @@
             'running': policy.in_flight,
             'queued': policy.queued,
             'limit': policy.limit,
+            'share': round(
+                self._shares.compute_share(call.route, time.monotonic()), 2
+            ),
         }
 
     def _check(self, call: frames.Call) -> verdict.NotRun | None:
@@ -158,7 +181,20 @@
             return _refuse(verdict.Reason.LEAVING)
         if not self._bodies.admits_calls():
             return _refuse(verdict.Reason.MEMORY)
-        return None
+        return self._check_share(call)
+
+    def _check_share(self, call: frames.Call) -> verdict.NotRun | None:
+        if call.context.depth > 0:
+            return None
+        if self._shares.admits(
+            call.route, call.context.root_hash, time.monotonic()
+        ):
+            return None
+        # The services that the target calls are the same for all targets of
+        # its service, so another one would not help.
+        return verdict.NotRun(
+            verdict.Reason.OVERLOAD, retry_after_s=self._shares.retry_after_s
+        )
 
     async def _deliver(
         self, call: frames.Call, deadline: float
@@ -204,7 +240,7 @@
                 budget.keep_alive(answer, outcome.response)
         return judged
 
-    def _build_feedback(self, waited_s: float) -> frames.Feedback:
+    def _build_feedback(self, route: str, waited_s: float) -> frames.Feedback:
         policy = self._admitter.policy
         busy = policy.in_flight + policy.queued
         return frames.Feedback(
@@ -213,6 +249,8 @@
             queue_delay_s=waited_s,
             unspent=0,
             load=busy / policy.limit,
+            starved=self._shares.measure_starving(route),
+            failing=self._faults.rate,
         )
 
 
--- /dev/null
+++ b/src/eelgrasswalk/filters/transmit.py
@@ -0,0 +1,67 @@
+"""The last step of an attempt: to this node's own target, or over a link."""
+
+import typing
+
+from .. import verdict
+from ..transport import acceptor
+from ..transport import dialler
+from ..transport import frames
+
+
+class AddressBook(typing.Protocol):
+    """Knows where upstreams' nodes accept links."""
+
+    def find_address(self, node_id: str) -> dialler.Address | None:
+        """Return a node's address, or None when it is not known."""
+
+
+class Transmitter:
+    """Hands attempts to the nodes of their upstreams.
+
+    Args:
+        node_id: This node; attempts to itself need no link.
+        book: Addresses of the upstreams' nodes.
+        links: Sends attempts to other nodes.
+        runner: Runs attempts at this node's own target.
+    """
+
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        book: AddressBook,
+        links: dialler.Dialler,
+        runner: acceptor.Runner,
+    ) -> None:
+        self._node_id = node_id
+        self._book = book
+        self._links = links
+        self._runner = runner
+
+    async def transmit(
+        self,
+        node_id: str,
+        call: frames.Call,
+        *,
+        deadline: float,
+        retriable: bool,
+    ) -> dialler.Reply:
+        """Run one attempt at an upstream and return its reply.
+
+        Args:
+            node_id: The upstream's node.
+            call: The attempt.
+            deadline: Loop time by which its answer must be there.
+            retriable: Whether running it twice does no harm.
+        """
+        if node_id == self._node_id:
+            return await self._runner.run(call)
+        address = self._book.find_address(node_id)
+        if address is None:
+            refusal = verdict.NotRun(
+                verdict.Reason.NO_UPSTREAM, retry_elsewhere=True
+            )
+            return dialler.Reply(refusal, None)
+        return await self._links.call(
+            address, call, deadline=deadline, retriable=retriable
+        )
--- a/src/eelgrasswalk/platform/check_ins.py
+++ b/src/eelgrasswalk/platform/check_ins.py
@@ -9,7 +9,6 @@
 from ..transport import message
 from . import names
 
-_MS_PER_S = 1000.0
 _STATES = frozenset(('ready', 'draining'))
 _MAX_ID_BYTES = 200
 _ACKNOWLEDGEMENT = verdict.Response(
@@ -52,7 +51,6 @@
     state = fields['state']
     if state not in _STATES:
         raise ValueError(f'unknown state {state!r}')
-    cold_left_ms = _take_number(fields.get('cold_left_ms', 0))
     return ports.CheckIn(
         target_id=target_id,
         born_ms=int(_take_number(fields.get('born', 0))),
@@ -60,7 +58,6 @@
         service=_take_text(fields['service']),
         slots=max(1, int(_take_number(fields['slots']))),
         draining=state == 'draining',
-        cold_left_s=cold_left_ms / _MS_PER_S,
     )
 
 
--- a/src/eelgrasswalk/platform/dialect.py
+++ b/src/eelgrasswalk/platform/dialect.py
@@ -39,6 +39,21 @@
         value = message.find_header(headers, names.REQUEST_ID)
         return '' if value is None else value.decode('latin-1')
 
+    def find_root_id(self, request_id: str) -> str:
+        """Return the id of a call's root request; empty when it has no id.
+
+        A target puts its own request's id in front of those of its calls.
+        Nothing promises that, so it serves as a hint only.
+        """
+        return request_id.partition(names.ID_SEPARATOR)[0]
+
+    def find_parent_id(self, request_id: str) -> str:
+        """Return the id of the request that made a call; empty if unknown.
+
+        It is a hint as well.
+        """
+        return request_id.rpartition(names.ID_SEPARATOR)[0]
+
     def read_hostname(self, headers: message.Headers) -> str:
         """Return the host that a request names, without its port."""
         value = message.find_header(headers, b'host')
--- a/src/eelgrasswalk/platform/names.py
+++ b/src/eelgrasswalk/platform/names.py
@@ -3,6 +3,8 @@
 # Headers, in lower case.
 # Names one client attempt; a caller's own retry has another.
 REQUEST_ID = b'attempt-id'
+# Stands between the ids of a request and of a call that serves it.
+ID_SEPARATOR = '.'
 # Milliseconds that are left, not a moment.
 DEADLINE = b'request-deadline'
 # The target's signature; only answers that it has made carry it.
--- a/src/eelgrasswalk/policy/account_rates.py
+++ b/src/eelgrasswalk/policy/account_rates.py
@@ -149,10 +149,15 @@
 
 
 class OwnedAccounts:
-    """The buckets of the accounts that this node owns."""
+    """The buckets of the accounts that this node owns.
 
-    def __init__(self) -> None:
+    Args:
+        now: The time, in seconds.
+    """
+
+    def __init__(self, now: float) -> None:
         self._buckets: dict[str, TokenBucket] = {}
+        self._owners_since = now
 
     def grant(
         self,
@@ -174,16 +179,23 @@
         """
         bucket = self._buckets.get(account)
         if bucket is None:
-            first = min(max(1.0, burst), FIRST_SHARE * rate)
-            bucket = self._buckets[account] = TokenBucket(first, now)
+            # Tokens have come since the owners last changed: no other node
+            # has granted any of them.
+            first = FIRST_SHARE * rate
+            bucket = TokenBucket(first, self._owners_since)
+            self._buckets[account] = bucket
         return bucket.take(wanted, now, rate=rate, depth=max(1.0, burst))
 
-    def keep_only(self, is_owned: typing.Callable[[str], bool]) -> None:
+    def change_owners(
+        self, is_owned: typing.Callable[[str], bool], now: float
+    ) -> None:
         """Forget the accounts that others own now.
 
         Args:
             is_owned: Tells whether this node owns an account.
+            now: The time, in seconds.
         """
+        self._owners_since = now
         for account in list(self._buckets):
             if not is_owned(account):
                 del self._buckets[account]
--- a/src/eelgrasswalk/policy/balance.py
+++ b/src/eelgrasswalk/policy/balance.py
@@ -89,6 +89,8 @@
         ejection_s: Seconds of the first ejection; doubles while others of
             the service answer.
         max_ejection_s: Longest ejection in seconds.
+        leaving_s: Seconds for which an upstream that is leaving gets no
+            calls; it may have been started again by then.
         latency_weight: Weight of the newest answer in the mean latency.
         decay_s: Time constant with which old measurements lose weight.
     """
@@ -104,6 +106,7 @@
     max_ejected_ratio: float = 0.34
     ejection_s: float = 1.0
     max_ejection_s: float = 30.0
+    leaving_s: float = 1.0
     latency_weight: float = 0.1
     decay_s: float = 1.0
 
@@ -120,7 +123,7 @@
     failures: int = 0
     ejections: int = 0
     ejected_until: float = -math.inf
-    leaving: bool = False
+    leaving_until: float = -math.inf
 
 
 @dataclasses.dataclass(slots=True)
@@ -212,7 +215,7 @@
             return near.upstream
         far = self._pick(known, known.remote, now, random_pair, excluded)
         if near is None or far is None:
-            state = near or far or self._pick_last_resort(known, excluded)
+            state = near or far or self._pick_last_resort(known, now, excluded)
             return None if state is None else state.upstream
         near_cost = self._compute_cost(near, known.median_s, now)
         far_cost = self._compute_cost(far, known.median_s, now)
@@ -256,7 +259,7 @@
             return
         state.progress_at = now
         if outcome is Outcome.LEAVING:
-            state.leaving = True
+            state.leaving_until = now + self._settings.leaving_s
             return
         self._measure(state, outcome, latency_s, queue_delay_s, now)
 
@@ -274,7 +277,7 @@
         if state is None or state.upstream != upstream:
             state = _State(upstream, added_at)
             self._states[upstream.node_id] = state
-        state.leaving = False
+        state.leaving_until = -math.inf
         return state
 
     def _choose_subset(
@@ -306,7 +309,7 @@
             state
             for state in states
             if state.ejected_until <= now
-            and not state.leaving
+            and state.leaving_until <= now
             and state.upstream.node_id not in excluded
         ]
         if len(usable) < 2:
@@ -321,12 +324,16 @@
         return other if other_cost < one_cost else one
 
     def _pick_last_resort(
-        self, known: _Service, excluded: collections.abc.Set[str]
+        self,
+        known: _Service,
+        now: float,
+        excluded: collections.abc.Set[str],
     ) -> _State | None:
         usable = [
             state
             for state in known.states
-            if not state.leaving and state.upstream.node_id not in excluded
+            if state.leaving_until <= now
+            and state.upstream.node_id not in excluded
         ]
         return min(usable, key=_get_ejected_until, default=None)
 
--- a/src/eelgrasswalk/policy/quota_holder.py
+++ b/src/eelgrasswalk/policy/quota_holder.py
@@ -68,6 +68,7 @@
         self.not_before = -math.inf
         self.expected_level = 1.0
         self.answered_at = 0.0
+        self.was_answered = False
         self.is_unreported = False
         self._holder = holder
         self._owner = ''
@@ -149,6 +150,7 @@
         self._expires_at = pending.sent_at + grant.life_s
         self.expected_level = grant.level
         self.answered_at = now
+        self.was_answered = True
         self.not_before = now + grant.wait_s
         return True
 
@@ -222,6 +224,11 @@
         """The tokens by slot."""
         return self._holdings
 
+    @property
+    def was_answered(self) -> bool:
+        """Whether an owner has ever answered this holder."""
+        return any(item.was_answered for item in self._holdings)
+
     def change_slot_count(self, slots: int) -> None:
         """Note how many slots the account has; it never shrinks."""
         self._holdings += tuple(
@@ -247,6 +254,9 @@
             return quota.NeedTokens()
         if any(item.pending is not None for item in self._holdings):
             return quota.NeedTokens()
+        if not self.was_answered:
+            # After a start of the mesh, slots get their owners first.
+            return quota.NeedTokens()
         return quota.Refused(self._compute_wait(now))
 
     def count(self, now: float) -> float:
--- a/src/eelgrasswalk/policy/roster.py
+++ b/src/eelgrasswalk/policy/roster.py
@@ -34,7 +34,6 @@
         state: What it says of its target.
         target_id: Lifetime of its target; empty without one.
         slots: Calls that the target runs at a time.
-        cold: Whether the target said that it had just started.
         stopping: Whether the node itself is about to stop.
         secluded: Whether others could not reach it a while ago.
     """
@@ -49,7 +48,6 @@
     state: TargetState
     target_id: str = ''
     slots: int = 0
-    cold: bool = False
     stopping: bool = False
     secluded: bool = False
 
--- a/src/eelgrasswalk/policy/slot_queue.py
+++ b/src/eelgrasswalk/policy/slot_queue.py
@@ -8,6 +8,12 @@
 Order of those that wait: calls of work already begun, whose refusal would
 waste what their callers' targets have done; then the more important; then
 the one with the least time to lose.
+
+Where calls of work already begun ask for more than all slots, a root that
+needs several of them would lose one sooner or later, whichever goes first.
+They then go by the hash of their root, so that all calls of some roots get
+through, and wait only for a part of their time, as each root needs time for
+several such calls.
 """
 
 import dataclasses
@@ -18,6 +24,7 @@
 from . import admission
 from . import queue
 from . import service_times
+from . import work_rate
 
 Candidate = queue.Candidate
 
@@ -36,6 +43,11 @@
         least_wait_s: Wait that is always allowed, for bursts of a moment.
         longest_retry_s: Longest time after which a refused call may come
             back.
+        crowded: Work already begun per slot above which it goes by the hash
+            of its root, and waits for a part of its time only.
+        impatience: Exponent by which that part falls as more work comes; at
+            a third more than all slots can take, a tenth is left.
+        crowded_rounds: Expected times that crowded work may always wait.
     """
 
     fill: float = 0.94
@@ -43,6 +55,9 @@
     margin: float = 0.25
     least_wait_s: float = 0.01
     longest_retry_s: float = 2.0
+    crowded: float = 1.0
+    impatience: float = 8.0
+    crowded_rounds: float = 2.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -76,6 +91,7 @@
         self._order: list[tuple[tuple[float, ...], int]] = []
         self._expiry: list[tuple[float, int]] = []
         self._waiting_s = 0.0
+        self._begun = work_rate.WorkRate()
         self._draining = False
         self._limit = 1
         self.resize(slots)
@@ -125,6 +141,8 @@
         if self._draining:
             return [_refuse(candidate.call_id, verdict.Reason.LEAVING, 0.0)]
         expected_s = self._times.estimate(candidate.route)
+        if candidate.depth > 0:
+            self._begun.add(expected_s, now)
         least_s = self._settings.hopeless * expected_s
         if now + least_s > candidate.deadline and self._running:
             return [_refuse(candidate.call_id, verdict.Reason.DEADLINE, 0.0)]
@@ -191,7 +209,15 @@
             candidate, expected_s * (1.0 + self._settings.margin)
         )
         latest = max(latest, now + self._settings.least_wait_s)
-        rank = _rank(candidate, latest)
+        crowding = 0.0
+        if candidate.depth > 0:
+            crowding = self._begun.measure(self._limit, now)
+        if crowding > self._settings.crowded:
+            longest_s = self._limit_wait(latest - now, expected_s, crowding)
+            latest = now + longest_s
+            rank = _rank(candidate, candidate.root_hash)
+        else:
+            rank = _rank(candidate, latest)
         wait_s = self._estimate_wait(rank, now)
         if now + wait_s > latest:
             return [self._refuse_full(candidate.call_id)]
@@ -202,6 +228,21 @@
         heapq.heappush(self._expiry, (latest, candidate.call_id))
         return []
 
+    def _limit_wait(
+        self, longest_s: float, expected_s: float, crowding: float
+    ) -> float:
+        """Return how long begun work may wait while it is crowded.
+
+        Args:
+            longest_s: How long it might wait for its own sake.
+            expected_s: Seconds that it takes.
+            crowding: Work already begun that comes, per slot.
+        """
+        settings = self._settings
+        part = math.pow(settings.crowded / crowding, settings.impatience)
+        always_s = settings.crowded_rounds * expected_s
+        return min(longest_s, max(always_s, longest_s * part))
+
     def _estimate_wait(self, rank: tuple[float, ...], now: float) -> float:
         """Return the seconds until a call of this rank would start."""
         ahead_s = sum(
@@ -248,6 +289,6 @@
     return min(candidate.objective_at, candidate.deadline) - needed_s
 
 
-def _rank(candidate: Candidate, latest: float) -> tuple[float, ...]:
+def _rank(candidate: Candidate, last: float) -> tuple[float, ...]:
     begun = 0.0 if candidate.depth > 0 else 1.0
-    return (begun, float(candidate.importance), latest)
+    return (begun, float(candidate.importance), last)
--- a/src/eelgrasswalk/policy/spread.py
+++ b/src/eelgrasswalk/policy/spread.py
@@ -5,6 +5,9 @@
 at the same time from reports that are a little old. The less costly of two
 drawn upstreams is taken; a bad one is priced, not shut out, so that it is
 tried again now and then and there is never nobody left.
+
+A call with little time left goes to the upstream that answers soonest,
+wherever it is: it may be too late at one that is near, idle and slow.
 """
 
 import collections.abc
@@ -33,9 +36,19 @@
             doubles with each failure in a row.
         most_down_s: Longest such time.
         report_s: Seconds in which a report loses most of its weight.
+        failing_s: The same for a report that the target fails by itself; an
+            upstream that nobody calls any more is tried again.
         near_enough: Price up to which an upstream of the own data centre is
             taken without a look at the others.
+        tolerated_failures: Share of calls above that of the others that
+            such a one may fail; an idle one costs little otherwise.
         far_price: Cost factor of an upstream in another data centre.
+        hurry: Times that an upstream takes for the route below which a call
+            has little time left; one call in fifty takes four of them.
+        hurry_cost: Cost of an idle upstream for such a call, in loads; with
+            one, speed decides until the slots are full.
+        hurry_room: Load up to which an upstream is taken for its speed; when
+            it has more, all nodes would add to it at once.
     """
 
     idle_cost: float = 0.25
@@ -48,8 +61,13 @@
     down_s: float = 0.5
     most_down_s: float = 4.0
     report_s: float = 1.0
+    failing_s: float = 10.0
     near_enough: float = 1.2
+    tolerated_failures: float = 0.1
     far_price: float = 1.4
+    hurry: float = 4.0
+    hurry_cost: float = 1.0
+    hurry_room: float = 0.7
 
 
 @dataclasses.dataclass(slots=True)
@@ -62,12 +80,32 @@
     sent_since: int = 0
     slowness: float = 1.0
     failure_rate: float = 0.0
+    failing_at: float = 0.0
     progress_at: float = -math.inf
     downs: int = 0
     down_until: float = -math.inf
     leaving: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Peers:
+    """How often the upstreams fail that a choice is made of.
+
+    Args:
+        total: Sum of their shares of calls that fail.
+        count: How many there are.
+    """
+
+    total: float
+    count: int
+
+    def compare(self, rate: float) -> float:
+        """Return by how much one of them fails more than the others do."""
+        if self.count < 2:
+            return 0.0
+        return rate - (self.total - rate) / (self.count - 1)
+
+
 class Spread:
     """Picks upstreams; the time and random numbers come in.
 
@@ -113,6 +151,8 @@
         random_pair: tuple[float, float],
         *,
         excluded: collections.abc.Set[str] = frozenset(),
+        route: str = '',
+        left_s: float = math.inf,
     ) -> balance.Upstream | None:
         """Choose an upstream, or return None if there is none.
 
@@ -121,6 +161,8 @@
             now: The time, in seconds.
             random_pair: Two random numbers, 0 <= value < 1.
             excluded: Nodes not to choose, such as those already tried.
+            route: The route of the call.
+            left_s: Seconds in which its answer must be there.
         """
         usable = [
             state
@@ -129,23 +171,62 @@
         ]
         up = [state for state in usable if state.down_until <= now]
         states = up or usable
-        mean = sum(state.failure_rate for state in states) / max(
-            1, len(states)
-        )
+        rates = [self._estimate_failures(state, now) for state in states]
+        peers = _Peers(sum(rates), len(rates))
+        chosen = self._choose_cheap(states, random_pair, peers, now)
+        if chosen is None:
+            return None
+        if self._is_hurried(chosen, route, left_s):
+            chosen = self._choose_soonest(states, peers, now) or chosen
+        return chosen.upstream
+
+    def _choose_cheap(
+        self,
+        states: list[_State],
+        random_pair: tuple[float, float],
+        peers: _Peers,
+        now: float,
+    ) -> _State | None:
+        """Return a near upstream, unless it costs more than others."""
         near = [state for state in states if self._is_near(state)]
         far = [state for state in states if not self._is_near(state)]
-        best = self._draw(near, random_pair, mean, now)
+        best = self._draw(near, random_pair, peers, now)
+        price = math.inf
         if best is not None:
-            price = self._price(best, mean, now)
-            if price <= self._settings.near_enough:
-                return best.upstream
-        other = self._draw(far, random_pair, mean, now)
-        if best is None or other is None:
-            best = best or other
-            return None if best is None else best.upstream
-        if self._price(other, mean, now) * self._settings.far_price < price:
-            best = other
-        return best.upstream
+            price = self._price(best, peers, now)
+            is_failing = self._is_failing(best, peers, now)
+            if price <= self._settings.near_enough and not is_failing:
+                return best
+        other = self._draw(far, random_pair, peers, now)
+        if other is None:
+            return best
+        far_price = self._settings.far_price
+        other_price = self._price(other, peers, now)
+        return other if other_price * far_price < price else best
+
+    def _choose_soonest(
+        self, states: list[_State], peers: _Peers, now: float
+    ) -> _State | None:
+        """Return the upstream that answers soonest, if it has room."""
+        hurry_cost = self._settings.hurry_cost
+        soonest = min(
+            states,
+            key=lambda state: self._price(state, peers, now, hurry_cost),
+        )
+        has_room = (
+            self._estimate_load(soonest, now) < self._settings.hurry_room
+        )
+        return soonest if has_room else None
+
+    def _is_failing(self, state: _State, peers: _Peers, now: float) -> bool:
+        excess = peers.compare(self._estimate_failures(state, now))
+        return excess > self._settings.tolerated_failures
+
+    def _is_hurried(self, state: _State, route: str, left_s: float) -> bool:
+        mean_s = self._route_s.get((state.upstream.service, route))
+        if mean_s is None:
+            return False
+        return left_s < self._settings.hurry * mean_s * state.slowness
 
     def start(self, node_id: str, now: float) -> None:
         """Note that a call was sent to an upstream."""
@@ -166,7 +247,7 @@
         outcome: balance.Outcome,
         latency_s: float,
         load: float | None,
-        failed: bool,
+        failing: float | None,
     ) -> None:
         """Note how a call ended.
 
@@ -177,8 +258,8 @@
             outcome: How the call ended.
             latency_s: Seconds from start to end.
             load: What the upstream said of its load; None for nothing.
-            failed: Whether the target answered with a failure or refused
-                the call, though there was room for it.
+            failing: What the upstream said of how often its target fails
+                by itself; None for nothing.
         """
         state = self._states.get(node_id)
         if state is None:
@@ -190,17 +271,19 @@
             state.load = load
             state.reported_at = now
             state.sent_since = 0
+        if failing is not None:
+            state.failure_rate = failing
+            state.failing_at = now
         if outcome is balance.Outcome.LEAVING:
             state.leaving = True
             return
         if outcome is balance.Outcome.FAILED:
-            self._count(state, 1.0)
+            if failing is None:
+                self._count_failure(state, now)
             return
         state.progress_at = now
         state.downs = 0
         state.down_until = -math.inf
-        if failed or outcome is balance.Outcome.ANSWERED:
-            self._count(state, 1.0 if failed else 0.0)
         if outcome is balance.Outcome.ANSWERED:
             self._measure(state, route, latency_s)
 
@@ -221,7 +304,7 @@
         self,
         states: list[_State],
         random_pair: tuple[float, float],
-        mean_failures: float,
+        peers: _Peers,
         now: float,
     ) -> _State | None:
         """Return the less costly of two drawn upstreams."""
@@ -233,7 +316,7 @@
             second += 1
         return min(
             (states[first], states[second]),
-            key=lambda state: self._price(state, mean_failures, now),
+            key=lambda state: self._price(state, peers, now),
         )
 
     def _keep(self, upstream: balance.Upstream, joined_at: float) -> _State:
@@ -244,15 +327,20 @@
         state.leaving = False
         return state
 
-    def _price(self, state: _State, mean_failures: float, now: float) -> float:
+    def _price(
+        self,
+        state: _State,
+        peers: _Peers,
+        now: float,
+        idle_cost: float | None = None,
+    ) -> float:
         settings = self._settings
-        age_s = max(0.0, now - state.reported_at)
-        trust = math.exp(-age_s / settings.report_s)
-        slots = max(1, state.upstream.slots)
-        load = state.load * trust + state.sent_since / slots
-        load = max(load, state.in_flight / slots)
-        price = (settings.idle_cost + load) * state.slowness
-        excess = max(0.0, state.failure_rate - mean_failures)
+        if idle_cost is None:
+            idle_cost = settings.idle_cost
+        load = self._estimate_load(state, now)
+        price = (idle_cost + load) * state.slowness
+        failures = self._estimate_failures(state, now)
+        excess = max(0.0, peers.compare(failures))
         price *= 1.0 + (settings.failure_price - 1.0) * excess
         if now - state.added_at < settings.cold_s:
             price *= settings.cold_price
@@ -261,9 +349,22 @@
         )
         return price * settings.most_slow if is_stalled else price
 
-    def _count(self, state: _State, failure: float) -> None:
-        weight = self._settings.weight
-        state.failure_rate += weight * (failure - state.failure_rate)
+    def _estimate_load(self, state: _State, now: float) -> float:
+        age_s = max(0.0, now - state.reported_at)
+        trust = math.exp(-age_s / self._settings.report_s)
+        slots = max(1, state.upstream.slots)
+        load = state.load * trust + state.sent_since / slots
+        return max(load, state.in_flight / slots)
+
+    def _count_failure(self, state: _State, now: float) -> None:
+        """Count a call about which the upstream itself said nothing."""
+        rate = self._estimate_failures(state, now)
+        state.failure_rate = rate + self._settings.weight * (1.0 - rate)
+        state.failing_at = now
+
+    def _estimate_failures(self, state: _State, now: float) -> float:
+        age_s = max(0.0, now - state.failing_at)
+        return state.failure_rate * math.exp(-age_s / self._settings.failing_s)
 
     def _measure(self, state: _State, route: str, latency_s: float) -> None:
         """Compare a call with the mean of its route at all upstreams."""
--- a/src/eelgrasswalk/policy/target_life.py
+++ b/src/eelgrasswalk/policy/target_life.py
@@ -21,7 +21,6 @@
         sequence: Grows with each report of a lifetime.
         slots: Calls that it runs at a time.
         draining: Whether it is leaving.
-        cold_left_s: Seconds for which it is still slow.
     """
 
     target_id: str
@@ -29,7 +28,6 @@
     sequence: int
     slots: int
     draining: bool
-    cold_left_s: float
 
 
 class Change(enum.Enum):
--- a/src/eelgrasswalk/ports.py
+++ b/src/eelgrasswalk/ports.py
@@ -151,7 +151,6 @@
         service: The service that it serves.
         slots: Calls that it runs at a time.
         draining: Whether it is leaving.
-        cold_left_s: Seconds for which it is still slow after its start.
     """
 
     target_id: str
@@ -160,7 +159,6 @@
     service: str
     slots: int
     draining: bool
-    cold_left_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -203,6 +201,18 @@
     def read_request_id(self, headers: message.Headers) -> str:
         """Return the caller's id of a request; empty when there is none."""
 
+    def find_root_id(self, request_id: str) -> str:
+        """Return the id of a call's root request; empty when it has no id.
+
+        It is a hint: calls of one root may seem to have different ones.
+        """
+
+    def find_parent_id(self, request_id: str) -> str:
+        """Return the id of the request that made a call; empty if unknown.
+
+        It is a hint as well.
+        """
+
     def read_hostname(self, headers: message.Headers) -> str:
         """Return the host that a request names, without its port."""
 
--- a/src/eelgrasswalk/sidecar/node.py
+++ b/src/eelgrasswalk/sidecar/node.py
@@ -71,6 +71,12 @@
         self._admin = http_server.HttpServer(
             self._handle_admin, limits=http_server.Limits()
         )
+        self._listeners = (
+            (self._readiness, config.readiness),
+            (self._check_ins, config.check_ins),
+            (self._callers, config.callers),
+            (self._admin, config.admin),
+        )
         self._metrics = metrics_page.MetricsPage(
             self._state.log, self._read_gauges
         )
@@ -80,12 +86,7 @@
     async def start(self) -> None:
         """Listen, then learn of rules and nodes and take calls."""
         config = self.config
-        for listener, address in (
-            (self._readiness, config.readiness),
-            (self._check_ins, config.check_ins),
-            (self._callers, config.callers),
-            (self._admin, config.admin),
-        ):
+        for listener, address in self._listeners:
             await listener.start(address.host, address.port)
         events.log(
             events.NODE_STARTED,
@@ -148,12 +149,7 @@
             await self.path.acceptor.drain()
 
     async def _close(self) -> None:
-        for listener in (
-            self._callers,
-            self._readiness,
-            self._check_ins,
-            self._admin,
-        ):
+        for listener, _ in self._listeners:
             for connection in list(listener.connections):
                 connection.close()
         path = self.path
--- a/src/eelgrasswalk/sidecar/wiring.py
+++ b/src/eelgrasswalk/sidecar/wiring.py
@@ -20,11 +20,14 @@
 from ..filters import forward
 from ..filters import front
 from ..filters import gate
+from ..filters import transmit
 from ..policy import account_rates
 from ..policy import attempts
 from ..policy import freshness
 from ..policy import retry_budget
+from ..policy import root_share
 from ..policy import roster
+from ..policy import running_calls
 from ..policy import slot_queue
 from ..policy import spread
 from ..policy import target_life
@@ -43,8 +46,10 @@
 # A confirmation counts this much shorter than a withdrawn key may work, for
 # a store whose feed hides a change for a second, and for the way.
 FRESH_MARGIN_S = 1.25
-# A lower limit of an account counts this much before it has to.
-LOWER_MARGIN_S = 0.5
+# An old limit counts for so long after a lower one has to be in force: it
+# binds a whole window of the quota later, and calls that began under the old
+# one are still on their way.
+LOWER_GRACE_S = 1.0
 BODY_MEMORY_SHARE = 0.3
 RETAINED_ANSWER_SHARE = 0.1
 
@@ -165,11 +170,15 @@
         bodies=state.bodies,
     )
     admitter = _build_admitter(state)
+    running = running_calls.RunningCalls()
+    shares = root_share.RootShares(root_share.ShareSettings())
     guard = gate.Gate(
         state.platform.dialect,
         pool,
         admitter,
         state.bodies,
+        running,
+        shares,
         log=state.log,
         service=config.service,
         drain_s=config.bounds.drain_s,
@@ -181,7 +190,7 @@
         on_control=state.router.receive,
     )
     path = Path(
-        front=_build_front(state, links, guard),
+        front=_build_front(state, links, guard, running, shares),
         gate=guard,
         admitter=admitter,
         pool=pool,
@@ -233,16 +242,24 @@
 
 
 def _build_front(
-    state: State, links: dialler.Dialler, guard: gate.Gate
+    state: State,
+    links: dialler.Dialler,
+    guard: gate.Gate,
+    running: running_calls.RunningCalls,
+    shares: root_share.RootShares,
 ) -> front.Front:
     config = state.config
     bounds = config.bounds
     forwarder = forward.Forwarder(
-        node_id=config.node_id,
-        book=state.book,
-        links=links,
-        runner=guard,
+        transmitter=transmit.Transmitter(
+            node_id=config.node_id,
+            book=state.book,
+            links=links,
+            runner=guard,
+        ),
         balancer=state.book.balancer,
+        running=running,
+        shares=shares,
         repeats=retry_budget.RetryBudget(
             retry_budget.RetryBounds(
                 ratio=bounds.retry_ratio,
@@ -282,7 +299,7 @@
             tokens=bounds.quota_slack,
             window_s=bounds.quota_window_s,
         ),
-        lower_after_s=max(0.0, bounds.apply_s - LOWER_MARGIN_S),
+        lower_after_s=bounds.apply_s + LOWER_GRACE_S,
         source=state.source,
     )
     state.router.register(account_quota.TOPIC_ASK, quotas.receive_ask)
--- a/src/eelgrasswalk/transport/codec.py
+++ b/src/eelgrasswalk/transport/codec.py
@@ -126,7 +126,7 @@
     return [
         5,
         item.attempt,
-        *_list_feedback(item.feedback),
+        _list_feedback(item.feedback),
         response.status,
         response.headers,
         response.body[: frames.INLINE_BYTES],
@@ -137,11 +137,7 @@
 
 def _decode_answer(
     attempt: typing.Any,
-    importance: typing.Any,
-    fraction: typing.Any,
-    queue_delay_s: typing.Any,
-    unspent: typing.Any,
-    load: typing.Any,
+    feedback: typing.Any,
     status: typing.Any,
     headers: typing.Any,
     body: typing.Any,
@@ -150,9 +146,7 @@
 ) -> frames.Answer:
     return frames.Answer(
         attempt=_take_id(attempt),
-        feedback=_take_feedback(
-            importance, fraction, queue_delay_s, unspent, load
-        ),
+        feedback=_take_feedback(feedback),
         response=verdict.Response(
             status=_take_count(status),
             headers=_take_headers(headers),
@@ -165,7 +159,7 @@
 
 def _encode_failure(item: frames.Failure) -> list[typing.Any]:
     outcome = item.outcome
-    fields = [6, item.attempt, *_list_feedback(item.feedback)]
+    fields = [6, item.attempt, _list_feedback(item.feedback)]
     if isinstance(outcome, verdict.MayHaveRun):
         return [*fields, False, outcome.reason.value, outcome.detail]
     return [
@@ -180,11 +174,7 @@
 
 def _decode_failure(
     attempt: typing.Any,
-    importance: typing.Any,
-    fraction: typing.Any,
-    queue_delay_s: typing.Any,
-    unspent: typing.Any,
-    load: typing.Any,
+    feedback: typing.Any,
     not_run: typing.Any,
     reason: typing.Any,
     detail: typing.Any,
@@ -205,38 +195,36 @@
         outcome = verdict.MayHaveRun(_REASONS[reason], _take_text(detail))
     return frames.Failure(
         attempt=_take_id(attempt),
-        feedback=_take_feedback(
-            importance, fraction, queue_delay_s, unspent, load
-        ),
+        feedback=_take_feedback(feedback),
         outcome=outcome,
     )
 
 
 def _list_feedback(
     feedback: frames.Feedback,
-) -> tuple[int, float, float, int, float]:
+) -> tuple[int, float, float, int, float, float, float]:
     return (
         feedback.importance,
         feedback.fraction,
         feedback.queue_delay_s,
         feedback.unspent,
         feedback.load,
+        feedback.starved,
+        feedback.failing,
     )
 
 
-def _take_feedback(
-    importance: typing.Any,
-    fraction: typing.Any,
-    queue_delay_s: typing.Any,
-    unspent: typing.Any,
-    load: typing.Any,
-) -> frames.Feedback:
+def _take_feedback(value: typing.Any) -> frames.Feedback:
+    importance, fraction, queue_delay_s, unspent, *shares = value
+    load, starved, failing = shares
     return frames.Feedback(
         importance=_take_count(importance),
         fraction=_take_number(fraction),
         queue_delay_s=_take_number(queue_delay_s),
         unspent=_take_count(unspent),
         load=_take_number(load),
+        starved=_take_number(starved),
+        failing=_take_number(failing),
     )
 
 
--- a/src/eelgrasswalk/transport/frames.py
+++ b/src/eelgrasswalk/transport/frames.py
@@ -116,6 +116,9 @@
         queue_delay_s: Seconds that calls wait in the queue.
         unspent: Lent attempts that the call's tree did not use.
         load: Calls that run or wait at the target, per call that may run.
+        starved: Share of the target's own calls that have lately failed
+            for want of room further down.
+        failing: Share of its calls at which the target fails by itself.
     """
 
     importance: int
@@ -123,6 +126,8 @@
     queue_delay_s: float
     unspent: int
     load: float = 0.0
+    starved: float = 0.0
+    failing: float = 0.0
 
 
 SILENT_FEEDBACK = Feedback(
--- a/src/eelgrasswalk/transport/http_client.py
+++ b/src/eelgrasswalk/transport/http_client.py
@@ -2,65 +2,20 @@
 
 import asyncio
 import collections
-import dataclasses
-import re
-import socket
 import typing
 
-import httptools
-
-from .. import verdict
 from . import budget
+from . import client_connection
 from . import message
 
-MAX_ANSWER_HEADERS = 256
 CONNECT_TIMEOUT_S = 2.0
-# A target may close an idle connection at any moment; a connection that has
-# been idle for longer than this is replaced rather than risked, unless the
-# target states its own timeout.
-MAX_IDLE_S = 4.0
-# A connection may go silent without a reset: what was sent has to be
-# acknowledged within this time, and a silent peer is probed.
-UNACKNOWLEDGED_MS = 1_000
-PROBE_AFTER_S = 1
-PROBE_INTERVAL_S = 1
-PROBES = 2
-# A connection is left this long before the timeout that the target states.
-IDLE_MARGIN_S = 1.5
-
-_TIMEOUT = re.compile(rb'timeout=(\d{1,6})')
 
 Headers: typing.TypeAlias = message.Headers
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Received:
-    """The whole answer arrived."""
-
-    response: verdict.Response
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class NotSent:
-    """No byte of the request left this process."""
-
-    detail: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Broken:
-    """The connection ended after the request was sent, before the answer.
-
-    Args:
-        reason: What was seen.
-        detail: One sentence.
-    """
-
-    reason: verdict.Reason
-    detail: str
-
-
-Outcome: typing.TypeAlias = Received | NotSent | Broken
+Received = client_connection.Received
+NotSent = client_connection.NotSent
+Broken = client_connection.Broken
+Outcome: typing.TypeAlias = client_connection.Outcome
+_Connection = client_connection.ClientConnection
 
 
 class TargetPool:
@@ -125,7 +80,7 @@
         while self._idle:
             self._idle.pop().close()
 
-    async def _acquire(self) -> '_Connection | NotSent':
+    async def _acquire(self) -> _Connection | NotSent:
         while True:
             connection = self._pop_idle()
             if connection is not None:
@@ -141,7 +96,7 @@
                     self._wake_one()
                 raise
 
-    def _pop_idle(self) -> '_Connection | None':
+    def _pop_idle(self) -> _Connection | None:
         now = asyncio.get_running_loop().time()
         while self._idle:
             connection = self._idle.pop()
@@ -150,7 +105,7 @@
             connection.close()
         return None
 
-    async def _connect(self) -> '_Connection | NotSent':
+    async def _connect(self) -> _Connection | NotSent:
         loop = asyncio.get_running_loop()
         self.open_connections += 1
         try:
@@ -168,7 +123,7 @@
             raise
         return connection
 
-    def _release(self, connection: '_Connection') -> None:
+    def _release(self, connection: _Connection) -> None:
         if connection.usable:
             now = asyncio.get_running_loop().time()
             connection.idle_until = now + connection.max_idle_s
@@ -187,249 +142,3 @@
             if not waiter.done():
                 waiter.set_result(None)
                 return
-
-
-class _Connection(asyncio.Protocol):
-    def __init__(
-        self,
-        loop: asyncio.AbstractEventLoop,
-        on_lost: typing.Callable[[], None],
-        bodies: budget.ByteBudget | None,
-    ) -> None:
-        self._bodies = bodies
-        self._reserved = 0
-        self.usable = True
-        self.idle_until = 0.0
-        self.max_idle_s = MAX_IDLE_S
-        self._loop = loop
-        self._on_lost = on_lost
-        self._transport: asyncio.Transport | None = None
-        self._waiter: asyncio.Future[Outcome] | None = None
-        self._clean_end = False
-        self._head = False
-        self._find_echo: typing.Callable[[Headers], bytes | None] | None = None
-        self._echo: bytes | None = None
-        self._limit = 0
-
-    # asyncio.Protocol
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = typing.cast(asyncio.Transport, transport)
-        _watch_silence(transport.get_extra_info('socket'))
-
-    def eof_received(self) -> bool:
-        self._clean_end = True
-        return False
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.usable = False
-        self._transport = None
-        self._on_lost()
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(self._judge_loss(exc))
-
-    def data_received(self, data: bytes) -> None:
-        if self._waiter is None or self._waiter.done():
-            # Bytes outside an exchange belong to no request of ours.
-            self.close()
-            return
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._fail('the target switched protocols')
-        except (httptools.HttpParserError, ValueError):
-            self._fail('the target sent bad HTTP')
-
-    # Exchange
-
-    async def exchange(
-        self,
-        request: message.Request,
-        max_answer_bytes: int,
-        find_echo: typing.Callable[[Headers], bytes | None] | None,
-    ) -> Outcome:
-        """Send one request and return what came of it."""
-        if self._transport is None:
-            return NotSent('the connection was closed before use')
-        self._find_echo = find_echo
-        self._echo = None if find_echo is None else find_echo(request.headers)
-        self._begin(request, max_answer_bytes)
-        assert self._waiter is not None
-        try:
-            return await self._waiter
-        except asyncio.CancelledError:
-            self.close()
-            raise
-        finally:
-            self._waiter = None
-            self._release_reserved()
-
-    def close(self) -> None:
-        """Close at once."""
-        self.usable = False
-        if self._transport is not None:
-            self._transport.abort()
-
-    def _begin(self, request: message.Request, limit: int) -> None:
-        assert self._transport is not None
-        self._waiter = self._loop.create_future()
-        self._parser = httptools.HttpResponseParser(self)
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._body_length = 0
-        self._headers_done = False
-        self._limit = limit
-        self._head = request.method == 'HEAD'
-        self._transport.write(_render_request(request))
-
-    # httptools callbacks
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.append((name.lower(), value))
-        if len(self._headers) > MAX_ANSWER_HEADERS:
-            raise ValueError('too many headers')
-
-    def on_headers_complete(self) -> None:
-        if self._parser.get_status_code() < 200:
-            return
-        self._headers_done = True
-        if self._head:
-            # The parser would wait for a body that a HEAD answer never has.
-            self.usable = False
-            self._complete()
-
-    def on_body(self, body: bytes) -> None:
-        self._body_length += len(body)
-        if self._body_length > self._limit:
-            self._fail(
-                f'the answer is longer than {self._limit} bytes',
-                verdict.Reason.ANSWER_TOO_LARGE,
-            )
-            return
-        if not self._reserve():
-            self._fail('the node holds too many bodies', verdict.Reason.MEMORY)
-            return
-        self._body.append(body)
-
-    def _reserve(self) -> bool:
-        """Reserve what the body needs beyond what is reserved already."""
-        missing = self._body_length - self._reserved
-        if self._bodies is None or missing <= 0:
-            return True
-        if self._body_length <= budget.UNCOUNTED_BYTES:
-            return True
-        length = max(missing, budget.UNCOUNTED_BYTES)
-        if not self._bodies.try_reserve(length):
-            return False
-        self._reserved += length
-        return True
-
-    def _release_reserved(self) -> None:
-        if self._bodies is not None and self._reserved:
-            self._bodies.release(self._reserved)
-        self._reserved = 0
-
-    def _build_answer(self) -> verdict.Response:
-        answer = verdict.Response(
-            status=self._parser.get_status_code(),
-            headers=tuple(self._headers),
-            body=b''.join(self._body),
-        )
-        if self._bodies is not None and self._reserved:
-            self._bodies.hold(answer, self._reserved)
-            self._reserved = 0
-        return answer
-
-    def on_message_complete(self) -> None:
-        if self._parser.get_status_code() < 200:
-            self._headers.clear()
-            return
-        if not self._parser.should_keep_alive():
-            self.usable = False
-        self._complete()
-
-    def _complete(self) -> None:
-        if self._waiter is None or self._waiter.done():
-            return
-        self._note_keep_alive()
-        if self._is_foreign():
-            self._drop_answer()
-            return
-        self._waiter.set_result(Received(self._build_answer()))
-
-    def _note_keep_alive(self) -> None:
-        value = message.find_header(tuple(self._headers), b'keep-alive')
-        match = _TIMEOUT.search(value) if value is not None else None
-        if match is not None:
-            self.max_idle_s = max(0.0, int(match[1]) - IDLE_MARGIN_S)
-
-    def _is_foreign(self) -> bool:
-        """Whether the answer belongs to another request."""
-        if self._find_echo is None or self._echo is None:
-            return False
-        echo = self._find_echo(tuple(self._headers))
-        return echo is not None and echo != self._echo
-
-    def _drop_answer(self) -> None:
-        if not self.usable:
-            self._fail('the target answered another request')
-            return
-        self._headers.clear()
-        self._body.clear()
-        self._body_length = 0
-        self._headers_done = False
-
-    def _fail(
-        self,
-        detail: str,
-        reason: verdict.Reason = verdict.Reason.ANSWER_INCOMPLETE,
-    ) -> None:
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(Broken(reason, detail))
-        self.close()
-
-    def _judge_loss(self, exc: Exception | None) -> Outcome:
-        if not self._headers_done:
-            return Broken(
-                verdict.Reason.TARGET_LOST,
-                'the target closed the connection before answering',
-            )
-        framed = any(
-            name in (b'content-length', b'transfer-encoding')
-            for name, _ in self._headers
-        )
-        if framed or exc is not None or not self._clean_end:
-            return Broken(
-                verdict.Reason.ANSWER_INCOMPLETE,
-                'the target closed the connection within its answer',
-            )
-        if self._is_foreign():
-            return Broken(
-                verdict.Reason.ANSWER_INCOMPLETE,
-                'the target answered another request',
-            )
-        return Received(self._build_answer())
-
-
-def _watch_silence(connected: socket.socket) -> None:
-    """Let the kernel find out that nothing passes any more."""
-    tcp = socket.IPPROTO_TCP
-    connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    connected.setsockopt(tcp, socket.TCP_KEEPIDLE, PROBE_AFTER_S)
-    connected.setsockopt(tcp, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
-    connected.setsockopt(tcp, socket.TCP_KEEPCNT, PROBES)
-    connected.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
-
-
-def _render_request(request: message.Request) -> bytes:
-    parts = [
-        f'{request.method} {request.target} HTTP/1.1\r\n'.encode('latin-1')
-    ]
-    for name, value in request.headers:
-        if name != b'content-length':
-            parts.append(b'%b: %b\r\n' % (name, value))
-    if request.body or request.method in ('POST', 'PUT', 'PATCH'):
-        parts.append(b'content-length: %d\r\n' % len(request.body))
-    parts.append(b'\r\n')
-    parts.append(request.body)
-    return b''.join(parts)
--- a/src/eelgrasswalk/verdict.py
+++ b/src/eelgrasswalk/verdict.py
@@ -56,6 +56,11 @@
 
     response: Response
 
+    @property
+    def is_failure(self) -> bool:
+        """Whether the target says that it has failed."""
+        return self.response.status >= 500
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotRun:
@@ -89,4 +94,20 @@
     detail: str = ''
 
 
-Verdict: typing.TypeAlias = Answered | NotRun | MayHaveRun
+Failure: typing.TypeAlias = NotRun | MayHaveRun
+Verdict: typing.TypeAlias = Answered | Failure
+Latest = typing.TypeVar('Latest', bound=Verdict)
+
+
+def combine(former: Failure | None, latest: Latest) -> Latest | MayHaveRun:
+    """Return the verdict on a request whose earlier attempts have failed.
+
+    A refusal says nothing of an earlier attempt that may have run.
+
+    Args:
+        former: What came of the earlier attempts; None for no attempt.
+        latest: What came of the latest one.
+    """
+    if isinstance(latest, NotRun) and isinstance(former, MayHaveRun):
+        return former
+    return latest
--- a/src/eelgrasswalk/wiring.py
+++ b/src/eelgrasswalk/wiring.py
@@ -29,6 +29,7 @@
 from .filters import route
 from .filters import served
 from .filters import shed
+from .filters import transmit
 from .policy import admission
 from .policy import attempts
 from .policy import balance
@@ -187,10 +188,12 @@
     controllers: wiring_controllers.Controllers | None,
 ) -> exchange.Chain:
     dispatcher = dispatch.Dispatcher(
-        node_id=shared.config.node_id,
-        book=book,
-        links=links,
-        runner=gate,
+        transmitter=transmit.Transmitter(
+            node_id=shared.config.node_id,
+            book=book,
+            links=links,
+            runner=gate,
+        ),
         balancer=book.balancer,
         level_table=level_table,
         storm=breaker.StormBreaker(),
--- a/tests/controllers/test_account_quota.py
+++ b/tests/controllers/test_account_quota.py
@@ -131,6 +131,31 @@
         ):
             self.assertEqual(0, await self.mesh.count_admitted(other, 5))
 
+    async def test_what_decides_is_told(self) -> None:
+        other = self.mesh.others[0]
+        node = self.mesh.nodes[other]
+        self.assertFalse(node.describe(LAKE)['owner_is_silent'])
+        self.mesh.silent = {self.mesh.owner}
+        with (
+            unittest.mock.patch.object(account_quota, 'ANSWER_LIMIT_S', 0.0),
+            self.assertLogs('eelgrasswalk', 'WARNING'),
+        ):
+            await self.mesh.count_admitted(other, 1)
+        told = node.describe(LAKE)
+        self.assertTrue(told['owner_is_silent'])
+        self.assertEqual(self.mesh.owner, told['owner'])
+        self.assertEqual(50.0, told['rate'])
+
+    async def test_news_of_other_nodes_change_no_owner(self) -> None:
+        """The owner goes on with the tokens that it has."""
+        owner = self.mesh.nodes[self.mesh.owner]
+        owner.note_nodes()
+        self.mesh.now += 10.0
+        owner.note_nodes()
+        self.assertEqual(
+            50, await self.mesh.count_admitted(self.mesh.owner, 60)
+        )
+
     async def test_account_without_a_limit_asks_nobody(self) -> None:
         free = call_rules.AccountRule('free', ('k',), 0.0, 0.0)
         self.mesh.silent = set(NODES)
--- a/tests/controllers/test_check_ins.py
+++ b/tests/controllers/test_check_ins.py
@@ -15,7 +15,7 @@
 from tests.controllers import fake_store
 from tests.controllers import test_roster
 
-BEAT = ports.CheckIn('i-1', 1000, 1, 'orders', 8, False, 0.0)
+BEAT = ports.CheckIn('i-1', 1000, 1, 'orders', 8, False)
 
 
 class Form:
@@ -39,7 +39,7 @@
     def __init__(self) -> None:
         self.told: list[str] = []
 
-    def set_target(self, target_id: str, slots: int, cold_s: float) -> None:
+    def set_target(self, target_id: str, slots: int) -> None:
         self.told.append(target_id)
 
     def leave(self) -> None:
--- a/tests/filters/test_dispatch.py
+++ b/tests/filters/test_dispatch.py
@@ -9,6 +9,7 @@
 from eelgrasswalk.document import model
 from eelgrasswalk.filters import dispatch
 from eelgrasswalk.filters import exchange
+from eelgrasswalk.filters import transmit
 from eelgrasswalk.policy import balance
 from eelgrasswalk.policy import breaker
 from eelgrasswalk.policy import levels
@@ -27,13 +28,20 @@
 
 
 class Runner:
-    """Keeps the calls that would leave the node."""
+    """Keeps the calls that would leave the node.
 
-    def __init__(self) -> None:
+    Args:
+        outcomes: What becomes of the first attempts; others are answered.
+    """
+
+    def __init__(self, *outcomes: verdict.Verdict) -> None:
         self.calls: list[frames.Call] = []
+        self.outcomes = list(outcomes)
 
     async def run(self, call: frames.Call) -> dialler.Reply:
         self.calls.append(call)
+        if self.outcomes:
+            return dialler.Reply(self.outcomes.pop(0), None)
         response = verdict.Response(200, (), b'')
         return dialler.Reply(verdict.Answered(response), None)
 
@@ -42,16 +50,46 @@
     pass
 
 
+class HalfReachable:
+    """Reaches every node but one."""
+
+    def __init__(self, unreachable: str) -> None:
+        self.unreachable = unreachable
+        self.tried: list[str] = []
+
+    async def transmit(
+        self,
+        node_id: str,
+        call: frames.Call,
+        *,
+        deadline: float,
+        retriable: bool,
+    ) -> dialler.Reply:
+        self.tried.append(node_id)
+        if node_id == self.unreachable:
+            missed = verdict.NotRun(
+                verdict.Reason.NO_UPSTREAM, retry_elsewhere=True
+            )
+            return dialler.Reply(missed, None)
+        response = verdict.Response(200, (), b'')
+        return dialler.Reply(verdict.Answered(response), None)
+
+
 class DispatcherTest(unittest.IsolatedAsyncioTestCase):
-    async def test_key_and_own_headers_cross_no_link(self) -> None:
-        runner = Runner()
+    def build_balancer(self, *node_ids: str) -> balance.Balancer:
         balancer = balance.Balancer(
             balance.BalanceSettings(), data_centre='dc'
         )
-        balancer.replace(
-            'inventory', [balance.Upstream('n', 'dc', 'inventory')], 0.0
-        )
-        dispatcher = dispatch.Dispatcher(
+        upstreams = [
+            balance.Upstream(node_id, 'dc', 'inventory')
+            for node_id in node_ids
+        ]
+        balancer.replace('inventory', upstreams, 0.0)
+        return balancer
+
+    def build_dispatcher(self, runner: Runner) -> dispatch.Dispatcher:
+        balancer = self.build_balancer('n')
+        transmitter = transmit.Transmitter(
             node_id='n',
             book=directory.Directory(balancer),
             links=dialler.Dialler(
@@ -61,30 +99,89 @@
                 on_control=ignore_control,
             ),
             runner=runner,
+        )
+        return self.wire_dispatcher(transmitter, balancer)
+
+    def wire_dispatcher(
+        self,
+        transmitter: dispatch.Transmitter,
+        balancer: balance.Balancer,
+    ) -> dispatch.Dispatcher:
+        return dispatch.Dispatcher(
+            transmitter=transmitter,
             balancer=balancer,
             level_table=levels.LevelTable(),
             storm=breaker.StormBreaker(),
             source=random.Random(1),
             removed_headers=frozenset((b'x-api-key',)),
         )
+
+    def build_item(
+        self, headers: message.Headers = (), *, allowance: int = 0
+    ) -> exchange.Exchange:
+        now = asyncio.get_running_loop().time()
+        return exchange.Exchange(
+            request=message.Request('GET', '/stock', headers, b''),
+            source=exchange.Source.CALLER,
+            arrived_at=now,
+            table=routing.RoutingTable(DOCUMENT, version=1),
+            route=ROUTE,
+            deadline=now + 10,
+            context=frames.Context('a', 0, bytes(16), 0.5, 0.0, 0),
+            ledger=retries.Ledger(allowance),
+        )
+
+    async def test_key_and_own_headers_cross_no_link(self) -> None:
+        runner = Runner()
+        dispatcher = self.build_dispatcher(runner)
         headers = (
             (b'x-api-key', b'secret key'),
             (b'eelgrasswalk-context', b'token'),
             (b'accept', b'*/*'),
         )
-        now = asyncio.get_running_loop().time()
-        outcome = await dispatcher.send(
-            exchange.Exchange(
-                request=message.Request('GET', '/stock', headers, b''),
-                source=exchange.Source.CALLER,
-                arrived_at=now,
-                table=routing.RoutingTable(DOCUMENT, version=1),
-                route=ROUTE,
-                deadline=now + 10,
-                context=frames.Context('a', 0, bytes(16), 0.5, 0.0, 0),
-                ledger=retries.Ledger(0),
-            )
-        )
+        outcome = await dispatcher.send(self.build_item(headers))
         self.assertIsInstance(outcome, verdict.Answered)
         sent = runner.calls[0].request.headers
         self.assertEqual(((b'accept', b'*/*'),), sent)
+
+    async def test_upstreams_out_of_reach_for_a_moment_cut_no_request(
+        self,
+    ) -> None:
+        """One upstream stops while the other one has just started."""
+        missed = verdict.NotRun(
+            verdict.Reason.TARGET_UNREACHABLE, retry_elsewhere=True
+        )
+        dispatcher = self.build_dispatcher(Runner(missed, missed))
+        outcome = await dispatcher.send(self.build_item())
+        self.assertIsInstance(outcome, verdict.Answered)
+
+    async def test_an_upstream_out_of_reach_is_tried_once(self) -> None:
+        """While one upstream restarts, the other serves every request."""
+        reach = HalfReachable('n')
+        dispatcher = self.wire_dispatcher(reach, self.build_balancer('n', 'm'))
+        for _ in range(20):
+            reach.tried.clear()
+            outcome = await dispatcher.send(self.build_item())
+            self.assertIsInstance(outcome, verdict.Answered)
+            self.assertLessEqual(reach.tried.count('n'), 1)
+
+    async def test_upstreams_that_stay_out_of_reach_are_given_up(
+        self,
+    ) -> None:
+        missed = verdict.NotRun(
+            verdict.Reason.TARGET_UNREACHABLE, retry_elsewhere=True
+        )
+        runner = Runner(*([missed] * 100))
+        dispatcher = self.build_dispatcher(runner)
+        outcome = await dispatcher.send(self.build_item())
+        self.assertIsInstance(outcome, verdict.NotRun)
+        self.assertLessEqual(len(runner.calls), dispatch.MAX_MISSES + 1)
+
+    async def test_doubt_is_not_forgotten_when_a_repeat_is_refused(
+        self,
+    ) -> None:
+        doubt = verdict.MayHaveRun(verdict.Reason.TARGET_LOST)
+        refusal = verdict.NotRun(verdict.Reason.OVERLOAD)
+        dispatcher = self.build_dispatcher(Runner(doubt, refusal))
+        outcome = await dispatcher.send(self.build_item(allowance=2))
+        self.assertEqual(doubt, outcome)
--- /dev/null
+++ b/tests/filters/test_forward.py
@@ -0,0 +1,206 @@
+"""Tests of the last step of a call at the caller's node."""
+
+import asyncio
+import random
+import unittest
+
+from eelgrasswalk import verdict
+from eelgrasswalk.controllers import directory
+from eelgrasswalk.document import model
+from eelgrasswalk.filters import forward
+from eelgrasswalk.filters import front
+from eelgrasswalk.filters import transmit
+from eelgrasswalk.policy import balance
+from eelgrasswalk.policy import call_rules
+from eelgrasswalk.policy import retry_budget
+from eelgrasswalk.policy import root_share
+from eelgrasswalk.policy import running_calls
+from eelgrasswalk.policy import spread
+from eelgrasswalk.transport import budget
+from eelgrasswalk.transport import dialler
+from eelgrasswalk.transport import frames
+from eelgrasswalk.transport import link
+from eelgrasswalk.transport import message
+
+OVERLOAD = verdict.NotRun(
+    verdict.Reason.OVERLOAD, retry_after_s=1.0, retry_elsewhere=True
+)
+DOUBT = verdict.MayHaveRun(verdict.Reason.TARGET_LOST)
+ANSWER = verdict.Answered(verdict.Response(200, (), b''))
+FAILURE = verdict.Answered(verdict.Response(500, (), b''))
+
+
+class Replies(transmit.Transmitter):
+    """Stands in for links: gives the replies that it was told."""
+
+    def __init__(self, *replies: dialler.Reply) -> None:
+        self.replies = list(replies)
+
+    async def transmit(
+        self,
+        node_id: str,
+        call: frames.Call,
+        *,
+        deadline: float,
+        retriable: bool,
+    ) -> dialler.Reply:
+        return self.replies.pop(0)
+
+
+def build_reply(
+    outcome: verdict.Verdict, starved: float = 0.0
+) -> dialler.Reply:
+    feedback = frames.Feedback(255, 1.0, 0.0, 0, starved=starved)
+    return dialler.Reply(outcome, feedback)
+
+
+def build_item(*, open_to_all: bool = False) -> front.Item:
+    now = asyncio.get_running_loop().time()
+    rule = call_rules.RouteRule(
+        name='browse',
+        hostname='h',
+        prefix='/',
+        shares=(call_rules.Share('back', 1.0),),
+        importance=model.Importance.NORMAL,
+        idempotent=True,
+        open_to_all=open_to_all,
+        timeout_s=5.0,
+        objective_s=1.0,
+        max_upstreams=2,
+    )
+    return front.Item(
+        request=message.Request('GET', '/', (), b''),
+        request_id='r',
+        arrived_at=now,
+        route=rule,
+        service='back',
+        account='',
+        importance=2,
+        deadline=now + 5.0,
+        root_hash=0.5,
+    )
+
+
+class ForwarderTest(unittest.IsolatedAsyncioTestCase):
+    def build(self, *replies: dialler.Reply) -> forward.Forwarder:
+        balancer = spread.Spread(spread.SpreadSettings(), data_centre='a')
+        balancer.replace(
+            'back',
+            [
+                balance.Upstream(f'n{number}', 'a', 'back', 4)
+                for number in range(3)
+            ],
+            0.0,
+        )
+        self.running = running_calls.RunningCalls()
+        self.shares = root_share.RootShares(
+            root_share.ShareSettings(interval_s=0.0, least_calls=1)
+        )
+        return forward.Forwarder(
+            transmitter=Replies(*replies),
+            balancer=balancer,
+            running=self.running,
+            shares=self.shares,
+            repeats=retry_budget.RetryBudget(
+                retry_budget.RetryBounds(0.2, 10.0, 50.0)
+            ),
+            count_nodes=lambda: 1,
+            source=random.Random(1),
+        )
+
+    async def test_doubt_is_not_forgotten_when_a_repeat_is_refused(
+        self,
+    ) -> None:
+        """The first attempt may have run, so nobody may say that none has."""
+        forwarder = self.build(
+            build_reply(DOUBT),
+            build_reply(OVERLOAD),
+            build_reply(OVERLOAD),
+        )
+        self.assertEqual(DOUBT, await forwarder.send(build_item()))
+
+    async def test_refusal_by_all_keeps_its_reason(self) -> None:
+        forwarder = self.build(*[build_reply(OVERLOAD)] * 3)
+        outcome = await forwarder.send(build_item())
+        assert isinstance(outcome, verdict.NotRun)
+        self.assertIs(verdict.Reason.OVERLOAD, outcome.reason)
+        self.assertGreaterEqual(outcome.retry_after_s or 0.0, 1.0)
+
+    async def test_refused_call_goes_to_another_upstream(self) -> None:
+        forwarder = self.build(build_reply(OVERLOAD), build_reply(ANSWER))
+        self.assertEqual(ANSWER, await forwarder.send(build_item()))
+
+    async def test_starving_calls_of_the_own_target_are_heard_of(
+        self,
+    ) -> None:
+        refused = [build_reply(OVERLOAD)] * 3
+        forwarder = self.build(*(refused * 5))
+        for _ in range(5):
+            await forwarder.send(build_item(open_to_all=True))
+        self.assertLess(self.shares.compute_share('browse', 0.0), 1.0)
+
+    async def test_failures_of_starving_targets_count_as_starving(
+        self,
+    ) -> None:
+        failed = build_reply(FAILURE, starved=0.3)
+        forwarder = self.build(*([failed] * 5))
+        for _ in range(5):
+            await forwarder.send(build_item(open_to_all=True))
+        self.assertLess(self.shares.compute_share('browse', 0.0), 1.0)
+
+    async def test_failed_call_is_held_against_its_request(self) -> None:
+        forwarder = self.build(build_reply(FAILURE))
+        self.running.begin('a', 'browse')
+        item = build_item(open_to_all=True)
+        item.parent_id = 'a'
+        await forwarder.send(item)
+        self.assertTrue(self.running.end('a'))
+
+    async def test_calls_of_callers_say_nothing_of_the_own_target(
+        self,
+    ) -> None:
+        refused = [build_reply(OVERLOAD)] * 3
+        forwarder = self.build(*(refused * 5))
+        for _ in range(5):
+            await forwarder.send(build_item())
+        self.assertEqual(1.0, self.shares.compute_share('browse', 0.0))
+
+
+class TransmitterTest(unittest.IsolatedAsyncioTestCase):
+    async def test_unknown_node_is_a_refusal_that_may_go_elsewhere(
+        self,
+    ) -> None:
+        balancer = spread.Spread(spread.SpreadSettings(), data_centre='a')
+        bodies = budget.ByteBudget(1)
+        transmitter = transmit.Transmitter(
+            node_id='n',
+            book=directory.Directory(balancer),
+            links=dialler.Dialler(
+                link.Identity('n', 1),
+                secret=b'secret',
+                bodies=bodies,
+                on_control=lambda node_id, topic, payload: None,
+            ),
+            runner=NoRunner(),
+        )
+        call = frames.Call(
+            attempt=bytes(16),
+            route='browse',
+            context=frames.Context('', 0, bytes(16), 0.0, 0.0, 0),
+            remaining_s=1.0,
+            allowance=0,
+            idempotency_key='',
+            request=message.Request('GET', '/', (), b''),
+            body_length=0,
+            digest=0,
+        )
+        reply = await transmitter.transmit(
+            'other', call, deadline=1.0, retriable=True
+        )
+        assert isinstance(reply.outcome, verdict.NotRun)
+        self.assertTrue(reply.outcome.retry_elsewhere)
+
+
+class NoRunner:
+    async def run(self, call: frames.Call) -> dialler.Reply:
+        raise AssertionError('nothing runs here')
--- /dev/null
+++ b/tests/filters/test_gate.py
@@ -0,0 +1,119 @@
+"""Tests of what the gate refuses before a call reaches the target."""
+
+import random
+import unittest
+import unittest.mock
+
+from eelgrasswalk import request_log
+from eelgrasswalk import verdict
+from eelgrasswalk.filters import admit
+from eelgrasswalk.filters import gate
+from eelgrasswalk.platform import dialect
+from eelgrasswalk.policy import root_share
+from eelgrasswalk.policy import running_calls
+from eelgrasswalk.policy import slot_queue
+from eelgrasswalk.transport import budget
+from eelgrasswalk.transport import frames
+from eelgrasswalk.transport import http_client
+from eelgrasswalk.transport import message
+
+RESPONSE = verdict.Response(200, ((b'response-stamp', b's'),), b'')
+
+
+def build_call(
+    *, depth: int = 0, root_hash: float = 0.9, request_id: bytes = b'a'
+) -> frames.Call:
+    return frames.Call(
+        attempt=bytes(16),
+        route='browse',
+        context=frames.Context('', 2, bytes(16), root_hash, 0.0, depth),
+        remaining_s=5.0,
+        allowance=0,
+        idempotency_key='',
+        request=message.Request(
+            'GET', '/', ((b'attempt-id', request_id),), b''
+        ),
+        body_length=0,
+        digest=0,
+        objective_s=1.0,
+    )
+
+
+class GateTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.shares = root_share.RootShares(
+            root_share.ShareSettings(interval_s=0.0, least_calls=1)
+        )
+        self.running = running_calls.RunningCalls()
+        self.pool = unittest.mock.Mock(spec=http_client.TargetPool)
+        self.pool.send = unittest.mock.AsyncMock(
+            return_value=http_client.Received(RESPONSE)
+        )
+        self.gate = gate.Gate(
+            dialect.PlatformDialect(),
+            self.pool,
+            admit.Admitter(
+                slot_queue.SlotQueue(slot_queue.SlotSettings(), slots=1),
+                source=random.Random(1),
+            ),
+            budget.ByteBudget(1_000_000),
+            self.running,
+            self.shares,
+            log=unittest.mock.Mock(spec=request_log.RequestLog),
+            service='back',
+            drain_s=2.0,
+        )
+        self.gate.set_target('i-1', 4)
+
+    def starve(self) -> None:
+        for _ in range(100):
+            self.shares.observe(None, True, 0.0)
+            self.shares.observe(None, True, 0.0)
+
+    async def test_call_is_answered_by_the_target(self) -> None:
+        reply = await self.gate.run(build_call())
+        self.assertIsInstance(reply.outcome, verdict.Answered)
+
+    async def test_new_root_is_refused_while_calls_of_the_target_starve(
+        self,
+    ) -> None:
+        self.starve()
+        reply = await self.gate.run(build_call())
+        assert isinstance(reply.outcome, verdict.NotRun)
+        self.assertFalse(reply.outcome.retry_elsewhere)
+        self.assertGreater(reply.outcome.retry_after_s or 0.0, 0.0)
+        self.pool.send.assert_not_called()
+
+    async def test_work_already_begun_goes_on(self) -> None:
+        self.starve()
+        reply = await self.gate.run(build_call(depth=1))
+        self.assertIsInstance(reply.outcome, verdict.Answered)
+
+    async def test_answers_tell_what_starves(self) -> None:
+        self.starve()
+        reply = await self.gate.run(build_call(depth=1))
+        assert reply.feedback is not None
+        self.assertEqual(1.0, reply.feedback.starved)
+
+    async def test_answers_tell_how_often_the_target_fails(self) -> None:
+        failed = verdict.Response(500, RESPONSE.headers, b'')
+        self.pool.send.return_value = http_client.Received(failed)
+        reply = await self.gate.run(build_call())
+        assert reply.feedback is not None
+        self.assertGreater(reply.feedback.failing, 0.0)
+
+    async def test_failure_for_a_call_that_failed_is_not_the_targets(
+        self,
+    ) -> None:
+        failed = verdict.Response(500, RESPONSE.headers, b'')
+
+        async def fail(
+            *args: object, **options: object
+        ) -> http_client.Outcome:
+            self.running.note_failed_call('a')
+            return http_client.Received(failed)
+
+        self.pool.send.side_effect = fail
+        reply = await self.gate.run(build_call())
+        assert reply.feedback is not None
+        self.assertEqual(0.0, reply.feedback.failing)
--- a/tests/platform/test_check_ins.py
+++ b/tests/platform/test_check_ins.py
@@ -40,7 +40,6 @@
                 service='orders',
                 slots=125,
                 draining=False,
-                cold_left_s=1.5,
             ),
             decode(self.beat, BEAT),
         )
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -39,6 +39,18 @@
         self.assertIsNone(DIALECT.read_key(((b'authorization', b'Basic x'),)))
         self.assertIsNone(DIALECT.read_key(()))
 
+    def test_calls_of_targets_name_their_root_and_parent(self) -> None:
+        headers = ((b'attempt-id', b'9c41.b7e2.a35f'),)
+        request_id = DIALECT.read_request_id(headers)
+        self.assertEqual('9c41', DIALECT.find_root_id(request_id))
+        self.assertEqual('9c41.b7e2', DIALECT.find_parent_id(request_id))
+
+    def test_call_of_a_client_is_its_own_root(self) -> None:
+        headers = ((b'attempt-id', b'9c41'),)
+        request_id = DIALECT.read_request_id(headers)
+        self.assertEqual('9c41', DIALECT.find_root_id(request_id))
+        self.assertEqual('', DIALECT.find_parent_id(request_id))
+
     def test_hostname_has_no_port(self) -> None:
         headers = ((b'host', b'Shop.Example:80'),)
         self.assertEqual('shop.example', DIALECT.read_hostname(headers))
--- a/tests/policy/test_account_rates.py
+++ b/tests/policy/test_account_rates.py
@@ -33,7 +33,7 @@
 
 class OwnedAccountsTest(unittest.TestCase):
     def test_new_owner_begins_with_little(self) -> None:
-        owned = account_rates.OwnedAccounts()
+        owned = account_rates.OwnedAccounts(0.0)
         grant = owned.grant('lake', 100, 0.0, rate=50.0, burst=50.0)
         self.assertEqual(int(50.0 * account_rates.FIRST_SHARE), grant.tokens)
 
@@ -45,14 +45,19 @@
         self.assertLessEqual(used, 1.1 * (1.0 + 5.0) + 1e-9)
 
     def test_account_that_comes_back_begins_with_little(self) -> None:
-        owned = account_rates.OwnedAccounts()
+        owned = account_rates.OwnedAccounts(0.0)
         owned.grant('lake', 1, 0.0, rate=50.0, burst=50.0)
-        owned.keep_only(lambda account: False)
+        owned.change_owners(lambda account: False, 60.0)
         grant = owned.grant('lake', 100, 60.0, rate=50.0, burst=50.0)
         self.assertLessEqual(grant.tokens, 50.0 * account_rates.FIRST_SHARE)
 
+    def test_owner_saves_up_from_owning_not_from_the_first_call(self) -> None:
+        owned = account_rates.OwnedAccounts(0.0)
+        grant = owned.grant('lake', 100, 10.0, rate=50.0, burst=50.0)
+        self.assertEqual(50, grant.tokens)
+
     def test_refusal_tells_when_the_next_token_comes(self) -> None:
-        owned = account_rates.OwnedAccounts()
+        owned = account_rates.OwnedAccounts(0.0)
         owned.grant('lake', 1000, 0.0, rate=10.0, burst=10.0)
         grant = owned.grant('lake', 1, 0.0, rate=10.0, burst=10.0)
         self.assertEqual(0, grant.tokens)
@@ -69,7 +74,7 @@
     def test_no_window_gets_more_than_rate_and_burst(
         self, asks: list[tuple[float, int]]
     ) -> None:
-        owned = account_rates.OwnedAccounts()
+        owned = account_rates.OwnedAccounts(0.0)
         now = 0.0
         granted: list[tuple[float, int]] = []
         for pause, wanted in asks:
--- a/tests/policy/test_balance.py
+++ b/tests/policy/test_balance.py
@@ -150,6 +150,15 @@
         self.finish('dc1-n0', Outcome.LEAVING)
         self.assertEqual(set(self.run_calls(100)), {'dc1-n1'})
 
+    def test_upstream_that_has_left_is_tried_again(self) -> None:
+        """It may be back, and a fixed list of members tells nothing."""
+        self.balancer.replace('leaf', make_upstreams(1), self.now)
+        self.balancer.start('dc1-n0', self.now)
+        self.finish('dc1-n0', Outcome.LEAVING)
+        self.assertIsNone(self.choose())
+        self.now += balance.BalanceSettings().leaving_s
+        self.assertEqual('dc1-n0', self.choose())
+
     def test_subset_is_bounded_and_spread_over_callers(self) -> None:
         upstreams = make_upstreams(40) + make_upstreams(40, 'dc2')
         seen: collections.Counter[str] = collections.Counter()
--- a/tests/policy/test_quota_holder.py
+++ b/tests/policy/test_quota_holder.py
@@ -59,6 +59,14 @@
         refused = self.account.take(0.11)
         self.assertAlmostEqual(0.2, refused.retry_after_s)
 
+    def test_waits_for_the_first_answer_of_an_owner(self):
+        """After a start, nobody owns the slot for a moment."""
+        self.account.plan(1, now=0.0)
+        self.account.expire(1.0)
+        self.account.plan(1, now=1.0)
+        self.account.expire(2.0)
+        self.assertEqual(quota.NeedTokens(), self.account.take(2.0))
+
     def test_drops_tokens_of_an_earlier_epoch(self):
         action = self.account.plan(1, now=0.0)
         self.grant(action.message, 2.0, 0.01)
--- a/tests/policy/test_slot_queue.py
+++ b/tests/policy/test_slot_queue.py
@@ -18,12 +18,13 @@
     deadline: float = 5.0,
     depth: int = 0,
     route: str = 'browse',
+    root_hash: float = 0.0,
 ) -> slot_queue.Candidate:
     return slot_queue.Candidate(
         call_id=call_id,
         importance=importance,
         account='',
-        root_hash=0.0,
+        root_hash=root_hash,
         root_started_at=0.0,
         deadline=deadline,
         depth=depth,
@@ -131,6 +132,24 @@
         queue.offer(build_candidate(1, depth=1, objective_at=0.0), 0.0)
         self.assertEqual(1, queue.queued)
 
+    def test_begun_work_beyond_all_slots_goes_by_its_roots(self) -> None:
+        """All calls of some roots get through, not some calls of all."""
+        queue = build_busy(slots=1, service_s=0.1)
+        for call_id in range(15):
+            queue.offer(build_candidate(call_id, depth=1, root_hash=0.9), 0.0)
+        queue.offer(build_candidate(100, depth=1, root_hash=0.1), 0.0)
+        self.assertEqual(
+            [admission.Start(100)], queue.finish(2000, 0.05, ok=True)
+        )
+
+    def test_begun_work_far_beyond_all_slots_waits_for_less(self) -> None:
+        queue = build_busy(slots=1, service_s=0.1)
+        refused = []
+        for call_id in range(60):
+            refused += queue.offer(build_candidate(call_id, depth=1), 0.0)
+        # Their deadlines alone would leave room for 48.
+        self.assertLess(queue.queued, 40)
+
     def test_cancelled_call_leaves_the_queue(self) -> None:
         queue = build_busy()
         queue.offer(build_candidate(1), 0.0)
--- a/tests/policy/test_spread.py
+++ b/tests/policy/test_spread.py
@@ -2,10 +2,13 @@
 
 import collections
 import random
+import typing
 import unittest
 
+from eelgrasswalk import verdict
 from eelgrasswalk.policy import balance
 from eelgrasswalk.policy import spread
+from eelgrasswalk.policy import target_faults
 
 
 def build_upstreams(count: int = 4) -> list[balance.Upstream]:
@@ -20,8 +23,9 @@
         self.random = random.Random(7)
         self.spread = spread.Spread(spread.SpreadSettings(), data_centre='dc0')
         self.spread.replace('leaf', build_upstreams(), 0.0)
+        self.faults = collections.defaultdict(target_faults.TargetFaults)
 
-    def choose(self, now: float = 10.0, **options: set[str]) -> str:
+    def choose(self, now: float = 10.0, **options: typing.Any) -> str:
         pair = (self.random.random(), self.random.random())
         chosen = self.spread.choose('leaf', now, pair, **options)
         assert chosen is not None
@@ -37,6 +41,10 @@
         outcome: balance.Outcome = balance.Outcome.ANSWERED,
         now: float = 10.0,
     ) -> None:
+        """Note a call; the node beside the target has seen just these."""
+        response = verdict.Response(500 if failed else 200, (), b'')
+        faults = self.faults[node_id]
+        faults.observe(verdict.Answered(response), has_failed_call=False)
         self.spread.start(node_id, now)
         self.spread.finish(
             node_id,
@@ -45,7 +53,7 @@
             outcome=outcome,
             latency_s=latency_s,
             load=load,
-            failed=failed,
+            failing=faults.rate,
         )
 
     def count(self, calls: int = 400) -> collections.Counter[str]:
@@ -65,6 +73,27 @@
                 self.report(node_id, latency_s=0.1, load=0.2)
         self.assertNotIn('n0', self.count())
 
+    def test_call_with_little_time_goes_where_it_is_answered_soonest(
+        self,
+    ) -> None:
+        """The near upstream is idle, but takes twice the time."""
+        for _ in range(60):
+            self.report('n0', latency_s=0.4, load=0.1)
+            for node_id in ('n1', 'n2'):
+                self.report(node_id, latency_s=0.2, load=0.1)
+            self.report('n3', latency_s=0.1, load=0.1)
+        self.assertEqual('n0', self.choose(route='browse', left_s=5.0))
+        for _ in range(20):
+            chosen = self.choose(route='browse', left_s=0.4)
+            self.assertEqual('n3', chosen)
+
+    def test_call_with_little_time_avoids_a_full_upstream(self) -> None:
+        for _ in range(60):
+            for node_id in ('n0', 'n1', 'n2'):
+                self.report(node_id, latency_s=0.2, load=0.1)
+            self.report('n3', latency_s=0.15, load=1.5)
+        self.assertNotEqual('n3', self.choose(route='browse', left_s=0.4))
+
     def test_failing_upstream_gets_less_but_not_nothing_left(self) -> None:
         for _ in range(60):
             self.report('n0', failed=True, load=0.5)
@@ -84,6 +113,46 @@
             self.spread.start('n0', 10.0)
         self.assertNotIn('n0', self.count())
 
+    def finish_once(self, *, failing: float | None) -> None:
+        self.spread.start('n0', 10.0)
+        self.spread.finish(
+            'n0',
+            10.0,
+            route='browse',
+            outcome=balance.Outcome.FAILED,
+            latency_s=0.1,
+            load=0.1,
+            failing=failing,
+        )
+
+    def test_one_report_of_a_failing_target_is_enough(self) -> None:
+        """Its node has seen the failures of all callers."""
+        self.finish_once(failing=0.8)
+        self.assertNotIn('n0', self.count())
+
+    def test_idle_near_upstream_that_fails_now_and_then_is_left(self) -> None:
+        self.finish_once(failing=0.25)
+        self.assertNotIn('n0', self.count())
+
+    def test_two_refusals_outweigh_a_little_speed(self) -> None:
+        """One of two upstreams has room but refuses; the other is slower."""
+        self.spread.replace('leaf', build_upstreams(2), 0.0)
+        for _ in range(20):
+            self.report('n0', latency_s=0.1)
+            self.report('n1', latency_s=0.13)
+        for _ in range(2):
+            self.report('n0', outcome=balance.Outcome.REFUSED, failed=True)
+        self.assertNotIn('n0', self.count())
+
+    def test_failing_target_is_tried_again(self) -> None:
+        self.finish_once(failing=0.8)
+        self.assertEqual('n0', self.choose(60.0))
+
+    def test_failures_that_the_upstream_cannot_report_count_too(self) -> None:
+        for _ in range(20):
+            self.finish_once(failing=None)
+        self.assertNotIn('n0', self.count())
+
     def test_service_that_fails_as_a_whole_is_spread_as_before(self) -> None:
         for _ in range(60):
             for node_id in ('n0', 'n1', 'n2', 'n3'):
--- a/tests/policy/test_target_life.py
+++ b/tests/policy/test_target_life.py
@@ -14,7 +14,7 @@
     sequence: int = 1,
     draining: bool = False,
 ) -> target_life.Report:
-    return target_life.Report(target_id, born_ms, sequence, 8, draining, 0.0)
+    return target_life.Report(target_id, born_ms, sequence, 8, draining)
 
 
 class TargetLifeTest(unittest.TestCase):
