Ignore a stop signal while the interpreter ends

Cause of 'AssertionError: 0 != -15' in test_leaving_target_gets_no_new_work: the node had been drained before and was already ending when SIGTERM came. The interpreter restores default handlers while it ends, so the signal ended the process as if it had been killed. Ruled out: the event loop's closing (a signal after it changes nothing). Change: stop signals are blocked once the application has stopped.

--- a/src/eelgrasswalk/app.py
+++ b/src/eelgrasswalk/app.py
@@ -7,6 +7,8 @@
 
 import anyio
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 
 class Part(typing.Protocol):
     """Something with a life of its own."""
@@ -63,7 +65,7 @@
     def handle_signals(self) -> None:
         """Stop gracefully on SIGTERM and SIGINT, reload on SIGHUP."""
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in STOP_SIGNALS:
             loop.add_signal_handler(number, self.request_stop)
         loop.add_signal_handler(signal.SIGHUP, self._on_reload)
 
@@ -81,5 +83,8 @@
         application, on_ready = build()
         application.handle_signals()
         await application.run(on_ready)
+        # The interpreter restores the default handlers while it ends; one
+        # more signal would then end the process as if it had been killed.
+        signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
 
     anyio.run(run, backend='asyncio', backend_options={'use_uvloop': True})
