Watch links with one timer; open no link for news

Each end of each link had a timer of five wake-ups a second, and each change of an entry was sent to all nodes, over new links where there was none: the links grow with the nodes squared, as do the messages of a start. A choice among 25 upstreams took 25 exponentials. Change: one timer for each side of a node; news on links that others have opened, and to everyone only while the store cannot tell them; failure rates of zero are not aged.

--- a/src/eelgrasswalk/controllers/control_router.py
+++ b/src/eelgrasswalk/controllers/control_router.py
@@ -44,6 +44,11 @@
         if address is not None:
             self.links.dialler.send_control(address, topic, payload)
 
+    def announce(self, topic: str, payload: bytes) -> None:
+        """Send a message on each link that another node has opened."""
+        if self.links is not None:
+            self.links.acceptor.announce(topic, payload)
+
     def register(
         self, topic: str, handler: typing.Callable[[str, bytes], None]
     ) -> None:
--- a/src/eelgrasswalk/controllers/roster.py
+++ b/src/eelgrasswalk/controllers/roster.py
@@ -25,11 +25,14 @@
 _UNUSABLE = 'unusable'
 
 
-class SendControl(typing.Protocol):
-    """Sends a controller's message to a node."""
+class News(typing.Protocol):
+    """Sends controllers' messages to other nodes."""
 
-    def __call__(self, node_id: str, topic: str, payload: bytes) -> None:
-        """Send one message."""
+    def announce(self, topic: str, payload: bytes) -> None:
+        """Send one message on each link that others have opened."""
+
+    def send(self, node_id: str, topic: str, payload: bytes) -> None:
+        """Send one message to a node, on a new link if there is none."""
 
 
 class Book(typing.Protocol):
@@ -46,7 +49,8 @@
         own: This node's entry before its target is known.
         store: Where entries are kept.
         book: The directory that the call path goes by.
-        send: Sends news to peers.
+        news: Tells the nodes that call this one at once; the others hear
+            of it from the store, and directly only while it is away.
 
     Attributes:
         on_change: Called when nodes have come, changed or gone.
@@ -57,13 +61,14 @@
         own: roster.Entry,
         store: ports.RowStore,
         book: Book,
-        send: SendControl,
+        news: News,
     ) -> None:
         self.roster = roster.Roster()
         self._own = own
         self._store = store
         self._book = book
-        self._send = send
+        self._news = news
+        self._told_revision = 0
         self.on_change: typing.Callable[[], None] = _do_nothing
         self._row_version = 0
         self._versions: dict[str, int] = {}
@@ -91,7 +96,7 @@
         await self._work.stop()
 
     def change(self, **fields: typing.Any) -> None:
-        """Change this node's entry and tell everyone."""
+        """Change this node's entry and tell the store and the callers."""
         changed = dataclasses.replace(
             self._own, **fields, revision=self._own.revision + 1
         )
@@ -101,10 +106,7 @@
         self._changed.set()
         if changed.target_id:
             self._reported.set()
-        payload = encode_entry(changed)
-        for entry in self.roster.list_entries():
-            if entry.node_id != changed.node_id:
-                self._send(entry.node_id, TOPIC, payload)
+        self._news.announce(TOPIC, encode_entry(changed))
 
     async def wait_written(self, limit_s: float) -> bool:
         """Wait until the store has this node's entry as it is now."""
@@ -213,13 +215,25 @@
         while True:
             await self._changed.wait()
             self._changed.clear()
-            if await self._write(self._own):
+            entry = self._own
+            if await self._write(entry):
                 pause_s = FIRST_PAUSE_S
                 continue
+            self._tell_everyone(entry)
             self._changed.set()
             await asyncio.sleep(pause_s)
             pause_s = min(LONGEST_PAUSE_S, 2 * pause_s)
 
+    def _tell_everyone(self, entry: roster.Entry) -> None:
+        """Tell nodes without a link, which the store cannot tell now."""
+        if entry.revision == self._told_revision:
+            return
+        self._told_revision = entry.revision
+        payload = encode_entry(entry)
+        for other in self.roster.list_entries():
+            if other.node_id != entry.node_id:
+                self._news.send(other.node_id, TOPIC, payload)
+
     async def _write(self, entry: roster.Entry) -> bool:
         outcome = await self._store.put(
             TABLE,
--- a/src/eelgrasswalk/policy/spread.py
+++ b/src/eelgrasswalk/policy/spread.py
@@ -74,6 +74,7 @@
 class _State:
     upstream: balance.Upstream
     added_at: float
+    is_near: bool
     in_flight: int = 0
     load: float = 0.0
     reported_at: float = -math.inf
@@ -188,8 +189,7 @@
         now: float,
     ) -> _State | None:
         """Return a near upstream, unless it costs more than others."""
-        near = [state for state in states if self._is_near(state)]
-        far = [state for state in states if not self._is_near(state)]
+        near = [state for state in states if state.is_near]
         best = self._draw(near, random_pair, peers, now)
         price = math.inf
         if best is not None:
@@ -197,6 +197,7 @@
             is_failing = self._is_failing(best, peers, now)
             if price <= self._settings.near_enough and not is_failing:
                 return best
+        far = [state for state in states if not state.is_near]
         other = self._draw(far, random_pair, peers, now)
         if other is None:
             return best
@@ -297,9 +298,6 @@
         state.downs += 1
         state.down_until = now + min(length_s, settings.most_down_s)
 
-    def _is_near(self, state: _State) -> bool:
-        return state.upstream.data_centre == self._data_centre
-
     def _draw(
         self,
         states: list[_State],
@@ -322,7 +320,8 @@
     def _keep(self, upstream: balance.Upstream, joined_at: float) -> _State:
         state = self._states.get(upstream.node_id)
         if state is None or state.upstream != upstream:
-            state = _State(upstream, joined_at)
+            is_near = upstream.data_centre == self._data_centre
+            state = _State(upstream, joined_at, is_near)
             self._states[upstream.node_id] = state
         state.leaving = False
         return state
@@ -363,6 +362,8 @@
         state.failing_at = now
 
     def _estimate_failures(self, state: _State, now: float) -> float:
+        if not state.failure_rate:
+            return 0.0
         age_s = max(0.0, now - state.failing_at)
         return state.failure_rate * math.exp(-age_s / self._settings.failing_s)
 
--- a/src/eelgrasswalk/sidecar/wiring.py
+++ b/src/eelgrasswalk/sidecar/wiring.py
@@ -124,7 +124,7 @@
     )
     router = control_router.ControlRouter()
     nodes = roster_keeper.RosterKeeper(
-        _build_entry(config), platform.store, book, router.send
+        _build_entry(config), platform.store, book, router
     )
     router.register(roster_keeper.TOPIC, nodes.receive)
     return State(
--- a/src/eelgrasswalk/transport/acceptor.py
+++ b/src/eelgrasswalk/transport/acceptor.py
@@ -12,6 +12,7 @@
 from . import dialler
 from . import frames
 from . import link
+from . import liveness
 
 PURGE_INTERVAL_S = 1.0
 # Seconds that the work of a lost link goes on without a new link.
@@ -69,6 +70,7 @@
         self._table = table
         self._on_control = on_control
         self._links: set[link.Link] = set()
+        self._watch = liveness.Watch()
         self._peers: dict[str, _Peer] = {}
         self._server: asyncio.Server | None = None
         self._purger: asyncio.TimerHandle | None = None
@@ -128,6 +130,12 @@
         peer.current.send(frames.Control(topic, payload))
         return True
 
+    def announce(self, topic: str, payload: bytes) -> None:
+        """Send a controller's message on every link."""
+        item = frames.Control(topic, payload)
+        for opened in self._links:
+            opened.send(item)
+
     def count_links(self) -> int:
         """Return how many links are open."""
         return len(self._links)
@@ -142,6 +150,7 @@
             self._identity,
             secret=self._secret,
             memory=self._bodies,
+            watch=self._watch,
             dialled=False,
         )
 
--- a/src/eelgrasswalk/transport/dialler.py
+++ b/src/eelgrasswalk/transport/dialler.py
@@ -13,6 +13,7 @@
 from . import budget
 from . import frames
 from . import link
+from . import liveness
 
 DIAL_TIMEOUT_S = 1.5
 DIAL_BACKOFF_S = 0.05
@@ -87,6 +88,7 @@
         self.secret = secret
         self.bodies = bodies
         self.on_control = on_control
+        self.watch = liveness.Watch()
         self._peers: dict[str, _Peer] = {}
 
     async def call(
@@ -363,6 +365,7 @@
             self._dialler.identity,
             secret=self._dialler.secret,
             memory=self._dialler.bodies,
+            watch=self._dialler.watch,
             dialled=True,
             peer_id=self.address.node_id,
             sequence=self._sequence,
--- a/src/eelgrasswalk/transport/link.py
+++ b/src/eelgrasswalk/transport/link.py
@@ -20,6 +20,7 @@
 from . import budget
 from . import codec
 from . import frames
+from . import liveness
 
 HANDSHAKE_TIMEOUT_S = 2.0
 WRITE_HIGH_WATER_BYTES = 131_072
@@ -29,7 +30,6 @@
 # An idle link is probed as well, so that the next call does not have to find
 # out that nothing passes any more.
 IDLE_PROBE_S = 10.0
-LIVENESS_INTERVAL_S = 0.2
 
 _PATH = '/link'
 
@@ -76,6 +76,7 @@
         identity: This node.
         secret: The mesh secret.
         memory: Budget for bodies that arrive in parts.
+        watch: Watches open links for silence.
         dialled: Whether this side opened the connection.
         peer_id: The node that was dialled; empty on the accepting side.
         sequence: Number of this link among those dialled to the peer.
@@ -88,6 +89,7 @@
         *,
         secret: bytes,
         memory: budget.ByteBudget,
+        watch: liveness.Watch,
         dialled: bool,
         peer_id: str = '',
         sequence: int = 0,
@@ -99,6 +101,7 @@
         self._owner = owner
         self._identity = identity
         self._secret = secret
+        self._watch = watch
         self._dialled = dialled
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
@@ -180,6 +183,7 @@
         self.state = State.CLOSED
         if self._timer is not None:
             self._timer.cancel()
+        self._watch.discard(self)
         self._inbox.clear()
         self._outbox.clear()
         self._owner.on_closed(self)
@@ -349,9 +353,8 @@
         self.state = State.OPEN
         if self._timer is not None:
             self._timer.cancel()
-        self._timer = self._loop.call_later(
-            LIVENESS_INTERVAL_S, self._check_liveness
-        )
+            self._timer = None
+        self._watch.add(self)
         self._owner.on_open(self)
 
     def _check_handshake(self) -> None:
@@ -360,13 +363,11 @@
 
     # Liveness
 
-    def _check_liveness(self) -> None:
-        self._timer = self._loop.call_later(
-            LIVENESS_INTERVAL_S, self._check_liveness
-        )
+    def check_liveness(self, now: float) -> None:
+        """Probe a silent peer, and leave one that stays silent."""
         is_busy = self.outstanding or self._outbox
         if self._probed_at is not None:
-            if self._loop.time() - self._probed_at >= SILENCE_S:
+            if now - self._probed_at >= SILENCE_S:
                 self.close()
         elif is_busy:
             self._probe_after(SILENCE_S)
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -13,6 +13,7 @@
 from eelgrasswalk.transport import dialler
 from eelgrasswalk.transport import frames
 from eelgrasswalk.transport import link
+from eelgrasswalk.transport import liveness
 from eelgrasswalk.transport import message
 from tests.transport import fakes
 from tests.transport import valve
@@ -258,6 +259,7 @@
             link.Identity('n1', 1),
             secret=b'secret',
             memory=budget.ByteBudget(1000),
+            watch=liveness.Watch(),
             dialled=False,
         )
         ended.connection_made(fakes.FakeTransport())
