Confirm rules by peers, so that most nodes need not ask the store

Each node asks the feed of rules anew every 2 s, only to hear that nothing has changed. Change: each certainty is kept with the store's own time, which all nodes can translate safely, and travels with the questions and answers about accounts' rates. Three nodes of the fleet ask at a third of the limit, the others at 0.55 to 0.7 of it if they have heard nothing. The feed waits 8 s. A node that hears of a newer version asks at once; so does one whose waiting question was lost.

--- a/src/eelgrasswalk/controllers/account_quota.py
+++ b/src/eelgrasswalk/controllers/account_quota.py
@@ -30,6 +30,16 @@
         """Send one message."""
 
 
+class Relay(typing.Protocol):
+    """Carries the certainty about the rules along with each message."""
+
+    def tell(self) -> tuple[int, float]:
+        """Return what to tell the other node."""
+
+    def hear(self, version: int, store_s: float) -> None:
+        """Take what the other node told."""
+
+
 @dataclasses.dataclass(slots=True)
 class _Asking:
     """What this node wants of one account."""
@@ -50,6 +60,7 @@
         count_nodes: Returns how many nodes there are.
         get_table: Returns the rules in force.
         send: Sends messages to other nodes.
+        relay: Is told what other nodes say of the rules, and tells them.
         slack: What accounts may get beyond their rates.
         is_dead: Tells whether a node is known not to run.
         lower_after_s: Seconds after which a lower limit counts.
@@ -65,6 +76,7 @@
         count_nodes: typing.Callable[[], int],
         get_table: call_rules.Lookup,
         send: SendControl,
+        relay: Relay,
         is_dead: typing.Callable[[str], bool],
         slack: account_rates.Slack,
         lower_after_s: float,
@@ -76,6 +88,7 @@
         self._count_nodes = count_nodes
         self._get_table = get_table
         self._send = send
+        self._relay = relay
         self._is_dead = is_dead
         self._slack = slack
         self._random = source
@@ -178,12 +191,19 @@
         asking.timer = asyncio.get_running_loop().call_later(
             ANSWER_LIMIT_S, self._give_up, account, asking
         )
-        payload = cbor2.dumps([account, asking.number, asking.asked])
-        self._send(owner, TOPIC_ASK, payload)
+        fields = (account, asking.number, asking.asked)
+        self._send_fields(owner, TOPIC_ASK, fields)
+
+    def _send_fields(
+        self, node_id: str, topic: str, fields: tuple[typing.Any, ...]
+    ) -> None:
+        payload = cbor2.dumps([*fields, *self._relay.tell()])
+        self._send(node_id, topic, payload)
 
     def receive_grant(self, node_id: str, payload: bytes) -> None:
         """Take an owner's answer."""
-        account, number, tokens, wait_s = cbor2.loads(payload)
+        account, number, tokens, wait_s, *told = cbor2.loads(payload)
+        self._relay.hear(*told)
         asking = self._asking.get(account)
         if asking is None or asking.number != number or not asking.asked:
             return
@@ -248,12 +268,13 @@
 
     def receive_ask(self, node_id: str, payload: bytes) -> None:
         """Answer a node that asks for tokens."""
-        account, number, wanted = cbor2.loads(payload)
+        account, number, wanted, *told = cbor2.loads(payload)
+        self._relay.hear(*told)
         table = self._get_table()
         rule = None if table is None else table.accounts.get(account)
         if rule is None or self._find_owner(account) != self._node_id:
-            answer = [account, number, -1, 0.0]
+            grant = account_rates.Grant(-1, 0.0)
         else:
             grant = self._grant(rule, wanted)
-            answer = [account, number, grant.tokens, grant.wait_s]
-        self._send(node_id, TOPIC_GRANT, cbor2.dumps(answer))
+        fields = (account, number, grant.tokens, grant.wait_s)
+        self._send_fields(node_id, TOPIC_GRANT, fields)
--- /dev/null
+++ b/src/eelgrasswalk/controllers/confirmation.py
@@ -0,0 +1,127 @@
+"""Keeps the certainty about the rules young, by peers or by the store."""
+
+import asyncio
+import random
+import typing
+
+from ..policy import freshness
+from . import background
+from . import feed
+from . import rules
+
+# Pause after a question that the store did not answer; its feed, which fails
+# as well then, looks for it meanwhile.
+RETRY_S = 0.3
+# Most that a slow answer moves the next question forward.
+MOST_HASTE_S = 1.0
+
+
+class Confirmation:
+    """Tells peers how certain the rules are, and hears it from them.
+
+    What is told holds at a time of the store's clock, so that a message that
+    was held up on its way says nothing wrong.
+
+    Args:
+        node_id: This node.
+        keeper: Keeps the rules.
+        rules_feed: Asks the store.
+        fresh: How old the certainty is.
+        patience: How old it may become.
+        list_nodes: Returns the nodes that live, this one among them.
+        clock: Seconds of a clock that runs through suspension.
+        source: Random numbers.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        *,
+        keeper: rules.RuleKeeper,
+        rules_feed: feed.Feed,
+        fresh: freshness.Freshness,
+        patience: freshness.Patience,
+        list_nodes: typing.Callable[[], typing.Sequence[str]],
+        clock: typing.Callable[[], float],
+        source: random.Random,
+    ) -> None:
+        self._node_id = node_id
+        self._keeper = keeper
+        self._feed = rules_feed
+        self._fresh = fresh
+        self._patience = patience
+        self._list_nodes = list_nodes
+        self._clock = clock
+        self._random = source
+        self._outdated = asyncio.Event()
+        self._haste_s = 0.0
+        self._work = background.Background(self._run)
+
+    async def start(self) -> None:
+        """Begin to ask the store where peers do not."""
+        await self._work.start()
+
+    async def stop(self) -> None:
+        """End."""
+        await self._work.stop()
+
+    def tell(self) -> tuple[int, float]:
+        """Return the version in force, and when it was the newest.
+
+        Returns:
+            The version, and a time of the store's clock; zeros before the
+            first certainty.
+        """
+        certainty = self._keeper.certainty
+        if certainty is None:
+            return 0, 0.0
+        return certainty.version, certainty.store_s
+
+    def hear(self, version: int, store_s: float) -> None:
+        """Take what a peer told.
+
+        Args:
+            version: The version in force there.
+            store_s: When it was the newest, by the store's clock.
+        """
+        table = self._keeper.get_table()
+        if table is None:
+            return
+        if version > table.version:
+            self._outdated.set()
+        elif version == table.version:
+            true_at = self._feed.store_clock.translate(store_s, self._clock())
+            if true_at is not None:
+                self._keeper.confirm(store_s, true_at)
+
+    async def _run(self) -> None:
+        await self._feed.filled.wait()
+        while True:
+            limit_s = self._choose_limit()
+            await self._wait_until_due(limit_s)
+            self._outdated.clear()
+            asked_at = self._clock()
+            if self._feed.is_failing or not await self._feed.confirm():
+                await asyncio.sleep(RETRY_S * (0.5 + self._random.random()))
+                continue
+            self._haste_s = min(MOST_HASTE_S, self._clock() - asked_at)
+
+    def _choose_limit(self) -> float:
+        early = freshness.choose_early(self._list_nodes())
+        patience_s = self._patience.choose(
+            is_early=self._node_id in early,
+            random_value=self._random.random(),
+        )
+        return patience_s - self._haste_s
+
+    async def _wait_until_due(self, limit_s: float) -> None:
+        """Return when the certainty is that old, or a peer has a newer one."""
+        while not self._outdated.is_set():
+            left_s = limit_s - self._fresh.get_age(self._clock())
+            if left_s <= 0.0:
+                return
+            try:
+                async with asyncio.timeout(left_s):
+                    await self._outdated.wait()
+            except TimeoutError:
+                continue
--- a/src/eelgrasswalk/controllers/feed.py
+++ b/src/eelgrasswalk/controllers/feed.py
@@ -13,6 +13,9 @@
 LONGEST_PAUSE_S = 1.0
 
 
+Answer: typing.TypeAlias = ports.Rows | ports.HistoryGone | ports.Unavailable
+
+
 class Follower(typing.Protocol):
     """What is told of the table."""
 
@@ -35,6 +38,10 @@
             brings several.
         clock: Seconds of a clock that runs through suspension.
         source: Random numbers for pauses.
+
+    Attributes:
+        filled: Set after the first reading.
+        store_clock: The store's clock, as far as its answers tell.
     """
 
     def __init__(
@@ -55,9 +62,10 @@
         self._gather_s = gather_s
         self._clock = clock
         self._random = source
-        self._store_clock = store_clock.StoreClock()
+        self.store_clock = store_clock.StoreClock()
         self._version: int | None = None
         self._failures = 0
+        self._watching: asyncio.Task[Answer] | None = None
         self._work = background.Background(self._run)
         self.filled = asyncio.Event()
 
@@ -69,6 +77,33 @@
         """End."""
         await self._work.stop()
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether the store did not answer last; it is asked again soon."""
+        return self._failures > 0
+
+    async def confirm(self) -> bool:
+        """Ask for changes at once, beside the question that waits.
+
+        Returns:
+            Whether the store answered.
+        """
+        if self._version is None:
+            return False
+        asked_at = self._clock()
+        outcome = await self._store.watch(self._table, self._version, 0.0)
+        if isinstance(outcome, ports.HistoryGone):
+            outcome = await self._store.read(self._table)
+        if isinstance(outcome, ports.Unavailable):
+            return False
+        self._version = max(self._version, outcome.version)
+        self._follower.take_changes(outcome, self._date(outcome, asked_at))
+        if outcome.rows and self._watching is not None:
+            # The question that waits should have brought them; its answer
+            # may be lost.
+            self._watching.cancel()
+        return True
+
     async def _run(self) -> None:
         while True:
             if self._version is None:
@@ -94,21 +129,33 @@
 
     async def _watch(self, version: int) -> ports.Unavailable | None:
         asked_at = self._clock()
-        outcome = await self._store.watch(self._table, version, self._wait_s)
+        # A store that is back confirms at once.
+        wait_s = 0.0 if self._failures else self._wait_s
+        self._watching = asyncio.get_running_loop().create_task(
+            self._store.watch(self._table, version, wait_s)
+        )
+        try:
+            await asyncio.wait((self._watching,))
+        except asyncio.CancelledError:
+            self._watching.cancel()
+            raise
+        if self._watching.cancelled():
+            return None
+        outcome = self._watching.result()
         if isinstance(outcome, ports.Unavailable):
             return outcome
         if isinstance(outcome, ports.HistoryGone):
             events.log(events.HISTORY_GONE, table=self._table)
             self._version = None
             return None
-        self._version = max(version, outcome.version)
+        self._version = max(self._version or 0, version, outcome.version)
         self._follower.take_changes(outcome, self._date(outcome, asked_at))
         if outcome.rows and self._gather_s:
             await asyncio.sleep(self._gather_s)
         return None
 
     def _date(self, rows: ports.Rows, asked_at: float) -> float:
-        return self._store_clock.date_answer(
+        return self.store_clock.date_answer(
             asked_at, self._clock(), rows.store_s
         )
 
--- a/src/eelgrasswalk/controllers/rules.py
+++ b/src/eelgrasswalk/controllers/rules.py
@@ -1,5 +1,6 @@
 """Keeps the rules in force up to date with the operator's configuration."""
 
+import dataclasses
 import typing
 
 from .. import events
@@ -10,6 +11,19 @@
 Apply: typing.TypeAlias = typing.Callable[[call_rules.RuleTable], None]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Certainty:
+    """Up to when a version was certainly the newest.
+
+    Args:
+        version: The version.
+        store_s: The store's clock then, which is the same for all nodes.
+    """
+
+    version: int
+    store_s: float
+
+
 class RuleKeeper:
     """Puts each newer version in force, and never goes back.
 
@@ -17,6 +31,10 @@
         source: Decodes the operator's configuration.
         fresh: Is told when the version in force was the newest.
         apply: Puts a version in force.
+
+    Attributes:
+        table: The rules in force; None before the first version.
+        certainty: The newest certainty about them; None before the first.
     """
 
     def __init__(
@@ -26,6 +44,7 @@
         apply: Apply,
     ) -> None:
         self.table: call_rules.RuleTable | None = None
+        self.certainty: Certainty | None = None
         self._source = source
         self._fresh = fresh
         self._apply = apply
@@ -51,7 +70,25 @@
             return
         if rules is not None:
             self._put_in_force(rules)
+        self.confirm(rows.store_s, true_at)
+
+    def confirm(self, store_s: float, true_at: float) -> None:
+        """Note that the version in force was the newest.
+
+        Args:
+            store_s: When, by the store's clock; 0 when it told none.
+            true_at: The same on this node's clock, or earlier.
+        """
         self._fresh.confirm(true_at)
+        if self.table is None or store_s <= 0.0:
+            return
+        known = self.certainty
+        if (
+            known is None
+            or known.version < self.table.version
+            or known.store_s < store_s
+        ):
+            self.certainty = Certainty(self.table.version, store_s)
 
     def _put_in_force(self, rules: call_rules.Rules) -> None:
         if self.table is not None and rules.version <= self.table.version:
--- a/src/eelgrasswalk/policy/freshness.py
+++ b/src/eelgrasswalk/policy/freshness.py
@@ -1,7 +1,62 @@
-"""How old the newest certainty about the configuration is."""
+"""How old the newest certainty about the configuration is, and who renews it.
 
+Any node may ask the store whether there is a newer version, and tell others
+what it heard. A few nodes ask early, so that the rest need not ask at all;
+each of them still asks by itself when it has heard nothing for longer.
+"""
+
+import collections.abc
+import dataclasses
 import math
 
+import xxhash
+
+# Nodes of the whole fleet that ask early; two may be lost at once.
+EARLY_NODES = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Patience:
+    """Ages of the certainty at which a node asks the store.
+
+    Args:
+        early_s: For the nodes that ask early.
+        late_s: For the others.
+        spread_s: Added to the latter at random, so that they do not all ask
+            together when the early ones are lost.
+    """
+
+    early_s: float
+    late_s: float
+    spread_s: float
+
+    def choose(self, *, is_early: bool, random_value: float) -> float:
+        """Return the age at which to ask.
+
+        Args:
+            is_early: Whether this node is one of those that ask early.
+            random_value: A random number, 0 <= value < 1.
+        """
+        if is_early:
+            return self.early_s
+        return self.late_s + self.spread_s * random_value
+
+
+def choose_early(
+    node_ids: collections.abc.Iterable[str],
+) -> frozenset[str]:
+    """Return the nodes that ask early, the same for all that know the same.
+
+    Args:
+        node_ids: The nodes of the fleet.
+    """
+    ranked = sorted(node_ids, key=_rank)
+    return frozenset(ranked[:EARLY_NODES])
+
+
+def _rank(node_id: str) -> int:
+    return xxhash.xxh3_64_intdigest(node_id.encode())
+
 
 class Freshness:
     """Remembers until when the configuration in force was the newest.
@@ -14,7 +69,7 @@
     """
 
     def __init__(self, limit_s: float) -> None:
-        self._limit_s = limit_s
+        self.limit_s = limit_s
         self._confirmed_at = -math.inf
 
     def confirm(self, true_at: float) -> None:
@@ -32,4 +87,4 @@
 
     def is_fresh(self, now: float) -> bool:
         """Return whether keys may be relied on."""
-        return now - self._confirmed_at < self._limit_s
+        return now - self._confirmed_at < self.limit_s
--- a/src/eelgrasswalk/policy/store_clock.py
+++ b/src/eelgrasswalk/policy/store_clock.py
@@ -44,3 +44,19 @@
             return asked_at
         self._offset = max(self._offset, lower)
         return formed_at
+
+    def translate(self, store_s: float, now: float) -> float | None:
+        """Return a time on this node's clock, not after one of the store's.
+
+        Args:
+            store_s: A time of the store's clock, heard from another node.
+            now: This node's clock.
+
+        Returns:
+            None if the two clocks do not fit: the store's has begun anew,
+            or this node has not asked the store yet.
+        """
+        if self._offset is None or store_s <= 0.0:
+            return None
+        translated = store_s + self._offset
+        return translated if translated <= now else None
--- a/src/eelgrasswalk/sidecar/wiring.py
+++ b/src/eelgrasswalk/sidecar/wiring.py
@@ -10,6 +10,7 @@
 from .. import verdict
 from ..controllers import account_quota
 from ..controllers import check_ins
+from ..controllers import confirmation
 from ..controllers import control_router
 from ..controllers import directory
 from ..controllers import feed
@@ -38,10 +39,15 @@
 from ..transport import link
 from . import settings
 
-# The feed of rules is asked again after this long, which confirms them; half
-# of what a confirmation counts leaves time for a store that fails at first.
-RULES_WAIT_S = 2.0
+# The feed of rules answers after this long without a change. Its answer may
+# be lost without a word; until it is asked again, confirmations find changes.
+RULES_WAIT_S = 8.0
 ROSTER_WAIT_S = 20.0
+# Parts of the time for which a confirmation counts after which a node asks
+# for the next one; the rest leaves time for a store that fails at first.
+EARLY_PART = 0.32
+LATE_PART = 0.55
+SPREAD_PART = 0.15
 ROSTER_GATHER_S = 0.5
 # A confirmation counts this much shorter than a withdrawn key may work, for
 # a store whose feed hides a change for a second, and for the way.
@@ -81,6 +87,7 @@
     fresh: freshness.Freshness
     rules: rules.RuleKeeper
     rules_feed: feed.Feed
+    confirmation: confirmation.Confirmation
     book: directory.Directory[spread.Spread]
     roster: roster_keeper.RosterKeeper
     roster_feed: feed.Feed
@@ -127,18 +134,33 @@
         _build_entry(config), platform.store, book, router
     )
     router.register(roster_keeper.TOPIC, nodes.receive)
+    rules_feed = feed.Feed(
+        platform.store,
+        platform.rule_source.table,
+        keeper,
+        wait_s=RULES_WAIT_S,
+        gather_s=0.0,
+        clock=clock.read_boot_time,
+        source=source,
+    )
     return State(
         config=config,
         platform=platform,
         source=source,
         fresh=fresh,
         rules=keeper,
-        rules_feed=feed.Feed(
-            platform.store,
-            platform.rule_source.table,
-            keeper,
-            wait_s=RULES_WAIT_S,
-            gather_s=0.0,
+        rules_feed=rules_feed,
+        confirmation=confirmation.Confirmation(
+            config.node_id,
+            keeper=keeper,
+            rules_feed=rules_feed,
+            fresh=fresh,
+            patience=freshness.Patience(
+                early_s=EARLY_PART * fresh.limit_s,
+                late_s=LATE_PART * fresh.limit_s,
+                spread_s=SPREAD_PART * fresh.limit_s,
+            ),
+            list_nodes=nodes.list_lasting,
             clock=clock.read_boot_time,
             source=source,
         ),
@@ -293,6 +315,7 @@
         count_nodes=lambda: len(state.roster.roster),
         get_table=state.rules.get_table,
         send=state.router.send,
+        relay=state.confirmation,
         is_dead=links.is_refused,
         slack=account_rates.Slack(
             overage=bounds.quota_overage,
--- a/tests/controllers/test_account_quota.py
+++ b/tests/controllers/test_account_quota.py
@@ -20,6 +20,20 @@
 NODES = ('n1', 'n2', 'n3')
 
 
+class Relay:
+    """Tells one certainty, and keeps what it hears."""
+
+    def __init__(self) -> None:
+        self.own = (0, 0.0)
+        self.heard: list[tuple[int, float]] = []
+
+    def tell(self) -> tuple[int, float]:
+        return self.own
+
+    def hear(self, version: int, store_s: float) -> None:
+        self.heard.append((version, store_s))
+
+
 class Mesh:
     """Nodes whose messages arrive in the next round of the loop."""
 
@@ -29,6 +43,7 @@
         self.dead: set[str] = set()
         self.members = list(NODES)
         self.now = 1000.0
+        self.relays = {node_id: Relay() for node_id in NODES}
         for node_id in NODES:
             self.nodes[node_id] = account_quota.AccountQuota(
                 node_id,
@@ -36,6 +51,7 @@
                 count_nodes=lambda: len(NODES),
                 get_table=lambda: TABLE,
                 send=self._build_send(node_id),
+                relay=self.relays[node_id],
                 is_dead=lambda other: other in self.dead,
                 slack=account_rates.Slack(0.1, 20.0, 5.0),
                 lower_after_s=1.5,
@@ -72,6 +88,16 @@
     async def asyncSetUp(self) -> None:
         self.mesh = Mesh()
 
+    async def test_certainty_travels_both_ways(self) -> None:
+        """A question and its answer each bring what the sender knows."""
+        asker = self.mesh.others[0]
+        relays = self.mesh.relays
+        relays[asker].own = (7, 50.0)
+        relays[self.mesh.owner].own = (7, 51.0)
+        await self.mesh.count_admitted(asker, 1)
+        self.assertEqual([(7, 50.0)], relays[self.mesh.owner].heard)
+        self.assertEqual([(7, 51.0)], relays[asker].heard)
+
     async def test_all_nodes_share_one_bucket(self) -> None:
         admitted = 0
         for node_id in NODES:
@@ -122,7 +148,7 @@
         self.assertEqual(1, await self.mesh.count_admitted(other, 1))
         node.receive_grant(
             self.mesh.owner,
-            account_quota.cbor2.dumps(['lake', 1, 50, 0.0]),
+            account_quota.cbor2.dumps(['lake', 1, 50, 0.0, 0, 0.0]),
         )
         self.mesh.silent = {self.mesh.owner}
         with (
--- /dev/null
+++ b/tests/controllers/test_confirmation.py
@@ -0,0 +1,118 @@
+"""Tests of keeping the certainty about the rules young."""
+
+import random
+import unittest
+
+from eelgrasswalk import ports
+from eelgrasswalk.controllers import confirmation
+from eelgrasswalk.controllers import feed
+from eelgrasswalk.controllers import rules
+from eelgrasswalk.policy import freshness
+from tests.controllers import fake_store
+from tests.controllers import test_rules
+
+LIMIT_S = 3.0
+
+
+class ConfirmationTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.store = fake_store.FakeStore()
+        self.now = 100.0
+        self.fresh = freshness.Freshness(LIMIT_S)
+        self.keeper = rules.RuleKeeper(
+            test_rules.Source(), self.fresh, lambda table: None
+        )
+        source = random.Random(1)
+        self.feed = feed.Feed(
+            self.store,
+            'op',
+            self.keeper,
+            wait_s=2.0,
+            gather_s=0.0,
+            clock=lambda: self.now,
+            source=source,
+        )
+        self.confirmation = confirmation.Confirmation(
+            'n1',
+            keeper=self.keeper,
+            rules_feed=self.feed,
+            fresh=self.fresh,
+            patience=freshness.Patience(1.0, 2.0, 0.0),
+            list_nodes=lambda: ['n1', 'n2', 'n3', 'n4', 'n5'],
+            clock=lambda: self.now,
+            source=source,
+        )
+        self.addAsyncCleanup(self.feed.stop)
+        self.addAsyncCleanup(self.confirmation.stop)
+
+    async def learn(self, version: int = 7) -> None:
+        """Read a version at the store's second 10, this node's 100."""
+        row = ports.Row('config', str(version).encode(), 1)
+        self.store.reads = [ports.Rows((row,), 1, 10.0)]
+        await self.feed.start()
+        await fake_store.settle()
+
+    async def test_peer_confirms_the_version_in_force(self) -> None:
+        await self.learn()
+        self.now = 102.5
+        self.confirmation.hear(7, 12.0)
+        self.assertEqual(0.5, self.fresh.get_age(self.now))
+
+    async def test_message_that_was_held_up_confirms_no_more_than_it_says(
+        self,
+    ) -> None:
+        await self.learn()
+        self.now = 130.0
+        self.confirmation.hear(7, 12.0)
+        self.assertFalse(self.fresh.is_fresh(self.now))
+
+    async def test_peer_with_an_older_version_confirms_nothing(self) -> None:
+        await self.learn()
+        self.now = 102.5
+        self.confirmation.hear(6, 12.0)
+        self.assertEqual(2.5, self.fresh.get_age(self.now))
+
+    async def test_what_a_peer_told_is_told_on(self) -> None:
+        await self.learn()
+        self.assertEqual((7, 10.0), self.confirmation.tell())
+        self.now = 102.5
+        self.confirmation.hear(7, 12.0)
+        self.assertEqual((7, 12.0), self.confirmation.tell())
+
+    async def test_new_version_is_never_told_with_an_old_certainty(
+        self,
+    ) -> None:
+        await self.learn()
+        self.now = 102.5
+        self.confirmation.hear(7, 12.0)
+        row = ports.Row('config', b'8', 2)
+        self.keeper.take_changes(ports.Rows((row,), 2, 11.5), 101.5)
+        self.assertEqual((8, 11.5), self.confirmation.tell())
+
+    async def test_node_asks_the_store_when_peers_are_silent(self) -> None:
+        await self.learn()
+        self.now = 103.0
+        self.store.watches = [ports.Rows((), 1, 13.0)]
+        await self.confirmation.start()
+        await fake_store.settle()
+        self.assertEqual(0.0, self.fresh.get_age(self.now))
+
+    async def test_node_that_peers_confirm_asks_nothing(self) -> None:
+        await self.learn()
+        self.store.watches = [ports.Rows((), 1, 10.9)]
+        self.now = 100.9
+        await self.confirmation.start()
+        await fake_store.settle()
+        self.assertEqual(1, len(self.store.watches))
+
+    async def test_newer_version_elsewhere_is_fetched_at_once(self) -> None:
+        await self.learn()
+        row = ports.Row('config', b'9', 2)
+        self.store.watches = [ports.Rows((row,), 2, 10.2)]
+        self.now = 100.2
+        await self.confirmation.start()
+        self.confirmation.hear(9, 10.1)
+        await fake_store.settle()
+        table = self.keeper.get_table()
+        assert table is not None
+        self.assertEqual(9, table.version)
--- a/tests/controllers/test_feed.py
+++ b/tests/controllers/test_feed.py
@@ -92,3 +92,55 @@
         self.store.watch = note  # type: ignore[method-assign]
         await self.run_feed()
         self.assertEqual([9, 9], asked)
+
+    async def test_confirmation_is_asked_for_beside_the_waiting_question(
+        self,
+    ) -> None:
+        self.store.reads = [ports.Rows((), 5)]
+        await self.run_feed()
+        self.store.watches = [ports.Rows((), 5)]
+        self.assertTrue(await self.feed.confirm())
+        self.assertEqual(2, len(self.follower.told))
+
+    async def test_change_whose_answer_was_lost_is_found(self) -> None:
+        """The question that waits is asked again after the change."""
+        asked: list[tuple[int, float]] = []
+        watch = self.store.watch
+
+        async def note(
+            table: str, after: int, wait_s: float
+        ) -> fake_store.Answer:
+            asked.append((after, wait_s))
+            return await watch(table, after, wait_s)
+
+        self.store.watch = note  # type: ignore[method-assign]
+        self.store.reads = [ports.Rows((), 5)]
+        await self.run_feed()
+        self.store.watches = [ports.Rows((ROW,), 8)]
+        self.assertTrue(await self.feed.confirm())
+        await fake_store.settle()
+        self.assertEqual([(5, 2.0), (5, 0.0), (8, 2.0)], asked)
+
+    async def test_confirmation_survives_lost_history(self) -> None:
+        self.store.reads = [ports.Rows((), 5)]
+        await self.run_feed()
+        self.store.watches = [ports.HistoryGone()]
+        self.store.reads = [ports.Rows((ROW,), 9)]
+        self.assertTrue(await self.feed.confirm())
+        self.assertEqual(('changes', 9), self.follower.told[-1][:2])
+
+    async def test_store_that_is_back_confirms_at_once(self) -> None:
+        waits: list[float] = []
+        watch = self.store.watch
+
+        async def note(
+            table: str, after: int, wait_s: float
+        ) -> fake_store.Answer:
+            waits.append(wait_s)
+            return await watch(table, after, wait_s)
+
+        self.store.watch = note  # type: ignore[method-assign]
+        self.store.reads = [ports.Rows((), 5)]
+        self.store.watches = [ports.Unavailable('down'), ports.Rows((), 5)]
+        await self.run_feed()
+        self.assertEqual([2.0, 0.0, 2.0], waits)
--- a/tests/policy/test_store_clock.py
+++ b/tests/policy/test_store_clock.py
@@ -43,3 +43,29 @@
             dated = clock.date_answer(asked_at, now, formed_at - 990.0)
             self.assertLessEqual(dated, formed_at + 1e-6)
             self.assertGreaterEqual(dated, asked_at - 1e-6)
+
+    @hypothesis.given(
+        hypothesis.strategies.floats(0.0, 2.0),
+        hypothesis.strategies.floats(0.0, 2.0),
+        hypothesis.strategies.floats(0.0, 30.0),
+    )
+    def test_time_from_another_node_is_never_dated_late(
+        self, out: float, back: float, held_up: float
+    ) -> None:
+        """However long the message was held up on its way."""
+        clock = store_clock.StoreClock()
+        offset = -990.0
+        clock.date_answer(1000.0, 1000.0 + out + back, 1000.0 + out + offset)
+        said_at = 1010.0
+        heard_at = said_at + held_up
+        dated = clock.translate(said_at + offset, heard_at)
+        assert dated is not None
+        self.assertLessEqual(dated, said_at + 1e-6)
+
+    def test_nothing_is_dated_before_the_store_has_answered(self) -> None:
+        self.assertIsNone(store_clock.StoreClock().translate(5.0, 100.0))
+
+    def test_time_that_has_not_come_is_not_believed(self) -> None:
+        clock = store_clock.StoreClock()
+        clock.date_answer(100.0, 100.0, 10.0)
+        self.assertIsNone(clock.translate(11.0, 100.5))
