--- a/src/eelgrasswalk/console/accounts.py
+++ b/src/eelgrasswalk/console/accounts.py
@@ -7,6 +7,7 @@
 
 from ..document import model
 from ..operations import editing
+from ..operations import revisions
 from . import changes
 from . import forms
 from . import pages
@@ -26,150 +27,126 @@
     )
 
 
-@pages.require_operator
-async def edit_account(
+@changes.serve_change
+def edit_account(
     request: starlette.requests.Request,
-) -> starlette.responses.Response:
+    head: revisions.Revision,
+    submitted: forms.Submission | None,
+) -> changes.Change:
     """Edit one account."""
     name = request.path_params['name']
-    submitted = await pages.read_submission(request)
-    async with request.app.state.open_revisions() as store:
-        head = await pages.read_head(store)
-        account = find_account(head.document, name)
-        values = {'name': name, 'rate': account.rate, 'burst': account.burst}
-        form = forms.bind_form(forms.AccountForm, request, submitted, values)
-        form.name.render_kw = {'readonly': True}
-
-        def edit(document: model.Document) -> editing.EditOutcome:
-            old = find_account(document, name)
-            changed = forms.read_account(form, old)
-            return editing.Edited(editing.replace_account(document, changed))
-
-        change = changes.Change(
-            'account.html',
-            f'Account {name}',
-            form,
-            edit,
-            LIST,
-            {'account': account},
-        )
-        if submitted is None:
-            return changes.show_change(request, change, head)
-        return await changes.submit_change(request, change, head, store)
+    account = find_account(head.document, name)
+    values = {'name': name, 'rate': account.rate, 'burst': account.burst}
+    form = forms.bind_form(forms.AccountForm, request, submitted, values)
+    form.name.render_kw = {'readonly': True}
+
+    def edit(document: model.Document) -> editing.EditOutcome:
+        old = find_account(document, name)
+        changed = forms.read_account(form, old)
+        return editing.Edited(editing.replace_account(document, changed))
+
+    return changes.Change(
+        'account.html',
+        f'Account {name}',
+        form,
+        edit,
+        LIST,
+        {'account': account},
+    )
 
 
-@pages.require_operator
-async def add_account(
+@changes.serve_change
+def add_account(
     request: starlette.requests.Request,
-) -> starlette.responses.Response:
+    head: revisions.Revision,
+    submitted: forms.Submission | None,
+) -> changes.Change:
     """Add an account."""
-    submitted = await pages.read_submission(request)
-    async with request.app.state.open_revisions() as store:
-        head = await pages.read_head(store)
-        form = forms.bind_form(forms.AccountForm, request, submitted)
+    form = forms.bind_form(forms.AccountForm, request, submitted)
 
-        def edit(document: model.Document) -> editing.EditOutcome:
-            made = forms.read_account(form, None)
-            accounts = (*document.accounts, made)
-            return editing.Edited(
-                dataclasses.replace(document, accounts=accounts)
-            )
+    def edit(document: model.Document) -> editing.EditOutcome:
+        made = forms.read_account(form, None)
+        accounts = (*document.accounts, made)
+        return editing.Edited(dataclasses.replace(document, accounts=accounts))
 
-        change = changes.Change(
-            'account.html', 'New account', form, edit, LIST
-        )
-        if submitted is None:
-            return changes.show_change(request, change, head)
-        return await changes.submit_change(request, change, head, store)
+    return changes.Change('account.html', 'New account', form, edit, LIST)
 
 
-@pages.require_operator
-async def remove_account(
+@changes.serve_change
+def remove_account(
     request: starlette.requests.Request,
-) -> starlette.responses.Response:
+    head: revisions.Revision,
+    submitted: forms.Submission | None,
+) -> changes.Change:
     """Remove an account and all its keys."""
     name = request.path_params['name']
-    submitted = await pages.read_submission(request)
-    async with request.app.state.open_revisions() as store:
-        head = await pages.read_head(store)
-        find_account(head.document, name)
-        form = forms.bind_form(forms.RemovalForm, request, submitted)
-
-        def edit(document: model.Document) -> editing.EditOutcome:
-            kept = tuple(a for a in document.accounts if a.name != name)
-            return editing.Edited(dataclasses.replace(document, accounts=kept))
-
-        change = changes.Change(
-            'confirm.html',
-            f'Remove account {name}',
-            form,
-            edit,
-            LIST,
-            {'question': f'Remove account {name} and withdraw its keys?'},
-        )
-        if submitted is None:
-            return changes.show_change(request, change, head)
-        return await changes.submit_change(request, change, head, store)
+    find_account(head.document, name)
+    form = forms.bind_form(forms.RemovalForm, request, submitted)
+
+    def edit(document: model.Document) -> editing.EditOutcome:
+        kept = tuple(a for a in document.accounts if a.name != name)
+        return editing.Edited(dataclasses.replace(document, accounts=kept))
+
+    return changes.Change(
+        'confirm.html',
+        f'Remove account {name}',
+        form,
+        edit,
+        LIST,
+        {'question': f'Remove account {name} and withdraw its keys?'},
+    )
 
 
-@pages.require_operator
-async def add_key(
+@changes.serve_change
+def add_key(
     request: starlette.requests.Request,
-) -> starlette.responses.Response:
+    head: revisions.Revision,
+    submitted: forms.Submission | None,
+) -> changes.Change:
     """Create a key of an account; the key is shown once."""
     name = request.path_params['name']
-    submitted = await pages.read_submission(request)
-    async with request.app.state.open_revisions() as store:
-        head = await pages.read_head(store)
-        find_account(head.document, name)
-        form = forms.bind_form(forms.KeyForm, request, submitted)
-        secret = editing.generate_key()
-
-        def edit(document: model.Document) -> editing.EditOutcome:
-            digest = editing.digest_key(secret)
-            made = model.Key(form.label.data or '', digest)
-            return editing.add_key(document, name, made)
-
-        change = changes.Change(
-            'confirm.html',
-            f'New key for {name}',
-            form,
-            edit,
-            f'{LIST}/{name}',
-            secret=secret,
-        )
-        if submitted is None:
-            return changes.show_change(request, change, head)
-        return await changes.submit_change(request, change, head, store)
+    find_account(head.document, name)
+    form = forms.bind_form(forms.KeyForm, request, submitted)
+    secret = editing.generate_key()
+
+    def edit(document: model.Document) -> editing.EditOutcome:
+        digest = editing.digest_key(secret)
+        made = model.Key(form.label.data or '', digest)
+        return editing.add_key(document, name, made)
+
+    return changes.Change(
+        'confirm.html',
+        f'New key for {name}',
+        form,
+        edit,
+        f'{LIST}/{name}',
+        secret=secret,
+    )
 
 
-@pages.require_operator
-async def withdraw_key(
+@changes.serve_change
+def withdraw_key(
     request: starlette.requests.Request,
-) -> starlette.responses.Response:
+    head: revisions.Revision,
+    submitted: forms.Submission | None,
+) -> changes.Change:
     """Withdraw a key of an account."""
     name = request.path_params['name']
     label = request.query_params.get('label', '')
-    submitted = await pages.read_submission(request)
-    async with request.app.state.open_revisions() as store:
-        head = await pages.read_head(store)
-        find_account(head.document, name)
-        form = forms.bind_form(forms.RemovalForm, request, submitted)
-
-        def edit(document: model.Document) -> editing.EditOutcome:
-            return editing.withdraw_key(document, name, label)
-
-        change = changes.Change(
-            'confirm.html',
-            f'Withdraw a key of {name}',
-            form,
-            edit,
-            f'{LIST}/{name}',
-            {'question': f"Withdraw key '{label}' of account {name}?"},
-        )
-        if submitted is None:
-            return changes.show_change(request, change, head)
-        return await changes.submit_change(request, change, head, store)
+    find_account(head.document, name)
+    form = forms.bind_form(forms.RemovalForm, request, submitted)
+
+    def edit(document: model.Document) -> editing.EditOutcome:
+        return editing.withdraw_key(document, name, label)
+
+    return changes.Change(
+        'confirm.html',
+        f'Withdraw a key of {name}',
+        form,
+        edit,
+        f'{LIST}/{name}',
+        {'question': f"Withdraw key '{label}' of account {name}?"},
+    )
 
 
 def find_account(document: model.Document, name: str) -> model.ClientAccount:
--- a/src/eelgrasswalk/console/changes.py
+++ b/src/eelgrasswalk/console/changes.py
@@ -46,6 +46,40 @@
     secret: str = ''
 
 
+class Prepare(typing.Protocol):
+    """Builds the change that a page is for."""
+
+    def __call__(
+        self,
+        request: starlette.requests.Request,
+        head: revisions.Revision,
+        submitted: forms.Submission | None,
+    ) -> Change:
+        """Return the change with what was submitted, or present values."""
+
+
+def serve_change(prepare: Prepare) -> pages.Handler:
+    """Return the handler of a change's page, for signed-in operators.
+
+    Args:
+        prepare: Builds the change on the accepted version.
+    """
+
+    @pages.require_operator
+    async def handle(
+        request: starlette.requests.Request,
+    ) -> starlette.responses.Response:
+        submitted = await pages.read_submission(request)
+        async with request.app.state.open_revisions() as store:
+            head = await pages.read_head(store)
+            change = prepare(request, head, submitted)
+            if submitted is None:
+                return show_change(request, change, head)
+            return await submit_change(request, change, head, store)
+
+    return handle
+
+
 def show_change(
     request: starlette.requests.Request,
     change: Change,
--- a/src/eelgrasswalk/console/forms.py
+++ b/src/eelgrasswalk/console/forms.py
@@ -13,6 +13,8 @@
 
 from ..document import model
 
+Submission: typing.TypeAlias = starlette.datastructures.FormData
+
 METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
 IMPORTANCES = [
     (level.name.lower(), level.name.lower()) for level in model.Importance
@@ -157,7 +159,7 @@
 def bind_form(
     form: type[F],
     request: starlette.requests.Request,
-    submitted: starlette.datastructures.FormData | None,
+    submitted: Submission | None,
     values: collections.abc.Mapping[str, typing.Any] | None = None,
 ) -> F:
     """Return the form with what was submitted, or with present values.
--- a/src/eelgrasswalk/console/pages.py
+++ b/src/eelgrasswalk/console/pages.py
@@ -100,7 +100,7 @@
 
 async def read_submission(
     request: starlette.requests.Request,
-) -> typing.Any:
+) -> forms.Submission | None:
     """Return the submitted fields, or None for a request to look."""
     if request.method != 'POST':
         return None
