Take fewer steps for each call

A profile of two nodes shows no single place: about 770 function calls for a call at both. Ruled out: idle timers (the grown and the small site take the same for an arrival). Change: headers checked in one pass, kinds of calls counted as plain tuples, enums hashed as numbers, no search for the highest importance on each call. The gain is within the noise of this machine (1.0 to 1.2 ms for a call at two nodes, before and after).

--- a/src/eelgrasswalk/filters/admit.py
+++ b/src/eelgrasswalk/filters/admit.py
@@ -15,6 +15,7 @@
 from ..transport import frames
 
 _RETRY_ELSEWHERE = frozenset((verdict.Reason.LEAVING,))
+_IMPORTANCES = tuple(sorted(model.Importance))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -217,4 +218,4 @@
 
 
 def _clamp_importance(value: int) -> model.Importance:
-    return model.Importance(min(value, max(model.Importance)))
+    return _IMPORTANCES[min(value, len(_IMPORTANCES) - 1)]
--- a/src/eelgrasswalk/platform/dialect.py
+++ b/src/eelgrasswalk/platform/dialect.py
@@ -29,6 +29,8 @@
         names.AUTHORIZATION,
     )
 )
+# The length is told anew with the answer that is passed on.
+_FRAMING = frozenset((b'content-length',))
 
 
 class PlatformDialect:
@@ -116,9 +118,7 @@
             return _doubt('the answer has no stamp')
         if message.find_header(headers, b'content-encoding') is not None:
             return _doubt('the answer is encoded, which nobody asked for')
-        kept = message.strip_headers(
-            headers, remove=frozenset((b'content-length',))
-        )
+        kept = message.strip_headers(headers, remove=_FRAMING)
         return verdict.Answered(
             verdict.Response(response.status, kept, response.body)
         )
--- a/src/eelgrasswalk/policy/log_budget.py
+++ b/src/eelgrasswalk/policy/log_budget.py
@@ -9,12 +9,12 @@
 import enum
 
 
-class Weight(enum.Enum):
-    """How much a line tells."""
+class Weight(enum.IntEnum):
+    """How much a line tells; counted for each call."""
 
-    ROUTINE = 'routine'
-    FAILURE = 'failure'
-    BELIEF = 'belief'
+    ROUTINE = 0
+    FAILURE = 1
+    BELIEF = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,7 +68,8 @@
             return {}
         self._told_in = int(now)
         omitted = {
-            weight.value: count for weight, count in self._omitted.items()
+            weight.name.lower(): count
+            for weight, count in self._omitted.items()
         }
         self._omitted.clear()
         return omitted
--- a/src/eelgrasswalk/policy/spread.py
+++ b/src/eelgrasswalk/policy/spread.py
@@ -172,8 +172,12 @@
         ]
         up = [state for state in usable if state.down_until <= now]
         states = up or usable
-        rates = [self._estimate_failures(state, now) for state in states]
-        peers = _Peers(sum(rates), len(rates))
+        rates = [
+            self._estimate_failures(state, now)
+            for state in states
+            if state.failure_rate
+        ]
+        peers = _Peers(sum(rates), len(states))
         chosen = self._choose_cheap(states, random_pair, peers, now)
         if chosen is None:
             return None
--- a/src/eelgrasswalk/request_log.py
+++ b/src/eelgrasswalk/request_log.py
@@ -25,9 +25,8 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallKind:
-    """What calls are counted by.
+class CallKind(typing.NamedTuple):
+    """What calls are counted by; hashed for each of them.
 
     Args:
         hop: `entry` for the caller's node, `gate` for the target's.
--- a/src/eelgrasswalk/transport/codec.py
+++ b/src/eelgrasswalk/transport/codec.py
@@ -270,20 +270,15 @@
 def _take_headers(value: typing.Any) -> message.Headers:
     if type(value) is not list:
         raise DecodeError('a list of headers expected')
-    headers = tuple(_take_header(pair) for pair in value)
+    headers = tuple([(name, text) for name, text in value])
     # One search for all headers; this is done for every call and answer.
-    text = b''.join(map(b''.join, headers))
-    if b'\r' in text or b'\n' in text or b'\0' in text:
+    # Joining them raises TypeError for a name or text that is not bytes.
+    joined = b''.join([name + text for name, text in headers])
+    if b'\r' in joined or b'\n' in joined or b'\0' in joined:
         raise DecodeError('a header holds a line break')
     return headers
 
 
-def _take_header(pair: typing.Any) -> tuple[bytes, bytes]:
-    if type(pair) is not list or len(pair) != 2:
-        raise DecodeError('a header is a pair')
-    return _take_bytes(pair[0]), _take_bytes(pair[1])
-
-
 def _take_attempts(value: typing.Any) -> tuple[bytes, ...]:
     if type(value) is not list or len(value) > frames.MAX_ATTEMPTS_IN_ACK:
         raise DecodeError('a list of attempts expected')
