Repeat calls that healthy targets reject, within the bound

A call ended after two arrivals, and half of the bound was kept for calls that repeated runs make, which runs of the last service never do. Ruled out: choosing by hash of the root which calls are repeated when little is left. Change: every answer tells whether runs of its route make calls. Those that make none may use 0.65 of the bound, others 0.3 (0.5 before). Once a call has been at as many upstreams as allowed, a rejection by a target, which proves that it has not run, sends it to one of them again, four attempts in all.

--- a/src/eelgrasswalk/filters/forward.py
+++ b/src/eelgrasswalk/filters/forward.py
@@ -1,6 +1,7 @@
 """Sends a call to an upstream, and to another where that is safe."""
 
 import asyncio
+import dataclasses
 import math
 import random
 import secrets
@@ -14,6 +15,7 @@
 from ..policy import retry_budget
 from ..policy import root_share
 from ..policy import running_calls
+from ..policy import service_times
 from ..policy import spread
 from ..transport import bodies
 from ..transport import dialler
@@ -21,8 +23,8 @@
 from . import front
 from . import transmit
 
-# Upstreams whose gates may refuse one call before it is given up.
-MAX_GATES = 4
+# Attempts of one call, most of which reach no target.
+MAX_ATTEMPTS = 4
 # Shortest time after which a refused caller may come back.
 LEAST_PAUSE_S = 0.1
 _NEVER_ARRIVED = frozenset(
@@ -37,6 +39,30 @@
 )
 
 
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """What the attempts of one call have met so far.
+
+    Args:
+        attempts: How many there were.
+        tried: Nodes that were tried.
+        arrived_at: Nodes whose target has seen the call, or may have. Once
+            there are as many as the route allows, a call that its target
+            refused goes to one of them again.
+    """
+
+    attempts: int = 0
+    tried: set[str] = dataclasses.field(default_factory=set)
+    arrived_at: set[str] = dataclasses.field(default_factory=set)
+
+    def note(self, node_id: str, outcome: verdict.Failure) -> None:
+        """Take what became of an attempt."""
+        self.attempts += 1
+        self.tried.add(node_id)
+        if _has_arrived(outcome):
+            self.arrived_at.add(node_id)
+
+
 class Forwarder:
     """The last step of a call at the caller's node.
 
@@ -67,6 +93,8 @@
         self._shares = shares
         self._repeats = repeats
         self._count_nodes = count_nodes
+        # Services and routes whose runs are known to make no calls.
+        self._leaves: set[tuple[str, str]] = set()
         self._random = source
         self._loop = asyncio.get_running_loop()
         # The loop's own time is too coarse for latencies.
@@ -74,6 +102,8 @@
 
     async def send(self, item: front.Item) -> verdict.Verdict:
         """Return what became of a call."""
+        if _is_own_call(item):
+            self._running.note_call(item.parent_id)
         outcome, starved_below = await self._try_upstreams(item)
         if _is_own_call(item):
             self._note_own_call(item, outcome, starved_below)
@@ -99,15 +129,13 @@
     ) -> tuple[verdict.Verdict, float]:
         """Return what became of a call, and what starves at its upstream."""
         self._repeats.count_call(item.service, self._clock())
-        tried: set[str] = set()
-        arrivals = 0
+        progress = _Progress()
         failure: verdict.Failure = verdict.NotRun(verdict.Reason.NO_UPSTREAM)
         starved = 0.0
         while True:
-            upstream = self._choose(item, tried)
+            upstream = self._choose(item, progress)
             if upstream is None:
                 return self._give_up(failure), starved
-            tried.add(upstream.node_id)
             reply = await self._attempt(item, upstream)
             outcome = reply.outcome
             if reply.feedback is not None:
@@ -115,19 +143,22 @@
             if isinstance(outcome, verdict.Answered):
                 return outcome, starved
             failure = verdict.combine(failure, outcome)
-            if _has_arrived(outcome):
-                arrivals += 1
-            if not self._may_repeat(item, outcome, len(tried), arrivals):
+            progress.note(upstream.node_id, outcome)
+            if not self._may_repeat(item, outcome, progress):
                 return self._give_up(failure), starved
 
     def _choose(
-        self, item: front.Item, tried: set[str]
+        self, item: front.Item, progress: _Progress
     ) -> balance.Upstream | None:
+        among = None
+        if len(progress.arrived_at) >= item.route.max_upstreams:
+            among = progress.arrived_at
         return self._balancer.choose(
             item.service,
             self._clock(),
             (self._random.random(), self._random.random()),
-            excluded=tried,
+            excluded=frozenset() if among else progress.tried,
+            among=among,
             route=item.route.name,
             left_s=self._compute_left(item),
         )
@@ -146,10 +177,11 @@
         self,
         item: front.Item,
         outcome: verdict.Failure,
-        gates: int,
-        arrivals: int,
+        progress: _Progress,
     ) -> bool:
-        if self._loop.time() >= item.deadline or gates >= MAX_GATES:
+        if self._loop.time() >= item.deadline:
+            return False
+        if progress.attempts >= MAX_ATTEMPTS:
             return False
         if isinstance(outcome, verdict.MayHaveRun):
             if not item.route.idempotent:
@@ -160,10 +192,14 @@
             return False
         if not _has_arrived(outcome):
             return True
-        if arrivals >= item.route.max_upstreams:
+        is_doubt = isinstance(outcome, verdict.MayHaveRun)
+        if is_doubt and len(progress.arrived_at) >= item.route.max_upstreams:
             return False
         return self._repeats.take(
-            item.service, self._clock(), self._count_nodes()
+            item.service,
+            self._clock(),
+            self._count_nodes(),
+            is_leaf=(item.service, item.route.name) in self._leaves,
         )
 
     def _give_up(self, failure: verdict.Failure) -> verdict.Failure:
@@ -210,6 +246,7 @@
         if reply is not None and reply.feedback is not None:
             load = reply.feedback.load
             failing = reply.feedback.failing
+            self._note_leaf(item, reply.feedback)
         item.attempts.append(
             front.Attempt(
                 node_id=upstream.node_id,
@@ -232,6 +269,13 @@
             failing=failing,
         )
 
+    def _note_leaf(self, item: front.Item, feedback: frames.Feedback) -> None:
+        place = (item.service, item.route.name)
+        if feedback.makes_calls:
+            self._leaves.discard(place)
+        elif len(self._leaves) < service_times.MOST_ROUTES:
+            self._leaves.add(place)
+
     def _mark_down(
         self, upstream: balance.Upstream, outcome: verdict.Verdict
     ) -> None:
--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -251,6 +251,7 @@
             load=busy / policy.limit,
             starved=self._shares.measure_starving(route),
             failing=self._faults.rate,
+            makes_calls=self._running.makes_calls(route),
         )
 
 
--- a/src/eelgrasswalk/policy/retry_budget.py
+++ b/src/eelgrasswalk/policy/retry_budget.py
@@ -3,15 +3,23 @@
 Each node may repeat a share of the calls that it sends itself, and has a
 fixed part of the fleet's slack. The parts add up to the fleet's bound
 whatever the nodes know of each other.
+
+Load pattern that it answers: all targets of a service refuse a large part of
+their calls, though they are healthy. A root that needs several such calls
+gets through only if each of them is repeated until it does, so repeats are
+given while there are any, and not spread over more roots than they can save.
 """
 
 import collections
 import dataclasses
 
 BUCKETS = 20
-# Repeats beget repeats: calls made by a run that was itself a repeat count
-# as well, so a node plans to use only this part of its bound.
-PLANNED_SHARE = 0.5
+# Calls made by a run that was itself a repeat count as repeats as well, at
+# the services that they go to. Parts of the bound that a node uses for calls
+# whose runs make no others, and for calls whose runs may make some; together
+# they leave a little of it.
+LEAF_SHARE = 0.65
+INNER_SHARE = 0.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,13 +60,21 @@
         """Note a call that is sent for the first time."""
         self._find_bucket(service, now).calls += 1
 
-    def take(self, service: str, now: float, nodes: int) -> bool:
+    def take(
+        self,
+        service: str,
+        now: float,
+        nodes: int,
+        *,
+        is_leaf: bool,
+    ) -> bool:
         """Take one repeat, and return whether there was one.
 
         Args:
             service: The service that gets the repeat.
             now: The time, in seconds.
             nodes: Nodes that share the slack, this one among them.
+            is_leaf: Whether the call's run makes no calls itself.
         """
         bucket = self._find_bucket(service, now)
         buckets = self._services[service]
@@ -66,7 +82,8 @@
         repeats = sum(item.repeats for item in buckets)
         allowed = self._bounds.ratio * calls
         allowed += self._bounds.slack / max(1, nodes)
-        if repeats + 1 > PLANNED_SHARE * allowed:
+        planned = (LEAF_SHARE if is_leaf else INNER_SHARE) * allowed
+        if repeats + 1 > planned:
             return False
         bucket.repeats += 1
         return True
--- a/src/eelgrasswalk/policy/spread.py
+++ b/src/eelgrasswalk/policy/spread.py
@@ -152,6 +152,7 @@
         random_pair: tuple[float, float],
         *,
         excluded: collections.abc.Set[str] = frozenset(),
+        among: collections.abc.Set[str] | None = None,
         route: str = '',
         left_s: float = math.inf,
     ) -> balance.Upstream | None:
@@ -162,6 +163,7 @@
             now: The time, in seconds.
             random_pair: Two random numbers, 0 <= value < 1.
             excluded: Nodes not to choose, such as those already tried.
+            among: Nodes to choose from; None for all.
             route: The route of the call.
             left_s: Seconds in which its answer must be there.
         """
@@ -170,6 +172,10 @@
             for state in self._services.get(service, ())
             if not state.leaving and state.upstream.node_id not in excluded
         ]
+        if among is not None:
+            usable = [
+                state for state in usable if state.upstream.node_id in among
+            ]
         up = [state for state in usable if state.down_until <= now]
         states = up or usable
         rates = [
--- a/src/eelgrasswalk/transport/codec.py
+++ b/src/eelgrasswalk/transport/codec.py
@@ -202,7 +202,7 @@
 
 def _list_feedback(
     feedback: frames.Feedback,
-) -> tuple[int, float, float, int, float, float, float]:
+) -> tuple[int, float, float, int, float, float, float, bool]:
     return (
         feedback.importance,
         feedback.fraction,
@@ -211,12 +211,13 @@
         feedback.load,
         feedback.starved,
         feedback.failing,
+        feedback.makes_calls,
     )
 
 
 def _take_feedback(value: typing.Any) -> frames.Feedback:
     importance, fraction, queue_delay_s, unspent, *shares = value
-    load, starved, failing = shares
+    load, starved, failing, makes_calls = shares
     return frames.Feedback(
         importance=_take_count(importance),
         fraction=_take_number(fraction),
@@ -225,6 +226,7 @@
         load=_take_number(load),
         starved=_take_number(starved),
         failing=_take_number(failing),
+        makes_calls=makes_calls is not False,
     )
 
 
--- a/src/eelgrasswalk/transport/frames.py
+++ b/src/eelgrasswalk/transport/frames.py
@@ -119,6 +119,8 @@
         starved: Share of the target's own calls that have lately failed
             for want of room further down.
         failing: Share of its calls at which the target fails by itself.
+        makes_calls: Whether runs of the call's route make calls themselves,
+            or may make some.
     """
 
     importance: int
@@ -128,6 +130,7 @@
     load: float = 0.0
     starved: float = 0.0
     failing: float = 0.0
+    makes_calls: bool = True
 
 
 SILENT_FEEDBACK = Feedback(
--- a/tests/filters/test_forward.py
+++ b/tests/filters/test_forward.py
@@ -25,6 +25,7 @@
 OVERLOAD = verdict.NotRun(
     verdict.Reason.OVERLOAD, retry_after_s=1.0, retry_elsewhere=True
 )
+REJECTED = verdict.NotRun(verdict.Reason.TARGET_REFUSED, retry_elsewhere=True)
 DOUBT = verdict.MayHaveRun(verdict.Reason.TARGET_LOST)
 ANSWER = verdict.Answered(verdict.Response(200, (), b''))
 FAILURE = verdict.Answered(verdict.Response(500, (), b''))
@@ -35,6 +36,7 @@
 
     def __init__(self, *replies: dialler.Reply) -> None:
         self.replies = list(replies)
+        self.sent_to: list[str] = []
 
     async def transmit(
         self,
@@ -44,6 +46,7 @@
         deadline: float,
         retriable: bool,
     ) -> dialler.Reply:
+        self.sent_to.append(node_id)
         return self.replies.pop(0)
 
 
@@ -96,8 +99,9 @@
         self.shares = root_share.RootShares(
             root_share.ShareSettings(interval_s=0.0, least_calls=1)
         )
+        self.replies = Replies(*replies)
         return forward.Forwarder(
-            transmitter=Replies(*replies),
+            transmitter=self.replies,
             balancer=balancer,
             running=self.running,
             shares=self.shares,
@@ -130,6 +134,34 @@
         forwarder = self.build(build_reply(OVERLOAD), build_reply(ANSWER))
         self.assertEqual(ANSWER, await forwarder.send(build_item()))
 
+    async def test_call_that_targets_reject_goes_to_no_third_upstream(
+        self,
+    ) -> None:
+        """All targets refuse part of their calls; a route allows two."""
+        forwarder = self.build(
+            build_reply(REJECTED),
+            build_reply(REJECTED),
+            build_reply(REJECTED),
+            build_reply(ANSWER),
+        )
+        self.assertEqual(ANSWER, await forwarder.send(build_item()))
+        self.assertEqual(4, len(self.replies.sent_to))
+        self.assertEqual(2, len(set(self.replies.sent_to)))
+
+    async def test_doubt_at_as_many_upstreams_as_allowed_is_final(
+        self,
+    ) -> None:
+        forwarder = self.build(build_reply(REJECTED), build_reply(DOUBT))
+        self.assertEqual(DOUBT, await forwarder.send(build_item()))
+
+    async def test_rejected_call_stops_at_the_bound_on_repeats(self) -> None:
+        forwarder = self.build(*[build_reply(REJECTED)] * 400)
+        for _ in range(100):
+            outcome = await forwarder.send(build_item())
+            self.assertIsInstance(outcome, verdict.NotRun)
+        repeats = len(self.replies.sent_to) - 100
+        self.assertLessEqual(repeats, 0.2 * 100 + 50.0)
+
     async def test_starving_calls_of_the_own_target_are_heard_of(
         self,
     ) -> None:
--- a/tests/policy/test_running_calls.py
+++ b/tests/policy/test_running_calls.py
@@ -27,3 +27,24 @@
     def test_request_without_id_is_no_parent_of_others(self) -> None:
         self.running.begin('', 'book')
         self.assertIsNone(self.running.find_route(''))
+
+    def test_route_may_make_calls_until_it_is_known_better(self) -> None:
+        self.assertTrue(self.running.makes_calls('sheet'))
+        for number in range(running_calls.LEAST_RUNS):
+            self.running.begin(str(number), 'sheet')
+            self.running.end(str(number))
+        self.assertFalse(self.running.makes_calls('sheet'))
+
+    def test_route_whose_run_made_a_call_makes_calls(self) -> None:
+        self.running.note_call('a')
+        for number in range(running_calls.LEAST_RUNS):
+            self.running.begin(str(number), 'browse')
+            self.running.end(str(number))
+        self.assertTrue(self.running.makes_calls('browse'))
+
+    def test_call_of_an_unknown_request_may_be_of_any_route(self) -> None:
+        for number in range(running_calls.LEAST_RUNS):
+            self.running.begin(str(number), 'sheet')
+            self.running.end(str(number))
+        self.running.note_call('')
+        self.assertTrue(self.running.makes_calls('sheet'))
