Count a lost host's silence from the first probe

Cause: an account whose owner's host loses power gives only the tolerated excess until the owner's entry is removed, 5 to 6 s later. The link is found silent after 0.6 to 1.2 s, but the failure counted from the dial after that, and was known when that had timed out. Ruled out: leases of owners in the store (a write a second for each owner costs more than the loss); taking a silent link alone for a failure (open connections may go silent while new ones work).

--- a/src/eelgrasswalk/transport/dialler.py
+++ b/src/eelgrasswalk/transport/dialler.py
@@ -172,6 +172,7 @@
         self.refused = False
         self.failing_since: float | None = None
         self.failed_at = 0.0
+        self._silent_since: float | None = None
         self._dialler = dialler
         self._loop = asyncio.get_running_loop()
         self._link: link.Link | None = None
@@ -247,6 +248,7 @@
             return
         self._link = None
         self._retired = False
+        self._silent_since = closed.silent_since
         if any(pending.sent for pending in self._pending.values()):
             self._resolving = self._loop.create_task(self._resolve())
 
@@ -352,10 +354,13 @@
             self._dialling = None
         if opened:
             self.failing_since = None
+            self._silent_since = None
             return True
         self.failed_at = self._loop.time()
         if self.failing_since is None:
-            self.failing_since = started_at
+            # A link that fell silent before was the first failure. By itself
+            # it says little, as a new one may work.
+            self.failing_since = self._silent_since or started_at
         return False
 
     async def _connect(self) -> bool:
--- a/src/eelgrasswalk/transport/link.py
+++ b/src/eelgrasswalk/transport/link.py
@@ -80,6 +80,10 @@
         dialled: Whether this side opened the connection.
         peer_id: The node that was dialled; empty on the accepting side.
         sequence: Number of this link among those dialled to the peer.
+
+    Attributes:
+        silent_since: Loop time of the probe without an answer for which the
+            link was closed; None if it was not.
     """
 
     def __init__(
@@ -98,6 +102,7 @@
         self.sequence = sequence
         self.state = State.CONNECTING
         self.outstanding = 0
+        self.silent_since: float | None = None
         self._owner = owner
         self._identity = identity
         self._secret = secret
@@ -368,6 +373,7 @@
         is_busy = self.outstanding or self._outbox
         if self._probed_at is not None:
             if now - self._probed_at >= SILENCE_S:
+                self.silent_since = self._probed_at
                 self.close()
         elif is_busy:
             self._probe_after(SILENCE_S)
