Refuse keys while a newer configuration is known and cannot be fetched

Cause of the violations of withdrawn-key in test_chaos (2.06 to 2.39 s, bound 2 s): a node whose links and platform are silent hears of the new version by gossip, cannot fetch it, and goes on with the old keys, as it counts as up to date for 10 s after any word of a peer. Ruled out: late gossip (the node's peers were heard all the while). Change: a version heard of must be in force a second later, or requests with keys are refused as not run. One that cannot be read makes nothing stale. Test of the decision failed before.

--- a/src/eelgrasswalk/policy/configuration.py
+++ b/src/eelgrasswalk/policy/configuration.py
@@ -21,6 +21,8 @@
         fleet_polls_per_s: Polls of all nodes together.
         stale_after_s: Time without word of store or peers after which the
             configuration may be out of date.
+        outdated_after_s: Time after which a version that has been heard of
+            must be in force; it may have withdrawn a key.
         first_retry_s: Pause after a failed fetch; it doubles.
         longest_retry_s: Longest pause after a failed fetch.
     """
@@ -28,6 +30,7 @@
     shortest_poll_s: float = 1.0
     fleet_polls_per_s: float = 200.0
     stale_after_s: float = 10.0
+    outdated_after_s: float = 1.0
     first_retry_s: float = 0.2
     longest_retry_s: float = 3.0
 
@@ -93,6 +96,7 @@
         self._retry_at = 0.0
         self._store_heard_at: float | None = None
         self._peer_heard_at: float | None = None
+        self._outdated_since: float | None = None
 
     @property
     def version(self) -> int:
@@ -113,7 +117,7 @@
         """Take the version that the store has; 0 when it has none."""
         self._store_heard_at = now
         self._store_version = max(self._store_version, version)
-        self._want(version)
+        self._want(version, now)
 
     def hear_peer(self, node_id: str, version: int, now: float) -> None:
         """Take the version that a peer has in force; 0 when it has none."""
@@ -124,7 +128,7 @@
         self._holders.move_to_end(node_id)
         if len(self._holders) > _MOST_HOLDERS:
             self._holders.popitem(last=False)
-        self._want(version)
+        self._want(version, now)
 
     def next_step(self, now: float) -> Step:
         """Tell what to fetch, if anything; it then counts as under way."""
@@ -151,6 +155,8 @@
         if version <= self._version:
             return False
         self._version = version
+        if version >= self._wanted:
+            self._outdated_since = None
         self._failures = 0
         self._retry_at = 0.0
         for node_id, held in tuple(self._holders.items()):
@@ -161,9 +167,18 @@
     def reject(self, version: int) -> None:
         """Note that a version cannot be read here and is not to be tried."""
         self._rejected.add(version)
+        if version >= self._wanted:
+            self._outdated_since = None
 
     def is_stale(self, now: float) -> bool:
-        """Tell whether neither store nor peers were heard for too long."""
+        """Tell whether the version in force may be, or is, out of date.
+
+        Either neither store nor peers were heard for too long, or a newer
+        version was heard of and could not be fetched.
+        """
+        since = self._outdated_since
+        if since is not None and now - since > self._settings.outdated_after_s:
+            return True
         heard = [
             at
             for at in (self._store_heard_at, self._peer_heard_at)
@@ -196,9 +211,11 @@
         mean = max(self._settings.shortest_poll_s, share)
         return mean * (0.5 + draw)
 
-    def _want(self, version: int) -> None:
+    def _want(self, version: int, now: float) -> None:
         if version > self._wanted and version not in self._rejected:
             self._wanted = version
+            if version > self._version and self._outdated_since is None:
+                self._outdated_since = now
             self._failures = 0
             self._retry_at = 0.0
 
--- a/tests/policy/test_configuration.py
+++ b/tests/policy/test_configuration.py
@@ -86,6 +86,28 @@
             self.follower.next_step(99.0), configuration.Fetch
         )
 
+    def test_is_stale_while_a_newer_version_cannot_be_fetched(self) -> None:
+        """It may have withdrawn a key; peers are heard all the while."""
+        self.follower.hear_peer('a', 3, 0.0)
+        self.assertTrue(self.follower.accept(3))
+        self.follower.hear_peer('a', 4, 5.0)
+        self.follower.hear_peer('b', 4, 5.9)
+        self.assertFalse(self.follower.is_stale(6.0))
+        self.follower.hear_peer('b', 5, 6.1)
+        self.assertTrue(self.follower.is_stale(6.1))
+        self.assertTrue(self.follower.accept(4))
+        self.assertTrue(self.follower.is_stale(6.1))
+        self.assertTrue(self.follower.accept(5))
+        self.assertFalse(self.follower.is_stale(6.1))
+
+    def test_version_that_cannot_be_read_makes_nothing_stale(self) -> None:
+        self.follower.hear_peer('a', 3, 0.0)
+        self.assertTrue(self.follower.accept(3))
+        self.follower.hear_peer('a', 4, 5.0)
+        self.follower.reject(4)
+        self.follower.hear_peer('a', 4, 7.0)
+        self.assertFalse(self.follower.is_stale(7.0))
+
     def test_is_stale_without_store_and_peers(self) -> None:
         self.assertTrue(self.follower.is_stale(0.0))
         self.follower.hear_store(0, 0.0)
