--- a/src/eelgrasswalk/controllers/confirmation.py
+++ b/src/eelgrasswalk/controllers/confirmation.py
@@ -4,6 +4,7 @@
 import random
 import typing
 
+from .. import events
 from ..policy import freshness
 from . import background
 from . import feed
@@ -55,6 +56,7 @@
         self._random = source
         self._outdated = asyncio.Event()
         self._haste_s = 0.0
+        self._was_fresh = True
         self._work = background.Background(self._run)
 
     async def start(self) -> None:
@@ -88,6 +90,12 @@
         if table is None:
             return
         if version > table.version:
+            if not self._outdated.is_set():
+                events.log(
+                    events.RULES_OUTDATED,
+                    version=table.version,
+                    newer=version,
+                )
             self._outdated.set()
         elif version == table.version:
             true_at = self._feed.store_clock.translate(store_s, self._clock())
@@ -97,6 +105,7 @@
     async def _run(self) -> None:
         await self._feed.filled.wait()
         while True:
+            self._note_freshness()
             limit_s = self._choose_limit()
             await self._wait_until_due(limit_s)
             self._outdated.clear()
@@ -106,6 +115,20 @@
                 continue
             self._haste_s = min(MOST_HASTE_S, self._clock() - asked_at)
 
+    def _note_freshness(self) -> None:
+        now = self._clock()
+        is_fresh = self._fresh.is_fresh(now)
+        if is_fresh == self._was_fresh:
+            return
+        self._was_fresh = is_fresh
+        version, store_s = self.tell()
+        events.log(
+            events.RULES_CERTAIN if is_fresh else events.RULES_UNCERTAIN,
+            version=version,
+            age_s=round(self._fresh.get_age(now), 2),
+            store_s=store_s,
+        )
+
     def _choose_limit(self) -> float:
         early = freshness.choose_early(self._list_nodes())
         patience_s = self._patience.choose(
--- a/src/eelgrasswalk/events.py
+++ b/src/eelgrasswalk/events.py
@@ -100,6 +100,17 @@
     'check-in of a target cannot be read',
     'look at what the target beside the node sends',
 )
+RULES_UNCERTAIN = Event(
+    3008,
+    logging.WARNING,
+    'keys do not count: the rules were not confirmed in time',
+    'look after the platform and the links to other nodes; requests with '
+    'keys are refused as not run until the rules are confirmed',
+)
+RULES_CERTAIN = Event(3009, logging.INFO, 'keys count again')
+RULES_OUTDATED = Event(
+    3010, logging.INFO, 'another node has newer rules; asking the store'
+)
 CLAIM_LOCAL = Event(
     3101,
     logging.WARNING,
--- a/tests/controllers/test_confirmation.py
+++ b/tests/controllers/test_confirmation.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+import unittest.mock
 
 from eelgrasswalk import ports
 from eelgrasswalk.controllers import confirmation
@@ -97,6 +98,24 @@
         await fake_store.settle()
         self.assertEqual(0.0, self.fresh.get_age(self.now))
 
+    async def test_loss_and_return_of_certainty_are_logged(self) -> None:
+        await self.learn()
+        self.now = 104.0
+        self.store.watches = [ports.Unavailable('silent')]
+        with (
+            unittest.mock.patch.object(confirmation, 'RETRY_S', 0.0),
+            self.assertLogs('eelgrasswalk', 'INFO') as logs,
+        ):
+            await self.confirmation.start()
+            await fake_store.settle()
+            self.confirmation.hear(7, 13.9)
+            await self.confirmation.stop()
+            await self.confirmation.start()
+            await fake_store.settle()
+        self.assertEqual(
+            [3008, 3009], [record.__dict__['event'] for record in logs.records]
+        )
+
     async def test_node_that_peers_confirm_asks_nothing(self) -> None:
         await self.learn()
         self.store.watches = [ports.Rows((), 1, 10.9)]
