Count silence only if it led to the failed dial, and spare hosts that restart

And a process that takes between two and three seconds to start was taken for gone, where it was not before; its target then waits for its next check-in. Change: silence counts if the dial began within 2 s of it; a host that refuses connections has a second more. Both new tests failed before.

--- a/src/eelgrasswalk/controllers/reaper.py
+++ b/src/eelgrasswalk/controllers/reaper.py
@@ -8,8 +8,7 @@
 from . import background
 
 # Counted from the first probe or dial without an answer. A link is left 0.6 s
-# after such a probe, and one dial after that fails after another 1.5 s; hosts
-# that restart their process are back sooner, and refuse connections meanwhile.
+# after such a probe, and one dial after that fails after another 1.5 s.
 LOST_AFTER_S = 2.0
 INTERVAL_S = 1.0
 # Nodes of the whole fleet that act in one interval, about; the others hear of
--- a/src/eelgrasswalk/transport/dialler.py
+++ b/src/eelgrasswalk/transport/dialler.py
@@ -19,6 +19,9 @@
 DIAL_BACKOFF_S = 0.05
 # A failure that is older says nothing of now.
 RECENT_FAILURE_S = 2.0
+# A host that refuses connections is up, and its process is about to be started
+# again; it may fail for so much longer.
+RESTART_GRACE_S = 1.0
 MAX_DIAL_BACKOFF_S = 0.5
 # A peer cancels the work of a lost link after as long; no answer comes later.
 RESOLVE_LIMIT_S = 3.0
@@ -134,8 +137,7 @@
         return [
             node_id
             for node_id, peer in self._peers.items()
-            if peer.failing_since is not None
-            and now - peer.failing_since >= least_s
+            if peer.compute_failing_s(now) >= least_s
             and now - peer.failed_at <= RECENT_FAILURE_S
         ]
 
@@ -225,6 +227,13 @@
             task = self._start_dialling()
             task.add_done_callback(lambda _: self._send_late(item))
 
+    def compute_failing_s(self, now: float) -> float:
+        """Return for how long the peer has failed beyond any grace."""
+        if self.failing_since is None:
+            return -1.0
+        grace_s = RESTART_GRACE_S if self.refused else 0.0
+        return now - self.failing_since - grace_s
+
     async def stop(self) -> None:
         for task in (self._resolving, self._dialling):
             if task is not None:
@@ -358,11 +367,22 @@
             return True
         self.failed_at = self._loop.time()
         if self.failing_since is None:
-            # A link that fell silent before was the first failure. By itself
-            # it says little, as a new one may work.
-            self.failing_since = self._silent_since or started_at
+            self.failing_since = self._find_first_failure(started_at)
         return False
 
+    def _find_first_failure(self, started_at: float) -> float:
+        """Return when the peer failed first, if the dial now has failed.
+
+        A link that fell silent just before was the first failure. By itself
+        it says little, as a new one may work.
+        """
+        silent_since = self._silent_since
+        if silent_since is None or self.refused:
+            return started_at
+        if started_at - silent_since > RECENT_FAILURE_S:
+            return started_at
+        return silent_since
+
     async def _connect(self) -> bool:
         self._sequence += 1
         candidate = link.Link(
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -187,6 +187,30 @@
         failing = self.dialler.list_failing(link.SILENCE_S)
         self.assertEqual(['up'], failing)
 
+    async def test_silence_of_long_ago_is_not_counted(self) -> None:
+        with unittest.mock.patch.object(link, 'IDLE_PROBE_S', 0.1):
+            await self.start_call(self.build_call())
+            self.valve.swallow_back = True
+            async with asyncio.timeout(WAIT_S):
+                while self.dialler.count_links():
+                    await asyncio.sleep(0.01)
+            with (
+                unittest.mock.patch.object(dialler, 'DIAL_TIMEOUT_S', 0.1),
+                unittest.mock.patch.object(dialler, 'RECENT_FAILURE_S', 0.5),
+            ):
+                await self.start_call(self.build_call(), retriable=True)
+                failing = self.dialler.list_failing(link.SILENCE_S)
+        self.assertEqual([], failing)
+
+    async def test_host_that_refuses_has_time_to_start_its_process(
+        self,
+    ) -> None:
+        await self.valve.stop()
+        await self.start_call(self.build_call(), retriable=True)
+        self.assertEqual([], self.dialler.list_failing(0.0))
+        with unittest.mock.patch.object(dialler, 'RESTART_GRACE_S', 0.0):
+            self.assertEqual(['up'], self.dialler.list_failing(0.0))
+
     async def test_attempt_that_never_arrived_is_fenced(self) -> None:
         await self.start_call(self.build_call())
         self.valve.hold_forth = True
