Keep what is known of a peer's reachability apart from its links

The decision is now a part of policy/ that takes the time, with tests that need no links; one of three tests with real links moved there.

--- a/src/eelgrasswalk/transport/dialler.py
+++ b/src/eelgrasswalk/transport/dialler.py
@@ -10,6 +10,7 @@
 import typing
 
 from .. import verdict
+from ..policy import reachability
 from . import budget
 from . import frames
 from . import link
@@ -17,11 +18,6 @@
 
 DIAL_TIMEOUT_S = 1.5
 DIAL_BACKOFF_S = 0.05
-# A failure that is older says nothing of now.
-RECENT_FAILURE_S = 2.0
-# A host that refuses connections is up, and its process is about to be started
-# again; it may fail for so much longer.
-RESTART_GRACE_S = 1.0
 MAX_DIAL_BACKOFF_S = 0.5
 # A peer cancels the work of a lost link after as long; no answer comes later.
 RESOLVE_LIMIT_S = 3.0
@@ -126,7 +122,7 @@
         works either; silence says nothing.
         """
         peer = self._peers.get(node_id)
-        return peer is not None and peer.refused
+        return peer is not None and peer.reach.refused
 
     def list_failing(self, least_s: float) -> list[str]:
         """Return the peers that could not be reached for so long.
@@ -137,15 +133,14 @@
         return [
             node_id
             for node_id, peer in self._peers.items()
-            if peer.compute_failing_s(now) >= least_s
-            and now - peer.failed_at <= RECENT_FAILURE_S
+            if peer.reach.is_failing(least_s, now)
         ]
 
     def forget_failures(self, node_id: str) -> None:
         """Count the failures of a peer anew."""
         peer = self._peers.get(node_id)
         if peer is not None:
-            peer.failing_since = None
+            peer.reach.forget()
 
     def count_links(self) -> int:
         """Return how many links are open."""
@@ -171,10 +166,7 @@
 
     def __init__(self, dialler: Dialler, address: Address) -> None:
         self.address = address
-        self.refused = False
-        self.failing_since: float | None = None
-        self.failed_at = 0.0
-        self._silent_since: float | None = None
+        self.reach = reachability.Reachability()
         self._dialler = dialler
         self._loop = asyncio.get_running_loop()
         self._link: link.Link | None = None
@@ -227,13 +219,6 @@
             task = self._start_dialling()
             task.add_done_callback(lambda _: self._send_late(item))
 
-    def compute_failing_s(self, now: float) -> float:
-        """Return for how long the peer has failed beyond any grace."""
-        if self.failing_since is None:
-            return -1.0
-        grace_s = RESTART_GRACE_S if self.refused else 0.0
-        return now - self.failing_since - grace_s
-
     async def stop(self) -> None:
         for task in (self._resolving, self._dialling):
             if task is not None:
@@ -257,7 +242,7 @@
             return
         self._link = None
         self._retired = False
-        self._silent_since = closed.silent_since
+        self.reach.note_closed(closed.silent_since)
         if any(pending.sent for pending in self._pending.values()):
             self._resolving = self._loop.create_task(self._resolve())
 
@@ -349,39 +334,24 @@
         return task
 
     async def _open_link(self) -> bool:
-        self.refused = False
         started_at = self._loop.time()
-        opened = False
+        opened = refused = False
         try:
             async with asyncio.timeout(DIAL_TIMEOUT_S):
                 opened = await self._connect()
         except ConnectionRefusedError:
-            self.refused = True
+            refused = True
         except (OSError, TimeoutError):
             pass
         finally:
             self._dialling = None
         if opened:
-            self.failing_since = None
-            self._silent_since = None
-            return True
-        self.failed_at = self._loop.time()
-        if self.failing_since is None:
-            self.failing_since = self._find_first_failure(started_at)
-        return False
-
-    def _find_first_failure(self, started_at: float) -> float:
-        """Return when the peer failed first, if the dial now has failed.
-
-        A link that fell silent just before was the first failure. By itself
-        it says little, as a new one may work.
-        """
-        silent_since = self._silent_since
-        if silent_since is None or self.refused:
-            return started_at
-        if started_at - silent_since > RECENT_FAILURE_S:
-            return started_at
-        return silent_since
+            self.reach.note_opened()
+        else:
+            self.reach.note_failed_dial(
+                started_at, self._loop.time(), refused=refused
+            )
+        return opened
 
     async def _connect(self) -> bool:
         self._sequence += 1
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -160,56 +160,39 @@
             reply = await self.start_call(self.build_call(b'y'))
         self.assertEqual(b'y', self.get_body(reply))
 
-    async def test_link_that_went_silent_is_no_failure_by_itself(
-        self,
-    ) -> None:
-        """Something between the two may have lost track of it."""
+    async def fall_silent(self) -> None:
+        """Open a link, and wait until it is left for silence."""
         with unittest.mock.patch.object(link, 'IDLE_PROBE_S', 0.1):
             await self.start_call(self.build_call())
             self.valve.swallow_back = True
             async with asyncio.timeout(WAIT_S):
                 while self.dialler.count_links():
                     await asyncio.sleep(0.01)
+
+    async def test_link_that_went_silent_is_no_failure_by_itself(
+        self,
+    ) -> None:
+        """Something between the two may have lost track of it."""
+        await self.fall_silent()
         self.assertEqual([], self.dialler.list_failing(0.0))
 
     async def test_host_that_went_silent_fails_since_the_first_probe(
         self,
     ) -> None:
-        with unittest.mock.patch.object(link, 'IDLE_PROBE_S', 0.1):
-            await self.start_call(self.build_call())
-            self.valve.swallow_back = True
-            async with asyncio.timeout(WAIT_S):
-                while self.dialler.count_links():
-                    await asyncio.sleep(0.01)
-            with unittest.mock.patch.object(dialler, 'DIAL_TIMEOUT_S', 0.1):
-                await self.start_call(self.build_call(), retriable=True)
+        await self.fall_silent()
+        with unittest.mock.patch.object(dialler, 'DIAL_TIMEOUT_S', 0.1):
+            await self.start_call(self.build_call(), retriable=True)
         # The dial alone took a tenth of a second.
         failing = self.dialler.list_failing(link.SILENCE_S)
         self.assertEqual(['up'], failing)
 
-    async def test_silence_of_long_ago_is_not_counted(self) -> None:
-        with unittest.mock.patch.object(link, 'IDLE_PROBE_S', 0.1):
-            await self.start_call(self.build_call())
-            self.valve.swallow_back = True
-            async with asyncio.timeout(WAIT_S):
-                while self.dialler.count_links():
-                    await asyncio.sleep(0.01)
-            with (
-                unittest.mock.patch.object(dialler, 'DIAL_TIMEOUT_S', 0.1),
-                unittest.mock.patch.object(dialler, 'RECENT_FAILURE_S', 0.5),
-            ):
-                await self.start_call(self.build_call(), retriable=True)
-                failing = self.dialler.list_failing(link.SILENCE_S)
-        self.assertEqual([], failing)
-
     async def test_host_that_refuses_has_time_to_start_its_process(
         self,
     ) -> None:
         await self.valve.stop()
         await self.start_call(self.build_call(), retriable=True)
         self.assertEqual([], self.dialler.list_failing(0.0))
-        with unittest.mock.patch.object(dialler, 'RESTART_GRACE_S', 0.0):
-            self.assertEqual(['up'], self.dialler.list_failing(0.0))
+        self.assertTrue(self.dialler.is_refused('up'))
 
     async def test_attempt_that_never_arrived_is_fenced(self) -> None:
         await self.start_call(self.build_call())
