Let three nodes ask the store for changes and pass them on along a tree

Change: places in a tree follow from hashes of the nodes' ids alone. A node that hears of a version after one that it does not know, or nothing in time, asks the store itself and tells its own children. While the store cannot be written, an entry goes to the neighbours in the tree, which pass it on, in place of every node.

Replaced test: after lost history a confirmation reads everything anew, so that rows that are gone are dropped; before, the same reading counted as changes. "Everyone is told while the store is away" became "neighbours are told, and pass on what is new once".

--- a/src/eelgrasswalk/controllers/confirmation.py
+++ b/src/eelgrasswalk/controllers/confirmation.py
@@ -6,6 +6,7 @@
 
 from .. import events
 from ..policy import freshness
+from ..policy import relay_tree
 from . import background
 from . import feed
 from . import rules
@@ -13,6 +14,9 @@
 # Pause after a question that the store did not answer; its feed, which fails
 # as well then, looks for it meanwhile.
 RETRY_S = 0.3
+# A version that a peer told of comes by the relay a moment later; only if it
+# does not, the store is asked.
+NEWER_GRACE_S = 0.25
 # Most that a slow answer moves the next question forward.
 MOST_HASTE_S = 1.0
 
@@ -24,37 +28,35 @@
     was held up on its way says nothing wrong.
 
     Args:
-        node_id: This node.
         keeper: Keeps the rules.
         rules_feed: Asks the store.
         fresh: How old the certainty is.
         patience: How old it may become.
-        list_nodes: Returns the nodes that live, this one among them.
+        get_place: Returns this node's place among the others.
         clock: Seconds of a clock that runs through suspension.
         source: Random numbers.
     """
 
     def __init__(
         self,
-        node_id: str,
         *,
         keeper: rules.RuleKeeper,
         rules_feed: feed.Feed,
         fresh: freshness.Freshness,
         patience: freshness.Patience,
-        list_nodes: typing.Callable[[], typing.Sequence[str]],
+        get_place: typing.Callable[[], relay_tree.Place],
         clock: typing.Callable[[], float],
         source: random.Random,
     ) -> None:
-        self._node_id = node_id
         self._keeper = keeper
         self._feed = rules_feed
         self._fresh = fresh
         self._patience = patience
-        self._list_nodes = list_nodes
+        self._get_place = get_place
         self._clock = clock
         self._random = source
         self._outdated = asyncio.Event()
+        self._newer = 0
         self._haste_s = 0.0
         self._was_fresh = True
         self._work = background.Background(self._run)
@@ -96,6 +98,7 @@
                     version=table.version,
                     newer=version,
                 )
+            self._newer = max(self._newer, version)
             self._outdated.set()
         elif version == table.version:
             true_at = self._feed.store_clock.translate(store_s, self._clock())
@@ -108,6 +111,8 @@
             self._note_freshness()
             limit_s = self._choose_limit()
             await self._wait_until_due(limit_s)
+            if self._outdated.is_set() and not await self._is_behind():
+                continue
             self._outdated.clear()
             asked_at = self._clock()
             if self._feed.is_failing or not await self._feed.confirm():
@@ -130,13 +135,23 @@
         )
 
     def _choose_limit(self) -> float:
-        early = freshness.choose_early(self._list_nodes())
+        place = self._get_place()
         patience_s = self._patience.choose(
-            is_early=self._node_id in early,
+            is_root=place.is_root,
+            has_children=bool(place.children),
             random_value=self._random.random(),
         )
         return patience_s - self._haste_s
 
+    async def _is_behind(self) -> bool:
+        """Return whether a newer version has not come by itself."""
+        await asyncio.sleep(NEWER_GRACE_S)
+        table = self._keeper.get_table()
+        if table is not None and table.version >= self._newer:
+            self._outdated.clear()
+            return False
+        return True
+
     async def _wait_until_due(self, limit_s: float) -> None:
         """Return when the certainty is that old, or a peer has a newer one."""
         while not self._outdated.is_set():
--- a/src/eelgrasswalk/controllers/feed.py
+++ b/src/eelgrasswalk/controllers/feed.py
@@ -1,6 +1,14 @@
-"""Follows a table of the store: reads it whole, then its changes."""
+"""Follows a table of the store: reads it whole, then its changes.
+
+Changes come from the store or from a peer that has them already. What a peer
+tells counts like an answer of the store's, as it says between which versions
+it holds; a peer that tells of versions after an unknown one makes the node ask
+the store.
+"""
 
 import asyncio
+import dataclasses
+import math
 import random
 import typing
 
@@ -26,6 +34,23 @@
         """Take what has changed until a time; empty when nothing has."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Advance:
+    """What is known of a table now that was not known before.
+
+    Args:
+        after: Version from which on the rows tell everything.
+        rows: What has changed since, and up to which version and time.
+    """
+
+    after: int
+    rows: ports.Rows
+
+
+def _ignore(advance: Advance) -> None:
+    """Take an advance of which nobody is told."""
+
+
 class Feed:
     """Keeps a follower up to date.
 
@@ -38,9 +63,11 @@
             brings several.
         clock: Seconds of a clock that runs through suspension.
         source: Random numbers for pauses.
+        watches: Whether to wait for changes at the store from the start.
 
     Attributes:
         filled: Set after the first reading.
+        on_advance: Called when more is known of the table.
         store_clock: The store's clock, as far as its answers tell.
     """
 
@@ -54,6 +81,7 @@
         gather_s: float,
         clock: typing.Callable[[], float],
         source: random.Random,
+        watches: bool = True,
     ) -> None:
         self._store = store
         self._table = table
@@ -65,6 +93,10 @@
         self.store_clock = store_clock.StoreClock()
         self._version: int | None = None
         self._failures = 0
+        self._watches = watches
+        self._catching_up: asyncio.Task[bool] | None = None
+        self._resumed = asyncio.Event()
+        self.on_advance: typing.Callable[[Advance], None] = _ignore
         self._watching: asyncio.Task[Answer] | None = None
         self._work = background.Background(self._run)
         self.filled = asyncio.Event()
@@ -75,8 +107,57 @@
 
     async def stop(self) -> None:
         """End."""
+        if self._catching_up is not None:
+            self._catching_up.cancel()
         await self._work.stop()
 
+    @property
+    def version(self) -> int:
+        """Version up to which the table is known; 0 before any."""
+        return self._version or 0
+
+    def set_watching(self, watches: bool) -> None:
+        """Wait for changes at the store, or let peers tell of them."""
+        if watches == self._watches:
+            return
+        self._watches = watches
+        if watches:
+            self._resumed.set()
+        elif self._watching is not None:
+            self._watching.cancel()
+
+    def take_told(self, advance: Advance) -> None:
+        """Take what a peer knows of the table; ask the store for a gap."""
+        if self._version is None:
+            return
+        rows = advance.rows
+        if advance.after > self._version:
+            self._catch_up()
+        elif rows.version >= self._version:
+            true_at = self.store_clock.translate(rows.store_s, self._clock())
+            new = tuple(
+                row for row in rows.rows if row.version > self._version
+            )
+            self._advance(
+                self._version,
+                dataclasses.replace(rows, rows=new),
+                -math.inf if true_at is None else true_at,
+            )
+
+    def _catch_up(self) -> None:
+        if self._catching_up is None or self._catching_up.done():
+            self._catching_up = asyncio.get_running_loop().create_task(
+                self.confirm()
+            )
+
+    def _advance(self, after: int, rows: ports.Rows, true_at: float) -> None:
+        """Take what is known between a version and a later one."""
+        is_new = bool(rows.rows) or rows.version > self.version
+        self._version = max(self.version, rows.version)
+        self._follower.take_changes(rows, true_at)
+        if is_new or rows.store_s > 0.0:
+            self.on_advance(Advance(after, rows))
+
     @property
     def is_failing(self) -> bool:
         """Whether the store did not answer last; it is asked again soon."""
@@ -91,13 +172,17 @@
         if self._version is None:
             return False
         asked_at = self._clock()
-        outcome = await self._store.watch(self._table, self._version, 0.0)
+        after = self._version
+        outcome = await self._store.watch(self._table, after, 0.0)
         if isinstance(outcome, ports.HistoryGone):
-            outcome = await self._store.read(self._table)
+            outcome = await self._read() or outcome
+            if isinstance(outcome, ports.HistoryGone):
+                return True
         if isinstance(outcome, ports.Unavailable):
+            if not self._watches:
+                self._note_failure(outcome)
             return False
-        self._version = max(self._version, outcome.version)
-        self._follower.take_changes(outcome, self._date(outcome, asked_at))
+        self._advance(after, outcome, self._date(outcome, asked_at))
         if outcome.rows and self._watching is not None:
             # The question that waits should have brought them; its answer
             # may be lost.
@@ -108,8 +193,12 @@
         while True:
             if self._version is None:
                 outcome = await self._read()
-            else:
+            elif self._watches or self._failures:
                 outcome = await self._watch(self._version)
+            else:
+                await self._resumed.wait()
+                self._resumed.clear()
+                continue
             if isinstance(outcome, ports.Unavailable):
                 await self._pause(outcome)
                 continue
@@ -122,9 +211,15 @@
         outcome = await self._store.read(self._table)
         if isinstance(outcome, ports.Unavailable):
             return outcome
+        if outcome.version < self.version:
+            # Changes up to a later version have come meanwhile.
+            return None
         self._version = outcome.version
         self._follower.take_all(outcome, self._date(outcome, asked_at))
         self.filled.set()
+        # Peers cannot tell from it which rows are gone.
+        nothing = dataclasses.replace(outcome, rows=())
+        self.on_advance(Advance(outcome.version, nothing))
         return None
 
     async def _watch(self, version: int) -> ports.Unavailable | None:
@@ -148,8 +243,7 @@
             events.log(events.HISTORY_GONE, table=self._table)
             self._version = None
             return None
-        self._version = max(self._version or 0, version, outcome.version)
-        self._follower.take_changes(outcome, self._date(outcome, asked_at))
+        self._advance(version, outcome, self._date(outcome, asked_at))
         if outcome.rows and self._gather_s:
             await asyncio.sleep(self._gather_s)
         return None
@@ -159,11 +253,16 @@
             asked_at, self._clock(), rows.store_s
         )
 
-    async def _pause(self, outcome: ports.Unavailable) -> None:
+    def _note_failure(self, outcome: ports.Unavailable) -> None:
+        """Look for the store until it answers."""
         if not self._failures:
             events.log(
                 events.STORE_LOST, table=self._table, detail=outcome.detail
             )
-        pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2**self._failures)
+            self._resumed.set()
         self._failures = min(self._failures + 1, 16)
+
+    async def _pause(self, outcome: ports.Unavailable) -> None:
+        pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2**self._failures)
+        self._note_failure(outcome)
         await asyncio.sleep(pause_s * (0.5 + self._random.random()))
--- /dev/null
+++ b/src/eelgrasswalk/controllers/relay.py
@@ -0,0 +1,176 @@
+"""Passes on what the store holds, so that few nodes have to ask it."""
+
+import typing
+import zlib
+
+import msgspec
+
+from .. import events
+from .. import ports
+from ..policy import relay_tree
+from . import feed
+
+TOPIC = 'relay'
+# Longer news is not passed on; each node reads it from the store.
+MOST_BYTES = 196_608
+# The same before it is packed; bounds what a peer can make a node hold.
+MOST_UNPACKED_BYTES = 8_388_608
+# Shorter news is not worth packing.
+PACKED_FROM_BYTES = 2_048
+
+
+class Told(msgspec.Struct, frozen=True, array_like=True):
+    """What a node knows of one table.
+
+    Args:
+        table: The table.
+        after: Version from which on the rows tell everything.
+        version: Version up to which they do.
+        store_s: The store's clock then, in seconds.
+        rows: Key, value and version of each row that has changed; a value of
+            None is a row that is gone.
+    """
+
+    table: str
+    after: int
+    version: int
+    store_s: float
+    rows: tuple[tuple[str, bytes | None, int], ...] = ()
+
+
+class SendControl(typing.Protocol):
+    """Sends a controller's message to a node."""
+
+    def __call__(self, node_id: str, topic: str, payload: bytes) -> None:
+        """Send one message."""
+
+
+class Relay:
+    """Tells this node's children what it learns, and hears its parent.
+
+    Args:
+        node_id: This node.
+        feeds: What follows each table.
+        list_nodes: Returns the nodes that live.
+        send: Sends messages to other nodes.
+
+    Attributes:
+        place: This node's place in the tree.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        feeds: typing.Mapping[str, feed.Feed],
+        *,
+        list_nodes: typing.Callable[[], typing.Sequence[str]],
+        send: SendControl,
+    ) -> None:
+        self.place = relay_tree.NOWHERE
+        self._node_id = node_id
+        self._feeds = feeds
+        self._list_nodes = list_nodes
+        self._send = send
+        self._node_ids: tuple[str, ...] = ()
+        for table, each in feeds.items():
+            each.on_advance = self._build_handler(table)
+
+    def note_nodes(self) -> None:
+        """Find this node's place anew if nodes have come or gone."""
+        node_ids = tuple(self._list_nodes())
+        if node_ids == self._node_ids:
+            return
+        self._node_ids = node_ids
+        self.place = relay_tree.find_place(self._node_id, node_ids)
+        watches = self.place.parent is None
+        for each in self._feeds.values():
+            each.set_watching(watches)
+
+    def list_neighbours(self) -> tuple[str, ...]:
+        """Return the nodes next to this one."""
+        return self.place.list_neighbours()
+
+    def receive(self, node_id: str, payload: bytes) -> None:
+        """Take what a peer knows."""
+        try:
+            items = decode_news(payload)
+        except ValueError as error:
+            events.log(events.NEWS_REJECTED, peer=node_id, detail=str(error))
+            return
+        for told in items:
+            following = self._feeds.get(told.table)
+            if following is not None:
+                following.take_told(_build_advance(told))
+
+    def _build_handler(
+        self, table: str
+    ) -> typing.Callable[[feed.Advance], None]:
+        return lambda advance: self._tell(table, advance)
+
+    def _tell(self, table: str, advance: feed.Advance) -> None:
+        children = self.place.children
+        if not children:
+            return
+        items = [_build_told(table, advance)]
+        # A child that has missed news of another table finds out by this.
+        items += (
+            Told(other, each.version, each.version, 0.0)
+            for other, each in self._feeds.items()
+            if other != table and each.version
+        )
+        payload = encode_news(items)
+        if len(payload) > MOST_BYTES:
+            version = advance.rows.version
+            payload = encode_news([Told(table, version, version, 0.0)])
+        for child in children:
+            self._send(child, TOPIC, payload)
+
+
+def encode_news(items: typing.Sequence[Told]) -> bytes:
+    """Return what is sent; long news is packed."""
+    data = _ENCODER.encode(items)
+    if len(data) < PACKED_FROM_BYTES:
+        return b'\0' + data
+    return b'\1' + zlib.compress(data, level=1)
+
+
+def decode_news(payload: bytes) -> list[Told]:
+    """Return what was sent.
+
+    Raises:
+        ValueError: It is not news, or unpacks to more than is allowed.
+    """
+    data = payload[1:]
+    try:
+        if payload[:1] == b'\1':
+            unpacker = zlib.decompressobj()
+            data = unpacker.decompress(data, MOST_UNPACKED_BYTES)
+            if unpacker.unconsumed_tail:
+                raise ValueError(
+                    f'news of more than {MOST_UNPACKED_BYTES} bytes'
+                )
+        return _DECODER.decode(data)
+    except (msgspec.DecodeError, zlib.error) as error:
+        raise ValueError(f'not news: {error}') from error
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(list[Told])
+
+
+def _build_told(table: str, advance: feed.Advance) -> Told:
+    rows = advance.rows
+    return Told(
+        table,
+        advance.after,
+        rows.version,
+        rows.store_s,
+        tuple((row.key, row.value, row.version) for row in rows.rows),
+    )
+
+
+def _build_advance(told: Told) -> feed.Advance:
+    rows = tuple(ports.Row(*fields) for fields in told.rows)
+    return feed.Advance(
+        told.after, ports.Rows(rows, told.version, told.store_s)
+    )
--- a/src/eelgrasswalk/controllers/roster.py
+++ b/src/eelgrasswalk/controllers/roster.py
@@ -16,6 +16,8 @@
 
 TABLE = 'nodes'
 TOPIC = 'node'
+# Entries that nodes pass on for others while the store cannot be written.
+TOPIC_PASSED_ON = 'node-passed-on'
 FIRST_PAUSE_S = 0.05
 LONGEST_PAUSE_S = 1.0
 # A node that starts writes its entry once it knows its target, or after this.
@@ -54,6 +56,8 @@
 
     Attributes:
         on_change: Called when nodes have come, changed or gone.
+        list_neighbours: Returns the nodes to which news is passed on while
+            the store cannot take it.
     """
 
     def __init__(
@@ -69,6 +73,9 @@
         self._book = book
         self._news = news
         self._told_revision = 0
+        self.list_neighbours: typing.Callable[
+            [], collections.abc.Sequence[str]
+        ] = tuple
         self.on_change: typing.Callable[[], None] = _do_nothing
         self._row_version = 0
         self._versions: dict[str, int] = {}
@@ -131,6 +138,23 @@
         if self.roster.update(entry):
             self._refresh()
 
+    def receive_passed_on(self, node_id: str, payload: bytes) -> None:
+        """Take an entry that a neighbour passes on; pass on what is new."""
+        entry = decode_entry(payload)
+        if entry is None:
+            events.log(events.ENTRY_REJECTED, entry=node_id)
+            return
+        if entry.node_id == self._own.node_id:
+            return
+        if self.roster.update(entry):
+            self._refresh()
+            self._pass_on(payload, but=node_id)
+
+    def _pass_on(self, payload: bytes, *, but: str = '') -> None:
+        for neighbour in self.list_neighbours():
+            if neighbour != but:
+                self._news.send(neighbour, TOPIC_PASSED_ON, payload)
+
     def take_all(self, rows: ports.Rows, true_at: float) -> None:
         """Take all entries in the store."""
         kept = {row.key for row in rows.rows} | {self._own.node_id}
@@ -219,20 +243,17 @@
             if await self._write(entry):
                 pause_s = FIRST_PAUSE_S
                 continue
-            self._tell_everyone(entry)
+            self._tell_neighbours(entry)
             self._changed.set()
             await asyncio.sleep(pause_s)
             pause_s = min(LONGEST_PAUSE_S, 2 * pause_s)
 
-    def _tell_everyone(self, entry: roster.Entry) -> None:
+    def _tell_neighbours(self, entry: roster.Entry) -> None:
         """Tell nodes without a link, which the store cannot tell now."""
         if entry.revision == self._told_revision:
             return
         self._told_revision = entry.revision
-        payload = encode_entry(entry)
-        for other in self.roster.list_entries():
-            if other.node_id != entry.node_id:
-                self._news.send(other.node_id, TOPIC, payload)
+        self._pass_on(encode_entry(entry))
 
     async def _write(self, entry: roster.Entry) -> bool:
         outcome = await self._store.put(
--- a/src/eelgrasswalk/events.py
+++ b/src/eelgrasswalk/events.py
@@ -111,6 +111,12 @@
 RULES_OUTDATED = Event(
     3010, logging.INFO, 'another node has newer rules; asking the store'
 )
+NEWS_REJECTED = Event(
+    3011,
+    logging.WARNING,
+    "another node's news cannot be read; the store is asked instead",
+    'look for a node of another release',
+)
 CLAIM_LOCAL = Event(
     3101,
     logging.WARNING,
--- a/src/eelgrasswalk/policy/freshness.py
+++ b/src/eelgrasswalk/policy/freshness.py
@@ -1,61 +1,45 @@
 """How old the newest certainty about the configuration is, and who renews it.
 
 Any node may ask the store whether there is a newer version, and tell others
-what it heard. A few nodes ask early, so that the rest need not ask at all;
-each of them still asks by itself when it has heard nothing for longer.
+what it heard. The roots of the relay ask early, so that the rest need not ask
+at all; each of them still asks by itself when it has heard nothing for longer,
+those that tell others first.
 """
 
-import collections.abc
 import dataclasses
 import math
 
-import xxhash
-
-# Nodes of the whole fleet that ask early; two may be lost at once.
-EARLY_NODES = 3
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Patience:
     """Ages of the certainty at which a node asks the store.
 
     Args:
-        early_s: For the nodes that ask early.
-        late_s: For the others.
+        early_s: For the nodes that ask for all.
+        late_s: For the others that tell further nodes.
         spread_s: Added to the latter at random, so that they do not all ask
-            together when the early ones are lost.
+            together when the first ones are lost; and once more for nodes
+            that tell nobody, as the others may tell them meanwhile.
     """
 
     early_s: float
     late_s: float
     spread_s: float
 
-    def choose(self, *, is_early: bool, random_value: float) -> float:
+    def choose(
+        self, *, is_root: bool, has_children: bool, random_value: float
+    ) -> float:
         """Return the age at which to ask.
 
         Args:
-            is_early: Whether this node is one of those that ask early.
+            is_root: Whether this node asks for all.
+            has_children: Whether it tells other nodes.
             random_value: A random number, 0 <= value < 1.
         """
-        if is_early:
+        if is_root:
             return self.early_s
-        return self.late_s + self.spread_s * random_value
-
-
-def choose_early(
-    node_ids: collections.abc.Iterable[str],
-) -> frozenset[str]:
-    """Return the nodes that ask early, the same for all that know the same.
-
-    Args:
-        node_ids: The nodes of the fleet.
-    """
-    ranked = sorted(node_ids, key=_rank)
-    return frozenset(ranked[:EARLY_NODES])
-
-
-def _rank(node_id: str) -> int:
-    return xxhash.xxh3_64_intdigest(node_id.encode())
+        steps = random_value if has_children else 1.0 + random_value
+        return self.late_s + self.spread_s * steps
 
 
 class Freshness:
--- a/src/eelgrasswalk/sidecar/wiring.py
+++ b/src/eelgrasswalk/sidecar/wiring.py
@@ -15,6 +15,7 @@
 from ..controllers import directory
 from ..controllers import feed
 from ..controllers import reaper
+from ..controllers import relay
 from ..controllers import roster as roster_keeper
 from ..controllers import rules
 from ..filters import admit
@@ -39,8 +40,8 @@
 from ..transport import link
 from . import settings
 
-# The feed of rules answers after this long without a change. Its answer may
-# be lost without a word; until it is asked again, confirmations find changes.
+# Feeds answer after this long without a change. An answer may be lost without
+# a word; until the store is asked again, confirmations find changes of rules.
 RULES_WAIT_S = 8.0
 ROSTER_WAIT_S = 20.0
 # Parts of the time for which a confirmation counts after which a node asks
@@ -91,6 +92,7 @@
     book: directory.Directory[spread.Spread]
     roster: roster_keeper.RosterKeeper
     roster_feed: feed.Feed
+    relay: relay.Relay
     router: control_router.ControlRouter
     bodies: budget.ByteBudget
     log: request_log.RequestLog
@@ -134,6 +136,7 @@
         _build_entry(config), platform.store, book, router
     )
     router.register(roster_keeper.TOPIC, nodes.receive)
+    router.register(roster_keeper.TOPIC_PASSED_ON, nodes.receive_passed_on)
     rules_feed = feed.Feed(
         platform.store,
         platform.rule_source.table,
@@ -142,7 +145,29 @@
         gather_s=0.0,
         clock=clock.read_boot_time,
         source=source,
+        watches=False,
     )
+    roster_feed = feed.Feed(
+        platform.store,
+        roster_keeper.TABLE,
+        nodes,
+        wait_s=ROSTER_WAIT_S,
+        gather_s=ROSTER_GATHER_S,
+        clock=clock.read_boot_time,
+        source=source,
+        watches=False,
+    )
+    news = relay.Relay(
+        config.node_id,
+        {
+            platform.rule_source.table: rules_feed,
+            roster_keeper.TABLE: roster_feed,
+        },
+        list_nodes=nodes.list_lasting,
+        send=router.send,
+    )
+    router.register(relay.TOPIC, news.receive)
+    nodes.list_neighbours = news.list_neighbours
     return State(
         config=config,
         platform=platform,
@@ -151,7 +176,6 @@
         rules=keeper,
         rules_feed=rules_feed,
         confirmation=confirmation.Confirmation(
-            config.node_id,
             keeper=keeper,
             rules_feed=rules_feed,
             fresh=fresh,
@@ -160,21 +184,14 @@
                 late_s=LATE_PART * fresh.limit_s,
                 spread_s=SPREAD_PART * fresh.limit_s,
             ),
-            list_nodes=nodes.list_lasting,
+            get_place=lambda: news.place,
             clock=clock.read_boot_time,
             source=source,
         ),
         book=book,
         roster=nodes,
-        roster_feed=feed.Feed(
-            platform.store,
-            roster_keeper.TABLE,
-            nodes,
-            wait_s=ROSTER_WAIT_S,
-            gather_s=ROSTER_GATHER_S,
-            clock=clock.read_boot_time,
-            source=source,
-        ),
+        roster_feed=roster_feed,
+        relay=news,
         router=router,
         bodies=budget.ByteBudget(int(config.memory_bytes * BODY_MEMORY_SHARE)),
         log=log,
@@ -327,10 +344,15 @@
     )
     state.router.register(account_quota.TOPIC_ASK, quotas.receive_ask)
     state.router.register(account_quota.TOPIC_GRANT, quotas.receive_grant)
-    state.roster.on_change = quotas.note_nodes
+    state.roster.on_change = lambda: _note_nodes(state.relay, quotas)
     return quotas
 
 
+def _note_nodes(news: relay.Relay, quotas: account_quota.AccountQuota) -> None:
+    news.note_nodes()
+    quotas.note_nodes()
+
+
 def _build_acceptor(
     state: State, identity: link.Identity, secret: bytes, guard: gate.Gate
 ) -> acceptor.Acceptor:
--- a/tests/controllers/test_confirmation.py
+++ b/tests/controllers/test_confirmation.py
@@ -9,6 +9,7 @@
 from eelgrasswalk.controllers import feed
 from eelgrasswalk.controllers import rules
 from eelgrasswalk.policy import freshness
+from eelgrasswalk.policy import relay_tree
 from tests.controllers import fake_store
 from tests.controllers import test_rules
 
@@ -34,12 +35,11 @@
             source=source,
         )
         self.confirmation = confirmation.Confirmation(
-            'n1',
             keeper=self.keeper,
             rules_feed=self.feed,
             fresh=self.fresh,
             patience=freshness.Patience(1.0, 2.0, 0.0),
-            list_nodes=lambda: ['n1', 'n2', 'n3', 'n4', 'n5'],
+            get_place=lambda: relay_tree.Place(False, 'n2', ()),
             clock=lambda: self.now,
             source=source,
         )
@@ -129,9 +129,11 @@
         row = ports.Row('config', b'9', 2)
         self.store.watches = [ports.Rows((row,), 2, 10.2)]
         self.now = 100.2
-        await self.confirmation.start()
-        self.confirmation.hear(9, 10.1)
-        await fake_store.settle()
+        patch = unittest.mock.patch.object(confirmation, 'NEWER_GRACE_S', 0.0)
+        with patch:
+            await self.confirmation.start()
+            self.confirmation.hear(9, 10.1)
+            await fake_store.settle()
         table = self.keeper.get_table()
         assert table is not None
         self.assertEqual(9, table.version)
--- a/tests/controllers/test_feed.py
+++ b/tests/controllers/test_feed.py
@@ -127,7 +127,7 @@
         self.store.watches = [ports.HistoryGone()]
         self.store.reads = [ports.Rows((ROW,), 9)]
         self.assertTrue(await self.feed.confirm())
-        self.assertEqual(('changes', 9), self.follower.told[-1][:2])
+        self.assertEqual(('all', 9), self.follower.told[-1][:2])
 
     async def test_store_that_is_back_confirms_at_once(self) -> None:
         waits: list[float] = []
--- /dev/null
+++ b/tests/controllers/test_relay.py
@@ -0,0 +1,243 @@
+"""Tests of passing on what the store holds."""
+
+import asyncio
+import random
+import unittest
+import zlib
+
+import hypothesis
+from hypothesis import strategies
+
+from eelgrasswalk import ports
+from eelgrasswalk.controllers import feed
+from eelgrasswalk.controllers import relay
+from eelgrasswalk.policy import relay_tree
+from tests.controllers import fake_store
+
+TABLE = 'nodes'
+OTHER_TABLE = 'op'
+NODES = 60
+
+
+class Store:
+    """Holds tables, and counts the calls."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+        self.version = 1
+        self._rows: dict[str, dict[str, ports.Row]] = {}
+        self._changed = asyncio.Event()
+
+    def put(self, table: str, key: str, value: bytes | None) -> None:
+        """Change a row."""
+        self.version += 1
+        rows = self._rows.setdefault(table, {})
+        rows[key] = ports.Row(key, value, self.version)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _list(self, table: str, after: int) -> ports.Rows:
+        rows = tuple(
+            row
+            for row in self._rows.get(table, {}).values()
+            if row.version > after
+        )
+        return ports.Rows(rows, self.version, float(self.version))
+
+    async def read(self, table: str) -> ports.Rows:
+        """Read a whole table."""
+        self.calls += 1
+        return self._list(table, 0)
+
+    async def watch(self, table: str, after: int, wait_s: float) -> ports.Rows:
+        """Wait for changes."""
+        self.calls += 1
+        found = self._list(table, after)
+        while not found.rows and wait_s:
+            await self._changed.wait()
+            found = self._list(table, after)
+        return found
+
+
+class Follower:
+    """Keeps what it was told."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, bytes | None] = {}
+
+    def take_all(self, rows: ports.Rows, true_at: float) -> None:
+        self.rows = {row.key: row.value for row in rows.rows}
+
+    def take_changes(self, rows: ports.Rows, true_at: float) -> None:
+        self.rows |= {row.key: row.value for row in rows.rows}
+
+
+class Node:
+    """The feeds and the relay of one node."""
+
+    def __init__(self, fleet: 'Fleet', node_id: str) -> None:
+        self.node_id = node_id
+        self.followers = {table: Follower() for table in (TABLE, OTHER_TABLE)}
+        self.feeds = {
+            table: feed.Feed(
+                fleet.store,  # type: ignore[arg-type]
+                table,
+                follower,
+                wait_s=10.0,
+                gather_s=0.0,
+                clock=lambda: 1e6,
+                source=random.Random(1),
+                watches=False,
+            )
+            for table, follower in self.followers.items()
+        }
+        self.relay = relay.Relay(
+            node_id,
+            self.feeds,
+            list_nodes=lambda: fleet.node_ids,
+            send=fleet.send,
+        )
+
+
+class Fleet:
+    """Nodes whose messages reach each other, unless they are lost."""
+
+    def __init__(self, count: int) -> None:
+        self.store = Store()
+        self.node_ids = [f'n{index}' for index in range(count)]
+        self.lost: set[str] = set()
+        self.sent = 0
+        self.nodes = {name: Node(self, name) for name in self.node_ids}
+
+    def send(self, node_id: str, topic: str, payload: bytes) -> None:
+        """Deliver a message, unless its receiver is cut off."""
+        self.sent += 1
+        if node_id not in self.lost:
+            self.nodes[node_id].relay.receive('sender', payload)
+
+    async def start(self) -> None:
+        """Let every node read both tables and find its place."""
+        for node in self.nodes.values():
+            for each in node.feeds.values():
+                await each.start()
+        await fake_store.settle()
+        for node in self.nodes.values():
+            node.relay.note_nodes()
+        await fake_store.settle()
+        self.store.calls = 0
+
+    async def stop(self) -> None:
+        """End every feed."""
+        for node in self.nodes.values():
+            for each in node.feeds.values():
+                await each.stop()
+
+    def list_rows(self, table: str) -> list[dict[str, bytes | None]]:
+        """Return what each node knows of a table."""
+        return [node.followers[table].rows for node in self.nodes.values()]
+
+
+class RelayTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.fleet = Fleet(NODES)
+        await self.fleet.start()
+        self.addAsyncCleanup(self.fleet.stop)
+
+    async def change(self, value: bytes | None, table: str = TABLE) -> None:
+        self.fleet.store.put(table, 'row', value)
+        await fake_store.settle(60)
+
+    async def test_all_hear_of_a_change_that_only_the_roots_read(
+        self,
+    ) -> None:
+        for value in (b'a', b'b', None):
+            await self.change(value)
+            rows = self.fleet.list_rows(TABLE)
+            self.assertEqual([{'row': value}] * NODES, rows)
+        # Each answer is followed by the next question of its root.
+        self.assertEqual(3 * relay_tree.ROOTS, self.fleet.store.calls)
+        self.assertLessEqual(self.fleet.sent, 3 * NODES)
+
+    async def test_node_that_missed_news_asks_once_when_it_hears_more(
+        self,
+    ) -> None:
+        name = self.find_leaf()
+        self.fleet.lost.add(name)
+        await self.change(b'a')
+        self.fleet.lost.clear()
+        self.assertEqual({}, self.fleet.nodes[name].followers[TABLE].rows)
+        self.fleet.store.calls = 0
+        await self.change(b'x', OTHER_TABLE)
+        self.assertEqual(
+            {'row': b'a'}, self.fleet.nodes[name].followers[TABLE].rows
+        )
+        # The roots' questions and its own.
+        self.assertEqual(relay_tree.ROOTS + 1, self.fleet.store.calls)
+
+    def find_leaf(self) -> str:
+        return next(
+            name
+            for name, node in self.fleet.nodes.items()
+            if not node.relay.place.children
+        )
+
+    async def test_news_that_is_too_long_is_read_from_the_store(
+        self,
+    ) -> None:
+        value = random.Random(1).randbytes(relay.MOST_BYTES + 1)
+        await self.change(value)
+        self.assertEqual([{'row': value}] * NODES, self.fleet.list_rows(TABLE))
+
+    async def test_old_news_changes_nothing(self) -> None:
+        await self.change(b'new')
+        node = self.fleet.nodes[self.find_leaf()]
+        old = relay.Told(TABLE, 0, 1, 1.0, (('row', b'old', 1),))
+        node.relay.receive('n1', relay.encode_news([old]))
+        self.assertEqual({'row': b'new'}, node.followers[TABLE].rows)
+
+    async def test_root_that_is_gone_is_replaced(self) -> None:
+        gone = next(
+            name
+            for name, node in self.fleet.nodes.items()
+            if node.relay.place.is_root
+        )
+        self.fleet.lost.add(gone)
+        for each in self.fleet.nodes[gone].feeds.values():
+            await each.stop()
+        self.fleet.node_ids.remove(gone)
+        for node in self.fleet.nodes.values():
+            node.relay.note_nodes()
+        await self.change(b'a')
+        del self.fleet.nodes[gone]
+        rows = self.fleet.list_rows(TABLE)
+        self.assertEqual([{'row': b'a'}] * (NODES - 1), rows)
+
+    async def test_news_that_cannot_be_read_is_logged(self) -> None:
+        node = self.fleet.nodes[self.find_leaf()]
+        with self.assertLogs('eelgrasswalk', 'WARNING') as logs:
+            node.relay.receive('n1', b'\0nonsense')
+        self.assertEqual(3011, logs.records[0].__dict__['event'])
+
+
+class NewsTest(unittest.TestCase):
+    def test_news_survives_the_wire(self) -> None:
+        for value in (b'', b'x' * 100_000):
+            items = [relay.Told(TABLE, 3, 5, 1.5, (('k', value, 4),))]
+            payload = relay.encode_news(items)
+            self.assertLess(len(payload), 2_000)
+            self.assertEqual(items, relay.decode_news(payload))
+
+    def test_news_that_unpacks_to_too_much_is_refused(self) -> None:
+        data = zlib.compress(bytes(relay.MOST_UNPACKED_BYTES + 1), level=9)
+        self.assertLess(len(data), relay.MOST_BYTES)
+        with self.assertRaises(ValueError):
+            relay.decode_news(b'\1' + data)
+
+    @hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+    @hypothesis.given(strategies.binary(max_size=300))
+    def test_any_bytes_are_read_or_refused(self, data: bytes) -> None:
+        for payload in (data, b'\1' + zlib.compress(data)):
+            try:
+                relay.decode_news(payload)
+            except ValueError:
+                continue
--- a/tests/controllers/test_roster.py
+++ b/tests/controllers/test_roster.py
@@ -107,13 +107,33 @@
         await self.announce()
         self.assertEqual([], self.news.sent)
 
-    async def test_everyone_is_told_once_while_the_store_is_away(
+    async def test_neighbours_are_told_once_while_the_store_is_away(
         self,
     ) -> None:
-        self.keeper.take_all(ports.Rows((build_row(OTHER),), 1), 0.0)
+        self.keeper.list_neighbours = lambda: ('n2', 'n3')
         self.store.outcomes = [ports.Unavailable('down')] * 3
         await self.announce()
-        self.assertEqual(['n2'], self.news.sent)
+        self.assertEqual(['n2', 'n3'], self.news.sent)
+
+    async def test_entry_that_is_passed_on_reaches_the_other_neighbours_once(
+        self,
+    ) -> None:
+        self.keeper.list_neighbours = lambda: ('n3', 'n4')
+        payload = roster_keeper.encode_entry(OTHER)
+        for sender in ('n3', 'n4'):
+            self.keeper.receive_passed_on(sender, payload)
+        self.assertEqual(['n4'], self.news.sent)
+        self.assertIsNotNone(self.keeper.roster.find(OTHER.node_id))
+
+    async def test_entry_of_this_node_that_is_passed_on_changes_nothing(
+        self,
+    ) -> None:
+        stopping = dataclasses.replace(OWN, stopping=True, revision=99)
+        self.keeper.receive_passed_on(
+            'n2', roster_keeper.encode_entry(stopping)
+        )
+        self.assertFalse(self.keeper.own.stopping)
+        self.assertEqual([], self.news.sent)
 
     async def test_write_that_met_an_earlier_one_is_repeated(self) -> None:
         """The answer to an earlier write was lost."""
--- a/tests/policy/test_freshness.py
+++ b/tests/policy/test_freshness.py
@@ -25,25 +25,32 @@
 class PatienceTest(unittest.TestCase):
     patience = freshness.Patience(early_s=1.2, late_s=2.0, spread_s=0.5)
 
-    def test_early_nodes_ask_before_any_other(self) -> None:
-        early_s = self.patience.choose(is_early=True, random_value=0.99)
-        late_s = self.patience.choose(is_early=False, random_value=0.0)
+    def test_roots_ask_before_any_other(self) -> None:
+        early_s = self.choose(is_root=True, random_value=0.99)
+        late_s = self.choose(has_children=True, random_value=0.0)
         self.assertLess(early_s, late_s)
 
     def test_others_do_not_ask_together(self) -> None:
-        first_s = self.patience.choose(is_early=False, random_value=0.0)
-        last_s = self.patience.choose(is_early=False, random_value=0.99)
+        first_s = self.choose(has_children=True, random_value=0.0)
+        last_s = self.choose(has_children=True, random_value=0.99)
         self.assertAlmostEqual(0.495, last_s - first_s)
 
-    def test_all_nodes_name_the_same_few(self) -> None:
-        names = [f'n{index}' for index in range(70)]
-        early = freshness.choose_early(names)
-        self.assertEqual(freshness.EARLY_NODES, len(early))
-        self.assertEqual(early, freshness.choose_early(reversed(names)))
-
-    def test_another_takes_the_place_of_a_lost_one(self) -> None:
-        names = [f'n{index}' for index in range(70)]
-        early = freshness.choose_early(names)
-        lost = min(early)
-        left = [name for name in names if name != lost]
-        self.assertLess(early - {lost}, freshness.choose_early(left))
+    def test_nodes_that_tell_others_ask_before_those_that_do_not(
+        self,
+    ) -> None:
+        last_s = self.choose(has_children=True, random_value=0.99)
+        first_s = self.choose(random_value=0.0)
+        self.assertLess(last_s, first_s)
+
+    def choose(
+        self,
+        *,
+        random_value: float,
+        is_root: bool = False,
+        has_children: bool = False,
+    ) -> float:
+        return self.patience.choose(
+            is_root=is_root,
+            has_children=has_children,
+            random_value=random_value,
+        )
