Bound the bytes of answers and requests that never end

Cause, found by a new test with 18 kinds of endless bytes: a chunk extension, a trailer, a reason or a header without end was read until the deadline (or the time for a request), and the parser held all of it in memory. An answer without an id on a connection in use again was taken for the next request's, also when it said "not run"; the rest of a copy whose beginning had come with the answer before it was taken for a bad answer to the next request. Trailers became headers.

Change: bytes that are no body are bounded by the head's limit and eight for each byte of body, both ways; at most 8 foreign answers are dropped for one request; what a refused caller still sends is read up to 8 MiB; trailers are not headers; a connection on which more follows the answer is not used again.

--- a/src/eelgrasswalk/transport/client_connection.py
+++ b/src/eelgrasswalk/transport/client_connection.py
@@ -14,6 +14,12 @@
 from . import message
 
 MAX_ANSWER_HEADERS = 256
+# Bytes of an answer that are not its body: head, interim answers, sizes and
+# extensions of chunks, trailers. Small chunks take some for each byte of body.
+MOST_FRAMING_BYTES = 65_536
+FRAMING_PER_BODY_BYTE = 8
+# Answers to other requests that are dropped while one is awaited.
+MOST_DROPPED_ANSWERS = 8
 # A target may close an idle connection at any moment; a connection that has
 # been idle for longer than this is replaced rather than risked, unless the
 # target states its own timeout.
@@ -96,6 +102,7 @@
         self._find_echo: typing.Callable[[Headers], bytes | None] | None = None
         self._echo: bytes | None = None
         self._limit = 0
+        self._exchanges = 0
 
     # asyncio.Protocol
 
@@ -119,12 +126,22 @@
             # Bytes outside an exchange belong to no request of ours.
             self.close()
             return
+        self._received += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._fail('the target switched protocols')
         except (httptools.HttpParserError, ValueError):
             self._fail('the target sent bad HTTP')
+        else:
+            self._check_framing()
+
+    def _check_framing(self) -> None:
+        """Give up an answer that goes on without its body."""
+        framing = self._received - self._body_length
+        allowed = self._body_length * FRAMING_PER_BODY_BYTE
+        if framing > MOST_FRAMING_BYTES + allowed:
+            self._fail('the target sent bytes without end')
 
     # Exchange
 
@@ -167,11 +184,14 @@
 
     def _begin(self, request: message.Request, limit: int) -> None:
         assert self._transport is not None
+        self._exchanges += 1
         self._waiter = self._loop.create_future()
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
         self._body_length = 0
+        self._received = 0
+        self._dropped = 0
         self._headers_done = False
         self._limit = limit
         self._head = request.method == 'HEAD'
@@ -179,7 +199,16 @@
 
     # httptools callbacks
 
+    def on_message_begin(self) -> None:
+        if self._waiter is None or self._waiter.done():
+            # What follows the answer may be cut anywhere; its rest would be
+            # taken for the beginning of the next one.
+            self.usable = False
+
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self._headers_done:
+            # A trailer; what it says came too late to be relied on.
+            return
         self._headers.append((name.lower(), value))
         if len(self._headers) > MAX_ANSWER_HEADERS:
             raise ValueError('too many headers')
@@ -263,15 +292,20 @@
         if self._find_echo is None or self._echo is None:
             return False
         echo = self._find_echo(tuple(self._headers))
-        return echo is not None and echo != self._echo
+        if echo is None:
+            # On a new connection there is nothing else that it could answer.
+            return self._exchanges > 1
+        return echo != self._echo
 
     def _drop_answer(self) -> None:
-        if not self.usable:
+        self._dropped += 1
+        if not self.usable or self._dropped > MOST_DROPPED_ANSWERS:
             self._fail('the target answered another request')
             return
         self._headers.clear()
         self._body.clear()
         self._body_length = 0
+        self._received = 0
         self._headers_done = False
 
     def _fail(
--- a/src/eelgrasswalk/transport/http_server.py
+++ b/src/eelgrasswalk/transport/http_server.py
@@ -21,6 +21,10 @@
 SWEEP_INTERVAL_S = 1.0
 PART_BYTES = 131_072
 LINGER_S = 2.0
+# Most that is still read of a request after its refusal was written.
+LINGER_BYTES = 8_388_608
+# Sizes of chunks, for each byte of a body; small chunks take a few.
+FRAMING_PER_BODY_BYTE = 8
 
 _STATUS_LINES = {
     status.value: f'HTTP/1.1 {status.value} {status.phrase}\r\n'.encode()
@@ -145,7 +149,7 @@
         self._began_at = self._last_activity
         self._receiving = False
         self._closing = False
-        self._header_length = 0
+        self._received = 0
         self._in_headers = True
         self._reserved = 0
         self._writable: asyncio.Future[None] | None = None
@@ -185,11 +189,11 @@
         self._writable = None
 
     def data_received(self, data: bytes) -> None:
+        self._received += len(data)
         if self._closing:
+            self._discard()
             return
         self._last_activity = self._loop.time()
-        if self._in_headers:
-            self._header_length += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
@@ -203,7 +207,7 @@
                 problem.describe_bad_request('request is not valid HTTP/1.1')
             )
         else:
-            self._check_header_length()
+            self._check_framing()
 
     # httptools callbacks
 
@@ -216,6 +220,9 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if not self._in_headers:
+            # A trailer; what it says came too late to be relied on.
+            return
         self._headers.append((name.lower(), value))
         if len(self._headers) > self._server.limits.headers:
             raise _Rejected(problem.describe_headers_too_large())
@@ -287,7 +294,7 @@
         request = self._build_request()
         keep_alive = self._parser.should_keep_alive()
         self._in_headers = True
-        self._header_length = 0
+        self._received = 0
         if len(self._waiting) >= MAX_PIPELINED_REQUESTS:
             raise _Rejected(
                 problem.describe_bad_request('too many pipelined requests')
@@ -386,13 +393,27 @@
         self._body.clear()
         self._write_answer(answer, head=False, keep=False)
         self._transport.write_eof()
+        self._received = 0
         self._linger = self._loop.call_later(LINGER_S, self._transport.close)
 
-    def _check_header_length(self) -> None:
-        if not self._in_headers:
+    def _discard(self) -> None:
+        """Close when a caller whose request was refused sends on and on."""
+        if self._linger is not None and self._received > LINGER_BYTES:
+            self.close()
+
+    def _check_framing(self) -> None:
+        """Refuse a request that goes on without its body."""
+        limit = self._server.limits.header_bytes
+        if self._in_headers:
+            if self._received > limit:
+                self._reject(problem.describe_headers_too_large())
             return
-        if self._header_length > self._server.limits.header_bytes:
-            self._reject(problem.describe_headers_too_large())
+        framing = self._received - self._body_length
+        # The head counts as well, up to its own limit.
+        if framing > 2 * limit + self._body_length * FRAMING_PER_BODY_BYTE:
+            self._reject(
+                problem.describe_bad_request('the body has too much framing')
+            )
 
     # Closing
 
--- /dev/null
+++ b/tests/transport/test_endless_answers.py
@@ -0,0 +1,119 @@
+"""Tests of answers and requests whose bytes never end."""
+
+import asyncio
+import contextlib
+import itertools
+import typing
+import unittest
+
+from eelgrasswalk import verdict
+from eelgrasswalk.transport import client_connection
+from eelgrasswalk.transport import http_client
+from eelgrasswalk.transport import http_server
+from eelgrasswalk.transport import message
+
+REQUEST = message.Request('GET', '/', ((b'id', b'mine'),), b'')
+MOST_ANSWER_BYTES = 200_000
+# What fits the buffers of two sockets may be sent and never be read.
+SOCKET_BYTES = 16_000_000
+WAIT_S = 15.0
+CHUNKED = b'HTTP/1.1 200 OK\r\nid: mine\r\ntransfer-encoding: chunked\r\n\r\n'
+FILLING = b'x' * 8_192
+# What comes first, and what comes again and again after it.
+ANSWERS = {
+    'reason': (b'HTTP/1.1 200 ', FILLING),
+    'header name': (b'HTTP/1.1 200 OK\r\n', FILLING),
+    'header value': (b'HTTP/1.1 200 OK\r\na: ', FILLING),
+    'headers': (b'HTTP/1.1 200 OK\r\n', b'a: b\r\n' * 200),
+    'interim answers': (b'', b'HTTP/1.1 102 Processing\r\n\r\n' * 50),
+    'answers to others': (
+        b'',
+        b'HTTP/1.1 200 OK\r\nid: x\r\ncontent-length: 0\r\n\r\n' * 50,
+    ),
+    'body': (b'HTTP/1.1 200 OK\r\nid: mine\r\n\r\n', FILLING),
+    'chunks': (CHUNKED, b'2000\r\n' + FILLING + b'\r\n'),
+    'small chunks': (CHUNKED, b'1\r\nx\r\n' * 500),
+    'chunk extension': (CHUNKED + b'1;', FILLING),
+    'trailer': (CHUNKED + b'0\r\na: ', FILLING),
+    'trailers': (CHUNKED + b'0\r\n', b'a: b\r\n' * 200),
+}
+HEAD = b'POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n'
+REQUESTS = {
+    'target': (b'GET /', FILLING),
+    'header name': (b'GET / HTTP/1.1\r\nhost: h\r\n', FILLING),
+    'header value': (b'GET / HTTP/1.1\r\nhost: h\r\na: ', FILLING),
+    'body': (HEAD, b'2000\r\n' + FILLING + b'\r\n'),
+    'chunk extension': (HEAD + b'1;', FILLING),
+    'trailer': (HEAD + b'0\r\na: ', FILLING),
+}
+
+
+async def pour(
+    writer: asyncio.StreamWriter, parts: typing.Iterable[bytes]
+) -> int:
+    """Write until the other side closes; return how much was written."""
+    written = 0
+    with contextlib.suppress(ConnectionError):
+        for part in parts:
+            writer.write(part)
+            await writer.drain()
+            written += len(part)
+    return written
+
+
+class EndlessAnswerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_answer_without_end_is_given_up(self) -> None:
+        for name, (first, again) in ANSWERS.items():
+            with self.subTest(name):
+                await self.check(first, again)
+
+    async def check(self, first: bytes, again: bytes) -> None:
+        poured: asyncio.Future[int] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b'\r\n\r\n')
+            parts = itertools.chain([first], itertools.repeat(again))
+            poured.set_result(await pour(writer, parts))
+            writer.close()
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        pool = http_client.TargetPool('127.0.0.1', port, connections=1)
+        async with asyncio.timeout(WAIT_S):
+            outcome = await pool.send(
+                REQUEST,
+                max_answer_bytes=MOST_ANSWER_BYTES,
+                find_echo=lambda headers: message.find_header(headers, b'id'),
+            )
+            self.assertIsInstance(outcome, client_connection.Broken)
+            self.assertLess(await poured, SOCKET_BYTES)
+        self.assertEqual(0, pool.open_connections)
+        await pool.close()
+        server.close()
+
+
+class EndlessRequestTest(unittest.IsolatedAsyncioTestCase):
+    async def test_request_without_end_is_refused(self) -> None:
+        server = http_server.HttpServer(
+            self.answer,
+            limits=http_server.Limits(
+                body_bytes=MOST_ANSWER_BYTES, header_bytes=16_384
+            ),
+        )
+        address = await server.start('127.0.0.1', 0)
+        self.addAsyncCleanup(server.stop)
+        for name, (first, again) in REQUESTS.items():
+            with self.subTest(name):
+                _, writer = await asyncio.open_connection(*address)
+                parts = itertools.chain([first], itertools.repeat(again))
+                async with asyncio.timeout(WAIT_S):
+                    poured = await pour(writer, parts)
+                self.assertLess(poured, SOCKET_BYTES)
+                writer.close()
+
+    async def answer(self, request: message.Request) -> verdict.Response:
+        raise AssertionError('the request never ends')
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -113,3 +113,38 @@
         await self.send()
         await self.send()
         self.assertEqual(2, self.connections)
+
+
+class LateCopyTest(ClientTestCase):
+    """A target that answers twice, on a connection that is used again."""
+
+    async def test_answer_without_an_id_is_not_the_next_ones(self) -> None:
+        bare = b'HTTP/1.1 503 Busy\r\nnot-executed: 1\r\n'
+        bare += b'content-length: 0\r\n\r\n'
+        self.answers = [render(b'mine', b'1'), bare + render(b'mine', b'2')]
+        await self.send()
+        outcome = await self.send()
+        assert isinstance(outcome, http_client.Received), outcome
+        self.assertEqual(b'2', outcome.response.body)
+
+    async def test_copy_that_arrives_in_part_costs_the_next_nothing(
+        self,
+    ) -> None:
+        copy = render(b'mine', b'copy')
+        self.answers = [render(b'mine', b'1') + copy[:25], copy[25:]]
+        await self.send()
+        self.answers = [render(b'mine', b'2')]
+        outcome = await self.send()
+        assert isinstance(outcome, http_client.Received), outcome
+        self.assertEqual(b'2', outcome.response.body)
+        self.assertEqual(2, self.connections)
+
+    async def test_trailer_is_no_header(self) -> None:
+        self.answers = [
+            b'HTTP/1.1 200 OK\r\nid: mine\r\ntransfer-encoding: chunked\r\n'
+            b'\r\n1\r\nx\r\n0\r\nstamp: late\r\n\r\n'
+        ]
+        outcome = await self.send()
+        assert isinstance(outcome, http_client.Received), outcome
+        names = [name for name, _ in outcome.response.headers]
+        self.assertNotIn(b'stamp', names)
