Read a call's headers once

Cause: six searches through the headers of each call, a generator for each stripped header, and three copies of an answer's headers.

Change: one pass builds what the entry needs; lists in place of generators.

--- a/src/eelgrasswalk/filters/front.py
+++ b/src/eelgrasswalk/filters/front.py
@@ -238,14 +238,14 @@
         table = self._get_table()
         if table is None:
             return Refusal(self._refuse_stale())
-        hostname = self._dialect.read_hostname(request.headers)
-        route = table.find_route(hostname, request.path)
+        head = self._dialect.read_head(request.headers)
+        route = table.find_route(head.hostname, request.path)
         if route is None:
             return Refusal(self._refuse_unknown(verdict.Reason.NO_ROUTE))
-        account = self._identify(request, table, route)
+        account = self._identify(head.key, table, route)
         if isinstance(account, verdict.NotRun):
             return Refusal(account)
-        timeout = self._dialect.read_timeout(request.headers)
+        timeout = head.timeout
         if isinstance(timeout, deadline.Malformed):
             return Refusal(
                 verdict.NotRun(
@@ -259,18 +259,20 @@
             refused = await self._quotas.admit(account)
             if refused is not None:
                 return self._refuse_over_rate(account, route, refused)
-        return self._build_item(request, route, account, now, waits_s)
+        return self._build_item(
+            request, head.request_id, route, account, now, waits_s
+        )
 
     def _build_item(
         self,
         request: message.Request,
+        request_id: str,
         route: call_rules.RouteRule,
         account: call_rules.AccountRule | None,
         now: float,
         waits_s: float,
     ) -> Item:
         name = '' if account is None else account.name
-        request_id = self._dialect.read_request_id(request.headers)
         importance = route.importance
         if account is not None and account.importance is not None:
             importance = account.importance
@@ -303,7 +305,7 @@
 
     def _identify(
         self,
-        request: message.Request,
+        key: bytes | None,
         table: call_rules.RuleTable,
         route: call_rules.RouteRule,
     ) -> call_rules.AccountRule | verdict.NotRun | None:
@@ -312,7 +314,6 @@
             return None
         if not self._fresh.is_fresh(self._boot_clock()):
             return self._refuse_stale()
-        key = self._dialect.read_key(request.headers)
         if key is None:
             return verdict.NotRun(verdict.Reason.KEY_MISSING)
         account = table.find_account(key)
--- a/src/eelgrasswalk/platform/dialect.py
+++ b/src/eelgrasswalk/platform/dialect.py
@@ -1,5 +1,6 @@
 """How callers and targets of the platform speak of calls."""
 
+from .. import ports
 from .. import verdict
 from ..policy import deadline
 from ..transport import message
@@ -7,6 +8,7 @@
 
 _MS_PER_S = 1000.0
 _MAX_DEADLINE_DIGITS = 12
+_ABSENT = deadline.Absent()
 
 _NOT_RUN_STATUS = {
     verdict.Reason.BAD_REQUEST: 400,
@@ -56,28 +58,18 @@
         """
         return request_id.rpartition(names.ID_SEPARATOR)[0]
 
-    def read_hostname(self, headers: message.Headers) -> str:
-        """Return the host that a request names, without its port."""
-        value = message.find_header(headers, b'host')
-        if value is None:
-            return ''
-        return value.decode('latin-1').partition(':')[0].lower()
-
-    def read_key(self, headers: message.Headers) -> bytes | None:
-        """Return the caller's key, or None."""
-        value = message.find_header(headers, names.AUTHORIZATION)
-        if value is None or value[:7].lower() != names.BEARER:
-            return None
-        return value[7:].strip()
-
-    def read_timeout(self, headers: message.Headers) -> deadline.Timeout:
-        """Return the time that the caller waits."""
-        value = message.find_header(headers, names.DEADLINE)
-        if value is None:
-            return deadline.Absent()
-        if not value.isdigit() or len(value) > _MAX_DEADLINE_DIGITS:
-            return deadline.Malformed('The deadline is not in milliseconds.')
-        return deadline.Given(int(value) / _MS_PER_S)
+    def read_head(self, headers: message.Headers) -> ports.CallHead:
+        """Return what the headers of a call say."""
+        # The first of several headers of a name counts.
+        fields = dict(headers[::-1])
+        request_id = fields.get(names.REQUEST_ID, b'')
+        host = fields.get(b'host', b'').partition(b':')[0]
+        return ports.CallHead(
+            request_id=request_id.decode('latin-1'),
+            hostname=host.decode('latin-1').lower(),
+            key=_read_key(fields.get(names.AUTHORIZATION)),
+            timeout=_read_timeout(fields.get(names.DEADLINE)),
+        )
 
     def build_forwarded(
         self, headers: message.Headers, *, account: str, service: str
@@ -134,6 +126,20 @@
         return _build_answer(status, outcome.reason, outcome.retry_after_s)
 
 
+def _read_key(value: bytes | None) -> bytes | None:
+    if value is None or value[:7].lower() != names.BEARER:
+        return None
+    return value[7:].strip()
+
+
+def _read_timeout(value: bytes | None) -> deadline.Timeout:
+    if value is None:
+        return _ABSENT
+    if not value.isdigit() or len(value) > _MAX_DEADLINE_DIGITS:
+        return deadline.Malformed('The deadline is not in milliseconds.')
+    return deadline.Given(int(value) / _MS_PER_S)
+
+
 def _doubt(detail: str) -> verdict.MayHaveRun:
     return verdict.MayHaveRun(verdict.Reason.ANSWER_INCOMPLETE, detail)
 
--- a/src/eelgrasswalk/ports.py
+++ b/src/eelgrasswalk/ports.py
@@ -195,6 +195,23 @@
         """Return the answer that acknowledges a check-in."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallHead:
+    """What the headers of a call say.
+
+    Args:
+        request_id: The caller's id of it; empty when there is none.
+        hostname: The host that it names, without its port.
+        key: The caller's key, or None.
+        timeout: The time that the caller waits.
+    """
+
+    request_id: str
+    hostname: str
+    key: bytes | None
+    timeout: deadline.Timeout
+
+
 class Dialect(typing.Protocol):
     """How callers and targets say what a call is and what became of it."""
 
@@ -213,14 +230,8 @@
         It is a hint as well.
         """
 
-    def read_hostname(self, headers: message.Headers) -> str:
-        """Return the host that a request names, without its port."""
-
-    def read_key(self, headers: message.Headers) -> bytes | None:
-        """Return the caller's key, or None."""
-
-    def read_timeout(self, headers: message.Headers) -> deadline.Timeout:
-        """Return the time that the caller waits."""
+    def read_head(self, headers: message.Headers) -> CallHead:
+        """Return what the headers of a call say."""
 
     def build_forwarded(
         self, headers: message.Headers, *, account: str, service: str
--- a/src/eelgrasswalk/transport/client_connection.py
+++ b/src/eelgrasswalk/transport/client_connection.py
@@ -253,10 +253,10 @@
             self._bodies.release(self._reserved)
         self._reserved = 0
 
-    def _build_answer(self) -> verdict.Response:
+    def _build_answer(self, headers: Headers) -> verdict.Response:
         answer = verdict.Response(
             status=self._parser.get_status_code(),
-            headers=tuple(self._headers),
+            headers=headers,
             body=b''.join(self._body),
         )
         if self._bodies is not None and self._reserved:
@@ -275,23 +275,24 @@
     def _complete(self) -> None:
         if self._waiter is None or self._waiter.done():
             return
-        self._note_keep_alive()
-        if self._is_foreign():
+        headers = tuple(self._headers)
+        self._note_keep_alive(headers)
+        if self._is_foreign(headers):
             self._drop_answer()
             return
-        self._waiter.set_result(Received(self._build_answer()))
+        self._waiter.set_result(Received(self._build_answer(headers)))
 
-    def _note_keep_alive(self) -> None:
-        value = message.find_header(tuple(self._headers), b'keep-alive')
+    def _note_keep_alive(self, headers: Headers) -> None:
+        value = message.find_header(headers, b'keep-alive')
         match = _TIMEOUT.search(value) if value is not None else None
         if match is not None:
             self.max_idle_s = max(0.0, int(match[1]) - IDLE_MARGIN_S)
 
-    def _is_foreign(self) -> bool:
+    def _is_foreign(self, headers: Headers) -> bool:
         """Whether the answer belongs to another request."""
         if self._find_echo is None or self._echo is None:
             return False
-        echo = self._find_echo(tuple(self._headers))
+        echo = self._find_echo(headers)
         if echo is None:
             # On a new connection there is nothing else that it could answer.
             return self._exchanges > 1
@@ -332,12 +333,13 @@
                 verdict.Reason.ANSWER_INCOMPLETE,
                 'the target closed the connection within its answer',
             )
-        if self._is_foreign():
+        headers = tuple(self._headers)
+        if self._is_foreign(headers):
             return Broken(
                 verdict.Reason.ANSWER_INCOMPLETE,
                 'the target answered another request',
             )
-        return Received(self._build_answer())
+        return Received(self._build_answer(headers))
 
 
 def _watch_silence(connected: socket.socket) -> None:
@@ -354,9 +356,11 @@
     parts = [
         f'{request.method} {request.target} HTTP/1.1\r\n'.encode('latin-1')
     ]
-    for name, value in request.headers:
-        if name != b'content-length':
-            parts.append(b'%b: %b\r\n' % (name, value))
+    parts += [
+        b'%b: %b\r\n' % pair
+        for pair in request.headers
+        if pair[0] != b'content-length'
+    ]
     if request.body or request.method in ('POST', 'PUT', 'PATCH'):
         parts.append(b'content-length: %d\r\n' % len(request.body))
     parts.append(b'\r\n')
--- a/src/eelgrasswalk/transport/http_server.py
+++ b/src/eelgrasswalk/transport/http_server.py
@@ -233,15 +233,15 @@
             raise _Rejected(
                 problem.describe_bad_request('protocol upgrade not offered')
             )
-        headers = tuple(self._headers)
-        length = message.find_header(headers, b'content-length')
+        fields = dict(self._headers)
+        length = fields.get(b'content-length')
         if length is not None and (
             int(length) > self._server.limits.body_bytes
         ):
             raise _Rejected(
                 problem.describe_body_too_large(self._server.limits.body_bytes)
             )
-        expect = message.find_header(headers, b'expect')
+        expect = fields.get(b'expect')
         if expect is None:
             return
         if expect.lower() != b'100-continue':
@@ -358,9 +358,11 @@
             _STATUS_LINES.get(answer.status)
             or f'HTTP/1.1 {answer.status} Unknown\r\n'.encode()
         ]
-        for name, value in answer.headers:
-            if head or name != b'content-length':
-                parts.append(b'%b: %b\r\n' % (name, value))
+        parts += [
+            b'%b: %b\r\n' % pair
+            for pair in answer.headers
+            if head or pair[0] != b'content-length'
+        ]
         if not head and answer.status not in (204, 304):
             parts.append(b'content-length: %d\r\n' % len(answer.body))
         if not keep:
--- a/src/eelgrasswalk/transport/message.py
+++ b/src/eelgrasswalk/transport/message.py
@@ -12,6 +12,8 @@
 DEADLINE_HEADER = b'eelgrasswalk-deadline'
 IDEMPOTENCY_HEADER = b'idempotency-key'
 
+_OWN_LENGTH = len(OWN_PREFIX)
+
 HOP_BY_HOP = frozenset(
     {
         b'connection',
@@ -65,12 +67,15 @@
     connection = find_header(headers, b'connection')
     if connection is not None:
         remove = remove | _list_connection_options(connection)
+    # Slices and a list take no call for each header.
     return tuple(
-        pair
-        for pair in headers
-        if pair[0] not in HOP_BY_HOP
-        and pair[0] not in remove
-        and not pair[0].startswith(OWN_PREFIX)
+        [
+            pair
+            for pair in headers
+            if pair[0] not in HOP_BY_HOP
+            and pair[0] not in remove
+            and pair[0][:_OWN_LENGTH] != OWN_PREFIX
+        ]
     )
 
 
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -19,25 +19,29 @@
     def test_deadline_is_in_milliseconds(self) -> None:
         """A parser of seconds once cut every deadline to 0.6 s."""
         for value, seconds in ((b'8000', 8.0), (b'5', 0.005)):
-            timeout = DIALECT.read_timeout(((b'request-deadline', value),))
+            timeout = DIALECT.read_head(
+                ((b'request-deadline', value),)
+            ).timeout
             self.assertEqual(deadline.Given(seconds), timeout)
 
     def test_missing_deadline(self) -> None:
-        self.assertEqual(deadline.Absent(), DIALECT.read_timeout(()))
+        self.assertEqual(deadline.Absent(), DIALECT.read_head(()).timeout)
 
     def test_malformed_deadline(self) -> None:
         for value in (b'', b'-1', b'1.5', b'1e3', b'9' * 13, b'soon'):
             with self.subTest(value):
                 headers = ((b'request-deadline', value),)
                 self.assertIsInstance(
-                    DIALECT.read_timeout(headers), deadline.Malformed
+                    DIALECT.read_head(headers).timeout, deadline.Malformed
                 )
 
     def test_key_comes_with_its_scheme(self) -> None:
         headers = ((b'authorization', b'bearer secret'),)
-        self.assertEqual(b'secret', DIALECT.read_key(headers))
-        self.assertIsNone(DIALECT.read_key(((b'authorization', b'Basic x'),)))
-        self.assertIsNone(DIALECT.read_key(()))
+        self.assertEqual(b'secret', DIALECT.read_head(headers).key)
+        self.assertIsNone(
+            DIALECT.read_head(((b'authorization', b'Basic x'),)).key
+        )
+        self.assertIsNone(DIALECT.read_head(()).key)
 
     def test_calls_of_targets_name_their_root_and_parent(self) -> None:
         headers = ((b'attempt-id', b'9c41.b7e2.a35f'),)
@@ -53,7 +57,7 @@
 
     def test_hostname_has_no_port(self) -> None:
         headers = ((b'host', b'Shop.Example:80'),)
-        self.assertEqual('shop.example', DIALECT.read_hostname(headers))
+        self.assertEqual('shop.example', DIALECT.read_head(headers).hostname)
 
 
 class HeadersTest(unittest.TestCase):
