Use every slot of targets with few slots

Cause: of a target's slots 0.94 are used, rounded down; with two slots that is one, with seven six.

Change: the share is rounded to the nearest number. Both new tests failed before.

--- a/src/eelgrasswalk/policy/slot_queue.py
+++ b/src/eelgrasswalk/policy/slot_queue.py
@@ -122,7 +122,7 @@
 
     def resize(self, slots: int) -> None:
         """Change the number of slots."""
-        self._limit = max(1, int(slots * self._settings.fill))
+        self._limit = max(1, round(slots * self._settings.fill))
         self._draining = False
 
     def offer(
--- a/tests/policy/test_slot_queue.py
+++ b/tests/policy/test_slot_queue.py
@@ -1,5 +1,6 @@
 """Tests of the queue in front of a target: burst, slow target, returns."""
 
+import heapq
 import unittest
 
 from eelgrasswalk import verdict
@@ -56,6 +57,37 @@
         self.assertLess(queue.limit, 17)
         self.assertGreaterEqual(queue.limit, 15)
 
+    def test_no_slot_of_a_small_target_is_left_free(self) -> None:
+        for slots in (1, 2, 7):
+            queue = slot_queue.SlotQueue(
+                slot_queue.SlotSettings(), slots=slots
+            )
+            self.assertEqual(slots, queue.limit)
+
+    def test_small_target_serves_what_its_slots_can(self) -> None:
+        """Replays steady calls that keep nine tenths of two slots busy."""
+        queue = slot_queue.SlotQueue(slot_queue.SlotSettings(), slots=2)
+        service_s = 0.3
+        ends: list[tuple[float, int]] = []
+        started = 0
+        for call_id in range(400):
+            now = call_id * service_s / 1.8
+            actions: list[admission.Action] = []
+            while ends and ends[0][0] <= now:
+                end, ended = heapq.heappop(ends)
+                actions += queue.finish(ended, end, ok=True)
+            actions += queue.offer(
+                build_candidate(
+                    call_id, objective_at=now + 1.0, deadline=now + 3.0
+                ),
+                now,
+            )
+            for action in actions:
+                if isinstance(action, admission.Start):
+                    started += 1
+                    heapq.heappush(ends, (now + service_s, action.call_id))
+        self.assertGreater(started, 0.97 * 400)
+
     def test_begun_work_goes_before_new_roots(self) -> None:
         queue = build_busy()
         queue.offer(
