Let a call look for a free slot once before it waits at a target

Cause: with two slots a target and 194 callers, what a caller knows of a load is older than a slot stays free, so short calls wait behind long ones at one target while others are idle.

Change: the first attempt of a call does not wait; if its target has no free slot, the call goes on to another, where it may wait. Callers that find no free slots do not look. `eelgrasswalk-bench fleet` plays the real decisions in virtual time.

--- a/src/eelgrasswalk/cli/bench.py
+++ b/src/eelgrasswalk/cli/bench.py
@@ -8,6 +8,7 @@
 COMMANDS = (
     'control',
     'demo',
+    'fleet',
     'latency',
     'chaos',
     'cost',
--- a/src/eelgrasswalk/filters/admit.py
+++ b/src/eelgrasswalk/filters/admit.py
@@ -95,6 +95,7 @@
         deadline: float,
         route: str = '',
         objective_at: float = math.inf,
+        may_wait: bool = True,
     ) -> Admitted | verdict.NotRun:
         """Wait until the call may start, or return why it may not.
 
@@ -103,6 +104,7 @@
             deadline: When its answer must be there.
             route: Name of its route.
             objective_at: When its answer should be there.
+            may_wait: Whether it waits if it cannot start at once.
         """
         now = self._clock()
         call_id = next(self._ids)
@@ -116,6 +118,7 @@
             depth=context.depth,
             route=route,
             objective_at=objective_at,
+            may_wait=may_wait,
         )
         actions = self.policy.offer(candidate, now)
         for action in actions:
--- a/src/eelgrasswalk/filters/forward.py
+++ b/src/eelgrasswalk/filters/forward.py
@@ -1,6 +1,7 @@
 """Sends a call to an upstream, and to another where that is safe."""
 
 import asyncio
+import collections.abc
 import dataclasses
 import math
 import random
@@ -10,6 +11,7 @@
 from .. import events
 from .. import verdict
 from ..policy import balance
+from ..policy import probing
 from ..policy import retries
 from ..policy import retry_budget
 from ..policy import root_share
@@ -25,6 +27,8 @@
 
 # Attempts of one call, most of which reach no target.
 MAX_ATTEMPTS = 4
+# A call that waited no longer than this met a free slot.
+AT_ONCE_S = 0.001
 # Shortest time after which a refused caller may come back.
 LEAST_PAUSE_S = 0.1
 _NEVER_ARRIVED = frozenset(
@@ -44,7 +48,9 @@
     """What the attempts of one call have met so far.
 
     Args:
-        attempts: How many there were.
+        attempts: How many there were that might wait.
+        probed: Nodes where a free slot was looked for in vain; a call waits
+            there only if it cannot wait anywhere else.
         tried: Nodes that were tried.
         arrived_at: Nodes whose target has seen the call, or may have. Once
             there are as many as the route allows, a call that its target
@@ -52,11 +58,12 @@
     """
 
     attempts: int = 0
+    probed: set[str] = dataclasses.field(default_factory=set)
     tried: set[str] = dataclasses.field(default_factory=set)
     arrived_at: set[str] = dataclasses.field(default_factory=set)
 
     def note(self, node_id: str, outcome: verdict.Failure) -> None:
-        """Take what became of an attempt."""
+        """Take what became of an attempt that might wait."""
         self.attempts += 1
         self.tried.add(node_id)
         if _has_arrived(outcome):
@@ -95,6 +102,7 @@
         self._count_nodes = count_nodes
         # Services and routes whose runs are known to make no calls.
         self._leaves: set[tuple[str, str]] = set()
+        self._probing = probing.Probing(probing.ProbeSettings())
         self._random = source
         self._ids = attempt_ids.AttemptIds()
         self._loop = asyncio.get_running_loop()
@@ -137,28 +145,67 @@
             upstream = self._choose(item, progress)
             if upstream is None:
                 return self._give_up(failure), starved
-            reply = await self._attempt(item, upstream)
+            may_wait = not self._may_probe(item, progress)
+            reply = await self._attempt(item, upstream, may_wait=may_wait)
             outcome = reply.outcome
+            self._note_room(item, reply)
             if reply.feedback is not None:
                 starved = reply.feedback.starved
             if isinstance(outcome, verdict.Answered):
                 return outcome, starved
+            if not may_wait and _is_full(outcome):
+                progress.probed.add(upstream.node_id)
+                continue
             failure = verdict.combine(failure, outcome)
             progress.note(upstream.node_id, outcome)
             if not self._may_repeat(item, outcome, progress):
                 return self._give_up(failure), starved
 
+    def _may_probe(self, item: front.Item, progress: _Progress) -> bool:
+        """Return whether the next attempt only looks for a free slot."""
+        if progress.attempts or progress.arrived_at:
+            return False
+        return self._probing.allow(
+            item.service,
+            probes=len(progress.probed),
+            targets=self._balancer.count_targets(item.service),
+            random_value=self._random.random(),
+        )
+
+    def _note_room(self, item: front.Item, reply: dialler.Reply) -> None:
+        feedback = reply.feedback
+        if feedback is None:
+            return
+        is_full = _is_full(reply.outcome)
+        found = not is_full and feedback.queue_delay_s < AT_ONCE_S
+        self._probing.observe(item.service, found=found)
+
     def _choose(
         self, item: front.Item, progress: _Progress
     ) -> balance.Upstream | None:
-        among = None
         if len(progress.arrived_at) >= item.route.max_upstreams:
-            among = progress.arrived_at
+            return self._choose_among(
+                item, frozenset(), among=progress.arrived_at
+            )
+        tried = progress.tried
+        if progress.probed:
+            found = self._choose_among(item, tried | progress.probed)
+            if found is not None:
+                return found
+        return self._choose_among(item, tried)
+
+    def _choose_among(
+        self,
+        item: front.Item,
+        excluded: collections.abc.Set[str],
+        *,
+        among: collections.abc.Set[str] | None = None,
+    ) -> balance.Upstream | None:
         return self._balancer.choose(
             item.service,
             self._clock(),
             (self._random.random(), self._random.random()),
-            excluded=frozenset() if among else progress.tried,
+            excluded=excluded,
             among=among,
             route=item.route.name,
             left_s=self._compute_left(item),
@@ -213,14 +260,14 @@
         return verdict.NotRun(failure.reason, retry_after_s=pause_s)
 
     async def _attempt(
-        self, item: front.Item, upstream: balance.Upstream
+        self, item: front.Item, upstream: balance.Upstream, *, may_wait: bool
     ) -> dialler.Reply:
         started_at = self._clock()
         self._balancer.start(upstream.node_id, started_at)
         try:
             reply = await self._transmitter.transmit(
                 upstream.node_id,
-                self._build_call(item),
+                self._build_call(item, may_wait=may_wait),
                 deadline=item.deadline,
                 retriable=item.route.idempotent,
             )
@@ -288,7 +335,7 @@
         )
         self._balancer.mark_down(upstream.node_id, self._clock())
 
-    def _build_call(self, item: front.Item) -> frames.Call:
+    def _build_call(self, item: front.Item, *, may_wait: bool) -> frames.Call:
         now = self._loop.time()
         body = item.request.body
         attempt = self._ids.take()
@@ -312,6 +359,7 @@
             objective_s=max(
                 0.0, item.arrived_at + item.route.objective_s - now
             ),
+            may_wait=may_wait,
         )
 
 
@@ -330,6 +378,15 @@
     return outcome.reason not in _NEVER_ARRIVED
 
 
+def _is_full(outcome: verdict.Verdict) -> bool:
+    """Return whether a target's node had no room, where another may."""
+    return (
+        isinstance(outcome, verdict.NotRun)
+        and outcome.reason is verdict.Reason.OVERLOAD
+        and outcome.retry_elsewhere
+    )
+
+
 def _is_own_call(item: front.Item) -> bool:
     """Return whether this node's own target makes the call."""
     # Only targets call on open routes.
--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -116,6 +116,7 @@
             deadline=deadline,
             route=call.route,
             objective_at=started_at + call.objective_s,
+            may_wait=call.may_wait,
         )
         if isinstance(admitted, verdict.NotRun):
             return dialler.Reply(
--- a/src/eelgrasswalk/policy/queue.py
+++ b/src/eelgrasswalk/policy/queue.py
@@ -27,6 +27,8 @@
         route: Name of the route.
         objective_at: When the answer should be there for its full worth, on
             the clock of now.
+        may_wait: Whether it takes a place in the queue if it cannot start
+            at once.
     """
 
     call_id: int
@@ -38,6 +40,7 @@
     depth: int
     route: str = ''
     objective_at: float = math.inf
+    may_wait: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/eelgrasswalk/policy/slot_queue.py
+++ b/src/eelgrasswalk/policy/slot_queue.py
@@ -141,13 +141,15 @@
         if self._draining:
             return [_refuse(candidate.call_id, verdict.Reason.LEAVING, 0.0)]
         expected_s = self._times.estimate(candidate.route)
-        if candidate.depth > 0:
+        if candidate.depth > 0 and candidate.may_wait:
             self._begun.add(expected_s, now)
         least_s = self._settings.hopeless * expected_s
         if now + least_s > candidate.deadline and self._running:
             return [_refuse(candidate.call_id, verdict.Reason.DEADLINE, 0.0)]
         if not self._waiting and len(self._running) < self._limit:
             return [self._start(candidate, expected_s, now)]
+        if not candidate.may_wait:
+            return [self._refuse_full(candidate.call_id)]
         return self._enqueue(candidate, expected_s, now)
 
     def finish(
--- a/src/eelgrasswalk/policy/spread.py
+++ b/src/eelgrasswalk/policy/spread.py
@@ -145,6 +145,10 @@
                 del self._states[node_id]
         self._services[service] = states
 
+    def count_targets(self, service: str) -> int:
+        """Return how many upstreams of a service there are."""
+        return len(self._services.get(service, ()))
+
     def choose(
         self,
         service: str,
--- a/src/eelgrasswalk/transport/frames.py
+++ b/src/eelgrasswalk/transport/frames.py
@@ -105,6 +105,7 @@
         digest: Digest of the whole body, 0 when the body is inline.
         objective_s: Seconds left in which an answer has its full worth; 0
             when not stated.
+        may_wait: Whether it may wait at the upstream for a free slot.
     """
 
     attempt: AttemptId
@@ -117,6 +118,7 @@
     body_length: Length
     digest: Count
     objective_s: Number = 0.0
+    may_wait: bool = True
 
 
 class Feedback(msgspec.Struct, frozen=True, array_like=True, gc=False):
--- a/tests/filters/test_forward.py
+++ b/tests/filters/test_forward.py
@@ -37,6 +37,7 @@
     def __init__(self, *replies: dialler.Reply) -> None:
         self.replies = list(replies)
         self.sent_to: list[str] = []
+        self.may_wait: list[bool] = []
 
     async def transmit(
         self,
@@ -47,6 +48,7 @@
         retriable: bool,
     ) -> dialler.Reply:
         self.sent_to.append(node_id)
+        self.may_wait.append(call.may_wait)
         return self.replies.pop(0)
 
 
@@ -124,7 +126,7 @@
         self.assertEqual(DOUBT, await forwarder.send(build_item()))
 
     async def test_refusal_by_all_keeps_its_reason(self) -> None:
-        forwarder = self.build(*[build_reply(OVERLOAD)] * 3)
+        forwarder = self.build(*[build_reply(OVERLOAD)] * 4)
         outcome = await forwarder.send(build_item())
         assert isinstance(outcome, verdict.NotRun)
         self.assertIs(verdict.Reason.OVERLOAD, outcome.reason)
@@ -134,6 +136,31 @@
         forwarder = self.build(build_reply(OVERLOAD), build_reply(ANSWER))
         self.assertEqual(ANSWER, await forwarder.send(build_item()))
 
+    async def test_call_looks_once_for_a_free_slot_and_then_waits(
+        self,
+    ) -> None:
+        forwarder = self.build(build_reply(OVERLOAD), build_reply(ANSWER))
+        self.assertEqual(ANSWER, await forwarder.send(build_item()))
+        self.assertEqual([False, True], self.replies.may_wait)
+        self.assertEqual(2, len(set(self.replies.sent_to)))
+
+    async def test_call_waits_where_it_looked_if_it_cannot_elsewhere(
+        self,
+    ) -> None:
+        forwarder = self.build(
+            *[build_reply(OVERLOAD)] * 3, build_reply(ANSWER)
+        )
+        self.assertEqual(ANSWER, await forwarder.send(build_item()))
+        self.assertEqual([False, True, True, True], self.replies.may_wait)
+        self.assertEqual(self.replies.sent_to[0], self.replies.sent_to[3])
+
+    async def test_refusal_that_holds_for_all_targets_is_final(self) -> None:
+        refusal = verdict.NotRun(verdict.Reason.OVERLOAD, retry_after_s=1.0)
+        forwarder = self.build(build_reply(refusal))
+        outcome = await forwarder.send(build_item())
+        self.assertIsInstance(outcome, verdict.NotRun)
+        self.assertEqual(1, len(self.replies.sent_to))
+
     async def test_call_that_targets_reject_goes_to_no_third_upstream(
         self,
     ) -> None:
@@ -165,7 +192,7 @@
     async def test_starving_calls_of_the_own_target_are_heard_of(
         self,
     ) -> None:
-        refused = [build_reply(OVERLOAD)] * 3
+        refused = [build_reply(OVERLOAD)] * 4
         forwarder = self.build(*(refused * 5))
         for _ in range(5):
             await forwarder.send(build_item(open_to_all=True))
@@ -191,7 +218,7 @@
     async def test_calls_of_callers_say_nothing_of_the_own_target(
         self,
     ) -> None:
-        refused = [build_reply(OVERLOAD)] * 3
+        refused = [build_reply(OVERLOAD)] * 4
         forwarder = self.build(*(refused * 5))
         for _ in range(5):
             await forwarder.send(build_item())
