--- a/src/eelgrasswalk/controllers/confirmation.py
+++ b/src/eelgrasswalk/controllers/confirmation.py
@@ -33,6 +33,7 @@
         fresh: How old the certainty is.
         patience: How old it may become.
         get_place: Returns this node's place among the others.
+        ask_peers: Asks a few peers what they know of the rules.
         clock: Seconds of a clock that runs through suspension.
         source: Random numbers.
     """
@@ -45,6 +46,7 @@
         fresh: freshness.Freshness,
         patience: freshness.Patience,
         get_place: typing.Callable[[], relay_tree.Place],
+        ask_peers: typing.Callable[[], None],
         clock: typing.Callable[[], float],
         source: random.Random,
     ) -> None:
@@ -53,6 +55,7 @@
         self._fresh = fresh
         self._patience = patience
         self._get_place = get_place
+        self._ask_peers = ask_peers
         self._clock = clock
         self._random = source
         self._outdated = asyncio.Event()
@@ -116,6 +119,8 @@
             self._outdated.clear()
             asked_at = self._clock()
             if self._feed.is_failing or not await self._feed.confirm():
+                # The store may refuse this node and serve others.
+                self._ask_peers()
                 await asyncio.sleep(RETRY_S * (0.5 + self._random.random()))
                 continue
             self._haste_s = min(MOST_HASTE_S, self._clock() - asked_at)
@@ -154,10 +159,18 @@
 
     async def _wait_until_due(self, limit_s: float) -> None:
         """Return when the certainty is that old, or a peer has a newer one."""
+        has_asked = False
         while not self._outdated.is_set():
-            left_s = limit_s - self._fresh.get_age(self._clock())
+            age_s = self._fresh.get_age(self._clock())
+            left_s = limit_s - age_s
             if left_s <= 0.0:
                 return
+            if age_s < self._patience.peers_s:
+                left_s = min(left_s, self._patience.peers_s - age_s)
+                has_asked = False
+            elif not has_asked:
+                self._ask_peers()
+                has_asked = True
             try:
                 async with asyncio.timeout(left_s):
                     await self._outdated.wait()
--- a/src/eelgrasswalk/controllers/feed.py
+++ b/src/eelgrasswalk/controllers/feed.py
@@ -64,6 +64,9 @@
         clock: Seconds of a clock that runs through suspension.
         source: Random numbers for pauses.
         watches: Whether to wait for changes at the store from the start.
+        keeps_rows: Whether to keep the rows, so that a peer that cannot ask
+            the store can be told what has changed; for tables whose rows
+            are never removed.
 
     Attributes:
         filled: Set after the first reading.
@@ -82,6 +85,7 @@
         clock: typing.Callable[[], float],
         source: random.Random,
         watches: bool = True,
+        keeps_rows: bool = False,
     ) -> None:
         self._store = store
         self._table = table
@@ -94,6 +98,9 @@
         self._version: int | None = None
         self._failures = 0
         self._watches = watches
+        self._keeps_rows = keeps_rows
+        self._kept: dict[str, ports.Row] = {}
+        self._known_s = 0.0
         self._catching_up: asyncio.Task[bool] | None = None
         self._resumed = asyncio.Event()
         self.on_advance: typing.Callable[[Advance], None] = _ignore
@@ -126,6 +133,24 @@
         elif self._watching is not None:
             self._watching.cancel()
 
+    def tell_since(self, version: int) -> Advance | None:
+        """Return what a peer that knows a version has missed.
+
+        Args:
+            version: The version up to which the peer knows the table.
+
+        Returns:
+            None if this node knows no more, or not everything that changed.
+        """
+        if version > self.version or self._known_s <= 0.0:
+            return None
+        if version < self.version and not self._keeps_rows:
+            return None
+        rows = tuple(
+            row for row in self._kept.values() if row.version > version
+        )
+        return Advance(version, ports.Rows(rows, self.version, self._known_s))
+
     def take_told(self, advance: Advance) -> None:
         """Take what a peer knows of the table; ask the store for a gap."""
         if self._version is None:
@@ -154,6 +179,7 @@
         """Take what is known between a version and a later one."""
         is_new = bool(rows.rows) or rows.version > self.version
         self._version = max(self.version, rows.version)
+        self._keep(rows)
         self._follower.take_changes(rows, true_at)
         if is_new or rows.store_s > 0.0:
             self.on_advance(Advance(after, rows))
@@ -215,6 +241,8 @@
             # Changes up to a later version have come meanwhile.
             return None
         self._version = outcome.version
+        self._kept.clear()
+        self._keep(outcome)
         self._follower.take_all(outcome, self._date(outcome, asked_at))
         self.filled.set()
         # Peers cannot tell from it which rows are gone.
@@ -222,6 +250,11 @@
         self.on_advance(Advance(outcome.version, nothing))
         return None
 
+    def _keep(self, rows: ports.Rows) -> None:
+        self._known_s = max(self._known_s, rows.store_s)
+        if self._keeps_rows:
+            self._kept |= {row.key: row for row in rows.rows}
+
     async def _watch(self, version: int) -> ports.Unavailable | None:
         asked_at = self._clock()
         # A store that is back confirms at once.
--- a/src/eelgrasswalk/controllers/relay.py
+++ b/src/eelgrasswalk/controllers/relay.py
@@ -1,5 +1,6 @@
 """Passes on what the store holds, so that few nodes have to ask it."""
 
+import random
 import typing
 import zlib
 
@@ -11,6 +12,10 @@
 from . import feed
 
 TOPIC = 'relay'
+# Asks a peer what it knows since the versions that are told.
+TOPIC_ASK = 'relay-ask'
+# Peers that a node asks at a time, when it has not been told.
+ASKED_PEERS = 2
 # Longer news is not passed on; each node reads it from the store.
 MOST_BYTES = 196_608
 # The same before it is packed; bounds what a peer can make a node hold.
@@ -53,6 +58,7 @@
         feeds: What follows each table.
         list_nodes: Returns the nodes that live.
         send: Sends messages to other nodes.
+        source: Random numbers.
 
     Attributes:
         place: This node's place in the tree.
@@ -65,12 +71,14 @@
         *,
         list_nodes: typing.Callable[[], typing.Sequence[str]],
         send: SendControl,
+        source: random.Random,
     ) -> None:
         self.place = relay_tree.NOWHERE
         self._node_id = node_id
         self._feeds = feeds
         self._list_nodes = list_nodes
         self._send = send
+        self._random = source
         self._node_ids: tuple[str, ...] = ()
         for table, each in feeds.items():
             each.on_advance = self._build_handler(table)
@@ -92,16 +100,33 @@
 
     def receive(self, node_id: str, payload: bytes) -> None:
         """Take what a peer knows."""
-        try:
-            items = decode_news(payload)
-        except ValueError as error:
-            events.log(events.NEWS_REJECTED, peer=node_id, detail=str(error))
-            return
-        for told in items:
+        for told in _read_news(node_id, payload):
             following = self._feeds.get(told.table)
             if following is not None:
                 following.take_told(_build_advance(told))
 
+    def ask(self, table: str) -> None:
+        """Ask a few peers, any of them, what they know of a table."""
+        version = self._feeds[table].version
+        others = [name for name in self._node_ids if name != self._node_id]
+        payload = encode_news([Told(table, version, version, 0.0)])
+        count = min(ASKED_PEERS, len(others))
+        for name in self._random.sample(others, count):
+            self._send(name, TOPIC_ASK, payload)
+
+    def receive_ask(self, node_id: str, payload: bytes) -> None:
+        """Tell a peer what it has missed, as far as this node knows."""
+        for told in _read_news(node_id, payload):
+            following = self._feeds.get(told.table)
+            if following is None:
+                continue
+            advance = following.tell_since(told.version)
+            if advance is None:
+                continue
+            news = encode_news([_build_told(told.table, advance)])
+            if len(news) <= MOST_BYTES:
+                self._send(node_id, TOPIC, news)
+
     def _build_handler(
         self, table: str
     ) -> typing.Callable[[feed.Advance], None]:
@@ -126,6 +151,14 @@
             self._send(child, TOPIC, payload)
 
 
+def _read_news(node_id: str, payload: bytes) -> list[Told]:
+    try:
+        return decode_news(payload)
+    except ValueError as error:
+        events.log(events.NEWS_REJECTED, peer=node_id, detail=str(error))
+        return []
+
+
 def encode_news(items: typing.Sequence[Told]) -> bytes:
     """Return what is sent; long news is packed."""
     data = _ENCODER.encode(items)
--- a/src/eelgrasswalk/policy/freshness.py
+++ b/src/eelgrasswalk/policy/freshness.py
@@ -12,16 +12,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Patience:
-    """Ages of the certainty at which a node asks the store.
+    """Ages of the certainty at which a node asks.
 
     Args:
-        early_s: For the nodes that ask for all.
+        peers_s: For nodes that ask peers, before they ask the store.
+        early_s: For the nodes that ask the store for all.
         late_s: For the others that tell further nodes.
         spread_s: Added to the latter at random, so that they do not all ask
             together when the first ones are lost; and once more for nodes
             that tell nobody, as the others may tell them meanwhile.
     """
 
+    peers_s: float
     early_s: float
     late_s: float
     spread_s: float
--- a/src/eelgrasswalk/sidecar/wiring.py
+++ b/src/eelgrasswalk/sidecar/wiring.py
@@ -46,6 +46,7 @@
 ROSTER_WAIT_S = 20.0
 # Parts of the time for which a confirmation counts after which a node asks
 # for the next one; the rest leaves time for a store that fails at first.
+PEERS_PART = 0.42
 EARLY_PART = 0.32
 LATE_PART = 0.55
 SPREAD_PART = 0.15
@@ -146,6 +147,7 @@
         clock=clock.read_boot_time,
         source=source,
         watches=False,
+        keeps_rows=True,
     )
     roster_feed = feed.Feed(
         platform.store,
@@ -165,8 +167,10 @@
         },
         list_nodes=nodes.list_lasting,
         send=router.send,
+        source=source,
     )
     router.register(relay.TOPIC, news.receive)
+    router.register(relay.TOPIC_ASK, news.receive_ask)
     nodes.list_neighbours = news.list_neighbours
     return State(
         config=config,
@@ -180,11 +184,13 @@
             rules_feed=rules_feed,
             fresh=fresh,
             patience=freshness.Patience(
+                peers_s=PEERS_PART * fresh.limit_s,
                 early_s=EARLY_PART * fresh.limit_s,
                 late_s=LATE_PART * fresh.limit_s,
                 spread_s=SPREAD_PART * fresh.limit_s,
             ),
             get_place=lambda: news.place,
+            ask_peers=lambda: news.ask(platform.rule_source.table),
             clock=clock.read_boot_time,
             source=source,
         ),
--- a/tests/controllers/test_confirmation.py
+++ b/tests/controllers/test_confirmation.py
@@ -20,6 +20,7 @@
     async def asyncSetUp(self) -> None:
         self.store = fake_store.FakeStore()
         self.now = 100.0
+        self.asked = 0
         self.fresh = freshness.Freshness(LIMIT_S)
         self.keeper = rules.RuleKeeper(
             test_rules.Source(), self.fresh, lambda table: None
@@ -38,14 +39,18 @@
             keeper=self.keeper,
             rules_feed=self.feed,
             fresh=self.fresh,
-            patience=freshness.Patience(1.0, 2.0, 0.0),
+            patience=freshness.Patience(1.5, 1.0, 2.0, 0.0),
             get_place=lambda: relay_tree.Place(False, 'n2', ()),
+            ask_peers=self.ask_peers,
             clock=lambda: self.now,
             source=source,
         )
         self.addAsyncCleanup(self.feed.stop)
         self.addAsyncCleanup(self.confirmation.stop)
 
+    def ask_peers(self) -> None:
+        self.asked += 1
+
     async def learn(self, version: int = 7) -> None:
         """Read a version at the store's second 10, this node's 100."""
         row = ports.Row('config', str(version).encode(), 1)
@@ -124,6 +129,23 @@
         await fake_store.settle()
         self.assertEqual(1, len(self.store.watches))
 
+    async def test_node_asks_peers_before_the_store(self) -> None:
+        await self.learn()
+        self.now = 101.6
+        self.store.watches = [ports.Rows((), 1, 11.6)]
+        await self.confirmation.start()
+        await fake_store.settle()
+        self.assertEqual(1, self.asked)
+        self.assertEqual(1, len(self.store.watches))
+
+    async def test_node_that_the_store_refuses_asks_peers(self) -> None:
+        await self.learn()
+        self.now = 103.5
+        self.store.watches = [ports.Unavailable('busy')]
+        await self.confirmation.start()
+        await fake_store.settle()
+        self.assertEqual(1, self.asked)
+
     async def test_newer_version_elsewhere_is_fetched_at_once(self) -> None:
         await self.learn()
         row = ports.Row('config', b'9', 2)
--- a/tests/controllers/test_relay.py
+++ b/tests/controllers/test_relay.py
@@ -1,6 +1,7 @@
 """Tests of passing on what the store holds."""
 
 import asyncio
+import functools
 import random
 import unittest
 import zlib
@@ -88,6 +89,7 @@
                 clock=lambda: 1e6,
                 source=random.Random(1),
                 watches=False,
+                keeps_rows=table == OTHER_TABLE,
             )
             for table, follower in self.followers.items()
         }
@@ -95,7 +97,8 @@
             node_id,
             self.feeds,
             list_nodes=lambda: fleet.node_ids,
-            send=fleet.send,
+            send=functools.partial(fleet.send, node_id),
+            source=random.Random(1),
         )
 
 
@@ -109,11 +112,18 @@
         self.sent = 0
         self.nodes = {name: Node(self, name) for name in self.node_ids}
 
-    def send(self, node_id: str, topic: str, payload: bytes) -> None:
+    def send(
+        self, sender: str, node_id: str, topic: str, payload: bytes
+    ) -> None:
         """Deliver a message, unless its receiver is cut off."""
         self.sent += 1
-        if node_id not in self.lost:
-            self.nodes[node_id].relay.receive('sender', payload)
+        if node_id in self.lost:
+            return
+        receiver = self.nodes[node_id].relay
+        if topic == relay.TOPIC_ASK:
+            receiver.receive_ask(sender, payload)
+        else:
+            receiver.receive(sender, payload)
 
     async def start(self) -> None:
         """Let every node read both tables and find its place."""
@@ -212,6 +222,35 @@
         rows = self.fleet.list_rows(TABLE)
         self.assertEqual([{'row': b'a'}] * (NODES - 1), rows)
 
+    async def test_node_that_the_store_refuses_learns_from_any_peer(
+        self,
+    ) -> None:
+        """It was not told of two changes, and its parent may be like it."""
+        name = self.find_leaf()
+        self.fleet.lost.add(name)
+        for value in (b'a', b'b'):
+            await self.change(value, OTHER_TABLE)
+        self.fleet.lost.clear()
+        self.fleet.store.calls = 0
+        node = self.fleet.nodes[name]
+        node.relay.ask(OTHER_TABLE)
+        self.assertEqual({'row': b'b'}, node.followers[OTHER_TABLE].rows)
+        self.assertEqual(0, self.fleet.store.calls)
+
+    async def test_peer_that_knows_less_tells_nothing(self) -> None:
+        name = self.find_leaf()
+        self.fleet.lost.add(name)
+        await self.change(b'a', OTHER_TABLE)
+        old = self.fleet.nodes[name].feeds[OTHER_TABLE]
+        newest = self.fleet.store.version
+        self.assertIsNone(old.tell_since(newest))
+
+    async def test_rows_that_may_be_removed_are_not_told_later(self) -> None:
+        before = self.fleet.store.version
+        await self.change(None)
+        node = self.fleet.nodes[self.find_leaf()]
+        self.assertIsNone(node.feeds[TABLE].tell_since(before))
+
     async def test_news_that_cannot_be_read_is_logged(self) -> None:
         node = self.fleet.nodes[self.find_leaf()]
         with self.assertLogs('eelgrasswalk', 'WARNING') as logs:
--- a/tests/policy/test_freshness.py
+++ b/tests/policy/test_freshness.py
@@ -23,7 +23,9 @@
 
 
 class PatienceTest(unittest.TestCase):
-    patience = freshness.Patience(early_s=1.2, late_s=2.0, spread_s=0.5)
+    patience = freshness.Patience(
+        peers_s=1.5, early_s=1.2, late_s=2.0, spread_s=0.5
+    )
 
     def test_roots_ask_before_any_other(self) -> None:
         early_s = self.choose(is_root=True, random_value=0.99)
