Ask the store no more than once for each table at a start

Nodes that do not know the others yet take themselves for roots and begin to wait at the store; and the store's version grows with every table, so a node took changes of another table for ones that it had missed.

Change: a node waits at the store only a second after its start; news holds from the version of the last change of its own table.

--- a/src/eelgrasswalk/controllers/feed.py
+++ b/src/eelgrasswalk/controllers/feed.py
@@ -70,6 +70,7 @@
 
     Attributes:
         filled: Set after the first reading.
+        changed_at: Version of the last change, or a later one; 0 before any.
         on_advance: Called when more is known of the table.
         store_clock: The store's clock, as far as its answers tell.
     """
@@ -101,6 +102,7 @@
         self._keeps_rows = keeps_rows
         self._kept: dict[str, ports.Row] = {}
         self._known_s = 0.0
+        self.changed_at = 0
         self._catching_up: asyncio.Task[bool] | None = None
         self._resumed = asyncio.Event()
         self.on_advance: typing.Callable[[Advance], None] = _ignore
@@ -178,6 +180,8 @@
     def _advance(self, after: int, rows: ports.Rows, true_at: float) -> None:
         """Take what is known between a version and a later one."""
         is_new = bool(rows.rows) or rows.version > self.version
+        # The store's version also grows with changes of other tables.
+        after = min(after, self.changed_at)
         self._version = max(self.version, rows.version)
         self._keep(rows)
         self._follower.take_changes(rows, true_at)
@@ -242,16 +246,20 @@
             return None
         self._version = outcome.version
         self._kept.clear()
+        # Rows may have been removed until now, where they may be at all.
+        self.changed_at = 0 if self._keeps_rows else outcome.version
         self._keep(outcome)
         self._follower.take_all(outcome, self._date(outcome, asked_at))
         self.filled.set()
         # Peers cannot tell from it which rows are gone.
         nothing = dataclasses.replace(outcome, rows=())
-        self.on_advance(Advance(outcome.version, nothing))
+        self.on_advance(Advance(self.changed_at, nothing))
         return None
 
     def _keep(self, rows: ports.Rows) -> None:
         self._known_s = max(self._known_s, rows.store_s)
+        versions = [row.version for row in rows.rows]
+        self.changed_at = max([self.changed_at, *versions])
         if self._keeps_rows:
             self._kept |= {row.key: row for row in rows.rows}
 
--- a/src/eelgrasswalk/controllers/relay.py
+++ b/src/eelgrasswalk/controllers/relay.py
@@ -1,5 +1,6 @@
 """Passes on what the store holds, so that few nodes have to ask it."""
 
+import asyncio
 import random
 import typing
 import zlib
@@ -59,6 +60,9 @@
         list_nodes: Returns the nodes that live.
         send: Sends messages to other nodes.
         source: Random numbers.
+        settle_s: Seconds after the start in which a node that takes itself
+            for a root does not wait for changes at the store; it may not
+            know the others yet.
 
     Attributes:
         place: This node's place in the tree.
@@ -72,6 +76,7 @@
         list_nodes: typing.Callable[[], typing.Sequence[str]],
         send: SendControl,
         source: random.Random,
+        settle_s: float = 0.0,
     ) -> None:
         self.place = relay_tree.NOWHERE
         self._node_id = node_id
@@ -79,6 +84,8 @@
         self._list_nodes = list_nodes
         self._send = send
         self._random = source
+        self._loop = asyncio.get_running_loop()
+        self._settled_at = self._loop.time() + settle_s
         self._node_ids: tuple[str, ...] = ()
         for table, each in feeds.items():
             each.on_advance = self._build_handler(table)
@@ -90,7 +97,14 @@
             return
         self._node_ids = node_ids
         self.place = relay_tree.find_place(self._node_id, node_ids)
+        self._choose_watching()
+
+    def _choose_watching(self) -> None:
         watches = self.place.parent is None
+        left_s = self._settled_at - self._loop.time()
+        if watches and left_s > 0.0:
+            self._loop.call_later(left_s, self._choose_watching)
+            return
         for each in self._feeds.values():
             each.set_watching(watches)
 
@@ -139,14 +153,22 @@
         items = [_build_told(table, advance)]
         # A child that has missed news of another table finds out by this.
         items += (
-            Told(other, each.version, each.version, 0.0)
+            Told(other, each.changed_at, each.version, 0.0)
             for other, each in self._feeds.items()
             if other != table and each.version
         )
         payload = encode_news(items)
         if len(payload) > MOST_BYTES:
-            version = advance.rows.version
-            payload = encode_news([Told(table, version, version, 0.0)])
+            payload = encode_news(
+                [
+                    Told(
+                        table,
+                        self._feeds[table].changed_at,
+                        advance.rows.version,
+                        0.0,
+                    )
+                ]
+            )
         for child in children:
             self._send(child, TOPIC, payload)
 
--- a/src/eelgrasswalk/sidecar/wiring.py
+++ b/src/eelgrasswalk/sidecar/wiring.py
@@ -51,6 +51,8 @@
 LATE_PART = 0.55
 SPREAD_PART = 0.15
 ROSTER_GATHER_S = 0.5
+# Nodes that start together know each other after this long, about.
+SETTLE_S = 1.0
 # A confirmation counts this much shorter than a withdrawn key may work, for
 # a store whose feed hides a change for a second, and for the way.
 FRESH_MARGIN_S = 1.25
@@ -168,6 +170,7 @@
         list_nodes=nodes.list_lasting,
         send=router.send,
         source=source,
+        settle_s=SETTLE_S,
     )
     router.register(relay.TOPIC, news.receive)
     router.register(relay.TOPIC_ASK, news.receive_ask)
--- a/tests/controllers/test_relay.py
+++ b/tests/controllers/test_relay.py
@@ -4,6 +4,7 @@
 import functools
 import random
 import unittest
+import unittest.mock
 import zlib
 
 import hypothesis
@@ -222,6 +223,41 @@
         rows = self.fleet.list_rows(TABLE)
         self.assertEqual([{'row': b'a'}] * (NODES - 1), rows)
 
+    async def test_changes_of_another_table_are_nothing_missed(self) -> None:
+        """The store's version grows with every table."""
+        name = self.find_leaf()
+        await self.change(b'a', OTHER_TABLE)
+        self.fleet.lost.add(name)
+        for _ in range(3):
+            await self.change(b'x')
+        self.fleet.lost.clear()
+        self.fleet.store.calls = 0
+        node = self.fleet.nodes[name]
+        told = self.fleet.nodes['n0'].feeds[OTHER_TABLE]
+        header = relay.Told(
+            OTHER_TABLE, told.changed_at, self.fleet.store.version, 0.0
+        )
+        node.relay.receive('n0', relay.encode_news([header]))
+        await fake_store.settle()
+        self.assertEqual(0, self.fleet.store.calls)
+
+    async def test_root_waits_at_the_store_once_the_others_are_known(
+        self,
+    ) -> None:
+        feeds = {TABLE: unittest.mock.Mock()}
+        starting = relay.Relay(
+            'n0',
+            feeds,
+            list_nodes=lambda: ['n0'],
+            send=unittest.mock.Mock(),
+            source=random.Random(1),
+            settle_s=0.01,
+        )
+        starting.note_nodes()
+        feeds[TABLE].set_watching.assert_not_called()
+        await asyncio.sleep(0.05)
+        feeds[TABLE].set_watching.assert_called_once_with(True)
+
     async def test_node_that_the_store_refuses_learns_from_any_peer(
         self,
     ) -> None:
