Rank calls of targets by the root that they serve

Calls that a target makes had their own route's importance, so calls below an order and below a page stood alike; and where all client accounts have the same importance, the routes' was not used.

Change: a call that a target makes has the importance of the request that it serves, as the node beside it knows it; the root's route decides among accounts of the same importance. A call whose request is not known keeps its own.

--- a/src/eelgrasswalk/filters/admit.py
+++ b/src/eelgrasswalk/filters/admit.py
@@ -118,6 +118,7 @@
             depth=context.depth,
             route=route,
             objective_at=objective_at,
+            route_importance=context.route_importance,
             may_wait=may_wait,
         )
         actions = self.policy.offer(candidate, now)
--- a/src/eelgrasswalk/filters/forward.py
+++ b/src/eelgrasswalk/filters/forward.py
@@ -113,6 +113,10 @@
         """Return what became of a call."""
         if _is_own_call(item):
             self._running.note_call(item.parent_id)
+            urgency = self._running.find_urgency(item.parent_id)
+            if urgency is not None:
+                # A call that its target makes is worth what it serves.
+                item.urgency = urgency
         outcome, starved_below = await self._try_upstreams(item)
         if _is_own_call(item):
             self._note_own_call(item, outcome, starved_below)
@@ -344,11 +348,12 @@
             route=item.route.name,
             context=frames.Context(
                 account=item.account,
-                importance=item.importance,
+                importance=item.urgency.importance,
                 root_id=attempt,
                 root_hash=item.root_hash,
                 root_age_s=max(0.0, now - item.arrived_at),
                 depth=int(_is_own_call(item)),
+                route_importance=item.urgency.route_importance,
             ),
             remaining_s=max(0.0, item.deadline - now),
             allowance=0,
--- a/src/eelgrasswalk/filters/front.py
+++ b/src/eelgrasswalk/filters/front.py
@@ -15,6 +15,7 @@
 from ..policy import freshness
 from ..policy import quota
 from ..policy import root_hash
+from ..policy import running_calls
 from ..transport import message
 
 # Callers that wait this long find rules, keys or tokens as they should be.
@@ -51,7 +52,7 @@
         route: The route it takes.
         service: The service that answers.
         account: Client account; empty on an open route.
-        importance: How late it is shed.
+        urgency: How late it is shed.
         deadline: Loop time by which the caller needs its answer.
         root_hash: Position of its root request, 0 <= hash < 1.
         parent_id: The request that made it; empty if unknown.
@@ -64,7 +65,7 @@
     route: call_rules.RouteRule
     service: str
     account: str
-    importance: int
+    urgency: running_calls.Urgency
     deadline: float
     root_hash: float
     parent_id: str = ''
@@ -209,7 +210,7 @@
                 'request': item.request_id,
                 'parent': item.parent_id,
                 'route': item.route.name,
-                'importance': item.importance,
+                'importance': item.urgency.importance,
                 'left_ms': round((item.deadline - now) * 1000.0),
                 'attempts': [
                     {
@@ -291,7 +292,9 @@
             route=route,
             service=self._spread.choose(route, self._random.random()),
             account=name,
-            importance=int(importance),
+            urgency=running_calls.Urgency(
+                int(importance), int(route.importance)
+            ),
             deadline=now + min(waits_s, MAX_TIMEOUT_S),
             root_hash=self._find_root_hash(request_id),
             parent_id=self._dialect.find_parent_id(request_id),
--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -125,7 +125,13 @@
         waited_s = self._loop.time() - started_at
         ok = True
         request_id = self._dialect.read_request_id(call.request.headers)
-        self._running.begin(request_id, call.route)
+        self._running.begin(
+            request_id,
+            call.route,
+            running_calls.Urgency(
+                call.context.importance, call.context.route_importance
+            ),
+        )
         try:
             outcome = await self._deliver(call, deadline)
             ok = _is_sound(outcome)
--- a/src/eelgrasswalk/policy/queue.py
+++ b/src/eelgrasswalk/policy/queue.py
@@ -27,6 +27,8 @@
         route: Name of the route.
         objective_at: When the answer should be there for its full worth, on
             the clock of now.
+        route_importance: Importance of the root's route; decides where the
+            importance is the same.
         may_wait: Whether it takes a place in the queue if it cannot start
             at once.
     """
@@ -40,6 +42,7 @@
     depth: int
     route: str = ''
     objective_at: float = math.inf
+    route_importance: int = 0
     may_wait: bool = True
 
 
--- a/src/eelgrasswalk/policy/running_calls.py
+++ b/src/eelgrasswalk/policy/running_calls.py
@@ -14,9 +14,23 @@
 LEAST_RUNS = 20
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Urgency:
+    """How important a request and the calls made for it are.
+
+    Args:
+        importance: By its client account, or its route.
+        route_importance: By the route of its root.
+    """
+
+    importance: int
+    route_importance: int
+
+
 @dataclasses.dataclass(slots=True)
 class _Running:
     route: str
+    urgency: Urgency
     has_failed_call: bool = False
 
 
@@ -29,10 +43,10 @@
         self._calling: set[str] = set()
         self._has_unknown = False
 
-    def begin(self, request_id: str, route: str) -> None:
+    def begin(self, request_id: str, route: str, urgency: Urgency) -> None:
         """Note that the target runs a request; one without id is not kept."""
         if request_id:
-            self._by_id[request_id] = _Running(route)
+            self._by_id[request_id] = _Running(route, urgency)
 
     def end(self, request_id: str) -> bool:
         """Note that it no longer runs a request.
@@ -53,6 +67,11 @@
         running = self._by_id.get(request_id)
         return None if running is None else running.route
 
+    def find_urgency(self, request_id: str) -> Urgency | None:
+        """Return how important a request is that it runs, or None."""
+        running = self._by_id.get(request_id)
+        return None if running is None else running.urgency
+
     def note_failed_call(self, request_id: str) -> None:
         """Note that a call made for a request has failed."""
         running = self._by_id.get(request_id)
--- a/src/eelgrasswalk/policy/slot_queue.py
+++ b/src/eelgrasswalk/policy/slot_queue.py
@@ -6,8 +6,9 @@
 another upstream may take it or its caller may come back later.
 
 Order of those that wait: calls of work already begun, whose refusal would
-waste what their callers' targets have done; then the more important; then
-the one with the least time to lose.
+waste what their callers' targets have done; then the more important, by
+client account and then by the root's route, since calls of targets serve
+their root; then the one with the least time to lose.
 
 Where calls of work already begun ask for more than all slots, a root that
 needs several of them would lose one sooner or later, whichever goes first.
@@ -293,4 +294,9 @@
 
 def _rank(candidate: Candidate, last: float) -> tuple[float, ...]:
     begun = 0.0 if candidate.depth > 0 else 1.0
-    return (begun, float(candidate.importance), last)
+    return (
+        begun,
+        float(candidate.importance),
+        float(candidate.route_importance),
+        last,
+    )
--- a/src/eelgrasswalk/transport/frames.py
+++ b/src/eelgrasswalk/transport/frames.py
@@ -80,6 +80,8 @@
         root_hash: Position of the root between 0 and 1 for shedding.
         root_age_s: Seconds since the root request started.
         depth: Calls above this one in its tree.
+        route_importance: Importance of the root's route, which tells apart
+            those whose client accounts have the same.
     """
 
     account: str
@@ -88,6 +90,7 @@
     root_hash: Number
     root_age_s: Number
     depth: Count
+    route_importance: Count = 0
 
 
 class Call(msgspec.Struct, frozen=True, array_like=True, gc=False, tag=4):
--- a/tests/filters/test_forward.py
+++ b/tests/filters/test_forward.py
@@ -38,6 +38,7 @@
         self.replies = list(replies)
         self.sent_to: list[str] = []
         self.may_wait: list[bool] = []
+        self.contexts: list[frames.Context] = []
 
     async def transmit(
         self,
@@ -49,6 +50,7 @@
     ) -> dialler.Reply:
         self.sent_to.append(node_id)
         self.may_wait.append(call.may_wait)
+        self.contexts.append(call.context)
         return self.replies.pop(0)
 
 
@@ -80,7 +82,7 @@
         route=rule,
         service='back',
         account='',
-        importance=2,
+        urgency=running_calls.Urgency(2, 2),
         deadline=now + 5.0,
         root_hash=0.5,
     )
@@ -209,12 +211,30 @@
 
     async def test_failed_call_is_held_against_its_request(self) -> None:
         forwarder = self.build(build_reply(FAILURE))
-        self.running.begin('a', 'browse')
+        self.running.begin('a', 'browse', running_calls.Urgency(0, 1))
         item = build_item(open_to_all=True)
         item.parent_id = 'a'
         await forwarder.send(item)
         self.assertTrue(self.running.end('a'))
 
+    async def test_call_of_the_own_target_is_as_urgent_as_its_request(
+        self,
+    ) -> None:
+        forwarder = self.build(build_reply(ANSWER), build_reply(ANSWER))
+        self.running.begin('a', 'order', running_calls.Urgency(1, 0))
+        item = build_item(open_to_all=True)
+        item.parent_id = 'a'
+        await forwarder.send(item)
+        # Nothing is known of the request that this one serves.
+        await forwarder.send(build_item(open_to_all=True))
+        self.assertEqual(
+            [(1, 0), (2, 2)],
+            [
+                (context.importance, context.route_importance)
+                for context in self.replies.contexts
+            ],
+        )
+
     async def test_calls_of_callers_say_nothing_of_the_own_target(
         self,
     ) -> None:
--- a/tests/policy/test_slot_queue.py
+++ b/tests/policy/test_slot_queue.py
@@ -20,6 +20,7 @@
     depth: int = 0,
     route: str = 'browse',
     root_hash: float = 0.0,
+    route_importance: int = 0,
 ) -> slot_queue.Candidate:
     return slot_queue.Candidate(
         call_id=call_id,
@@ -31,6 +32,7 @@
         depth=depth,
         route=route,
         objective_at=objective_at,
+        route_importance=route_importance,
     )
 
 
@@ -98,6 +100,14 @@
             [admission.Start(2)], queue.finish(2000, 0.1, ok=True)
         )
 
+    def test_route_decides_among_equally_important_accounts(self) -> None:
+        queue = build_busy()
+        queue.offer(build_candidate(1, depth=1, route_importance=2), 0.0)
+        queue.offer(build_candidate(2, depth=1, route_importance=0), 0.0)
+        self.assertEqual(
+            [admission.Start(2)], queue.finish(2000, 0.1, ok=True)
+        )
+
     def test_more_important_goes_first(self) -> None:
         queue = build_busy()
         queue.offer(build_candidate(1), 0.0)
--- a/tests/transport/test_path_exploration.py
+++ b/tests/transport/test_path_exploration.py
@@ -168,7 +168,7 @@
             route=RULE,
             service='back',
             account='',
-            importance=2,
+            urgency=running_calls.Urgency(2, 2),
             deadline=now + DEADLINE_S,
             root_hash=0.5,
         )
