Let a node that nobody tells of the nodes ask the store

Nodes that had read the table before c-4's entry had a parent that, with the newer list, had others for children. Ruled out: removals and seclusion (no event of either).

Change: a node that has heard nothing of a table for 2 s, where a parent tells something every 1.2 s, asks the store.

The test failed before.

--- a/src/eelgrasswalk/controllers/feed.py
+++ b/src/eelgrasswalk/controllers/feed.py
@@ -159,7 +159,7 @@
             return
         rows = advance.rows
         if advance.after > self._version:
-            self._catch_up()
+            self.catch_up()
         elif rows.version >= self._version:
             true_at = self.store_clock.translate(rows.store_s, self._clock())
             new = tuple(
@@ -171,7 +171,8 @@
                 -math.inf if true_at is None else true_at,
             )
 
-    def _catch_up(self) -> None:
+    def catch_up(self) -> None:
+        """Ask the store what has changed, unless that is under way."""
         if self._catching_up is None or self._catching_up.done():
             self._catching_up = asyncio.get_running_loop().create_task(
                 self.confirm()
--- a/src/eelgrasswalk/controllers/relay.py
+++ b/src/eelgrasswalk/controllers/relay.py
@@ -10,6 +10,7 @@
 from .. import events
 from .. import ports
 from ..policy import relay_tree
+from . import background
 from . import feed
 
 TOPIC = 'relay'
@@ -17,6 +18,11 @@
 TOPIC_ASK = 'relay-ask'
 # Peers that a node asks at a time, when it has not been told.
 ASKED_PEERS = 2
+# A parent tells its children something at least every 1.2 s. A node that has
+# heard nothing of a table for longer may have a parent that knows another set
+# of nodes; it asks the store.
+SILENCE_S = 2.0
+CHECK_INTERVAL_S = 0.5
 # Longer news is not passed on; each node reads it from the store.
 MOST_BYTES = 196_608
 # The same before it is packed; bounds what a peer can make a node hold.
@@ -87,9 +93,37 @@
         self._loop = asyncio.get_running_loop()
         self._settled_at = self._loop.time() + settle_s
         self._node_ids: tuple[str, ...] = ()
+        self._heard_at = dict.fromkeys(feeds, self._loop.time())
+        self._work = background.Background(self._run)
         for table, each in feeds.items():
             each.on_advance = self._build_handler(table)
 
+    async def start(self) -> None:
+        """Begin to look after tables of which nothing is heard."""
+        await self._work.start()
+
+    async def stop(self) -> None:
+        """End."""
+        await self._work.stop()
+
+    async def _run(self) -> None:
+        while True:
+            pause_s = CHECK_INTERVAL_S * (0.5 + self._random.random())
+            await asyncio.sleep(pause_s)
+            if self.place.parent is not None:
+                self.check_silence(self._loop.time())
+
+    def check_silence(self, now: float) -> None:
+        """Ask the store for tables of which nothing was heard for long.
+
+        Args:
+            now: Loop time.
+        """
+        for table, each in self._feeds.items():
+            if now - self._heard_at[table] > SILENCE_S:
+                self._heard_at[table] = now
+                each.catch_up()
+
     def note_nodes(self) -> None:
         """Find this node's place anew if nodes have come or gone."""
         node_ids = tuple(self._list_nodes())
@@ -117,6 +151,8 @@
         for told in _read_news(node_id, payload):
             following = self._feeds.get(told.table)
             if following is not None:
+                if told.version >= following.version:
+                    self._heard_at[told.table] = self._loop.time()
                 following.take_told(_build_advance(told))
 
     def ask(self, table: str) -> None:
--- a/src/eelgrasswalk/sidecar/node.py
+++ b/src/eelgrasswalk/sidecar/node.py
@@ -98,6 +98,7 @@
         )
         await self._state.rules_feed.start()
         await self._state.roster_feed.start()
+        await self._state.relay.start()
         await self._state.confirmation.start()
         self._starting = asyncio.get_running_loop().create_task(self._join())
 
@@ -164,6 +165,7 @@
             path.admitter.stop()
         await self._state.roster.stop()
         await self._state.confirmation.stop()
+        await self._state.relay.stop()
         await self._state.rules_feed.stop()
         await self._state.roster_feed.stop()
 
--- a/tests/controllers/test_relay.py
+++ b/tests/controllers/test_relay.py
@@ -258,6 +258,26 @@
         await asyncio.sleep(0.05)
         feeds[TABLE].set_watching.assert_called_once_with(True)
 
+    async def test_node_that_nobody_tells_asks_the_store(self) -> None:
+        """Its parent knows another set of nodes."""
+        name = self.find_leaf()
+        self.fleet.lost.add(name)
+        await self.change(b'a')
+        self.fleet.store.calls = 0
+        node = self.fleet.nodes[name]
+        now = asyncio.get_running_loop().time()
+        node.relay.check_silence(now + 0.9 * relay.SILENCE_S)
+        await fake_store.settle()
+        self.assertEqual(0, self.fleet.store.calls)
+        node.relay.check_silence(now + 1.1 * relay.SILENCE_S)
+        await fake_store.settle()
+        self.assertEqual({'row': b'a'}, node.followers[TABLE].rows)
+        # One question for each table, and none soon after.
+        self.assertEqual(2, self.fleet.store.calls)
+        node.relay.check_silence(now + 1.2 * relay.SILENCE_S)
+        await fake_store.settle()
+        self.assertEqual(2, self.fleet.store.calls)
+
     async def test_node_that_the_store_refuses_learns_from_any_peer(
         self,
     ) -> None:
