Apply changed settings on SIGHUP as far as they can change while a node runs

Cause: a node told what had changed in its settings and applied nothing.

Change: times of drain, grace and withdrawal, the bounds on repeats and the slack of accounts, and the memory for bodies count at once; the log line names these, and those that count after a restart: addresses, places, and the window of repeats that is under way. Settings that cannot be read change nothing.

--- a/src/eelgrasswalk/cli/sidecar.py
+++ b/src/eelgrasswalk/cli/sidecar.py
@@ -1,6 +1,5 @@
 """eelgrasswalk-sidecar: the node beside each target on the platform."""
 
-import dataclasses
 import os
 import sys
 
@@ -59,29 +58,25 @@
         check_in_format=check_ins.PlatformCheckIns(),
         dialect=dialect.PlatformDialect(),
     )
+    sidecar = node.Sidecar(config, platform, request_log.RequestLog(budget))
     return app.Application(
-        [node.Sidecar(config, platform, request_log.RequestLog(budget))],
-        on_reload=lambda: check_settings(config),
+        [sidecar], on_reload=lambda: reload_settings(sidecar)
     )
 
 
-def check_settings(running: settings.SidecarSettings) -> None:
-    """Read the settings again and tell what a restart would change.
-
-    Addresses and bounds are those of the process's start; the platform
-    starts processes anew with changed settings when they are to count.
-    """
+def reload_settings(sidecar: node.Sidecar) -> None:
+    """Read the settings again, and tell which of them are in force now."""
     try:
         found = process_settings.load_settings()
     except process_settings.BadSettingsError as error:
         events.log(events.SETTINGS_REJECTED, detail=str(error))
         return
-    changed = [
-        field.name
-        for field in dataclasses.fields(found)
-        if getattr(found, field.name) != getattr(running, field.name)
-    ]
-    events.log(events.SETTINGS_CHANGED, counts_after_restart=changed)
+    reloaded = sidecar.reload(found)
+    events.log(
+        events.SETTINGS_CHANGED,
+        applied=reloaded.applied,
+        counts_after_restart=reloaded.after_restart,
+    )
 
 
 if __name__ == '__main__':
--- a/src/eelgrasswalk/controllers/account_quota.py
+++ b/src/eelgrasswalk/controllers/account_quota.py
@@ -91,6 +91,9 @@
         lower_after_s: Seconds after which a lower limit counts.
         source: Random numbers.
         clock: Monotonic seconds.
+
+    Attributes:
+        slack: What accounts may get beyond their rates.
     """
 
     def __init__(
@@ -115,7 +118,7 @@
         self._send = send
         self._relay = relay
         self._is_dead = is_dead
-        self._slack = slack
+        self.slack = slack
         self._random = source
         self._clock = clock
         self._owned = account_rates.OwnedAccounts(clock())
@@ -286,7 +289,7 @@
             account.rate,
             nodes=self._count_nodes(),
             is_dead=owner is not None and self._is_dead(owner),
-            slack=self._slack,
+            slack=self.slack,
         )
         grant = self._alone.take(account.name, self._clock(), rate=rate)
         return self._judge(grant)
--- a/src/eelgrasswalk/controllers/confirmation.py
+++ b/src/eelgrasswalk/controllers/confirmation.py
@@ -36,6 +36,9 @@
         ask_peers: Asks a few peers what they know of the rules.
         clock: Seconds of a clock that runs through suspension.
         source: Random numbers.
+
+    Attributes:
+        patience: How old the certainty may become.
     """
 
     def __init__(
@@ -53,7 +56,7 @@
         self._keeper = keeper
         self._feed = rules_feed
         self._fresh = fresh
-        self._patience = patience
+        self.patience = patience
         self._get_place = get_place
         self._ask_peers = ask_peers
         self._clock = clock
@@ -141,7 +144,7 @@
 
     def _choose_limit(self) -> float:
         place = self._get_place()
-        patience_s = self._patience.choose(
+        patience_s = self.patience.choose(
             is_root=place.is_root,
             has_children=bool(place.children),
             random_value=self._random.random(),
@@ -165,8 +168,8 @@
             left_s = limit_s - age_s
             if left_s <= 0.0:
                 return
-            if age_s < self._patience.peers_s:
-                left_s = min(left_s, self._patience.peers_s - age_s)
+            if age_s < self.patience.peers_s:
+                left_s = min(left_s, self.patience.peers_s - age_s)
                 has_asked = False
             elif not has_asked:
                 self._ask_peers()
--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -46,6 +46,9 @@
         service: The target's service, for the log.
         drain_s: Seconds after an acknowledged drain in which calls may
             still reach the target.
+
+    Attributes:
+        drain_s: The same, for the next drain.
     """
 
     def __init__(
@@ -70,7 +73,7 @@
         self._faults = target_faults.TargetFaults()
         self._log = log
         self._service = service
-        self._drain_s = drain_s
+        self.drain_s = drain_s
         self._loop = asyncio.get_running_loop()
         self._target_id = ''
         self._closes_at = float('inf')
@@ -90,8 +93,8 @@
         now = clock.read_boot_time()
         if self._closes_at <= now:
             return
-        self._closes_at = now + LATE_SHARE * self._drain_s
-        self._ends_at = now + LAST_SHARE * self._drain_s
+        self._closes_at = now + LATE_SHARE * self.drain_s
+        self._ends_at = now + LAST_SHARE * self.drain_s
 
     async def run(self, call: frames.Call) -> dialler.Reply:
         """Run one attempt and tell the target's load with its outcome."""
--- a/src/eelgrasswalk/policy/retry_budget.py
+++ b/src/eelgrasswalk/policy/retry_budget.py
@@ -49,10 +49,13 @@
 
     Args:
         bounds: The fleet's bound.
+
+    Attributes:
+        bounds: The same; its window stays as it was.
     """
 
     def __init__(self, bounds: RetryBounds) -> None:
-        self._bounds = bounds
+        self.bounds = bounds
         self._bucket_s = bounds.window_s / BUCKETS
         self._services: dict[str, collections.deque[_Bucket]] = {}
 
@@ -80,8 +83,8 @@
         buckets = self._services[service]
         calls = sum(item.calls for item in buckets)
         repeats = sum(item.repeats for item in buckets)
-        allowed = self._bounds.ratio * calls
-        allowed += self._bounds.slack / max(1, nodes)
+        allowed = self.bounds.ratio * calls
+        allowed += self.bounds.slack / max(1, nodes)
         planned = (LEAF_SHARE if is_leaf else INNER_SHARE) * allowed
         if repeats + 1 > planned:
             return False
--- a/src/eelgrasswalk/sidecar/node.py
+++ b/src/eelgrasswalk/sidecar/node.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import time
+import typing
 
 from .. import clock
 from .. import events
@@ -29,12 +30,39 @@
 # be acknowledged within a second.
 BUILD_WAIT_S = 0.8
 METRICS_PATH = '/metrics'
+# Settings that may change while the node runs; the others say where it
+# listens and what it is, or set the length of windows that are under way.
+_LIVE = frozenset(('memory_bytes',))
+_LIVE_BOUNDS = frozenset(
+    (
+        'drain_s',
+        'grace_s',
+        'withdraw_s',
+        'retry_ratio',
+        'retry_slack',
+        'quota_overage',
+        'quota_slack',
+    )
+)
 _NOT_READY = verdict.Response(503, (), b'')
 _NOT_FOUND = verdict.Response(404, (), b'')
 _TEXT = ((b'content-type', b'text/plain; version=0.0.4'),)
 _READY = verdict.Response(200, (), b'ready\n')
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reloaded:
+    """What became of settings that were read again.
+
+    Args:
+        applied: Names of those that are in force now.
+        after_restart: Names of those that count after the next start.
+    """
+
+    applied: tuple[str, ...]
+    after_restart: tuple[str, ...]
+
+
 class Sidecar:
     """Entry for callers, exit for its target's calls, gate of its target.
 
@@ -122,6 +150,30 @@
         await self._close()
         events.log(events.NODE_STOPPED)
 
+    def reload(self, found: settings.SidecarSettings) -> Reloaded:
+        """Put what may change while the node runs in force.
+
+        Args:
+            found: The settings as they are now.
+        """
+        bounds = self.config.bounds
+        fields = _list_changed(self.config, found) - {'bounds'}
+        bound_fields = _list_changed(bounds, found.bounds)
+        self.config = dataclasses.replace(
+            self.config,
+            bounds=_replace_fields(
+                bounds, found.bounds, bound_fields & _LIVE_BOUNDS
+            ),
+            **{name: getattr(found, name) for name in fields & _LIVE},
+        )
+        self._state = dataclasses.replace(self._state, config=self.config)
+        wiring.apply_settings(self._state, self.path)
+        live = (fields & _LIVE) | (bound_fields & _LIVE_BOUNDS)
+        return Reloaded(
+            tuple(sorted(live)),
+            tuple(sorted((fields | bound_fields) - live)),
+        )
+
     async def _join(self) -> None:
         """Learn of the other nodes, then build what calls pass through."""
         state = self._state
@@ -269,3 +321,22 @@
                 ),
             }
         return gauges
+
+
+def _list_changed(old: typing.Any, new: typing.Any) -> frozenset[str]:
+    """Return the names of the fields in which two data classes differ."""
+    return frozenset(
+        field.name
+        for field in dataclasses.fields(old)
+        if getattr(old, field.name) != getattr(new, field.name)
+    )
+
+
+def _replace_fields(
+    old: settings.Bounds,
+    new: settings.Bounds,
+    names: frozenset[str],
+) -> settings.Bounds:
+    return dataclasses.replace(
+        old, **{name: getattr(new, name) for name in names}
+    )
--- a/src/eelgrasswalk/sidecar/wiring.py
+++ b/src/eelgrasswalk/sidecar/wiring.py
@@ -114,6 +114,8 @@
     check_ins: check_ins.CheckInKeeper
     reaper: reaper.Reaper
     book: directory.Directory[spread.Spread]
+    repeats: retry_budget.RetryBudget
+    quotas: account_quota.AccountQuota
 
     def find_address(self, node_id: str) -> control_router.Address | None:
         """Return where a node accepts links, or None."""
@@ -186,12 +188,7 @@
             keeper=keeper,
             rules_feed=rules_feed,
             fresh=fresh,
-            patience=freshness.Patience(
-                peers_s=PEERS_PART * fresh.limit_s,
-                early_s=EARLY_PART * fresh.limit_s,
-                late_s=LATE_PART * fresh.limit_s,
-                spread_s=SPREAD_PART * fresh.limit_s,
-            ),
+            patience=_build_patience(fresh.limit_s),
             get_place=lambda: news.place,
             ask_peers=lambda: news.ask(platform.rule_source.table),
             clock=clock.read_boot_time,
@@ -207,6 +204,50 @@
     )
 
 
+def apply_settings(state: State, path: Path | None) -> None:
+    """Put the settings that may change while the node runs in force.
+
+    Args:
+        state: What the node knows; its settings are those to put in force.
+        path: The parts that calls pass through; None before they are built.
+    """
+    bounds = state.config.bounds
+    state.fresh.limit_s = bounds.withdraw_s - FRESH_MARGIN_S
+    state.confirmation.patience = _build_patience(state.fresh.limit_s)
+    state.bodies.limit = int(state.config.memory_bytes * BODY_MEMORY_SHARE)
+    if path is not None:
+        path.gate.drain_s = bounds.drain_s
+        path.repeats.bounds = _build_retry_bounds(bounds)
+        path.quotas.slack = _build_slack(bounds)
+
+
+def _build_patience(limit_s: float) -> freshness.Patience:
+    return freshness.Patience(
+        peers_s=PEERS_PART * limit_s,
+        early_s=EARLY_PART * limit_s,
+        late_s=LATE_PART * limit_s,
+        spread_s=SPREAD_PART * limit_s,
+    )
+
+
+def _build_retry_bounds(
+    bounds: settings.Bounds,
+) -> retry_budget.RetryBounds:
+    return retry_budget.RetryBounds(
+        ratio=bounds.retry_ratio,
+        window_s=bounds.retry_window_s,
+        slack=bounds.retry_slack,
+    )
+
+
+def _build_slack(bounds: settings.Bounds) -> account_rates.Slack:
+    return account_rates.Slack(
+        overage=bounds.quota_overage,
+        tokens=bounds.quota_slack,
+        window_s=bounds.quota_window_s,
+    )
+
+
 def build_path(state: State, *, incarnation: int, secret: bytes) -> Path:
     """Build what calls pass through."""
     config = state.config
@@ -237,8 +278,24 @@
         bodies=state.bodies,
         on_control=state.router.receive,
     )
+    quotas = _build_quotas(state, links)
+    repeats = retry_budget.RetryBudget(_build_retry_bounds(config.bounds))
+    forwarder = forward.Forwarder(
+        transmitter=transmit.Transmitter(
+            node_id=config.node_id,
+            book=state.book,
+            links=links,
+            runner=guard,
+        ),
+        balancer=state.book.balancer,
+        running=running,
+        shares=shares,
+        repeats=repeats,
+        count_nodes=lambda: len(state.roster.roster),
+        source=state.source,
+    )
     path = Path(
-        front=_build_front(state, links, guard, running, shares),
+        front=_build_front(state, forwarder, quotas),
         gate=guard,
         admitter=admitter,
         pool=pool,
@@ -258,6 +315,8 @@
             source=state.source,
         ),
         book=state.book,
+        repeats=repeats,
+        quotas=quotas,
     )
     state.router.links = path
     return path
@@ -291,39 +350,16 @@
 
 def _build_front(
     state: State,
-    links: dialler.Dialler,
-    guard: gate.Gate,
-    running: running_calls.RunningCalls,
-    shares: root_share.RootShares,
+    forwarder: forward.Forwarder,
+    quotas: account_quota.AccountQuota,
 ) -> front.Front:
     config = state.config
-    bounds = config.bounds
-    forwarder = forward.Forwarder(
-        transmitter=transmit.Transmitter(
-            node_id=config.node_id,
-            book=state.book,
-            links=links,
-            runner=guard,
-        ),
-        balancer=state.book.balancer,
-        running=running,
-        shares=shares,
-        repeats=retry_budget.RetryBudget(
-            retry_budget.RetryBounds(
-                ratio=bounds.retry_ratio,
-                window_s=bounds.retry_window_s,
-                slack=bounds.retry_slack,
-            )
-        ),
-        count_nodes=lambda: len(state.roster.roster),
-        source=state.source,
-    )
     return front.Front(
         state.platform.dialect,
         service=config.service,
         get_table=state.rules.get_table,
         fresh=state.fresh,
-        quotas=_build_quotas(state, links),
+        quotas=quotas,
         forward=forwarder.send,
         log=state.log,
         boot_clock=clock.read_boot_time,
@@ -343,11 +379,7 @@
         send=state.router.send,
         relay=state.confirmation,
         is_dead=links.is_refused,
-        slack=account_rates.Slack(
-            overage=bounds.quota_overage,
-            tokens=bounds.quota_slack,
-            window_s=bounds.quota_window_s,
-        ),
+        slack=_build_slack(bounds),
         lower_after_s=bounds.apply_s + LOWER_GRACE_S,
         source=state.source,
     )
--- a/tests/integration/test_sidecar_path.py
+++ b/tests/integration/test_sidecar_path.py
@@ -1,6 +1,7 @@
 """The whole path on the platform, with real node processes."""
 
 import asyncio
+import json
 import os
 import signal
 import subprocess
@@ -244,6 +245,39 @@
         await self.wait_for(is_told)
         self.assertTrue(await self.is_served(front, 'back'))
 
+    async def test_changed_settings_count_as_far_as_they_can(self) -> None:
+        await self.start_all()
+        front = self.nodes[0]
+        fields = json.loads(front.settings.read_text())
+        fields['bounds'] = {'drain_ms': 1500, 'budget_window_s': 20}
+        fields['limits'] = {'memory_mb': 200}
+        front.settings.write_text(json.dumps(fields))
+        front.send_signal(signal.SIGHUP)
+        told: list[dict[str, typing.Any]] = []
+
+        async def is_told() -> bool:
+            told[:] = [
+                line for line in front.read_log() if line['event'] == 1005
+            ]
+            return bool(told)
+
+        await self.wait_for(is_told)
+        self.assertEqual(['drain_s', 'memory_bytes'], told[0]['applied'])
+        self.assertEqual(['retry_window_s'], told[0]['counts_after_restart'])
+        self.assertTrue(await self.is_served(front, 'back'))
+
+    async def test_settings_that_cannot_be_read_change_nothing(self) -> None:
+        await self.start_all()
+        front = self.nodes[0]
+        front.settings.write_text('{"node_id": ')
+        front.send_signal(signal.SIGHUP)
+
+        async def is_told() -> bool:
+            return any(line['event'] == 1006 for line in front.read_log())
+
+        await self.wait_for(is_told)
+        self.assertTrue(await self.is_served(front, 'back'))
+
     async def test_node_that_stops_is_not_ready(self) -> None:
         await self.start_all()
         front = self.nodes[0]
