Send a call elsewhere while the dial to its upstream hangs

Cause: a call to a node without a link waited up to 1.5 s for the dial, though nothing was sent and another upstream could take it.

Change: a call waits 0.4 s for a new link, then goes on to another upstream; the dial goes on. The test failed before.

--- a/src/eelgrasswalk/transport/dialler.py
+++ b/src/eelgrasswalk/transport/dialler.py
@@ -17,6 +17,9 @@
 from . import liveness
 
 DIAL_TIMEOUT_S = 1.5
+# A call waits for a new link no longer than this: nothing was sent, so it may
+# go elsewhere. The dial goes on, as a first packet may have been lost.
+DIAL_PATIENCE_S = 0.4
 DIAL_BACKOFF_S = 0.05
 MAX_DIAL_BACKOFF_S = 0.5
 # A peer cancels the work of a lost link after as long; no answer comes later.
@@ -320,7 +323,8 @@
 
     async def _ensure_link(self, deadline: float) -> bool:
         if self._link is None:
-            await self._dial(deadline)
+            patience_ends = self._loop.time() + DIAL_PATIENCE_S
+            await self._dial(min(deadline, patience_ends))
         return self._link is not None
 
     async def _dial(self, deadline: float) -> bool:
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -255,6 +255,21 @@
         assert isinstance(reply.outcome, verdict.NotRun), reply
         self.assertIs(verdict.Reason.NO_UPSTREAM, reply.outcome.reason)
 
+    async def test_call_does_not_wait_for_a_dial_that_hangs(self) -> None:
+        """Nothing was sent, so the call may go to another upstream."""
+        self.valve.swallow_back = True
+        with (
+            unittest.mock.patch.object(dialler, 'DIAL_TIMEOUT_S', 2 * WAIT_S),
+            unittest.mock.patch.object(dialler, 'DIAL_PATIENCE_S', 0.05),
+            unittest.mock.patch.object(link, 'HANDSHAKE_TIMEOUT_S', WAIT_S),
+        ):
+            async with asyncio.timeout(WAIT_S / 2):
+                reply = await self.start_call(self.build_call())
+        assert isinstance(reply.outcome, verdict.NotRun), reply
+        self.assertIs(verdict.Reason.NO_UPSTREAM, reply.outcome.reason)
+        self.assertTrue(reply.outcome.retry_elsewhere)
+        self.assertEqual([], self.runner.runs)
+
     async def test_wrong_secret_opens_no_link(self) -> None:
         self.dialler = self.build_dialler(b'another secret')
         reply = await self.start_call(self.build_call())
