--- a/src/eelgrasswalk/bench/cost_worker.py
+++ b/src/eelgrasswalk/bench/cost_worker.py
@@ -24,7 +24,7 @@
 
 # Stages by part of the path of a source file; the first that fits counts.
 STAGES = (
-    ('http server', ('transport/http_server', 'transport/problem')),
+    ('http server', ('transport/server_connection', 'transport/problem')),
     ('target', ('transport/http_client', 'transport/client_connection')),
     ('dialect', ('platform/dialect', 'transport/message')),
     ('links', ('transport/', 'msgspec')),
--- a/src/eelgrasswalk/filters/forward.py
+++ b/src/eelgrasswalk/filters/forward.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections.abc
-import dataclasses
 import math
 import random
 import time
@@ -23,6 +22,7 @@
 from ..transport import dialler
 from ..transport import frames
 from . import front
+from . import progress
 from . import transmit
 
 # Attempts of one call, most of which reach no target.
@@ -31,43 +31,6 @@
 AT_ONCE_S = 0.001
 # Shortest time after which a refused caller may come back.
 LEAST_PAUSE_S = 0.1
-_NEVER_ARRIVED = frozenset(
-    (
-        verdict.Reason.NO_UPSTREAM,
-        verdict.Reason.TARGET_UNREACHABLE,
-        verdict.Reason.FENCED,
-        verdict.Reason.LEAVING,
-        verdict.Reason.OVERLOAD,
-        verdict.Reason.MEMORY,
-    )
-)
-
-
-@dataclasses.dataclass(slots=True)
-class _Progress:
-    """What the attempts of one call have met so far.
-
-    Args:
-        attempts: How many there were that might wait.
-        probed: Nodes where a free slot was looked for in vain; a call waits
-            there only if it cannot wait anywhere else.
-        tried: Nodes that were tried.
-        arrived_at: Nodes whose target has seen the call, or may have. Once
-            there are as many as the route allows, a call that its target
-            refused goes to one of them again.
-    """
-
-    attempts: int = 0
-    probed: set[str] = dataclasses.field(default_factory=set)
-    tried: set[str] = dataclasses.field(default_factory=set)
-    arrived_at: set[str] = dataclasses.field(default_factory=set)
-
-    def note(self, node_id: str, outcome: verdict.Failure) -> None:
-        """Take what became of an attempt that might wait."""
-        self.attempts += 1
-        self.tried.add(node_id)
-        if _has_arrived(outcome):
-            self.arrived_at.add(node_id)
 
 
 class Forwarder:
@@ -142,14 +105,14 @@
     ) -> tuple[verdict.Verdict, float]:
         """Return what became of a call, and what starves at its upstream."""
         self._repeats.count_call(item.service, self._clock())
-        progress = _Progress()
+        met = progress.Progress()
         failure: verdict.Failure = verdict.NotRun(verdict.Reason.NO_UPSTREAM)
         starved = 0.0
         while True:
-            upstream = self._choose(item, progress)
+            upstream = self._choose(item, met)
             if upstream is None:
                 return self._give_up(failure), starved
-            may_wait = not self._may_probe(item, progress)
+            may_wait = not self._may_probe(item, met)
             reply = await self._attempt(item, upstream, may_wait=may_wait)
             outcome = reply.outcome
             self._note_room(item, reply)
@@ -157,21 +120,21 @@
                 starved = reply.feedback.starved
             if isinstance(outcome, verdict.Answered):
                 return outcome, starved
-            if not may_wait and _is_full(outcome):
-                progress.probed.add(upstream.node_id)
+            if not may_wait and progress.is_full(outcome):
+                met.probed.add(upstream.node_id)
                 continue
             failure = verdict.combine(failure, outcome)
-            progress.note(upstream.node_id, outcome)
-            if not self._may_repeat(item, outcome, progress):
+            met.note(upstream.node_id, outcome)
+            if not self._may_repeat(item, outcome, met):
                 return self._give_up(failure), starved
 
-    def _may_probe(self, item: front.Item, progress: _Progress) -> bool:
+    def _may_probe(self, item: front.Item, met: progress.Progress) -> bool:
         """Return whether the next attempt only looks for a free slot."""
-        if progress.attempts or progress.arrived_at:
+        if met.attempts or met.arrived_at:
             return False
         return self._probing.allow(
             item.service,
-            probes=len(progress.probed),
+            probes=len(met.probed),
             targets=self._balancer.count_targets(item.service),
             random_value=self._random.random(),
         )
@@ -180,20 +143,18 @@
         feedback = reply.feedback
         if feedback is None:
             return
-        is_full = _is_full(reply.outcome)
+        is_full = progress.is_full(reply.outcome)
         found = not is_full and feedback.queue_delay_s < AT_ONCE_S
         self._probing.observe(item.service, found=found)
 
     def _choose(
-        self, item: front.Item, progress: _Progress
+        self, item: front.Item, met: progress.Progress
     ) -> balance.Upstream | None:
-        if len(progress.arrived_at) >= item.route.max_upstreams:
-            return self._choose_among(
-                item, frozenset(), among=progress.arrived_at
-            )
-        tried = progress.tried
-        if progress.probed:
-            found = self._choose_among(item, tried | progress.probed)
+        if len(met.arrived_at) >= item.route.max_upstreams:
+            return self._choose_among(item, frozenset(), among=met.arrived_at)
+        tried = met.tried
+        if met.probed:
+            found = self._choose_among(item, tried | met.probed)
             if found is not None:
                 return found
         return self._choose_among(item, tried)
@@ -229,11 +190,11 @@
         self,
         item: front.Item,
         outcome: verdict.Failure,
-        progress: _Progress,
+        met: progress.Progress,
     ) -> bool:
         if self._loop.time() >= item.deadline:
             return False
-        if progress.attempts >= MAX_ATTEMPTS:
+        if met.attempts >= MAX_ATTEMPTS:
             return False
         if isinstance(outcome, verdict.MayHaveRun):
             if not item.route.idempotent:
@@ -242,10 +203,10 @@
                 return False
         elif not outcome.retry_elsewhere:
             return False
-        if not _has_arrived(outcome):
+        if not progress.has_arrived(outcome):
             return True
         is_doubt = isinstance(outcome, verdict.MayHaveRun)
-        if is_doubt and len(progress.arrived_at) >= item.route.max_upstreams:
+        if is_doubt and len(met.arrived_at) >= item.route.max_upstreams:
             return False
         return self._repeats.take(
             item.service,
@@ -376,22 +337,6 @@
     return outcome.reason.value
 
 
-def _has_arrived(outcome: verdict.Failure) -> bool:
-    """Return whether the target has seen the call, or may have."""
-    if isinstance(outcome, verdict.MayHaveRun):
-        return True
-    return outcome.reason not in _NEVER_ARRIVED
-
-
-def _is_full(outcome: verdict.Verdict) -> bool:
-    """Return whether a target's node had no room, where another may."""
-    return (
-        isinstance(outcome, verdict.NotRun)
-        and outcome.reason is verdict.Reason.OVERLOAD
-        and outcome.retry_elsewhere
-    )
-
-
 def _is_own_call(item: front.Item) -> bool:
     """Return whether this node's own target makes the call."""
     # Only targets call on open routes.
--- a/tests/bench/test_cost.py
+++ b/tests/bench/test_cost.py
@@ -13,7 +13,7 @@
 class StageTest(unittest.TestCase):
     def test_files_belong_to_the_first_stage_that_fits(self) -> None:
         for path, stage in (
-            ('/x/eelgrasswalk/transport/http_server.py', 'http server'),
+            ('/x/eelgrasswalk/transport/server_connection.py', 'http server'),
             ('/x/eelgrasswalk/transport/codec.py', 'links'),
             ('/x/eelgrasswalk/controllers/account_quota.py', 'quota'),
             ('/x/eelgrasswalk/controllers/feed.py', 'control'),
