End a node's process at once after its stop

The signal was blocked, but in the main thread only; threads of libraries took it, and the loop's closing had restored the default handler. Shown by a process with one more thread, which ended with -15 each time.

Change: the process ends inside the loop once every part has stopped and the logs are flushed, while the loop's handlers are still there. Interpreters that tear down for some hundred ms no longer count against the time for a stop.

--- a/src/eelgrasswalk/app.py
+++ b/src/eelgrasswalk/app.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import contextlib
+import logging
+import os
 import signal
+import sys
 import typing
 
 import anyio
@@ -73,7 +76,7 @@
 def run_application(
     build: typing.Callable[[], tuple[Application, typing.Callable[[], None]]],
 ) -> None:
-    """Build and run an application on anyio's asyncio backend with uvloop.
+    """Run an application on anyio's asyncio backend, and end the process.
 
     Args:
         build: Returns the application and what to call when it is ready.
@@ -83,8 +86,12 @@
         application, on_ready = build()
         application.handle_signals()
         await application.run(on_ready)
-        # The interpreter restores the default handlers while it ends; one
-        # more signal would then end the process as if it had been killed.
-        signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
+        # The interpreter restores the default handlers while it ends, and
+        # other threads take signals that this one blocks; one more signal
+        # would then end the process as if it had been killed.
+        logging.shutdown()
+        for stream in (sys.stdout, sys.stderr):
+            stream.flush()
+        os._exit(0)
 
     anyio.run(run, backend='asyncio', backend_options={'use_uvloop': True})
