--- a/src/eelgrasswalk/controllers/roster.py
+++ b/src/eelgrasswalk/controllers/roster.py
@@ -211,8 +211,23 @@
 
     def list_lasting(self) -> list[str]:
         """Return the nodes that others reach and that are not stopping."""
+        return [entry.node_id for entry in self._list_lasting_entries()]
+
+    def list_owners(self) -> list[str]:
+        """Return the nodes that may own accounts.
+
+        Hosts go with their targets, sometimes without a word once the target
+        is leaving, so accounts move to others before.
+        """
         return [
             entry.node_id
+            for entry in self._list_lasting_entries()
+            if entry.state is not roster.TargetState.DRAINING
+        ]
+
+    def _list_lasting_entries(self) -> list[roster.Entry]:
+        return [
+            entry
             for entry in self.roster.list_entries()
             if not entry.stopping and not entry.secluded
         ]
--- a/src/eelgrasswalk/sidecar/wiring.py
+++ b/src/eelgrasswalk/sidecar/wiring.py
@@ -375,7 +375,7 @@
     bounds = state.config.bounds
     quotas = account_quota.AccountQuota(
         state.config.node_id,
-        list_owners=state.roster.list_lasting,
+        list_owners=state.roster.list_owners,
         count_nodes=lambda: len(state.roster.roster),
         get_table=state.rules.get_table,
         send=state.router.send,
--- a/tests/controllers/test_roster.py
+++ b/tests/controllers/test_roster.py
@@ -229,3 +229,13 @@
             ports.Rows((build_row(OWN), build_row(stopping)), 1), 0.0
         )
         self.assertEqual(['n1'], self.keeper.list_lasting())
+        self.assertEqual(['n1'], self.keeper.list_owners())
+
+    async def test_nodes_whose_target_leaves_own_nothing(self) -> None:
+        """Their hosts go with the targets, sometimes without a word."""
+        leaving = dataclasses.replace(OTHER, state=roster.TargetState.DRAINING)
+        self.keeper.take_all(
+            ports.Rows((build_row(OWN), build_row(leaving)), 1), 0.0
+        )
+        self.assertEqual(['n1', 'n2'], self.keeper.list_lasting())
+        self.assertEqual(['n1'], self.keeper.list_owners())
