--- a/tests/test_app.py
+++ b/tests/test_app.py
@@ -1,5 +1,6 @@
 """Tests of the application's life cycle, in a process of its own."""
 
+import http.client
 import subprocess
 import sys
 import unittest
@@ -36,6 +37,35 @@
 )
 
 
+# Answers one request, and is asked to stop while it does.
+LAST_ANSWER = """
+from eelgrasswalk import app
+from eelgrasswalk import verdict
+from eelgrasswalk.transport import http_server
+
+class Listener:
+    async def start(self):
+        self.server = http_server.HttpServer(
+            self.answer, limits=http_server.Limits()
+        )
+        print((await self.server.start('127.0.0.1', 0))[1], flush=True)
+
+    async def answer(self, request):
+        self.application.request_stop()
+        return verdict.Response(200, (), b'x' * 50_000)
+
+    async def stop(self):
+        await self.server.drain()
+
+def build():
+    listener = Listener()
+    listener.application = app.Application([listener])
+    return listener.application, lambda: None
+
+app.run_application(build)
+"""
+
+
 class StopTest(unittest.TestCase):
     def test_a_second_stop_signal_changes_nothing(self) -> None:
         """A stop asked for once more while the interpreter ends."""
@@ -61,3 +91,20 @@
             check=False,
         )
         self.assertEqual('last words\n', result.stdout)
+
+    def test_last_answer_is_sent_before_the_process_ends(self) -> None:
+        process = subprocess.Popen(
+            [sys.executable, '-c', LAST_ANSWER],
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        assert process.stdout is not None
+        self.addCleanup(process.stdout.close)
+        port = int(process.stdout.readline())
+        connection = http.client.HTTPConnection('127.0.0.1', port, timeout=60)
+        self.addCleanup(connection.close)
+        connection.request('GET', '/')
+        self.assertEqual(50_000, len(connection.getresponse().read()))
+        self.assertEqual(0, process.wait(60))
