Keep the platform's words in the stand-ins, and mend twins found by reading

Found by reading the whole change once more. Nodes behave as before.

- `bench/cost` spelled names of the platform's wire, which belong to `platform/` and the stand-ins, and repeated the configuration and settings of the integration tests.
`standins/deployment` holds them once for both; the free ports of a node are found by `bench/mesh`.
- The rule on bytes that are no body stood in both HTTP connections; it is one function of `transport/message`.
- Questions and answers about accounts decoded alike; one function does.
- The relay built the summary of a table in two places, one of them by hand.
- A branch of the search for a free slot could not be reached.
- `dispatch` drew random bytes for each attempt where `attempt_ids` counts.
- `bench fleet` let a call wait where it had just looked, which the node does only if there is nobody else.

--- a/src/eelgrasswalk/bench/cost.py
+++ b/src/eelgrasswalk/bench/cost.py
@@ -14,16 +14,16 @@
 import uvloop
 
 from ..standins import app
+from ..standins import deployment
 from ..standins import rows
 from ..transport import http_client
-from ..transport import message
 from . import mesh
 from . import report
 
-HOST = 'shop.example'
-KEY = b'bench-key'
 SERVICES = ('front', 'back')
 IN_FLIGHT = 8
+# Calls a second; accounts without a limit are not asked for.
+UNBOUNDED = 1_000_000
 START_LIMIT_S = 20.0
 POLL_S = 0.05
 BODY = b'x' * 400
@@ -93,7 +93,10 @@
     async def start(self) -> Worker:
         """Start everything, and return when calls are served."""
         port = await self._store.start()
-        self._store.put('op', 'config', _build_config())
+        config = deployment.build_config(
+            1, SERVICES, rate=UNBOUNDED, burst=UNBOUNDED
+        )
+        self._store.put('op', 'config', config)
         paths = [
             await self._prepare(index, port) for index in range(len(SERVICES))
         ]
@@ -125,26 +128,20 @@
         await self._store.stop()
 
     async def _prepare(self, index: int, store_port: int) -> pathlib.Path:
-        ports = _find_ports()
+        ports = mesh.find_sidecar_ports()
         self._ports.append(ports)
         service = SERVICES[index]
         path = self._folder / f'{service}.json'
-        fields = {
-            'node_id': f'{service}-{index}',
-            'ip': '127.0.0.1',
-            'zone': 'here',
-            'service': service,
-            'listen': {
-                'outbound': f'127.0.0.1:{ports[0]}',
-                'ready': f'127.0.0.1:{ports[1]}',
-                'control': f'127.0.0.1:{ports[2]}',
-            },
-            'internal_ports': ports[3:],
-            'app_addr': f'127.0.0.1:{await self._apps[index].start()}',
-            'platform': {'address': f'127.0.0.1:{store_port}'},
-            'bounds': {},
-        }
-        path.write_text(json.dumps(fields))
+        deployment.write_settings(
+            path,
+            node_id=f'{service}-{index}',
+            service=service,
+            data_centre='here',
+            ports=ports,
+            target_port=await self._apps[index].start(),
+            store_port=store_port,
+            bounds={},
+        )
         return path
 
     async def _is_served(self) -> bool:
@@ -159,17 +156,11 @@
     async def call(self) -> bool:
         """Send one call to the other node's target."""
         assert self._pool is not None
-        request = message.Request(
+        request = deployment.build_call(
             'POST',
             '/back/safe/item?page=1',
-            (
-                (b'host', HOST.encode()),
-                (b'attempt-id', b'%016x' % next(self._numbers)),
-                (b'request-deadline', b'3000'),
-                (b'authorization', b'Bearer ' + KEY),
-                (b'accept', b'*/*'),
-            ),
-            BODY,
+            request_id=f'{next(self._numbers):016x}',
+            body=BODY,
         )
         outcome = await self._pool.send(request, max_answer_bytes=100_000)
         return (
@@ -196,51 +187,6 @@
         return answered
 
 
-def _find_ports() -> list[int]:
-    """Return free ports, the last two side by side."""
-    while True:
-        ports = mesh.find_free_ports(5)
-        if ports[-1] == ports[-2] + 1:
-            return ports
-
-
-def _build_config() -> bytes:
-    rules = [
-        {
-            'name': service,
-            'kind': 'safe',
-            'target_latency_ms': 1000,
-            'priority': 1,
-            'auth_exempt': False,
-            'match': {'prefix': f'/{service}/safe/'},
-            'action': {
-                'service': service,
-                'timeout_ms': 3000,
-                'max_attempts': 2,
-            },
-        }
-        for service in SERVICES
-    ]
-    account = {
-        'name': 'bench',
-        'api_keys': [KEY.decode()],
-        'rate_per_s': 1_000_000,
-        'burst': 1_000_000,
-    }
-    return json.dumps(
-        {
-            'version': 1,
-            'limits': {},
-            'tenants': [account],
-            'listeners': [{'hostname': HOST, 'rule_set': rules}],
-            'clusters': [
-                {'name': service, 'max_connections': 1000}
-                for service in SERVICES
-            ],
-        }
-    ).encode()
-
-
 async def measure(plan: Plan, source: pathlib.Path) -> dict[str, typing.Any]:
     """Return the figures of one source tree."""
     with tempfile.TemporaryDirectory() as folder:
--- a/src/eelgrasswalk/bench/fleet.py
+++ b/src/eelgrasswalk/bench/fleet.py
@@ -89,8 +89,8 @@
     began_at: float
     work: float
     attempts: int = 0
-    probes: int = 0
     is_probe: bool = False
+    probed: set[str] = dataclasses.field(default_factory=set)
     tried: set[str] = dataclasses.field(default_factory=set)
     sent_at: float = 0.0
 
@@ -213,18 +213,13 @@
             call.caller
         ].allow(
             SERVICE,
-            probes=call.probes,
+            probes=len(call.probed),
             targets=self._plan.targets,
             random_value=self._random.random(),
         )
-        chosen = chooser.choose(
-            SERVICE,
-            self._now,
-            (self._random.random(), self._random.random()),
-            excluded=call.tried if call.is_probe or call.attempts else set(),
-            route=call.kind.name,
-            left_s=call.began_at + call.kind.deadline_s - self._now,
-        )
+        chosen = self._choose(call, call.tried | call.probed)
+        if chosen is None and call.probed:
+            chosen = self._choose(call, call.tried)
         if chosen is None:
             return
         call.sent_at = self._now
@@ -235,6 +230,18 @@
             self._delay(call, target), lambda: self._reach(call, target)
         )
 
+    def _choose(
+        self, call: _Call, excluded: set[str]
+    ) -> balance.Upstream | None:
+        return self._spreads[call.caller].choose(
+            SERVICE,
+            self._now,
+            (self._random.random(), self._random.random()),
+            excluded=excluded,
+            route=call.kind.name,
+            left_s=call.began_at + call.kind.deadline_s - self._now,
+        )
+
     def _delay(self, call: _Call, target: _Target) -> float:
         is_near = call.caller % DATA_CENTRES == target.index % DATA_CENTRES
         return NEAR_S if is_near else FAR_S
@@ -320,10 +327,10 @@
             if waited_s <= limit_s and call.began_at > SETTLE_S:
                 self.timely[call.kind.name] += 1
             return
-        call.tried.add(target.node_id)
         if call.is_probe:
-            call.probes += 1
+            call.probed.add(target.node_id)
         else:
+            call.tried.add(target.node_id)
             call.attempts += 1
         if call.attempts < MOST_ATTEMPTS and waited_s < call.kind.deadline_s:
             self._send(call)
--- a/src/eelgrasswalk/bench/mesh.py
+++ b/src/eelgrasswalk/bench/mesh.py
@@ -21,6 +21,7 @@
 FIRST_PORT = 10_240
 LAST_PORT = 32_000
 PORTS_APART = 211
+PORTS_PER_SIDECAR = 5
 SECRET = 'a secret for tests and the demo only'
 
 
@@ -179,3 +180,16 @@
 
 
 _CANDIDATES = _list_candidates()
+
+
+def find_sidecar_ports() -> list[int]:
+    """Return free ports for a node on the platform.
+
+    Returns:
+        Callers, readiness, check-ins, and two side by side for links and
+        metrics.
+    """
+    while True:
+        ports = find_free_ports(PORTS_PER_SIDECAR)
+        if ports[-1] == ports[-2] + 1:
+            return ports
--- a/src/eelgrasswalk/controllers/account_quota.py
+++ b/src/eelgrasswalk/controllers/account_quota.py
@@ -44,6 +44,7 @@
     store_s: float
 
 
+MessageT = typing.TypeVar('MessageT', _Ask, _Answer)
 _ASKS = msgspec.msgpack.Decoder(_Ask)
 _ANSWERS = msgspec.msgpack.Decoder(_Answer)
 
@@ -225,17 +226,15 @@
 
     def receive_grant(self, node_id: str, payload: bytes) -> None:
         """Take an owner's answer."""
-        try:
-            answer = _ANSWERS.decode(payload)
-        except msgspec.DecodeError as error:
-            _reject(node_id, error)
+        answer = _decode(_ANSWERS, node_id, payload)
+        if answer is None:
             return
         self._relay.hear(answer.version, answer.store_s)
         account = answer.account
         asking = self._asking.get(account)
-        if asking is None or asking.number != answer.number:
+        if asking is None or not asking.asked:
             return
-        if not asking.asked:
+        if asking.number != answer.number:
             return
         if answer.tokens < 0:
             # The node that was asked does not take itself for the owner.
@@ -298,10 +297,8 @@
 
     def receive_ask(self, node_id: str, payload: bytes) -> None:
         """Answer a node that asks for tokens."""
-        try:
-            ask = _ASKS.decode(payload)
-        except msgspec.DecodeError as error:
-            _reject(node_id, error)
+        ask = _decode(_ASKS, node_id, payload)
+        if ask is None:
             return
         self._relay.hear(ask.version, ask.store_s)
         account = ask.account
@@ -321,5 +318,12 @@
         self._send(node_id, TOPIC_GRANT, msgspec.msgpack.encode(answer))
 
 
-def _reject(node_id: str, error: msgspec.DecodeError) -> None:
-    events.log(events.NEWS_REJECTED, peer=node_id, detail=str(error))
+def _decode(
+    decoder: 'msgspec.msgpack.Decoder[MessageT]', node_id: str, payload: bytes
+) -> MessageT | None:
+    """Return a node's message, or None when it cannot be read."""
+    try:
+        return decoder.decode(payload)
+    except msgspec.DecodeError as error:
+        events.log(events.NEWS_REJECTED, peer=node_id, detail=str(error))
+        return None
--- a/src/eelgrasswalk/controllers/feed.py
+++ b/src/eelgrasswalk/controllers/feed.py
@@ -206,9 +206,10 @@
         after = self._version
         outcome = await self._store.watch(self._table, after, 0.0)
         if isinstance(outcome, ports.HistoryGone):
-            outcome = await self._read() or outcome
-            if isinstance(outcome, ports.HistoryGone):
+            unavailable = await self._read()
+            if unavailable is None:
                 return True
+            outcome = unavailable
         if isinstance(outcome, ports.Unavailable):
             if not self._watches:
                 self._note_failure(outcome)
--- a/src/eelgrasswalk/controllers/relay.py
+++ b/src/eelgrasswalk/controllers/relay.py
@@ -1,6 +1,7 @@
 """Passes on what the store holds, so that few nodes have to ask it."""
 
 import asyncio
+import functools
 import random
 import typing
 import zlib
@@ -101,7 +102,7 @@
         self._heard_at = dict.fromkeys(feeds, self._loop.time())
         self._work = background.Background(self._run)
         for table, each in feeds.items():
-            each.on_advance = self._build_handler(table)
+            each.on_advance = functools.partial(self._tell, table)
 
     async def start(self) -> None:
         """Begin to look after tables of which nothing is heard."""
@@ -193,11 +194,6 @@
             if len(news) <= MOST_BYTES:
                 self._send(node_id, TOPIC, news)
 
-    def _build_handler(
-        self, table: str
-    ) -> typing.Callable[[feed.Advance], None]:
-        return lambda advance: self._tell(table, advance)
-
     def _tell(self, table: str, advance: feed.Advance) -> None:
         children = self.place.children
         if not children:
@@ -205,25 +201,21 @@
         items = [_build_told(table, advance)]
         # A child that has missed news of another table finds out by this.
         items += (
-            Told(other, each.changed_at, each.version, 0.0)
+            self._summarise(other)
             for other, each in self._feeds.items()
             if other != table and each.version
         )
         payload = encode_news(items)
         if len(payload) > MOST_BYTES:
-            payload = encode_news(
-                [
-                    Told(
-                        table,
-                        self._feeds[table].changed_at,
-                        advance.rows.version,
-                        0.0,
-                    )
-                ]
-            )
+            payload = encode_news([self._summarise(table)])
         for child in children:
             self._send(child, TOPIC, payload)
 
+    def _summarise(self, table: str) -> Told:
+        """Return up to where a table is known, without its rows."""
+        following = self._feeds[table]
+        return Told(table, following.changed_at, following.version, 0.0)
+
 
 def _read_news(node_id: str, payload: bytes) -> list[Told]:
     try:
--- a/src/eelgrasswalk/filters/dispatch.py
+++ b/src/eelgrasswalk/filters/dispatch.py
@@ -3,7 +3,6 @@
 import asyncio
 import dataclasses
 import random
-import secrets
 import time
 import typing
 
@@ -14,6 +13,7 @@
 from ..policy import breaker
 from ..policy import levels
 from ..policy import retries
+from ..transport import attempt_ids
 from ..transport import bodies
 from ..transport import budget
 from ..transport import dialler
@@ -110,6 +110,7 @@
         self._levels = level_table
         self._storm = storm
         self._random = source
+        self._ids = attempt_ids.AttemptIds()
         # The loop's own time is too coarse for latencies.
         self._clock = time.monotonic
 
@@ -187,7 +188,7 @@
             )
         tried.add(upstream.node_id)
         ledger = item.get_ledger()
-        attempt = secrets.token_bytes(frames.ATTEMPT_BYTES)
+        attempt = self._ids.take()
         lent = ledger.borrow(
             int.from_bytes(attempt), retries.compute_loan(ledger.remaining)
         )
--- a/src/eelgrasswalk/policy/probing.py
+++ b/src/eelgrasswalk/policy/probing.py
@@ -57,8 +57,6 @@
         """
         if probes >= min(MOST_PROBES, targets - 1):
             return False
-        if probes > 0:
-            return True
         found = self._found.get(service, 1.0)
         return (
             found >= self._settings.least_found
--- a/src/eelgrasswalk/sidecar/wiring.py
+++ b/src/eelgrasswalk/sidecar/wiring.py
@@ -23,7 +23,6 @@
 from ..filters import front
 from ..filters import gate
 from ..filters import transmit
-from ..policy import account_rates
 from ..policy import attempts
 from ..policy import freshness
 from ..policy import retry_budget
@@ -38,18 +37,13 @@
 from ..transport import dialler
 from ..transport import http_client
 from ..transport import link
+from . import policy_settings
 from . import settings
 
 # Feeds answer after this long without a change. An answer may be lost without
 # a word; until the store is asked again, confirmations find changes of rules.
 RULES_WAIT_S = 8.0
 ROSTER_WAIT_S = 20.0
-# Parts of the time for which a confirmation counts after which a node asks
-# for the next one; the rest leaves time for a store that fails at first.
-PEERS_PART = 0.38
-EARLY_PART = 0.32
-LATE_PART = 0.55
-SPREAD_PART = 0.15
 ROSTER_GATHER_S = 0.5
 PLACE_GATHER_S = 0.1
 # Nodes that start together know each other after this long, about.
@@ -190,7 +184,7 @@
             keeper=keeper,
             rules_feed=rules_feed,
             fresh=fresh,
-            patience=_build_patience(fresh.limit_s),
+            patience=policy_settings.build_patience(fresh.limit_s),
             get_place=lambda: news.place,
             ask_peers=lambda: news.ask(platform.rule_source.table),
             clock=clock.read_boot_time,
@@ -215,39 +209,14 @@
     """
     bounds = state.config.bounds
     state.fresh.limit_s = bounds.withdraw_s - FRESH_MARGIN_S
-    state.confirmation.patience = _build_patience(state.fresh.limit_s)
+    state.confirmation.patience = policy_settings.build_patience(
+        state.fresh.limit_s
+    )
     state.bodies.limit = int(state.config.memory_bytes * BODY_MEMORY_SHARE)
     if path is not None:
         path.gate.drain_s = bounds.drain_s
-        path.repeats.bounds = _build_retry_bounds(bounds)
-        path.quotas.slack = _build_slack(bounds)
-
-
-def _build_patience(limit_s: float) -> freshness.Patience:
-    return freshness.Patience(
-        peers_s=PEERS_PART * limit_s,
-        early_s=EARLY_PART * limit_s,
-        late_s=LATE_PART * limit_s,
-        spread_s=SPREAD_PART * limit_s,
-    )
-
-
-def _build_retry_bounds(
-    bounds: settings.Bounds,
-) -> retry_budget.RetryBounds:
-    return retry_budget.RetryBounds(
-        ratio=bounds.retry_ratio,
-        window_s=bounds.retry_window_s,
-        slack=bounds.retry_slack,
-    )
-
-
-def _build_slack(bounds: settings.Bounds) -> account_rates.Slack:
-    return account_rates.Slack(
-        overage=bounds.quota_overage,
-        tokens=bounds.quota_slack,
-        window_s=bounds.quota_window_s,
-    )
+        path.repeats.bounds = policy_settings.build_retry_bounds(bounds)
+        path.quotas.slack = policy_settings.build_slack(bounds)
 
 
 def build_path(state: State, *, incarnation: int, secret: bytes) -> Path:
@@ -281,7 +250,9 @@
         on_control=state.router.receive,
     )
     quotas = _build_quotas(state, links)
-    repeats = retry_budget.RetryBudget(_build_retry_bounds(config.bounds))
+    repeats = retry_budget.RetryBudget(
+        policy_settings.build_retry_bounds(config.bounds)
+    )
     forwarder = forward.Forwarder(
         transmitter=transmit.Transmitter(
             node_id=config.node_id,
@@ -381,7 +352,7 @@
         send=state.router.send,
         relay=state.confirmation,
         is_dead=links.is_refused,
-        slack=_build_slack(bounds),
+        slack=policy_settings.build_slack(bounds),
         lower_after_s=bounds.apply_s + LOWER_GRACE_S,
         source=state.source,
     )
--- a/src/eelgrasswalk/transport/client_connection.py
+++ b/src/eelgrasswalk/transport/client_connection.py
@@ -14,10 +14,9 @@
 from . import message
 
 MAX_ANSWER_HEADERS = 256
-# Bytes of an answer that are not its body: head, interim answers, sizes and
-# extensions of chunks, trailers. Small chunks take some for each byte of body.
+# Bytes of an answer that are not its body: head, interim answers, extensions
+# of chunks, trailers.
 MOST_FRAMING_BYTES = 65_536
-FRAMING_PER_BODY_BYTE = 8
 # Answers to other requests that are dropped while one is awaited.
 MOST_DROPPED_ANSWERS = 8
 # A target may close an idle connection at any moment; a connection that has
@@ -138,9 +137,9 @@
 
     def _check_framing(self) -> None:
         """Give up an answer that goes on without its body."""
-        framing = self._received - self._body_length
-        allowed = self._body_length * FRAMING_PER_BODY_BYTE
-        if framing > MOST_FRAMING_BYTES + allowed:
+        if message.has_excess_framing(
+            self._received, self._body_length, head_bytes=MOST_FRAMING_BYTES
+        ):
             self._fail('the target sent bytes without end')
 
     # Exchange
--- a/src/eelgrasswalk/transport/message.py
+++ b/src/eelgrasswalk/transport/message.py
@@ -14,6 +14,9 @@
 
 _OWN_LENGTH = len(OWN_PREFIX)
 
+# Sizes of chunks, for each byte of a body; small chunks take a few.
+FRAMING_PER_BODY_BYTE = 8
+
 HOP_BY_HOP = frozenset(
     {
         b'connection',
@@ -51,6 +54,20 @@
         return self.target.partition('?')[0]
 
 
+def has_excess_framing(
+    received: int, body_length: int, *, head_bytes: int
+) -> bool:
+    """Return whether a message goes on without its body.
+
+    Args:
+        received: Bytes of it so far.
+        body_length: Bytes of its body among them.
+        head_bytes: Bytes beside the body that it may have in any case.
+    """
+    allowed = head_bytes + body_length * FRAMING_PER_BODY_BYTE
+    return received - body_length > allowed
+
+
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of a header, or None."""
     for key, value in headers:
--- a/src/eelgrasswalk/transport/server_connection.py
+++ b/src/eelgrasswalk/transport/server_connection.py
@@ -22,8 +22,6 @@
 LINGER_S = 2.0
 # Most that is still read of a request after its refusal was written.
 LINGER_BYTES = 8_388_608
-# Sizes of chunks, for each byte of a body; small chunks take a few.
-FRAMING_PER_BODY_BYTE = 8
 
 _STATUS_LINES = {
     status.value: f'HTTP/1.1 {status.value} {status.phrase}\r\n'.encode()
@@ -352,9 +350,10 @@
             if self._received > limit:
                 self._reject(problem.describe_headers_too_large())
             return
-        framing = self._received - self._body_length
         # The head counts as well, up to its own limit.
-        if framing > 2 * limit + self._body_length * FRAMING_PER_BODY_BYTE:
+        if message.has_excess_framing(
+            self._received, self._body_length, head_bytes=2 * limit
+        ):
             self._reject(
                 problem.describe_bad_request('the body has too much framing')
             )
--- a/tests/integration/sidecars.py
+++ b/tests/integration/sidecars.py
@@ -16,59 +16,15 @@
 from eelgrasswalk.bench import mesh
 from eelgrasswalk.platform import process_settings
 from eelgrasswalk.standins import app
+from eelgrasswalk.standins import deployment
 from eelgrasswalk.standins import rows
 from eelgrasswalk.transport import http_client
 from eelgrasswalk.transport import message
 
-HOST = 'shop.example'
-KEY = 'key-of-lake'
-ACCOUNT = 'lake'
+KEY = deployment.KEY
+build_config = deployment.build_config
 WAIT_S = 15.0
 POLL_S = 0.02
-# Callers, readiness, check-ins, links and metrics of a node.
-PORTS_PER_NODE = 5
-
-
-def build_config(
-    version: int,
-    services: typing.Sequence[str],
-    **options: typing.Any,
-) -> bytes:
-    """Return a configuration with a safe and an unsafe route a service."""
-    rules = []
-    for service in services:
-        for kind in ('safe', 'unsafe'):
-            rules.append(
-                {
-                    'name': f'{service}-{kind}',
-                    'kind': kind,
-                    'target_latency_ms': 1000,
-                    'priority': 1,
-                    'auth_exempt': False,
-                    'match': {'prefix': f'/{service}/{kind}/'},
-                    'action': {
-                        'service': service,
-                        'timeout_ms': options.get('timeout_ms', 3000),
-                        'max_attempts': 2,
-                    },
-                }
-            )
-    tenant = {
-        'name': ACCOUNT,
-        'api_keys': options.get('keys', [KEY]),
-        'rate_per_s': options.get('rate', 0),
-        'burst': options.get('burst', 0),
-    }
-    config = {
-        'version': version,
-        'limits': {},
-        'tenants': [tenant],
-        'listeners': [{'hostname': HOST, 'rule_set': rules}],
-        'clusters': [
-            {'name': service, 'max_connections': 100} for service in services
-        ],
-    }
-    return json.dumps(config).encode()
 
 
 @dataclasses.dataclass(slots=True)
@@ -120,14 +76,6 @@
         return [json.loads(line) for line in self.log.read_text().splitlines()]
 
 
-def find_ports() -> list[int]:
-    """Return free ports for a node, the last two side by side."""
-    while True:
-        ports = mesh.find_free_ports(PORTS_PER_NODE)
-        if ports[-1] == ports[-2] + 1:
-            return ports
-
-
 class SidecarTestCase(unittest.IsolatedAsyncioTestCase):
     """Starts a store, applications and nodes for each test."""
 
@@ -145,7 +93,10 @@
         self._requests = 0
         for index, service in enumerate(self.services):
             node = await self._prepare(
-                pathlib.Path(folder.name), index, service, find_ports()
+                pathlib.Path(folder.name),
+                index,
+                service,
+                mesh.find_sidecar_ports(),
             )
             self.nodes.append(node)
 
@@ -157,25 +108,15 @@
         self.addAsyncCleanup(target.stop)
         node_id = f'{service}-{index}'
         path = folder / f'{node_id}.json'
-        links = ports[3]
-        path.write_text(
-            json.dumps(
-                {
-                    'node_id': node_id,
-                    'ip': '127.0.0.1',
-                    'zone': f'zone-{index}',
-                    'service': service,
-                    'listen': {
-                        'outbound': f'127.0.0.1:{ports[0]}',
-                        'ready': f'127.0.0.1:{ports[1]}',
-                        'control': f'127.0.0.1:{ports[2]}',
-                    },
-                    'internal_ports': [links, links + 1],
-                    'app_addr': f'127.0.0.1:{target.port}',
-                    'platform': {'address': f'127.0.0.1:{self.store_port}'},
-                    'bounds': self.bounds,
-                }
-            )
+        deployment.write_settings(
+            path,
+            node_id=node_id,
+            service=service,
+            data_centre=f'zone-{index}',
+            ports=ports,
+            target_port=target.port,
+            store_port=self.store_port,
+            bounds=self.bounds,
         )
         node = Node(node_id, target, ports, path, folder / f'{node_id}.log')
         self.addCleanup(node.kill)
@@ -242,21 +183,19 @@
     ) -> verdict.Response | None:
         """Send one call; return its answer, or None without a whole one."""
         self._requests += 1
-        headers = [
-            (b'host', HOST.encode()),
-            (b'attempt-id', (request_id or f'r{self._requests}').encode()),
-            (b'request-deadline', b'%d' % deadline_ms),
-        ]
-        if key is not None:
-            headers.append((b'authorization', f'Bearer {key}'.encode()))
+        request = deployment.build_call(
+            method,
+            path,
+            request_id=request_id or f'r{self._requests}',
+            key=key,
+            deadline_ms=deadline_ms,
+            body=body,
+        )
         pool = http_client.TargetPool(
             '127.0.0.1', node.ports[0], connections=1
         )
         try:
-            outcome = await pool.send(
-                message.Request(method, path, tuple(headers), body),
-                max_answer_bytes=1_000_000,
-            )
+            outcome = await pool.send(request, max_answer_bytes=1_000_000)
         finally:
             await pool.close()
         if isinstance(outcome, http_client.Received):
