Log the call rate that a target names, and the calls it gets

The platform's folder reads Server-Limit; the gate logs each change of it with the calls sent in the last seconds (event 4005), and both stand in the line of an attempt. No logic has changed.

--- a/src/eelgrasswalk/events.py
+++ b/src/eelgrasswalk/events.py
@@ -143,6 +143,9 @@
 )
 TARGET_USABLE = Event(4003, logging.INFO, 'target is healthy again')
 TARGET_CHANGED = Event(4004, logging.INFO, 'target has changed its state')
+TARGET_LIMIT_CHANGED = Event(
+    4005, logging.INFO, 'target has changed the call rate that it accepts'
+)
 REQUEST_FAILED = Event(
     5001,
     logging.ERROR,
--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -9,6 +9,7 @@
 from .. import ports
 from .. import request_log
 from .. import verdict
+from ..policy import decaying_rate
 from ..policy import root_share
 from ..policy import running_calls
 from ..policy import slot_queue
@@ -27,6 +28,8 @@
 ACCEPT_DRAIN_RATIO = 0.4
 # Fraction of the drain time after which queued calls are no longer delivered.
 DELIVER_DRAIN_RATIO = 0.8
+# Time over which the calls sent to the target are averaged, in seconds.
+SENT_SPAN_S = 4.0
 _CALLER_GONE = dialler.Reply(
     verdict.MayHaveRun(verdict.Reason.CALLER_GONE), None
 )
@@ -81,6 +84,8 @@
         self.drain_s = drain_s
         self._loop = asyncio.get_running_loop()
         self._target_id = ''
+        self._calls_per_s: float | None = None
+        self._sent = decaying_rate.DecayingRate(SENT_SPAN_S)
         self._accepts_until = float('inf')
         self._delivers_until = float('inf')
 
@@ -93,6 +98,7 @@
         """
         if target_id != self._target_id:
             self._failures = target_failures.TargetFailures()
+            self._calls_per_s = None
         self._target_id = target_id
         self._accepts_until = float('inf')
         self._delivers_until = float('inf')
@@ -188,6 +194,8 @@
             'running': policy.in_flight,
             'queued': policy.queued,
             'limit': policy.limit,
+            'calls_per_s': self._calls_per_s,
+            'sent_per_s': self._measure_sent(),
             'share': round(
                 self._shares.compute_share(call.route, time.monotonic()), 2
             ),
@@ -236,6 +244,7 @@
             ),
             body=call.request.body,
         )
+        self._sent.add(1.0, time.monotonic())
         try:
             outcome = await self._pool.send(
                 request,
@@ -255,6 +264,9 @@
             return _refuse(verdict.Reason.TARGET_UNREACHABLE)
         if isinstance(outcome, http_client.Broken):
             return verdict.MayHaveRun(outcome.reason, outcome.detail)
+        notice = self._dialect.read_notice(outcome.response)
+        if notice is not None:
+            self._apply_notice(notice)
         classified = self._dialect.judge(outcome.response)
         if isinstance(classified, verdict.Answered):
             answer = classified.response
@@ -264,6 +276,20 @@
                 budget.keep_alive(answer, outcome.response)
         return classified
 
+    def _apply_notice(self, notice: ports.TargetNotice) -> None:
+        if notice.calls_per_s == self._calls_per_s:
+            return
+        self._calls_per_s = notice.calls_per_s
+        events.log(
+            events.TARGET_LIMIT_CHANGED,
+            target=self._target_id,
+            calls_per_s=notice.calls_per_s,
+            sent_per_s=self._measure_sent(),
+        )
+
+    def _measure_sent(self) -> float:
+        return round(self._sent.measure(time.monotonic()), 1)
+
     def _build_feedback(self, route: str, waited_s: float) -> frames.Feedback:
         policy = self._admitter.policy
         busy = policy.in_flight + policy.queued
--- a/src/eelgrasswalk/platform/dialect.py
+++ b/src/eelgrasswalk/platform/dialect.py
@@ -1,5 +1,7 @@
 """How callers and targets of the platform speak of calls."""
 
+import re
+
 from .. import ports
 from .. import verdict
 from ..policy import deadline
@@ -8,6 +10,7 @@
 
 _MS_PER_S = 1000.0
 _MAX_DEADLINE_DIGITS = 12
+_RATE = re.compile(rb'\d{1,9}(\.\d{1,9})?')
 _ABSENT = deadline.NoTimeout()
 
 _NOT_RUN_STATUS = {
@@ -97,6 +100,25 @@
         """Return the id that a request or its answer carries, or None."""
         return message.find_header(headers, names.REQUEST_ID)
 
+    def read_notice(
+        self, response: verdict.Response
+    ) -> ports.TargetNotice | None:
+        """Return what a target's answer says of the target."""
+        if response.status == 421:
+            # Another target answers at the address.
+            return None
+        headers = response.headers
+        limit = message.find_header(headers, names.RATE_LIMIT)
+        if limit is not None:
+            calls_per_s = _parse_rate(limit)
+            if calls_per_s is None:
+                return None
+            return ports.TargetNotice(calls_per_s)
+        if message.find_header(headers, names.STAMP) is None:
+            # Not certainly the target's own words.
+            return None
+        return ports.TargetNotice()
+
     def judge(self, response: verdict.Response) -> verdict.Verdict:
         """Return what a target's answer says of its call."""
         headers = response.headers
@@ -142,6 +164,13 @@
     return deadline.RequestedTimeout(int(value) / _MS_PER_S)
 
 
+def _parse_rate(value: bytes) -> float | None:
+    """Return a rate per second, or None if it is malformed."""
+    if _RATE.fullmatch(value) is None:
+        return None
+    return float(value)
+
+
 def _build_unknown(detail: str) -> verdict.MayHaveRun:
     return verdict.MayHaveRun(verdict.Reason.ANSWER_INCOMPLETE, detail)
 
--- a/src/eelgrasswalk/platform/names.py
+++ b/src/eelgrasswalk/platform/names.py
@@ -15,6 +15,9 @@
 TARGET_ID = b'target-instance'
 # Its presence says that the target has not run the request.
 NOT_RUN = b'not-executed'
+# Calls a second that the target takes from all hosts together, with
+# fractions; it holds for as long as the target's answers carry it.
+RATE_LIMIT = b'server-limit'
 # Seconds, with fractions.
 RETRY_AFTER = b'retry-after'
 # Service beside which the request began.
--- a/src/eelgrasswalk/ports.py
+++ b/src/eelgrasswalk/ports.py
@@ -212,6 +212,18 @@
     timeout: deadline.Timeout
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetNotice:
+    """What a target says of itself in an answer.
+
+    Args:
+        calls_per_s: Calls a second that it takes from all nodes together;
+            None for no limit.
+    """
+
+    calls_per_s: float | None = None
+
+
 class Dialect(typing.Protocol):
     """How callers and targets say what a call is and what became of it."""
 
@@ -258,6 +270,17 @@
     def find_echo(self, headers: message.Headers) -> bytes | None:
         """Return the id that a request or its answer carries, or None."""
 
+    def read_notice(self, response: verdict.Response) -> TargetNotice | None:
+        """Return what a target's answer says of the target.
+
+        Args:
+            response: The answer.
+
+        Returns:
+            The notice; None if the answer is no evidence of the target's
+            state.
+        """
+
     def judge(self, response: verdict.Response) -> verdict.Verdict:
         """Return what a target's answer says of its call."""
 
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from eelgrasswalk import ports
 from eelgrasswalk import verdict
 from eelgrasswalk.platform import dialect
 from eelgrasswalk.policy import deadline
@@ -105,6 +106,36 @@
         )
 
 
+class NoticeTest(unittest.TestCase):
+    def read(self, *headers: tuple[bytes, bytes]) -> ports.TargetNotice | None:
+        return DIALECT.read_notice(build_answer(200, *headers))
+
+    def test_limit_is_a_decimal_number(self) -> None:
+        for value, rate in ((b'25.6', 25.6), (b'8', 8.0), (b'0', 0.0)):
+            self.assertEqual(
+                ports.TargetNotice(rate), self.read((b'server-limit', value))
+            )
+
+    def test_stamped_answer_without_limit_lifts_it(self) -> None:
+        self.assertEqual(
+            ports.TargetNotice(), self.read((b'response-stamp', b's'))
+        )
+
+    def test_answers_that_are_no_evidence(self) -> None:
+        self.assertIsNone(self.read())
+        for value in (b'', b'-1', b'nan', b'1e3', b'many', b'1.2.3'):
+            with self.subTest(value):
+                self.assertIsNone(
+                    self.read(
+                        (b'server-limit', value), (b'response-stamp', b's')
+                    )
+                )
+
+    def test_another_target_at_the_address_says_nothing(self) -> None:
+        answer = build_answer(421, (b'server-limit', b'5'))
+        self.assertIsNone(DIALECT.read_notice(answer))
+
+
 class JudgeTest(unittest.TestCase):
     def test_stamped_answer_is_passed_on_as_it_is(self) -> None:
         for status in (200, 404, 500, 504):
