--- a/tests/filters/test_gate.py
+++ b/tests/filters/test_gate.py
@@ -20,8 +20,19 @@
 RESPONSE = verdict.Response(200, ((b'response-stamp', b's'),), b'')
 
 
+def build_answer(*, limit: bytes = b'') -> verdict.Response:
+    headers = RESPONSE.headers
+    if limit:
+        headers = (*headers, (b'server-limit', limit))
+    return verdict.Response(200, headers, b'')
+
+
 def build_call(
-    *, depth: int = 0, root_hash: float = 0.9, request_id: bytes = b'a'
+    *,
+    depth: int = 0,
+    root_hash: float = 0.9,
+    request_id: bytes = b'a',
+    may_wait: bool = True,
 ) -> frames.Call:
     return frames.Call(
         attempt=bytes(16),
@@ -36,6 +47,7 @@
         body_length=0,
         digest=0,
         objective_s=1.0,
+        may_wait=may_wait,
     )
 
 
@@ -107,6 +119,17 @@
         assert reply.feedback is not None
         self.assertGreater(reply.feedback.failing, 0.0)
 
+    async def test_target_gets_no_more_calls_than_the_limit_it_names(
+        self,
+    ) -> None:
+        """Guards against the LIMIT incident of the day `capped`."""
+        self.pool.send.return_value = http_client.Received(
+            build_answer(limit=b'2')
+        )
+        for _ in range(60):
+            await self.gate.run(build_call(may_wait=False))
+        self.assertLessEqual(self.pool.send.call_count, 1.5 * 2 * 4 + 5)
+
     async def test_failure_due_to_a_child_call_is_not_counted(
         self,
     ) -> None:
