Start no more calls at a target than the rate it names

Cause: no node read the limit. The gate beside a target started what its slots allow, and reported a load by slots, so that a limited target looked idle. Ruled out as the first cause: the restarted node (13 s, after the first breach).

The queue in front of the slots now starts calls by a token bucket as well. Every call to a target passes its gate, so one bucket holds the limit for the fleet without any agreement. Waiting calls start in the order of their importance; those that would miss their objective are refused at once and may go elsewhere. The load that the gate reports includes the use of the limit.

--- a/src/eelgrasswalk/filters/admit.py
+++ b/src/eelgrasswalk/filters/admit.py
@@ -149,6 +149,12 @@
             self.policy.finish(call_id, now, ok=ok, child_s=child_s)
         )
 
+    def carry_out(
+        self, actions: list[admission.Start | admission.Refuse]
+    ) -> None:
+        """Carry out actions of the policy after its settings have changed."""
+        self._apply_actions(actions)
+
     def drain(self) -> None:
         """Stop accepting new calls."""
         self._apply_actions(self.policy.drain(self._clock()))
--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -98,7 +98,7 @@
         """
         if target_id != self._target_id:
             self._failures = target_failures.TargetFailures()
-            self._calls_per_s = None
+            self._limit_rate(None)
         self._target_id = target_id
         self._accepts_until = float('inf')
         self._delivers_until = float('inf')
@@ -279,7 +279,7 @@
     def _apply_notice(self, notice: ports.TargetNotice) -> None:
         if notice.calls_per_s == self._calls_per_s:
             return
-        self._calls_per_s = notice.calls_per_s
+        self._limit_rate(notice.calls_per_s)
         events.log(
             events.TARGET_LIMIT_CHANGED,
             target=self._target_id,
@@ -287,18 +287,24 @@
             sent_per_s=self._measure_sent(),
         )
 
+    def _limit_rate(self, calls_per_s: float | None) -> None:
+        self._calls_per_s = calls_per_s
+        policy = self._admitter.policy
+        self._admitter.carry_out(
+            policy.limit_rate(calls_per_s, time.monotonic())
+        )
+
     def _measure_sent(self) -> float:
         return round(self._sent.measure(time.monotonic()), 1)
 
     def _build_feedback(self, route: str, waited_s: float) -> frames.Feedback:
         policy = self._admitter.policy
-        busy = policy.in_flight + policy.queued
         return frames.Feedback(
             importance=frames.SILENT_FEEDBACK.importance,
             fraction=1.0,
             queue_delay_s=waited_s,
             unspent=0,
-            load=busy / policy.limit,
+            load=policy.compute_load(time.monotonic()),
             capacity_failure_ratio=self._shares.get_capacity_failure_ratio(
                 route
             ),
--- a/src/eelgrasswalk/policy/slot_queue.py
+++ b/src/eelgrasswalk/policy/slot_queue.py
@@ -14,6 +14,9 @@
 of them would lose at least one in any order of start. They are then ordered
 by root hash, so that all calls of some roots succeed, and may wait only for
 part of their time, since each root needs time for several such calls.
+
+A target in trouble may name the calls per second that it accepts. Calls then
+start no faster, in the same order.
 """
 
 import dataclasses
@@ -25,6 +28,7 @@
 from . import decaying_rate
 from . import queue
 from . import service_times
+from . import start_rate
 
 Candidate = queue.Candidate
 
@@ -101,6 +105,7 @@
         self._expiry: list[tuple[float, int]] = []
         self._waiting_s = 0.0
         self._nested_work = decaying_rate.DecayingRate(NESTED_LOAD_SPAN_S)
+        self._start_rate = start_rate.StartRate()
         self._draining = False
         self._limit = 1
         self.resize(slots)
@@ -120,20 +125,51 @@
         """Calls that may run concurrently."""
         return self._limit
 
-    @property
-    def backlog_s(self) -> float:
-        """Estimated seconds until a call offered now would start."""
+    def compute_load(self, now: float) -> float:
+        """Return the calls that run or wait, per call that may run.
+
+        A target that limits the rate of its calls has the load of that rate
+        if it is higher.
+        """
+        busy = len(self._running) + len(self._waiting)
+        return max(
+            busy / self._limit,
+            self._start_rate.compute_load(now, waiting=len(self._waiting)),
+        )
+
+    def estimate_backlog(self, now: float) -> float:
+        """Return the estimated seconds until a call offered now starts."""
+        rate_wait_s = self._start_rate.compute_wait(
+            now, ahead=len(self._waiting)
+        )
         if len(self._running) < self._limit:
-            return 0.0
-        return self._waiting_s / self._limit + self._times.mean_s / (
+            return rate_wait_s
+        slot_wait_s = self._waiting_s / self._limit + self._times.mean_s / (
             2.0 * self._limit
         )
+        return max(slot_wait_s, rate_wait_s)
 
     def resize(self, slots: int) -> None:
         """Change the number of slots."""
         self._limit = max(1, round(slots * self._settings.max_utilization))
         self._draining = False
 
+    def limit_rate(
+        self, calls_per_s: float | None, now: float
+    ) -> list[admission.Action]:
+        """Limit the rate at which calls start.
+
+        Args:
+            calls_per_s: Calls per second that the target accepts; None for
+                no limit.
+            now: The time, in seconds.
+
+        Returns:
+            Actions for queued calls.
+        """
+        self._start_rate.set_limit(calls_per_s, now)
+        return self.expire(now) if self._waiting else []
+
     def offer(
         self, candidate: Candidate, now: float
     ) -> list[admission.Action]:
@@ -155,10 +191,10 @@
         min_remaining_s = self._settings.min_time_ratio * expected_s
         if now + min_remaining_s > candidate.deadline and self._running:
             return [_refuse(candidate.call_id, verdict.Reason.DEADLINE, 0.0)]
-        if not self._waiting and len(self._running) < self._limit:
+        if not self._waiting and self._has_room(now):
             return [self._start(candidate, expected_s, now)]
         if not candidate.may_wait:
-            return [self._refuse_full(candidate.call_id)]
+            return [self._refuse_full(candidate.call_id, now)]
         return self._enqueue(candidate, expected_s, now)
 
     def finish(
@@ -184,8 +220,8 @@
         while self._expiry and self._expiry[0][0] <= now:
             _, call_id = heapq.heappop(self._expiry)
             if self._remove_waiting(call_id) is not None:
-                actions.append(self._refuse_full(call_id))
-        while self._order and len(self._running) < self._limit:
+                actions.append(self._refuse_full(call_id, now))
+        while self._order and self._has_room(now):
             _, call_id = heapq.heappop(self._order)
             waiting = self._remove_waiting(call_id)
             if waiting is not None:
@@ -198,16 +234,28 @@
         """Return when to call expire next, or None if the queue is empty."""
         while self._expiry and self._expiry[0][1] not in self._waiting:
             heapq.heappop(self._expiry)
-        return self._expiry[0][0] if self._expiry else None
+        if not self._expiry:
+            return None
+        expires_at = self._expiry[0][0]
+        starts_at = self._start_rate.next_start_at
+        if starts_at is None or len(self._running) >= self._limit:
+            return expires_at
+        return min(expires_at, starts_at)
 
     def drain(self, now: float) -> list[admission.Action]:
         """Refuse new calls; queued calls still run."""
         self._draining = True
         return self.expire(now)
 
+    def _has_room(self, now: float) -> bool:
+        return len(self._running) < self._limit and self._start_rate.may_start(
+            now
+        )
+
     def _start(
         self, candidate: Candidate, expected_s: float, now: float
     ) -> admission.Start:
+        self._start_rate.take(now)
         self._running[candidate.call_id] = _Running(
             candidate.route, now, expected_s
         )
@@ -231,7 +279,7 @@
             rank = _rank(candidate, latest)
         wait_s = self._estimate_wait(rank, now)
         if now + wait_s > latest:
-            return [self._refuse_full(candidate.call_id)]
+            return [self._refuse_full(candidate.call_id, now)]
         waiting = _Waiting(candidate, expected_s, latest, rank)
         self._waiting[candidate.call_id] = waiting
         self._waiting_s += expected_s
@@ -259,17 +307,20 @@
 
     def _estimate_wait(self, rank: tuple[float, ...], now: float) -> float:
         """Estimate the seconds until a call of this rank would start."""
-        ahead_s = sum(
+        ahead = [
             waiting.expected_s
             for waiting in self._waiting.values()
             if waiting.rank <= rank
-        )
+        ]
         left_s = sum(
             max(0.0, running.started_at + running.expected_s - now)
             for running in self._running.values()
         )
         next_free_s = left_s / max(1, len(self._running)) / self._limit
-        return ahead_s / self._limit + next_free_s
+        slot_wait_s = sum(ahead) / self._limit + next_free_s
+        return max(
+            slot_wait_s, self._start_rate.compute_wait(now, ahead=len(ahead))
+        )
 
     def _remove_waiting(self, call_id: int) -> _Waiting | None:
         waiting = self._waiting.pop(call_id, None)
@@ -281,8 +332,10 @@
             self._expiry.clear()
         return waiting
 
-    def _refuse_full(self, call_id: int) -> admission.Refuse:
-        retry_s = min(self.backlog_s, self._settings.max_retry_after_s)
+    def _refuse_full(self, call_id: int, now: float) -> admission.Refuse:
+        retry_s = min(
+            self.estimate_backlog(now), self._settings.max_retry_after_s
+        )
         return _refuse(call_id, verdict.Reason.OVERLOAD, retry_s)
 
 
--- a/tests/policy/test_slot_queue.py
+++ b/tests/policy/test_slot_queue.py
@@ -1,5 +1,6 @@
 """Tests of the queue in front of a target: bursts, slow targets, retries."""
 
+import bisect
 import heapq
 import unittest
 
@@ -197,7 +198,7 @@
         queue.offer(build_candidate(1), 0.0)
         queue.cancel(1, 0.05)
         self.assertEqual([], queue.finish(2000, 0.1, ok=True))
-        self.assertEqual(0.0, queue.backlog_s)
+        self.assertEqual(0.0, queue.estimate_backlog(0.1))
 
     def test_call_with_too_little_time_is_refused(self) -> None:
         queue = build_busy(slots=2, service_s=0.1)
@@ -223,3 +224,94 @@
         self.assertEqual(
             [admission.Start(2)], queue.offer(build_candidate(2), 0.0)
         )
+
+
+class NamedRateTest(unittest.TestCase):
+    """Replays a target that names far fewer calls than its slots run."""
+
+    RATE = 10.0
+    OFFERED_PER_S = 40
+    SECONDS = 20
+
+    def replay(
+        self, *, objective_s: float = 1.2
+    ) -> tuple[slot_queue.SlotQueue, dict[int, float], int]:
+        """Return the queue, the start of each call and the refusals.
+
+        Every fourth call is important.
+        """
+        queue = slot_queue.SlotQueue(SETTINGS, slots=125)
+        queue.limit_rate(self.RATE, 0.0)
+        starts: dict[int, float] = {}
+        refused = 0
+        events: list[tuple[float, int, str]] = [
+            (number / self.OFFERED_PER_S, number, 'offer')
+            for number in range(self.SECONDS * self.OFFERED_PER_S)
+        ]
+        heapq.heapify(events)
+        while events:
+            now, number, kind = heapq.heappop(events)
+            if kind == 'offer':
+                actions = queue.offer(
+                    build_candidate(
+                        number,
+                        importance=(
+                            model.Importance.NORMAL
+                            if number % 4
+                            else model.Importance.CRITICAL
+                        ),
+                        objective_at=now + objective_s,
+                        deadline=now + 5.0,
+                    ),
+                    now,
+                )
+            elif kind == 'end':
+                actions = queue.finish(number, now, ok=True)
+            else:
+                actions = queue.expire(now)
+            for action in actions:
+                if isinstance(action, admission.Start):
+                    starts[action.call_id] = now
+                    heapq.heappush(events, (now + 0.06, action.call_id, 'end'))
+                else:
+                    refused += 1
+            due = queue.next_event_at()
+            if due is not None:
+                heapq.heappush(events, (max(now + 1e-6, due), 0, 'expire'))
+        return queue, starts, refused
+
+    def test_calls_start_at_the_named_rate(self) -> None:
+        _, starts, refused = self.replay()
+        times = sorted(starts.values())
+        for index, first in enumerate(times):
+            inside = bisect.bisect_left(times, first + 4.0) - index
+            self.assertLessEqual(inside, 1.5 * 4.0 * self.RATE + 5.0)
+        self.assertGreater(len(times), 0.95 * self.SECONDS * self.RATE)
+        self.assertEqual(
+            self.SECONDS * self.OFFERED_PER_S, len(times) + refused
+        )
+
+    def test_important_calls_use_the_rate_first(self) -> None:
+        _, starts, _ = self.replay()
+        offered = self.SECONDS * self.OFFERED_PER_S // 4
+        important = sum(number % 4 == 0 for number in starts)
+        self.assertGreater(important, 0.95 * offered)
+
+    def test_started_calls_can_meet_their_objective(self) -> None:
+        _, starts, _ = self.replay(objective_s=0.5)
+        for number, started in starts.items():
+            waited_s = started - number / self.OFFERED_PER_S
+            self.assertLess(waited_s, 0.5)
+
+    def test_load_tells_that_the_rate_is_used_up(self) -> None:
+        queue = slot_queue.SlotQueue(SETTINGS, slots=125)
+        queue.limit_rate(self.RATE, 0.0)
+        queue.offer(build_candidate(1), 0.0)
+        self.assertGreaterEqual(queue.compute_load(0.0), 1.0)
+
+    def test_lifted_limit_starts_what_waits(self) -> None:
+        queue = slot_queue.SlotQueue(SETTINGS, slots=125)
+        queue.limit_rate(self.RATE, 0.0)
+        queue.offer(build_candidate(1), 0.0)
+        queue.offer(build_candidate(2), 0.0)
+        self.assertEqual([admission.Start(2)], queue.limit_rate(None, 0.01))
