Let callers' nodes remind a restarted gate of its target's limit

Callers' nodes keep the last notice of each target and send it with their calls; a gate goes by it until its own target has spoken.

The limit belongs to one run of the target: a notice of another run is ignored.

tests.filters.test_gate fails without it: 60 calls reach a slow target of which 17 are allowed.

--- a/src/eelgrasswalk/filters/forward.py
+++ b/src/eelgrasswalk/filters/forward.py
@@ -17,6 +17,7 @@
 from ..policy import running_calls
 from ..policy import service_times
 from ..policy import spread
+from ..policy import target_notices
 from ..transport import attempt_ids
 from ..transport import bodies
 from ..transport import dialler
@@ -69,6 +70,9 @@
         self._count_nodes = count_nodes
         # Services and routes whose requests are known to make no child calls.
         self._leaf_routes: set[tuple[str, str]] = set()
+        self._notices: target_notices.TargetNotices[frames.TargetNotice] = (
+            target_notices.TargetNotices()
+        )
         self._probing = probing.ProbePolicy(probing.ProbeSettings())
         self._random = source
         self._ids = attempt_ids.AttemptIds()
@@ -271,7 +275,7 @@
         try:
             reply = await self._transmitter.transmit(
                 upstream.node_id,
-                self._build_call(call, may_wait=may_wait),
+                self._build_call(call, upstream, may_wait=may_wait),
                 deadline=call.deadline,
                 retriable=call.route.idempotent,
             )
@@ -299,6 +303,7 @@
             load = reply.feedback.load
             failure_rate = reply.feedback.failing
             self._record_leaf(call, reply.feedback)
+            self._record_notice(upstream, reply)
             self._retry_budget.record_report(
                 call.service, reply.feedback.retry_use, now
             )
@@ -333,6 +338,15 @@
         elif len(self._leaf_routes) < service_times.MAX_ROUTES:
             self._leaf_routes.add(key)
 
+    def _record_notice(
+        self, upstream: balance.Upstream, reply: dialler.Reply
+    ) -> None:
+        assert reply.feedback is not None
+        notice = reply.feedback.notice
+        # The feedback of a refusal may be empty.
+        if notice is not None or isinstance(reply.outcome, verdict.Answered):
+            self._notices.record(upstream.node_id, notice)
+
     def _mark_down(
         self, upstream: balance.Upstream, outcome: verdict.Verdict
     ) -> None:
@@ -345,7 +359,11 @@
         self._balancer.mark_unreachable(upstream.node_id, self._clock())
 
     def _build_call(
-        self, call: front.IncomingCall, *, may_wait: bool
+        self,
+        call: front.IncomingCall,
+        upstream: balance.Upstream,
+        *,
+        may_wait: bool,
     ) -> frames.Call:
         now = self._loop.time()
         body = call.request.body
@@ -373,6 +391,7 @@
                 0.0, call.arrived_at + call.route.objective_s - now
             ),
             may_wait=may_wait,
+            notice=self._notices.find(upstream.node_id),
         )
 
 
--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -85,6 +85,8 @@
         self._loop = asyncio.get_running_loop()
         self._target_id = ''
         self._calls_per_s: float | None = None
+        # Whether the target itself has said what it accepts.
+        self._has_notice = False
         self._sent = decaying_rate.DecayingRate(SENT_SPAN_S)
         self._accepts_until = float('inf')
         self._delivers_until = float('inf')
@@ -99,6 +101,7 @@
         if target_id != self._target_id:
             self._failures = target_failures.TargetFailures()
             self._limit_rate(None)
+            self._has_notice = False
         self._target_id = target_id
         self._accepts_until = float('inf')
         self._delivers_until = float('inf')
@@ -126,6 +129,7 @@
     async def _run(
         self, call: frames.Call, started_at: float
     ) -> dialler.Reply:
+        self._adopt_notice(call)
         refusal = self._check(call)
         if refusal is not None:
             return dialler.Reply(refusal, None)
@@ -276,14 +280,29 @@
                 budget.keep_alive(answer, outcome.response)
         return classified
 
+    def _adopt_notice(self, call: frames.Call) -> None:
+        """Go by what a caller's node knows until the target has answered."""
+        notice = call.notice
+        if (
+            notice is not None
+            and not self._has_notice
+            and notice.target_id == self._target_id
+        ):
+            self._set_limit(notice.calls_per_s)
+
     def _apply_notice(self, notice: ports.TargetNotice) -> None:
-        if notice.calls_per_s == self._calls_per_s:
+        self._has_notice = True
+        self._set_limit(notice.calls_per_s)
+
+    def _set_limit(self, calls_per_s: float | None) -> None:
+        if calls_per_s == self._calls_per_s:
             return
-        self._limit_rate(notice.calls_per_s)
+        self._limit_rate(calls_per_s)
         events.log(
             events.TARGET_LIMIT_CHANGED,
             target=self._target_id,
-            calls_per_s=notice.calls_per_s,
+            calls_per_s=calls_per_s,
+            is_confirmed=self._has_notice,
             sent_per_s=self._measure_sent(),
         )
 
@@ -311,8 +330,14 @@
             failing=self._failures.rate,
             makes_calls=self._running.makes_calls(route),
             retry_use=self._get_retry_use(),
+            notice=self._build_notice(),
         )
 
+    def _build_notice(self) -> frames.TargetNotice | None:
+        if self._calls_per_s is None:
+            return None
+        return frames.TargetNotice(self._target_id, self._calls_per_s)
+
 
 def _refuse(reason: verdict.Reason) -> verdict.NotRun:
     return verdict.NotRun(reason, retry_elsewhere=True)
--- a/src/eelgrasswalk/transport/frames.py
+++ b/src/eelgrasswalk/transport/frames.py
@@ -96,6 +96,19 @@
     is_retry: bool = False
 
 
+class TargetNotice(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """What a target has said of itself.
+
+    Args:
+        target_id: Id of this run of the target.
+        calls_per_s: Calls per second that it accepts from all nodes together;
+            None for no limit.
+    """
+
+    target_id: str
+    calls_per_s: Number | None = None
+
+
 class Call(msgspec.Struct, frozen=True, array_like=True, gc=False, tag=4):
     """One attempt to run a request at an upstream.
 
@@ -112,6 +125,8 @@
         objective_s: Seconds left in which an answer has its full worth; 0
             when not stated.
         may_wait: Whether it may wait at the upstream for a free slot.
+        notice: What the caller's node knows of the target, for a node that
+            has restarted since.
     """
 
     attempt: AttemptId
@@ -125,6 +140,7 @@
     digest: Count
     objective_s: Number = 0.0
     may_wait: bool = True
+    notice: TargetNotice | None = None
 
 
 class Feedback(msgspec.Struct, frozen=True, array_like=True, gc=False):
@@ -143,6 +159,8 @@
             or may make some.
         retry_use: Part of the retry budgets that is used at the services
             which the target calls, directly or not; the highest of them.
+        notice: What the target has said of itself; None for nothing that
+            matters.
     """
 
     importance: Count
@@ -154,6 +172,7 @@
     failing: Number = 0.0
     makes_calls: bool = True
     retry_use: Number = 0.0
+    notice: TargetNotice | None = None
 
 
 SILENT_FEEDBACK = Feedback(
--- a/tests/filters/test_forward.py
+++ b/tests/filters/test_forward.py
@@ -39,6 +39,7 @@
         self.sent_to: list[str] = []
         self.may_wait: list[bool] = []
         self.contexts: list[frames.Context] = []
+        self.notices: list[frames.TargetNotice | None] = []
 
     async def transmit(
         self,
@@ -51,6 +52,7 @@
         self.sent_to.append(node_id)
         self.may_wait.append(call.may_wait)
         self.contexts.append(call.context)
+        self.notices.append(call.notice)
         return self.replies.pop(0)
 
 
@@ -138,6 +140,32 @@
         self.assertIs(verdict.Reason.OVERLOAD, outcome.reason)
         self.assertGreaterEqual(outcome.retry_after_s or 0.0, 1.0)
 
+    async def test_what_a_target_has_said_travels_with_the_next_calls(
+        self,
+    ) -> None:
+        notice = frames.TargetNotice('i-1', 2.0)
+        told = frames.Feedback(255, 1.0, 0.0, 0, notice=notice)
+        silent = dialler.Reply(OVERLOAD, frames.SILENT_FEEDBACK)
+        forwarder = self.build(
+            dialler.Reply(ANSWER, told), silent, *[build_reply(ANSWER)] * 3
+        )
+        call = build_call()
+        for _ in range(4):
+            await forwarder.send(call)
+        first = self.transmitter.sent_to[0]
+        later = [
+            sent
+            for node_id, sent in zip(
+                self.transmitter.sent_to,
+                self.transmitter.notices,
+                strict=True,
+            )
+            if node_id == first
+        ]
+        # An answer that does not repeat it ends it.
+        self.assertEqual([None, notice], later[:2])
+        self.assertTrue(all(item is None for item in later[3:]))
+
     async def test_refused_call_goes_to_another_upstream(self) -> None:
         forwarder = self.build(build_reply(OVERLOAD), build_reply(ANSWER))
         self.assertEqual(ANSWER, await forwarder.send(build_call()))
--- a/tests/filters/test_gate.py
+++ b/tests/filters/test_gate.py
@@ -1,5 +1,6 @@
 """Tests of the gate: refusals before delivery, and feedback on replies."""
 
+import asyncio
 import random
 import unittest
 import unittest.mock
@@ -33,6 +34,7 @@
     root_hash: float = 0.9,
     request_id: bytes = b'a',
     may_wait: bool = True,
+    notice: frames.TargetNotice | None = None,
 ) -> frames.Call:
     return frames.Call(
         attempt=bytes(16),
@@ -48,6 +50,7 @@
         digest=0,
         objective_s=1.0,
         may_wait=may_wait,
+        notice=notice,
     )
 
 
@@ -130,6 +133,55 @@
             await self.gate.run(build_call(may_wait=False))
         self.assertLessEqual(self.pool.send.call_count, 1.5 * 2 * 4 + 5)
 
+    async def test_restarted_gate_keeps_to_the_limit_that_callers_know(
+        self,
+    ) -> None:
+        """No answer has come since the restart, as the target is slow."""
+        notice = frames.TargetNotice('i-1', 2.0)
+        answered = asyncio.Event()
+
+        async def wait(
+            *args: object, **options: object
+        ) -> http_client.Outcome:
+            await answered.wait()
+            return http_client.Received(RESPONSE)
+
+        self.pool.send.side_effect = wait
+        self.gate.set_target('i-1', 100)
+        async with asyncio.TaskGroup() as group:
+            for _ in range(60):
+                group.create_task(
+                    self.gate.run(build_call(may_wait=False, notice=notice))
+                )
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            answered.set()
+        self.assertLessEqual(self.pool.send.call_count, 1.5 * 2 * 4 + 5)
+
+    async def test_limit_of_an_earlier_run_of_the_target_does_not_hold(
+        self,
+    ) -> None:
+        self.gate.set_target('i-2', 4)
+        for _ in range(20):
+            reply = await self.gate.run(
+                build_call(notice=frames.TargetNotice('i-1', 2.0))
+            )
+            self.assertIsInstance(reply.outcome, verdict.Answered)
+
+    async def test_feedback_tells_the_limit_until_it_is_lifted(self) -> None:
+        self.pool.send.return_value = http_client.Received(
+            build_answer(limit=b'2')
+        )
+        reply = await self.gate.run(build_call())
+        assert reply.feedback is not None
+        self.assertEqual(
+            frames.TargetNotice('i-1', 2.0), reply.feedback.notice
+        )
+        self.pool.send.return_value = http_client.Received(RESPONSE)
+        reply = await self.gate.run(build_call())
+        assert reply.feedback is not None
+        self.assertIsNone(reply.feedback.notice)
+
     async def test_failure_due_to_a_child_call_is_not_counted(
         self,
     ) -> None:
