Drain a target that says in an answer that it is leaving

Cause: nodes learned of a drain by check-ins alone, which may come seconds late or be lost, while the answers of the target already say so (Server-Leaving) and callers count from the first that they see.

The gate begins the drain with the answer and tells the roster, as for a check-in, so no later check-in brings the run back. Feedback tells callers' nodes at once. What they know outlasts the entry and a restart of the node beside the target: a run that has begun to drain is never chosen again, and an entry that shows it as ready, from a record older than the drain, is corrected. Runs are told apart by id and start (the new stored field born_ms), as a target may start again under its id.

tests.filters.test_gate, tests.policy.test_roster and tests.policy.test_spread fail without it.

--- a/src/eelgrasswalk/controllers/check_ins.py
+++ b/src/eelgrasswalk/controllers/check_ins.py
@@ -18,7 +18,7 @@
 class Gate(typing.Protocol):
     """What admits calls to the target."""
 
-    def set_target(self, target_id: str, slots: int) -> None:
+    def set_target(self, target_id: str, slots: int, *, run_id: str) -> None:
         """Deliver calls to this target from now on."""
 
     def start_draining(self) -> None:
@@ -74,7 +74,7 @@
             return
         report = target_lifecycle.InstanceReport(
             target_id=entry.target_id,
-            born_ms=0,
+            born_ms=entry.born_ms,
             sequence=-1,
             slots=entry.slots,
             draining=entry.state is not roster.TargetState.READY,
@@ -85,6 +85,12 @@
             self._life.restore(report)
         self._apply()
 
+    def note_leaving(self, target_id: str) -> None:
+        """Treat a target that says in an answer that it is leaving so."""
+        change = self._life.deregister(target_id, self._clock())
+        if change is target_lifecycle.Change.LEAVING:
+            self._apply()
+
     async def _announce(self, change: target_lifecycle.Change) -> None:
         self._apply()
         if change is target_lifecycle.Change.LEAVING:
@@ -94,7 +100,9 @@
         report = self._life.report
         assert report is not None
         if self._life.is_ready:
-            self._gate.set_target(report.target_id, report.slots)
+            self._gate.set_target(
+                report.target_id, report.slots, run_id=report.run_id
+            )
             state = roster.TargetState.READY
         else:
             self._gate.start_draining()
@@ -106,6 +114,7 @@
             state=state,
             target_id=report.target_id,
             slots=report.slots,
+            born_ms=report.born_ms,
         )
 
 
--- a/src/eelgrasswalk/controllers/directory.py
+++ b/src/eelgrasswalk/controllers/directory.py
@@ -26,6 +26,7 @@
         admin: Where operators reach it, `IP:port`; empty when unknown.
         config_version: Version in force there, as far as known.
         slots: Calls that its target runs at a time; 0 when not known.
+        run_id: Id of the current run of its target; empty when not known.
     """
 
     node_id: str
@@ -37,6 +38,7 @@
     admin: str = ''
     config_version: int | None = None
     slots: int = 0
+    run_id: str = ''
 
 
 class Balancer(typing.Protocol):
@@ -102,4 +104,5 @@
         data_centre=peer.data_centre,
         service=peer.service,
         slots=peer.slots,
+        run_id=peer.run_id,
     )
--- a/src/eelgrasswalk/controllers/roster.py
+++ b/src/eelgrasswalk/controllers/roster.py
@@ -337,4 +337,5 @@
         state=state,
         links=dialler.Address(entry.node_id, entry.host, entry.port),
         slots=entry.slots,
+        run_id=entry.run_id,
     )
--- a/src/eelgrasswalk/events.py
+++ b/src/eelgrasswalk/events.py
@@ -146,6 +146,9 @@
 TARGET_LIMIT_CHANGED = Event(
     4005, logging.INFO, 'target has changed the call rate that it accepts'
 )
+TARGET_LEAVING = Event(
+    4006, logging.INFO, 'target says in an answer that it is leaving'
+)
 REQUEST_FAILED = Event(
     5001,
     logging.ERROR,
--- a/src/eelgrasswalk/filters/forward.py
+++ b/src/eelgrasswalk/filters/forward.py
@@ -343,6 +343,8 @@
     ) -> None:
         assert reply.feedback is not None
         notice = reply.feedback.notice
+        if notice is not None and notice.leaving:
+            self._balancer.mark_leaving(upstream.node_id, notice.run_id)
         # The feedback of a refusal may be empty.
         if notice is not None or isinstance(reply.outcome, verdict.Answered):
             self._notices.record(upstream.node_id, notice)
--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -1,6 +1,7 @@
 """Admits and delivers calls at the upstream's node in eelgrasswalk-sidecar."""
 
 import asyncio
+import math
 import time
 import typing
 
@@ -55,6 +56,8 @@
 
     Attributes:
         drain_s: As above; a change applies to the next drain.
+        on_leaving: Called with the id of the target when it says in an answer
+            that it is leaving.
     """
 
     def __init__(
@@ -82,29 +85,33 @@
         self._log = log
         self._service = service
         self.drain_s = drain_s
+        self.on_leaving: typing.Callable[[str], None] = _ignore
         self._loop = asyncio.get_running_loop()
         self._target_id = ''
+        self._run_id = ''
         self._calls_per_s: float | None = None
         # Whether the target itself has said what it accepts.
         self._has_notice = False
         self._sent = decaying_rate.DecayingRate(SENT_SPAN_S)
-        self._accepts_until = float('inf')
-        self._delivers_until = float('inf')
+        self._accepts_until = math.inf
+        self._delivers_until = math.inf
 
-    def set_target(self, target_id: str, slots: int) -> None:
+    def set_target(self, target_id: str, slots: int, *, run_id: str) -> None:
         """Set the target that calls are delivered to and end any drain.
 
         Args:
-            target_id: Id of this run of the target; a restart changes it.
+            target_id: Id of the target, which alone may run the calls.
             slots: Number of calls that the target runs at a time.
+            run_id: Id of this run of the target.
         """
-        if target_id != self._target_id:
+        if run_id != self._run_id:
             self._failures = target_failures.TargetFailures()
             self._limit_rate(None)
             self._has_notice = False
         self._target_id = target_id
-        self._accepts_until = float('inf')
-        self._delivers_until = float('inf')
+        self._run_id = run_id
+        self._accepts_until = math.inf
+        self._delivers_until = math.inf
         self._admitter.policy.resize(slots)
 
     def start_draining(self) -> None:
@@ -286,13 +293,17 @@
         if (
             notice is not None
             and not self._has_notice
-            and notice.target_id == self._target_id
+            and notice.run_id == self._run_id
         ):
             self._set_limit(notice.calls_per_s)
 
     def _apply_notice(self, notice: ports.TargetNotice) -> None:
         self._has_notice = True
         self._set_limit(notice.calls_per_s)
+        if notice.leaving and self._accepts_until == math.inf:
+            self.start_draining()
+            events.log(events.TARGET_LEAVING, target=self._target_id)
+            self.on_leaving(self._target_id)
 
     def _set_limit(self, calls_per_s: float | None) -> None:
         if calls_per_s == self._calls_per_s:
@@ -334,9 +345,15 @@
         )
 
     def _build_notice(self) -> frames.TargetNotice | None:
-        if self._calls_per_s is None:
+        is_leaving = self._accepts_until < math.inf
+        is_silent = self._calls_per_s is None and not is_leaving
+        if is_silent or not self._run_id:
             return None
-        return frames.TargetNotice(self._target_id, self._calls_per_s)
+        return frames.TargetNotice(self._run_id, self._calls_per_s, is_leaving)
+
+
+def _ignore(target_id: str) -> None:
+    """Ignore that the target is leaving."""
 
 
 def _refuse(reason: verdict.Reason) -> verdict.NotRun:
--- a/src/eelgrasswalk/platform/dialect.py
+++ b/src/eelgrasswalk/platform/dialect.py
@@ -109,13 +109,14 @@
             return None
         headers = response.headers
         limit = message.find_header(headers, names.RATE_LIMIT)
-        if limit is not None:
-            calls_per_s = _parse_rate(limit)
-            if calls_per_s is None:
-                return None
-            return ports.TargetNotice(calls_per_s)
-        if message.find_header(headers, names.STAMP) is None:
-            # Not certainly the target's own words.
+        calls_per_s = None if limit is None else _parse_rate(limit)
+        leaving = message.find_header(headers, names.LEAVING) == b'1'
+        if calls_per_s is not None or leaving:
+            return ports.TargetNotice(calls_per_s, leaving)
+        if limit is not None or (
+            message.find_header(headers, names.STAMP) is None
+        ):
+            # Malformed, or not certainly the target's own words.
             return None
         return ports.TargetNotice()
 
--- a/src/eelgrasswalk/platform/names.py
+++ b/src/eelgrasswalk/platform/names.py
@@ -18,6 +18,8 @@
 # Calls a second that the target takes from all hosts together, with
 # fractions; it holds for as long as the target's answers carry it.
 RATE_LIMIT = b'server-limit'
+# Says with the value 1 that the target is leaving.
+LEAVING = b'server-leaving'
 # Seconds, with fractions.
 RETRY_AFTER = b'retry-after'
 # Service beside which the request began.
--- a/src/eelgrasswalk/policy/balance.py
+++ b/src/eelgrasswalk/policy/balance.py
@@ -60,12 +60,14 @@
         service: Service of its target.
         slots: Number of calls that its target runs concurrently; 0 if
             unknown.
+        run_id: Id of the current run of its target; empty if unknown.
     """
 
     node_id: str
     data_centre: str
     service: str
     slots: int = 0
+    run_id: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/eelgrasswalk/policy/roster.py
+++ b/src/eelgrasswalk/policy/roster.py
@@ -36,6 +36,8 @@
         slots: Maximum number of calls that the target runs concurrently.
         stopping: Whether the node is about to stop.
         secluded: Whether other nodes recently could not reach the node.
+        born_ms: Start of the target's current run in Unix milliseconds; 0 if
+            unknown.
     """
 
     node_id: str
@@ -50,6 +52,12 @@
     slots: int = 0
     stopping: bool = False
     secluded: bool = False
+    born_ms: int = 0
+
+    @property
+    def run_id(self) -> str:
+        """Id of the target's current run."""
+        return f'{self.target_id}@{self.born_ms}'
 
     @property
     def is_usable(self) -> bool:
@@ -102,12 +110,22 @@
     def update(self, entry: Entry) -> bool:
         """Store an entry unless a newer one is known.
 
+        A run of a target that has begun to drain stays so, even if its node
+        has restarted and does not know it.
+
         Returns:
             Whether the entry was stored.
         """
         known = self._entries.get(entry.node_id)
         if known is not None and not entry.is_newer(known):
             return False
+        if (
+            known is not None
+            and known.state is TargetState.DRAINING
+            and entry.state is TargetState.READY
+            and entry.run_id == known.run_id
+        ):
+            entry = dataclasses.replace(entry, state=TargetState.DRAINING)
         self._entries[entry.node_id] = entry
         return True
 
--- a/src/eelgrasswalk/policy/spread.py
+++ b/src/eelgrasswalk/policy/spread.py
@@ -12,12 +12,16 @@
 late.
 """
 
+import collections
 import collections.abc
 import dataclasses
 import math
 
 from . import balance
 
+# Runs of targets that are remembered as leaving; the oldest are forgotten.
+MAX_LEAVING_RUNS = 1024
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadAwareSettings:
@@ -136,6 +140,9 @@
         self._services: dict[str, list[_State]] = {}
         self._states: dict[str, _State] = {}
         self._route_latency_s: dict[tuple[str, str], float] = {}
+        self._leaving_runs: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
 
     def replace(
         self,
@@ -359,6 +366,23 @@
             duration_s, settings.max_unreachable_s
         )
 
+    def mark_leaving(self, node_id: str, run_id: str) -> None:
+        """Send no more calls to a run of a target.
+
+        It holds even if the node beside the target restarts and no longer
+        knows that the target is leaving.
+
+        Args:
+            node_id: Id of the upstream's node.
+            run_id: Id of the run.
+        """
+        self._leaving_runs[run_id] = None
+        if len(self._leaving_runs) > MAX_LEAVING_RUNS:
+            self._leaving_runs.popitem(last=False)
+        state = self._states.get(node_id)
+        if state is not None and state.upstream.run_id == run_id:
+            state.leaving = True
+
     def _choose_of_two(
         self,
         states: list[_State],
@@ -386,7 +410,7 @@
             is_local = upstream.data_centre == self._data_centre
             state = _State(upstream, added_at, is_local)
             self._states[upstream.node_id] = state
-        state.leaving = False
+        state.leaving = upstream.run_id in self._leaving_runs
         return state
 
     def _compute_cost(
--- a/src/eelgrasswalk/policy/target_lifecycle.py
+++ b/src/eelgrasswalk/policy/target_lifecycle.py
@@ -30,6 +30,11 @@
     slots: int
     draining: bool
 
+    @property
+    def run_id(self) -> str:
+        """Id of the instance that no other run has, even of the same id."""
+        return f'{self.target_id}@{self.born_ms}'
+
 
 class Change(enum.Enum):
     """Effect of a report on the known state."""
--- a/src/eelgrasswalk/ports.py
+++ b/src/eelgrasswalk/ports.py
@@ -219,9 +219,11 @@
     Args:
         calls_per_s: Calls a second that it takes from all nodes together;
             None for no limit.
+        leaving: Whether it is leaving.
     """
 
     calls_per_s: float | None = None
+    leaving: bool = False
 
 
 class Dialect(typing.Protocol):
--- a/src/eelgrasswalk/sidecar/wiring.py
+++ b/src/eelgrasswalk/sidecar/wiring.py
@@ -367,6 +367,7 @@
         call_retry_budget=call_retry_budget,
         quotas=quotas,
     )
+    target_gate.on_leaving = call_path.check_ins.note_leaving
     control_plane.router.links = call_path
     return call_path
 
--- a/src/eelgrasswalk/transport/frames.py
+++ b/src/eelgrasswalk/transport/frames.py
@@ -100,13 +100,15 @@
     """What a target has said of itself.
 
     Args:
-        target_id: Id of this run of the target.
+        run_id: Id of this run of the target.
         calls_per_s: Calls per second that it accepts from all nodes together;
             None for no limit.
+        leaving: Whether it is leaving.
     """
 
-    target_id: str
+    run_id: str
     calls_per_s: Number | None = None
+    leaving: bool = False
 
 
 class Call(msgspec.Struct, frozen=True, array_like=True, gc=False, tag=4):
--- a/tests/controllers/test_check_ins.py
+++ b/tests/controllers/test_check_ins.py
@@ -39,7 +39,7 @@
     def __init__(self) -> None:
         self.told: list[str] = []
 
-    def set_target(self, target_id: str, slots: int) -> None:
+    def set_target(self, target_id: str, slots: int, *, run_id: str) -> None:
         self.told.append(target_id)
 
     def start_draining(self) -> None:
@@ -77,6 +77,22 @@
         self.assertEqual(['i-1'], self.gate.told)
         self.assertTrue(self.roster.own.is_usable)
 
+    async def test_target_that_says_in_answers_that_it_leaves(self) -> None:
+        await self.say(BEAT)
+        self.keeper.note_leaving('i-1')
+        self.assertEqual(roster.TargetState.DRAINING, self.roster.own.state)
+        self.assertEqual(['i-1', 'leave'], self.gate.told)
+        # A check-in from before that is late does not bring it back.
+        await self.say(dataclasses.replace(BEAT, sequence=2))
+        self.assertFalse(self.roster.own.is_usable)
+
+    async def test_new_run_of_the_same_id_is_no_longer_leaving(self) -> None:
+        await self.say(BEAT)
+        self.keeper.note_leaving('i-1')
+        await self.say(dataclasses.replace(BEAT, born_ms=2000, sequence=1))
+        self.assertTrue(self.roster.own.is_usable)
+        self.assertEqual('i-1@2000', self.roster.own.run_id)
+
     async def test_drain_is_acknowledged_though_the_store_is_away(
         self,
     ) -> None:
--- a/tests/filters/test_gate.py
+++ b/tests/filters/test_gate.py
@@ -5,6 +5,7 @@
 import unittest
 import unittest.mock
 
+from eelgrasswalk import clock
 from eelgrasswalk import request_log
 from eelgrasswalk import verdict
 from eelgrasswalk.filters import admit
@@ -21,8 +22,12 @@
 RESPONSE = verdict.Response(200, ((b'response-stamp', b's'),), b'')
 
 
-def build_answer(*, limit: bytes = b'') -> verdict.Response:
+def build_answer(
+    *, limit: bytes = b'', leaving: bool = False
+) -> verdict.Response:
     headers = RESPONSE.headers
+    if leaving:
+        headers = (*headers, (b'server-leaving', b'1'))
     if limit:
         headers = (*headers, (b'server-limit', limit))
     return verdict.Response(200, headers, b'')
@@ -79,7 +84,7 @@
             service='back',
             drain_s=2.0,
         )
-        self.gate.set_target('i-1', 4)
+        self.gate.set_target('i-1', 4, run_id='i-1@1')
 
     def record_starved_calls(self) -> None:
         for _ in range(100):
@@ -137,7 +142,7 @@
         self,
     ) -> None:
         """No answer has come since the restart, as the target is slow."""
-        notice = frames.TargetNotice('i-1', 2.0)
+        notice = frames.TargetNotice('i-1@1', 2.0)
         answered = asyncio.Event()
 
         async def wait(
@@ -147,7 +152,7 @@
             return http_client.Received(RESPONSE)
 
         self.pool.send.side_effect = wait
-        self.gate.set_target('i-1', 100)
+        self.gate.set_target('i-1', 100, run_id='i-1@1')
         async with asyncio.TaskGroup() as group:
             for _ in range(60):
                 group.create_task(
@@ -161,10 +166,10 @@
     async def test_limit_of_an_earlier_run_of_the_target_does_not_hold(
         self,
     ) -> None:
-        self.gate.set_target('i-2', 4)
+        self.gate.set_target('i-1', 4, run_id='i-1@2')
         for _ in range(20):
             reply = await self.gate.run(
-                build_call(notice=frames.TargetNotice('i-1', 2.0))
+                build_call(notice=frames.TargetNotice('i-1@1', 2.0))
             )
             self.assertIsInstance(reply.outcome, verdict.Answered)
 
@@ -175,13 +180,38 @@
         reply = await self.gate.run(build_call())
         assert reply.feedback is not None
         self.assertEqual(
-            frames.TargetNotice('i-1', 2.0), reply.feedback.notice
+            frames.TargetNotice('i-1@1', 2.0), reply.feedback.notice
         )
         self.pool.send.return_value = http_client.Received(RESPONSE)
         reply = await self.gate.run(build_call())
         assert reply.feedback is not None
         self.assertIsNone(reply.feedback.notice)
 
+    async def test_target_that_says_it_is_leaving_gets_no_late_call(
+        self,
+    ) -> None:
+        """No check-in has told so; they may be late or lost."""
+        self.pool.send.return_value = http_client.Received(
+            build_answer(leaving=True)
+        )
+        told: list[str] = []
+        self.gate.on_leaving = told.append
+        now = clock.read_boot_time()
+        with unittest.mock.patch.object(
+            clock, 'read_boot_time', return_value=now
+        ) as read:
+            reply = await self.gate.run(build_call())
+            self.assertEqual(['i-1'], told)
+            assert reply.feedback is not None
+            self.assertEqual(
+                frames.TargetNotice('i-1@1', None, True), reply.feedback.notice
+            )
+            read.return_value = now + 2.0
+            late = await self.gate.run(build_call())
+        assert isinstance(late.outcome, verdict.NotRun)
+        self.assertIs(verdict.Reason.LEAVING, late.outcome.reason)
+        self.assertEqual(1, self.pool.send.call_count)
+
     async def test_failure_due_to_a_child_call_is_not_counted(
         self,
     ) -> None:
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -121,6 +121,16 @@
             ports.TargetNotice(), self.read((b'response-stamp', b's'))
         )
 
+    def test_target_that_is_leaving(self) -> None:
+        self.assertEqual(
+            ports.TargetNotice(None, True),
+            self.read((b'server-leaving', b'1')),
+        )
+        self.assertEqual(
+            ports.TargetNotice(8.0, True),
+            self.read((b'server-limit', b'8'), (b'server-leaving', b'1')),
+        )
+
     def test_answers_that_are_no_evidence(self) -> None:
         self.assertIsNone(self.read())
         for value in (b'', b'-1', b'nan', b'1e3', b'many', b'1.2.3'):
--- a/tests/policy/test_roster.py
+++ b/tests/policy/test_roster.py
@@ -33,6 +33,23 @@
         new = dataclasses.replace(ENTRY, incarnation=6, revision=0)
         self.assertTrue(self.roster.update(new))
 
+    def test_drained_run_does_not_become_ready_again(self) -> None:
+        """Its node restarted from a record older than the drain."""
+        run = dataclasses.replace(ENTRY, target_id='i-1', born_ms=7)
+        self.roster.update(
+            dataclasses.replace(
+                run, revision=3, state=roster.TargetState.DRAINING
+            )
+        )
+        self.roster.update(dataclasses.replace(run, incarnation=6))
+        found = self.roster.find('n1')
+        assert found is not None
+        self.assertFalse(found.is_usable)
+        self.roster.update(dataclasses.replace(run, incarnation=7, born_ms=8))
+        found = self.roster.find('n1')
+        assert found is not None
+        self.assertTrue(found.is_usable)
+
     def test_removes_nodes_that_are_not_listed(self) -> None:
         self.assertTrue(self.roster.keep_only({'n2'}))
         self.assertEqual([], self.roster.list_entries())
--- a/tests/policy/test_spread.py
+++ b/tests/policy/test_spread.py
@@ -1,6 +1,7 @@
 """Tests of load-aware selection of upstreams."""
 
 import collections
+import dataclasses
 import random
 import typing
 import unittest
@@ -27,6 +28,18 @@
         self.spread.replace('leaf', build_upstreams(), 0.0)
         self.faults = collections.defaultdict(target_failures.TargetFailures)
 
+    def test_leaving_run_gets_no_call_though_its_node_restarts(self) -> None:
+        first = dataclasses.replace(build_upstreams(1)[0], run_id='i-1@1')
+        self.spread.replace('leaf', [first], 0.0)
+        self.spread.mark_leaving('n0', 'i-1@1')
+        self.assertIsNone(self.spread.choose('leaf', 1.0, (0.5, 0.5)))
+        self.spread.replace('leaf', [], 1.0)
+        self.spread.replace('leaf', [first], 2.0)
+        self.assertIsNone(self.spread.choose('leaf', 2.0, (0.5, 0.5)))
+        new = dataclasses.replace(first, run_id='i-1@2')
+        self.spread.replace('leaf', [new], 3.0)
+        self.assertEqual('n0', self.choose(3.0))
+
     def choose(self, now: float = 10.0, **options: typing.Any) -> str:
         pair = (self.random.random(), self.random.random())
         chosen = self.spread.choose('leaf', now, pair, **options)
