Log restores of the store and configurations that it has lost

The incident of the restored store: the logs showed neither the era of the store nor the versions that nodes knew. No logic has changed.

--- a/src/eelgrasswalk/controllers/feed.py
+++ b/src/eelgrasswalk/controllers/feed.py
@@ -96,6 +96,7 @@
         self._random = source
         self.store_clock = store_clock.StoreClock()
         self._version: int | None = None
+        self._era: int | None = None
         self._failures = 0
         self._watches = watches
         self._keeps_rows = keeps_rows
@@ -181,6 +182,19 @@
                 self.confirm()
             )
 
+    def _note_era(self, rows: ports.Rows, known_version: int) -> None:
+        """Log that the store has been restored since the last answer."""
+        if self._era is not None and rows.era != self._era:
+            events.log(
+                events.STORE_RESTORED,
+                table=self._table,
+                era=rows.era,
+                version=rows.version,
+                known_version=known_version,
+                store_s=rows.store_s,
+            )
+        self._era = rows.era
+
     def _advance(self, after: int, rows: ports.Rows, true_at: float) -> None:
         """Apply the changes between two versions."""
         is_new = bool(rows.rows) or rows.version > self.version
@@ -217,6 +231,7 @@
             if not self._watches:
                 self._note_failure(outcome)
             return False
+        self._note_era(outcome, after)
         self._advance(after, outcome, self._date(outcome, asked_at))
         if outcome.rows and self._watching is not None:
             # The long poll should have returned them; its answer may be
@@ -246,6 +261,7 @@
         outcome = await self._store.read(self._table)
         if isinstance(outcome, ports.Unavailable):
             return outcome
+        self._note_era(outcome, self.version)
         if outcome.version < self.version:
             # Changes of a later version have been applied meanwhile.
             return None
@@ -286,9 +302,12 @@
         if isinstance(outcome, ports.Unavailable):
             return outcome
         if isinstance(outcome, ports.HistoryGone):
-            events.log(events.HISTORY_GONE, table=self._table)
+            events.log(
+                events.HISTORY_GONE, table=self._table, version=version
+            )
             self._version = None
             return None
+        self._note_era(outcome, version)
         self._advance(version, outcome, self._date(outcome, asked_at))
         if outcome.rows and self._gather_s:
             await asyncio.sleep(self._gather_s)
--- a/src/eelgrasswalk/controllers/rules.py
+++ b/src/eelgrasswalk/controllers/rules.py
@@ -92,6 +92,12 @@
 
     def _put_in_force(self, rules: call_rules.Rules) -> None:
         if self.table is not None and rules.version <= self.table.version:
+            if rules.version < self.table.version:
+                events.log(
+                    events.RULES_BEHIND,
+                    version=self.table.version,
+                    shown=rules.version,
+                )
             return
         self.table = call_rules.RuleTable(rules)
         self._apply(self.table)
--- a/src/eelgrasswalk/events.py
+++ b/src/eelgrasswalk/events.py
@@ -117,6 +117,19 @@
     "another node's message cannot be read and is dropped",
     'look for a node of another release',
 )
+STORE_RESTORED = Event(
+    3012,
+    logging.WARNING,
+    'store has come back from a copy; what it lost is written again',
+    'changes of the last seconds before it went away may be missing until '
+    'operators have repeated them',
+)
+RULES_BEHIND = Event(
+    3013,
+    logging.WARNING,
+    'store shows an older configuration than the one in force',
+    'the newer one stays in force; look whether it is in the store again',
+)
 CLAIM_LOCAL = Event(
     3101,
     logging.WARNING,
--- a/src/eelgrasswalk/platform/names.py
+++ b/src/eelgrasswalk/platform/names.py
@@ -20,6 +20,8 @@
 RATE_LIMIT = b'server-limit'
 # Says with the value 1 that the target is leaving.
 LEAVING = b'server-leaving'
+# Rises by one whenever the store comes back from a copy.
+STORE_ERA = b'store-era'
 # Seconds, with fractions.
 RETRY_AFTER = b'retry-after'
 # Service beside which the request began.
--- a/src/eelgrasswalk/platform/rows.py
+++ b/src/eelgrasswalk/platform/rows.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import dataclasses
 import json
 import typing
 import urllib.parse
@@ -21,6 +22,12 @@
 _JSON = (b'content-type', b'application/json')
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    fields: dict[str, typing.Any]
+    era: int
+
+
 class PlatformRows:
     """Implements ports.RowStore.
 
@@ -48,13 +55,13 @@
             query = {'table': table, 'part': ''}
             if start:
                 query['from'] = start
-            fields = await self._get(names.READ_PATH, query, READ_TIMEOUT_S)
-            if isinstance(fields, ports.Unavailable | ports.HistoryGone):
+            answer = await self._get(names.READ_PATH, query, READ_TIMEOUT_S)
+            if isinstance(answer, ports.Unavailable | ports.HistoryGone):
                 return ports.Unavailable('the store refused to read')
-            page = _decode_rows(fields)
+            page = _decode_rows(answer)
             rows.extend(page.rows)
-            if not fields.get('has_more') or not page.rows:
-                return ports.Rows(tuple(rows), page.version, page.store_s)
+            if not answer.fields.get('has_more') or not page.rows:
+                return dataclasses.replace(page, rows=tuple(rows))
             start = page.rows[-1].key + '\0'
 
     async def watch(
@@ -66,10 +73,10 @@
             'after': str(after),
             'wait_ms': str(int(wait_s * _MS_PER_S)),
         }
-        fields = await self._get(names.FEED_PATH, query, wait_s + FEED_SLACK_S)
-        if isinstance(fields, ports.Unavailable | ports.HistoryGone):
-            return fields
-        return _decode_rows(fields)
+        answer = await self._get(names.FEED_PATH, query, wait_s + FEED_SLACK_S)
+        if isinstance(answer, ports.Unavailable | ports.HistoryGone):
+            return answer
+        return _decode_rows(answer)
 
     async def put(
         self, table: str, key: str, value: bytes, *, expected: int
@@ -100,7 +107,7 @@
 
     async def _get(
         self, path: str, query: dict[str, str], timeout_s: float
-    ) -> dict[str, typing.Any] | ports.HistoryGone | ports.Unavailable:
+    ) -> _Answer | ports.HistoryGone | ports.Unavailable:
         target = f'{path}?{urllib.parse.urlencode(query)}'
         request = message.Request('GET', target, (self._host,), b'')
         outcome = await self._send(request, timeout_s)
@@ -112,7 +119,7 @@
         fields = _read_body(response)
         if response.status != 200 or fields is None:
             return ports.Unavailable(f'status {response.status}')
-        return fields
+        return _Answer(fields, _read_era(response))
 
     async def _write(
         self, body: dict[str, typing.Any]
@@ -131,7 +138,7 @@
         response = outcome.response
         fields = _read_body(response)
         if response.status == 412 and fields is not None:
-            found = _decode_rows(fields).rows
+            found = _decode_rows(_Answer(fields, _read_era(response))).rows
             return ports.Conflict(found[0] if found else None)
         if response.status == 200 and fields is not None:
             return ports.Written(int(fields['ver']))
@@ -161,7 +168,13 @@
     return fields if isinstance(fields, dict) else None
 
 
-def _decode_rows(fields: dict[str, typing.Any]) -> ports.Rows:
+def _read_era(response: verdict.Response) -> int:
+    value = message.find_header(response.headers, names.STORE_ERA)
+    return int(value) if value is not None and value.isdigit() else 0
+
+
+def _decode_rows(answer: _Answer) -> ports.Rows:
+    fields = answer.fields
     rows = tuple(
         _decode_row(item) for item in fields.get('rows') or () if item
     )
@@ -169,6 +182,7 @@
         rows,
         int(fields.get('ver') or 0),
         float(fields.get('now_ms') or 0.0) / _MS_PER_S,
+        answer.era,
     )
 
 
--- a/src/eelgrasswalk/ports.py
+++ b/src/eelgrasswalk/ports.py
@@ -34,11 +34,14 @@
         version: The store's newest version when they were read.
         store_s: The store's own steady clock then, in seconds; 0 when it
             does not tell.
+        era: How often the store has been restored from a copy; what it had
+            acknowledged since the copy is lost each time.
     """
 
     rows: tuple[Row, ...]
     version: int
     store_s: float = 0.0
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
