--- a/src/eelgrasswalk/controllers/feed.py
+++ b/src/eelgrasswalk/controllers/feed.py
@@ -182,6 +182,11 @@
                 self.confirm()
             )
 
+    async def caught_up(self) -> None:
+        """Wait until the poll that catch_up began has ended."""
+        if self._catching_up is not None:
+            await asyncio.wait((self._catching_up,))
+
     def _note_era(self, rows: ports.Rows, known_version: int) -> None:
         """Log that the store has been restored since the last answer."""
         if self._era is not None and rows.era != self._era:
@@ -302,9 +307,7 @@
         if isinstance(outcome, ports.Unavailable):
             return outcome
         if isinstance(outcome, ports.HistoryGone):
-            events.log(
-                events.HISTORY_GONE, table=self._table, version=version
-            )
+            events.log(events.HISTORY_GONE, table=self._table, version=version)
             self._version = None
             return None
         self._note_era(outcome, version)
--- a/src/eelgrasswalk/standins/rows.py
+++ b/src/eelgrasswalk/standins/rows.py
@@ -49,6 +49,19 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Copy:
+    """What the store holds at a time.
+
+    Args:
+        rows: The last change of each row.
+        version: The newest version.
+    """
+
+    rows: dict[Place, _Change]
+    version: int
+
+
 class RowsStandin:
     """Keeps rows and serves them."""
 
@@ -60,6 +73,7 @@
         self._history: list[_Change] = []
         self._forgotten = 0
         self._version = 0
+        self._era = 1
         self._changed = asyncio.Event()
         self._server = http_server.HttpServer(
             self.handle, limits=http_server.Limits()
@@ -99,6 +113,22 @@
         self._history.clear()
         self._wake()
 
+    def copy(self) -> Copy:
+        """Return a copy of all rows."""
+        return Copy(dict(self._rows), self._version)
+
+    def restore(self, copy: Copy) -> None:
+        """Lose what was written since a copy; versions are given out again."""
+        self._rows = dict(copy.rows)
+        self._version = copy.version
+        self._history = [
+            change
+            for change in self._history
+            if change.version <= copy.version
+        ]
+        self._era += 1
+        self._wake()
+
     # Serving
 
     async def handle(self, request: message.Request) -> verdict.Response:
@@ -144,7 +174,7 @@
         wait_s = int(arguments.get('wait_ms', '0')) / 1000.0
         ends_at = time.monotonic() + min(wait_s, 30.0)
         while True:
-            if after < self._forgotten:
+            if not self._forgotten <= after <= self._version:
                 return self._answer(410, {})
             changes = [
                 change
@@ -215,7 +245,8 @@
     def _answer(self, status: int, fields: Fields) -> verdict.Response:
         now_ms = int(time.monotonic() * 1000.0)
         body = {**fields, 'ver': self._version, 'now_ms': now_ms}
-        return verdict.Response(status, _JSON, json.dumps(body).encode())
+        headers = (*_JSON, (b'store-era', b'%d' % self._era))
+        return verdict.Response(status, headers, json.dumps(body).encode())
 
 
 def _read_place(item: Fields) -> Place:
