Let versions of the store grow across its restores

Cause: feeds trusted the version alone, though a restored store gives versions out again. A node that asks from a version of before gets a plain answer once the store has passed it, and misses what was written in between. The class is an identifier that is reused. It was found in three more places: a peer's update with a version from before the restore made a node skip the same changes; a short poll that met the restore read the table and dropped what it read; and a conditional write or removal could match a row that has the same number by chance.

The platform's folder puts the store's era above the number, so that versions of the product grow across restores and every comparison holds as it stands. A watch from another era is answered as history that is gone; a conditional write with a version from before a restore matches no row.

--- a/src/eelgrasswalk/controllers/feed.py
+++ b/src/eelgrasswalk/controllers/feed.py
@@ -236,7 +236,9 @@
             if not self._watches:
                 self._note_failure(outcome)
             return False
-        self._note_era(outcome, after)
+        if outcome.version < self.version:
+            # It is from before a restore of the store.
+            return False
         self._advance(after, outcome, self._date(outcome, asked_at))
         if outcome.rows and self._watching is not None:
             # The long poll should have returned them; its answer may be
@@ -310,7 +312,9 @@
             events.log(events.HISTORY_GONE, table=self._table, version=version)
             self._version = None
             return None
-        self._note_era(outcome, version)
+        if outcome.version < self.version:
+            # It is from before a restore of the store.
+            return None
         self._advance(version, outcome, self._date(outcome, asked_at))
         if outcome.rows and self._gather_s:
             await asyncio.sleep(self._gather_s)
--- a/src/eelgrasswalk/platform/rows.py
+++ b/src/eelgrasswalk/platform/rows.py
@@ -19,6 +19,9 @@
 FEED_SLACK_S = 1.0
 MAX_ANSWER_BYTES = 16_777_216
 _MS_PER_S = 1000.0
+_NUMBER_BITS = 44
+# No row has it.
+_NO_VERSION = (1 << _NUMBER_BITS) - 1
 _JSON = (b'content-type', b'application/json')
 
 
@@ -31,6 +34,9 @@
 class PlatformRows:
     """Implements ports.RowStore.
 
+    A restored store gives versions out again. Versions of the product hold
+    the era above the store's own number, so that they grow across restores.
+
     Args:
         host: IP address of the store.
         port: Its port.
@@ -39,6 +45,7 @@
 
     def __init__(self, host: str, port: int, *, connections: int = 6) -> None:
         self._host = (b'host', f'{host}:{port}'.encode('ascii'))
+        self._era = 0
         self._pool = http_client.TargetPool(
             host, port, connections=connections
         )
@@ -70,12 +77,14 @@
         """Wait for changes of a table."""
         query = {
             'table': table,
-            'after': str(after),
+            'after': str(_get_number(after)),
             'wait_ms': str(int(wait_s * _MS_PER_S)),
         }
         answer = await self._get(names.FEED_PATH, query, wait_s + FEED_SLACK_S)
         if isinstance(answer, ports.Unavailable | ports.HistoryGone):
             return answer
+        if answer.era != _get_era(after):
+            return ports.HistoryGone()
         return _decode_rows(answer)
 
     async def put(
@@ -86,7 +95,7 @@
         text = base64.b64encode(value).decode('ascii')
         return await self._write(
             {
-                'expected': [{**place, 'ver': expected}],
+                'expected': [{**place, 'ver': self._expect(expected)}],
                 'puts': [{**place, 'value': text}],
                 'removals': [],
             }
@@ -99,7 +108,7 @@
         place = {'table': table, 'part': '', 'key': key}
         return await self._write(
             {
-                'expected': [{**place, 'ver': expected}],
+                'expected': [{**place, 'ver': self._expect(expected)}],
                 'puts': [],
                 'removals': [place],
             }
@@ -119,7 +128,7 @@
         fields = _read_body(response)
         if response.status != 200 or fields is None:
             return ports.Unavailable(f'status {response.status}')
-        return _Answer(fields, _read_era(response))
+        return _Answer(fields, self._note_era(response))
 
     async def _write(
         self, body: dict[str, typing.Any]
@@ -138,14 +147,30 @@
         response = outcome.response
         fields = _read_body(response)
         if response.status == 412 and fields is not None:
-            found = _decode_rows(_Answer(fields, _read_era(response))).rows
+            answer = _Answer(fields, self._note_era(response))
+            found = _decode_rows(answer).rows
             return ports.Conflict(found[0] if found else None)
         if response.status == 200 and fields is not None:
-            return ports.Written(int(fields['ver']))
+            era = self._note_era(response)
+            return ports.Written(_build_version(era, int(fields['ver'])))
         if 400 <= response.status < 500 or response.status == 503:
             return ports.Unavailable(f'status {response.status}')
         return ports.Unknown(f'status {response.status}')
 
+    def _note_era(self, response: verdict.Response) -> int:
+        value = message.find_header(response.headers, names.STORE_ERA)
+        if value is None or not value.isdigit():
+            return self._era
+        self._era = int(value)
+        return self._era
+
+    def _expect(self, version: int) -> int:
+        """Return what a row's version must be for a conditional write."""
+        if version == 0 or _get_era(version) == self._era:
+            return _get_number(version)
+        # Another row may have the number of a version from before a restore.
+        return _NO_VERSION
+
     async def _send(
         self, request: message.Request, timeout_s: float
     ) -> http_client.Outcome:
@@ -168,28 +193,36 @@
     return fields if isinstance(fields, dict) else None
 
 
-def _read_era(response: verdict.Response) -> int:
-    value = message.find_header(response.headers, names.STORE_ERA)
-    return int(value) if value is not None and value.isdigit() else 0
+def _build_version(era: int, number: int) -> int:
+    return (era << _NUMBER_BITS) | number
+
+
+def _get_era(version: int) -> int:
+    return version >> _NUMBER_BITS
+
+
+def _get_number(version: int) -> int:
+    return version & _NO_VERSION
 
 
 def _decode_rows(answer: _Answer) -> ports.Rows:
     fields = answer.fields
     rows = tuple(
-        _decode_row(item) for item in fields.get('rows') or () if item
+        _decode_row(item, answer.era)
+        for item in fields.get('rows') or ()
+        if item
     )
     return ports.Rows(
         rows,
-        int(fields.get('ver') or 0),
+        _build_version(answer.era, int(fields.get('ver') or 0)),
         float(fields.get('now_ms') or 0.0) / _MS_PER_S,
         answer.era,
     )
 
 
-def _decode_row(item: dict[str, typing.Any]) -> ports.Row:
+def _decode_row(item: dict[str, typing.Any], era: int) -> ports.Row:
+    version = _build_version(era, int(item.get('ver') or 0))
     value = item.get('value')
     if item.get('deleted') or value is None:
-        return ports.Row(str(item['key']), None, int(item.get('ver') or 0))
-    return ports.Row(
-        str(item['key']), base64.b64decode(value), int(item['ver'])
-    )
+        return ports.Row(str(item['key']), None, version)
+    return ports.Row(str(item['key']), base64.b64decode(value), version)
--- a/src/eelgrasswalk/ports.py
+++ b/src/eelgrasswalk/ports.py
@@ -17,7 +17,8 @@
     Args:
         key: Its key.
         value: Its value; None when the row has been removed.
-        version: Grows with every transaction of the whole store.
+        version: Grows with every transaction of the whole store, also across
+            its restores.
     """
 
     key: str
--- a/src/eelgrasswalk/standins/rows.py
+++ b/src/eelgrasswalk/standins/rows.py
@@ -73,7 +73,7 @@
         self._history: list[_Change] = []
         self._forgotten = 0
         self._version = 0
-        self._era = 1
+        self._era = 0
         self._changed = asyncio.Event()
         self._server = http_server.HttpServer(
             self.handle, limits=http_server.Limits()
--- a/tests/controllers/test_feed_restored.py
+++ b/tests/controllers/test_feed_restored.py
@@ -54,8 +54,8 @@
         await made.filled.wait()
         return made
 
-    def write_until_known_version_is_passed(self) -> None:
-        while self.standin.copy().version <= self.feed.version:
+    def write_past(self, lost_version: int) -> None:
+        while self.standin.copy().version <= lost_version:
             self.standin.put('other', 'key', b'x')
 
     async def test_change_is_not_missed_once_versions_pass_the_known_one(
@@ -66,9 +66,10 @@
         for number in range(5):
             self.standin.put('other', 'key', b'%d' % number)
         self.assertTrue(await self.feed.confirm())
+        lost = self.standin.copy().version
         self.standin.restore(copy)
         self.standin.put(TABLE, 'config', b'new')
-        self.write_until_known_version_is_passed()
+        self.write_past(lost)
         await self.feed.confirm()
         self.assertEqual(b'new', self.follower.values.get('config'))
 
@@ -92,12 +93,13 @@
         for number in range(5):
             self.standin.put('other', 'key', b'%d' % number)
         self.assertTrue(await other.confirm())
+        lost = self.standin.copy().version
         self.standin.restore(copy)
         await self.feed.confirm()
         for advance in sent:
             self.feed.apply_peer_update(advance)
         self.standin.put(TABLE, 'config', b'new')
-        self.write_until_known_version_is_passed()
+        self.write_past(lost)
         await self.feed.confirm()
         self.assertEqual(b'new', self.follower.values.get('config'))
 
--- a/tests/platform/test_rows.py
+++ b/tests/platform/test_rows.py
@@ -90,3 +90,49 @@
         store = rows.PlatformRows('127.0.0.1', 1)
         outcome = await store.put('nodes', 'n1', b'mine', expected=0)
         self.assertIsInstance(outcome, ports.Unavailable)
+
+
+class RestoredRowsTest(unittest.IsolatedAsyncioTestCase):
+    """Versions grow across restores, though the store's own go back."""
+
+    async def asyncSetUp(self) -> None:
+        self.standin = standin.RowsStandin()
+        port = await self.standin.start()
+        self.addAsyncCleanup(self.standin.stop)
+        self.store = rows.PlatformRows('127.0.0.1', port)
+        self.addAsyncCleanup(self.store.close)
+        self.copy = self.standin.copy()
+
+    async def restore(self) -> None:
+        self.standin.restore(self.copy)
+        await self.store.read('nodes')
+
+    async def test_versions_grow(self) -> None:
+        written = await self.store.put('nodes', 'n1', b'a', expected=0)
+        assert isinstance(written, ports.Written), written
+        await self.restore()
+        again = await self.store.put('nodes', 'n1', b'a', expected=0)
+        assert isinstance(again, ports.Written), again
+        self.assertGreater(again.version, written.version)
+
+    async def test_watch_from_before_a_restore_has_no_history(self) -> None:
+        written = await self.store.put('nodes', 'n1', b'a', expected=0)
+        assert isinstance(written, ports.Written), written
+        self.standin.restore(self.copy)
+        for _ in range(3):
+            self.standin.put('nodes', 'n2', b'b')
+        found = await self.store.watch('nodes', written.version, 0.0)
+        self.assertEqual(ports.HistoryGone(), found)
+
+    async def test_number_that_was_given_out_again_is_another_version(
+        self,
+    ) -> None:
+        written = await self.store.put('nodes', 'n1', b'a', expected=0)
+        assert isinstance(written, ports.Written), written
+        await self.restore()
+        number = self.standin.put('nodes', 'n1', b'of another writer')
+        self.assertEqual(written.version, number)
+        outcome = await self.store.remove(
+            'nodes', 'n1', expected=written.version
+        )
+        self.assertIsInstance(outcome, ports.Conflict)
