Write a node's entry again when a restored store has lost it

Cause: a node wrote its entry when it changed, and never looked whether the store still had it. After a restore the entry of a node that had started, changed or begun to drain since the copy was missing or old for good: nodes that start then don't learn of it, or send calls to a target that drains. Others dropped it at once with the first read, as one that is not listed.

A full read now compares the own entry with what was written last. Nodes that the copy does not show are kept for 2.5 s, the time in which servers are to be back.

Two of the new tests of tests.controllers.test_roster failed before, one could not be expressed (the time to return).

--- a/src/eelgrasswalk/controllers/roster.py
+++ b/src/eelgrasswalk/controllers/roster.py
@@ -24,6 +24,8 @@
 FIRST_WRITE_S = 0.5
 # Time for which a node that others could not reach owns no accounts.
 SECLUSION_S = 10.0
+# Time in which nodes write their entries again that a restored store has lost.
+RESTORE_GRACE_S = 2.5
 _UNUSABLE = 'unusable'
 
 
@@ -81,6 +83,7 @@
         self._row_version = 0
         self._versions: dict[str, int] = {}
         self._written: roster.Entry | None = None
+        self._era: int | None = None
         self._changed = asyncio.Event()
         self._reported = asyncio.Event()
         self._waiters: list[tuple[int, asyncio.Future[None]]] = []
@@ -158,24 +161,47 @@
 
     def take_all(self, rows: ports.Rows, true_at: float) -> None:
         """Handle all entries in the store."""
-        kept = {row.key for row in rows.rows} | {self._own.node_id}
-        changed = self.roster.keep_only(kept)
+        is_restored = self._era is not None and rows.era != self._era
+        self._era = rows.era
         self._versions.clear()
-        self._find_own_version(rows.rows)
-        if self._take_rows(rows.rows) or changed:
+        changed = self._take_rows(rows.rows)
+        if is_restored:
+            # Entries since the copy are missing until they are written again.
+            asyncio.get_running_loop().call_later(
+                RESTORE_GRACE_S, self._drop_missing
+            )
+        else:
+            changed |= self._keep_listed()
+        if changed:
             self._refresh()
+        self._check_own(rows.rows)
 
-    def take_changes(self, rows: ports.Rows, true_at: float) -> None:
-        """Handle changed entries."""
-        if self._take_rows(rows.rows):
+    def _drop_missing(self) -> None:
+        if self._keep_listed():
             self._refresh()
 
-    def _find_own_version(
-        self, rows: collections.abc.Iterable[ports.Row]
-    ) -> None:
+    def _keep_listed(self) -> bool:
+        """Remove the entries that are not in the store."""
+        return self.roster.keep_only(
+            self._versions.keys() | {self._own.node_id}
+        )
+
+    def _check_own(self, rows: collections.abc.Iterable[ports.Row]) -> None:
+        """Write this node's entry again if the store has lost it."""
+        found = None
+        self._row_version = 0
         for row in rows:
-            if row.key == self._own.node_id:
+            if row.key == self._own.node_id and row.value is not None:
                 self._row_version = row.version
+                found = decode_entry(row.value)
+        if self._written is not None and found != self._written:
+            self._written = None
+            self.change()
+
+    def take_changes(self, rows: ports.Rows, true_at: float) -> None:
+        """Handle changed entries."""
+        if self._take_rows(rows.rows):
+            self._refresh()
 
     def _take_rows(self, rows: collections.abc.Iterable[ports.Row]) -> bool:
         changed = False
--- a/tests/controllers/test_roster.py
+++ b/tests/controllers/test_roster.py
@@ -107,6 +107,51 @@
         await self.announce()
         self.assertEqual([], self.news.sent)
 
+    async def test_entry_that_a_restored_store_has_lost_is_written_again(
+        self,
+    ) -> None:
+        self.keeper.take_all(ports.Rows((), 1, era=1), 0.0)
+        self.store.outcomes = [ports.Written(4), ports.Written(6)]
+        await self.announce()
+        self.keeper.take_all(ports.Rows((), 5, era=2), 0.0)
+        await fake_store.settle()
+        self.assertEqual([0, 0], [item[2] for item in self.store.written])
+        entry = roster_keeper.decode_entry(self.store.written[-1][1])
+        assert entry is not None
+        self.assertEqual('i-1', entry.target_id)
+
+    async def test_older_entry_in_a_restored_store_is_replaced(self) -> None:
+        self.keeper.take_all(ports.Rows((), 1, era=1), 0.0)
+        self.store.outcomes = [ports.Written(4), ports.Written(6)]
+        await self.announce()
+        row = build_row(OWN, 3)
+        self.keeper.take_all(ports.Rows((row,), 5, era=2), 0.0)
+        await fake_store.settle()
+        self.assertEqual([0, 3], [item[2] for item in self.store.written])
+
+    async def test_nodes_missing_after_a_restore_have_time_to_return(
+        self,
+    ) -> None:
+        gone = dataclasses.replace(OTHER, node_id='n3')
+        rows = (build_row(OTHER), build_row(gone))
+        self.keeper.take_all(ports.Rows(rows, 1, era=1), 0.0)
+        with unittest.mock.patch.object(roster_keeper, 'RESTORE_GRACE_S', 0.0):
+            self.keeper.take_all(ports.Rows((), 2, era=2), 0.0)
+        self.assertEqual(['n2', 'n3'], sorted(self.book.list_ready()))
+        again = dataclasses.replace(OTHER, revision=1)
+        self.keeper.take_changes(ports.Rows((build_row(again, 3),), 3), 0.0)
+        await asyncio.sleep(0.01)
+        self.assertEqual(['n2'], self.book.list_ready())
+
+    async def test_entry_in_the_store_is_not_written_again(self) -> None:
+        self.keeper.take_all(ports.Rows((), 1, era=1), 0.0)
+        self.store.outcomes = [ports.Written(4)]
+        await self.announce()
+        row = build_row(self.keeper.own, 4)
+        self.keeper.take_all(ports.Rows((row,), 5, era=2), 0.0)
+        await fake_store.settle()
+        self.assertEqual(1, len(self.store.written))
+
     async def test_neighbours_are_told_once_while_the_store_is_away(
         self,
     ) -> None:
