Do not bring back the entry of a node that was removed

A server that had left was in use again: a store restored from a copy shows the entries of nodes that were removed since, as ready, and callers' nodes dial them. The roster remembers what it removed, bounded, and takes only a newer entry, as a node that is alive writes.

tests.policy.test_roster fails without it.

--- a/src/eelgrasswalk/policy/roster.py
+++ b/src/eelgrasswalk/policy/roster.py
@@ -1,11 +1,14 @@
 """Roster of all nodes, each with the state of its local target."""
 
+import collections
 import collections.abc
 import dataclasses
 import enum
 
 # Minimum number of reachable nodes for each node that is considered lost.
 MIN_REACHED_PER_LOST = 2
+# Removed entries that are remembered; the oldest are forgotten.
+MAX_REMOVED = 1024
 
 
 class TargetState(enum.Enum):
@@ -91,10 +94,17 @@
 
 
 class Roster:
-    """Newest known entry of every node, whatever its source."""
+    """Newest known entry of every node, whatever its source.
+
+    An entry that was removed does not come back; a node that is alive adds a
+    newer one.
+    """
 
     def __init__(self) -> None:
         self._entries: dict[str, Entry] = {}
+        self._removed: collections.OrderedDict[str, Entry] = (
+            collections.OrderedDict()
+        )
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -116,6 +126,9 @@
         Returns:
             Whether the entry was stored.
         """
+        removed = self._removed.get(entry.node_id)
+        if removed is not None and not entry.is_newer(removed):
+            return False
         known = self._entries.get(entry.node_id)
         if known is not None and not entry.is_newer(known):
             return False
@@ -135,7 +148,14 @@
         Returns:
             Whether there was one.
         """
-        return self._entries.pop(node_id, None) is not None
+        entry = self._entries.pop(node_id, None)
+        if entry is None:
+            return False
+        self._removed[node_id] = entry
+        self._removed.move_to_end(node_id)
+        if len(self._removed) > MAX_REMOVED:
+            self._removed.popitem(last=False)
+        return True
 
     def keep_only(self, node_ids: set[str]) -> bool:
         """Remove the entries of all other nodes.
@@ -148,5 +168,5 @@
         """
         removed = self._entries.keys() - node_ids
         for node_id in removed:
-            del self._entries[node_id]
+            self.remove(node_id)
         return bool(removed)
--- a/tests/policy/test_roster.py
+++ b/tests/policy/test_roster.py
@@ -50,6 +50,23 @@
         assert found is not None
         self.assertTrue(found.is_usable)
 
+    def test_removed_entry_does_not_come_back(self) -> None:
+        """A store that was restored from a copy shows it again."""
+        self.roster.remove('n1')
+        self.assertFalse(self.roster.update(ENTRY))
+        self.assertIsNone(self.roster.find('n1'))
+        newer = dataclasses.replace(ENTRY, revision=3)
+        self.assertTrue(self.roster.update(newer))
+
+    def test_number_of_removed_entries_is_bounded(self) -> None:
+        for number in range(roster.MAX_REMOVED + 1):
+            entry = dataclasses.replace(ENTRY, node_id=f'm{number}')
+            self.roster.update(entry)
+            self.roster.remove(entry.node_id)
+        self.assertTrue(
+            self.roster.update(dataclasses.replace(ENTRY, node_id='m0'))
+        )
+
     def test_removes_nodes_that_are_not_listed(self) -> None:
         self.assertTrue(self.roster.keep_only({'n2'}))
         self.assertEqual([], self.roster.list_entries())
