--- a/src/eelgrasswalk/controllers/confirmation.py
+++ b/src/eelgrasswalk/controllers/confirmation.py
@@ -98,6 +98,7 @@
         if table is None:
             return
         if version > table.version:
+            self._keeper.note_newer(version)
             if not self._outdated.is_set():
                 events.log(
                     events.RULES_OUTDATED,
--- a/src/eelgrasswalk/controllers/rules.py
+++ b/src/eelgrasswalk/controllers/rules.py
@@ -48,6 +48,9 @@
         self._source = source
         self._fresh = fresh
         self._apply = apply
+        # Whether the store shows other rules than those in force.
+        self._differs = False
+        self._newest_version = 0
 
     def get_table(self) -> call_rules.RuleTable | None:
         """Return the rules in force, or None before the first version."""
@@ -66,19 +69,30 @@
             rules = self._source.decode(rows.rows)
         except ValueError as error:
             # Without a confirmation, keys stop to count after a while.
+            self._differs = True
             events.log(events.CONFIGURATION_REJECTED, problems=str(error))
             return
         if rules is not None:
             self._put_in_force(rules)
         self.confirm(rows.store_s, true_at)
 
+    def note_newer(self, version: int) -> None:
+        """Note a version that another node has in force."""
+        self._newest_version = max(self._newest_version, version)
+
     def confirm(self, store_s: float, true_at: float) -> None:
         """Note that the version in force was the newest.
 
+        It has no effect while a newer version is known of, or while the store
+        shows other rules: a restored store may have lost the newest ones.
+
         Args:
             store_s: When, by the store's clock; 0 when it told none.
             true_at: The same on this node's clock, or earlier.
         """
+        version = 0 if self.table is None else self.table.version
+        if self._differs or version < self._newest_version:
+            return
         self._fresh.confirm(true_at)
         if self.table is None or store_s <= 0.0:
             return
@@ -91,8 +105,10 @@
             self.certainty = Certainty(self.table.version, store_s)
 
     def _put_in_force(self, rules: call_rules.Rules) -> None:
+        self._differs = False
         if self.table is not None and rules.version <= self.table.version:
             if rules.version < self.table.version:
+                self._differs = True
                 events.log(
                     events.RULES_BEHIND,
                     version=self.table.version,
--- a/tests/controllers/test_rules.py
+++ b/tests/controllers/test_rules.py
@@ -59,6 +59,33 @@
         self.keeper.take_changes(build_rows(), 12.0)
         self.assertTrue(self.fresh.is_fresh(14.9))
 
+    def test_store_with_an_older_version_confirms_nothing(self) -> None:
+        """It was restored and may have lost a version newer than this one."""
+        self.keeper.take_all(build_rows(b'7'), 10.0)
+        with self.assertLogs('eelgrasswalk', 'WARNING'):
+            self.keeper.take_all(build_rows(b'4'), 12.0)
+        self.keeper.take_changes(build_rows(), 12.5)
+        self.assertFalse(self.fresh.is_fresh(13.0))
+        self.keeper.take_changes(build_rows(b'7'), 13.0)
+        self.assertTrue(self.fresh.is_fresh(15.9))
+
+    def test_version_at_another_node_must_arrive_first(self) -> None:
+        self.keeper.take_all(build_rows(b'7'), 10.0)
+        self.keeper.note_newer(8)
+        self.keeper.take_changes(build_rows(), 12.0)
+        self.assertFalse(self.fresh.is_fresh(13.0))
+        self.keeper.take_changes(build_rows(b'8'), 13.0)
+        self.assertTrue(self.fresh.is_fresh(15.9))
+
+    def test_no_change_after_an_unreadable_version_confirms_nothing(
+        self,
+    ) -> None:
+        self.keeper.take_all(build_rows(b'7'), 10.0)
+        with self.assertLogs('eelgrasswalk', 'ERROR'):
+            self.keeper.take_changes(build_rows(b'x'), 12.0)
+        self.keeper.take_changes(build_rows(), 12.5)
+        self.assertFalse(self.fresh.is_fresh(13.0))
+
     def test_unreadable_version_confirms_nothing(self) -> None:
         """It may have withdrawn a key."""
         self.keeper.take_all(build_rows(b'7'), 10.0)
