Write the mesh's secret again when a restored store lacks it

Cause: the secret was read at the start and never looked for again. If the copy is older than the mesh, a node that restarts finds none, creates another, and can open no link; its target is lost to the mesh and its callers are refused.

--- a/src/eelgrasswalk/controllers/feed.py
+++ b/src/eelgrasswalk/controllers/feed.py
@@ -50,6 +50,10 @@
     """Ignore an advance."""
 
 
+def _do_nothing() -> None:
+    """Ignore a restore."""
+
+
 class Feed:
     """Passes the changes of a table to a follower.
 
@@ -71,6 +75,7 @@
         filled: Set after the first read.
         changed_at: Version of the last change, or a later one; 0 before any.
         on_advance: Called with newly received changes.
+        on_restored: Called when the store has come back from a copy.
         store_clock: Estimate of the store's clock from its answers.
     """
 
@@ -106,6 +111,7 @@
         self._catching_up: asyncio.Task[bool] | None = None
         self._resumed = asyncio.Event()
         self.on_advance: typing.Callable[[Advance], None] = _ignore
+        self.on_restored: typing.Callable[[], None] = _do_nothing
         self._watching: asyncio.Task[Answer] | None = None
         self._work = background.Background(self._run)
         self.filled = asyncio.Event()
@@ -198,6 +204,7 @@
                 known_version=known_version,
                 store_s=rows.store_s,
             )
+            self.on_restored()
         self._era = rows.era
 
     def _advance(self, after: int, rows: ports.Rows, true_at: float) -> None:
--- a/src/eelgrasswalk/events.py
+++ b/src/eelgrasswalk/events.py
@@ -130,6 +130,18 @@
     'store shows an older configuration than the one in force',
     'the newer one stays in force; look whether it is in the store again',
 )
+SECRET_WRITTEN_AGAIN = Event(
+    3014,
+    logging.INFO,
+    'store had lost the secret of the mesh; it is written again',
+)
+SECRET_DIFFERS = Event(
+    3015,
+    logging.ERROR,
+    'store holds another secret of the mesh than this node',
+    'restart this node, so that it can open links to nodes that have started '
+    'since',
+)
 CLAIM_LOCAL = Event(
     3101,
     logging.WARNING,
--- a/src/eelgrasswalk/platform/process_settings.py
+++ b/src/eelgrasswalk/platform/process_settings.py
@@ -73,6 +73,7 @@
         store=address.parse_address(fields['platform']['address']),
         memory_bytes=int(limits.get('memory_mb') or _MEMORY_MB) * 1_000_000,
         bounds=_decode_bounds(bounds),
+        bootstrap=fields.get('bootstrap') is True,
     )
 
 
--- a/src/eelgrasswalk/sidecar/node.py
+++ b/src/eelgrasswalk/sidecar/node.py
@@ -11,7 +11,6 @@
 from .. import metrics_page
 from .. import request_log
 from .. import verdict
-from ..controllers import mesh_secret
 from ..policy import call_rules
 from ..transport import http_server
 from ..transport import message
@@ -205,7 +204,9 @@
     async def _join(self) -> None:
         """Learn of the other nodes, then build and start the call path."""
         control_plane = self._control_plane
-        secret = await mesh_secret.fetch_secret(self._platform.store)
+        secret = await control_plane.secrets.fetch(
+            bootstrap=self.config.bootstrap
+        )
         await control_plane.roster_feed.filled.wait()
         previous = control_plane.roster.find_previous()
         incarnation = time.time_ns()
@@ -245,6 +246,7 @@
                     await call_path.acceptor.stop()
             await call_path.pool.close()
             call_path.admitter.stop()
+        await self._control_plane.secrets.stop()
         await self._control_plane.roster.stop()
         await self._control_plane.confirmation.stop()
         await self._control_plane.relay.stop()
--- a/src/eelgrasswalk/sidecar/settings.py
+++ b/src/eelgrasswalk/sidecar/settings.py
@@ -59,6 +59,7 @@
         store: Address of the platform's row store.
         memory_bytes: Memory limit of the process, in bytes.
         bounds: Limits that the operators require the whole system to keep.
+        bootstrap: Whether the whole mesh starts for the first time.
     """
 
     node_id: str
@@ -74,3 +75,4 @@
     store: address.Address
     memory_bytes: int
     bounds: Bounds
+    bootstrap: bool = False
--- a/src/eelgrasswalk/sidecar/wiring.py
+++ b/src/eelgrasswalk/sidecar/wiring.py
@@ -15,6 +15,7 @@
 from ..controllers import control_router
 from ..controllers import directory
 from ..controllers import feed
+from ..controllers import mesh_secret
 from ..controllers import reaper
 from ..controllers import relay
 from ..controllers import roster as roster_keeper
@@ -94,6 +95,7 @@
         directory: Known nodes and the load balancer.
         roster: Keeps the entries of all nodes, and writes this node's own.
         roster_feed: Follows the table of nodes.
+        secrets: Keeps the secret of the mesh in the store.
         relay: Relays changes of both tables between nodes.
         router: Dispatches control messages by topic.
         bodies: Memory budget for request and answer bodies.
@@ -110,6 +112,7 @@
     directory: directory.Directory[spread.LoadAwareBalancer]
     roster: roster_keeper.RosterKeeper
     roster_feed: feed.Feed
+    secrets: mesh_secret.SecretKeeper
     relay: relay.Relay
     router: control_router.ControlRouter
     bodies: budget.ByteBudget
@@ -206,6 +209,12 @@
         source=random_source,
         watches=False,
     )
+    secret_keeper = mesh_secret.SecretKeeper(
+        platform.store,
+        count_nodes=lambda: len(node_roster.roster),
+        source=random_source,
+    )
+    roster_feed.on_restored = secret_keeper.check_after_restore
     node_relay = relay.Relay(
         config.node_id,
         {
@@ -243,6 +252,7 @@
         directory=node_directory,
         roster=node_roster,
         roster_feed=roster_feed,
+        secrets=secret_keeper,
         relay=node_relay,
         router=router,
         bodies=budget.ByteBudget(int(config.memory_bytes * BODY_MEMORY_SHARE)),
--- a/src/eelgrasswalk/standins/deployment.py
+++ b/src/eelgrasswalk/standins/deployment.py
@@ -63,6 +63,7 @@
     target_port: int,
     store_port: int,
     bounds: typing.Mapping[str, typing.Any],
+    bootstrap: bool = True,
 ) -> None:
     """Write the settings file that the platform would give a node.
 
@@ -75,12 +76,14 @@
         target_port: Port of the target.
         store_port: Port of the store.
         bounds: What the operators hold the system to.
+        bootstrap: Whether the mesh starts for the first time.
     """
     callers, readiness, check_ins, *internal = ports
     path.write_text(
         json.dumps(
             {
                 'node_id': node_id,
+                'bootstrap': bootstrap,
                 'ip': '127.0.0.1',
                 'zone': data_centre,
                 'service': service,
--- a/tests/integration/test_sidecar_path.py
+++ b/tests/integration/test_sidecar_path.py
@@ -350,6 +350,30 @@
             answer = await self.call(front, '/back/safe/', key=key)
             self.assertEqual(401, _get_status(answer))
 
+    async def test_restarted_node_serves_though_the_copy_shows_no_mesh(
+        self,
+    ) -> None:
+        """The restored store has neither the nodes nor their secret."""
+        empty = self.store.copy()
+        await self.start_all()
+        self.store.restore(empty)
+        config = sidecars.build_config(2, self.services)
+        self.store.put('op', 'config', config)
+        node = self.nodes[1]
+        node.kill()
+        settings = json.loads(node.settings.read_text())
+        node.settings.write_text(json.dumps({**settings, 'bootstrap': False}))
+        node.start()
+        await self.wait_for(lambda: self.check_in(node))
+        await self.wait_for(lambda: self.knows_all(node))
+        for front in self.nodes:
+            for service in self.services:
+                await self.wait_for(
+                    lambda front=front, service=service: self.is_served(
+                        front, service
+                    )
+                )
+
     async def test_history_that_is_gone_is_read_anew(self) -> None:
         await self.start_all()
         front = self.nodes[0]
