Send a refused request again on a new connection only

Report of another operator: a faulty upstream wrote an earlier refusal once more on a kept connection, and clients were told that a request had not run which ran. It could happen here: the retries of a request bear its id, a refused one may go to the same target again, and the pool took the last used connection. The copy has the right id, so the echo could not tell it apart.

The gate remembers the ids that its target has refused, bounded, and has the pool open a new connection for them; an idle one makes room if needed. Nodes' own attempts are told apart by ids of their own, so links are not affected.

tests.filters.test_gate_refusals fails without it: one run, reported as not run.

--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -1,6 +1,7 @@
 """Admits and delivers calls at the upstream's node in eelgrasswalk-sidecar."""
 
 import asyncio
+import collections
 import math
 import time
 import typing
@@ -31,6 +32,8 @@
 DELIVER_DRAIN_RATIO = 0.8
 # Time over which the calls sent to the target are averaged, in seconds.
 SENT_SPAN_S = 4.0
+# Refused requests that are remembered; the oldest are forgotten.
+MAX_REFUSED = 4096
 _CALLER_GONE = dialler.Reply(
     verdict.MayHaveRun(verdict.Reason.CALLER_GONE), None
 )
@@ -90,6 +93,9 @@
         self._target_id = ''
         self._run_id = ''
         self._calls_per_s: float | None = None
+        self._refused: collections.OrderedDict[bytes, None] = (
+            collections.OrderedDict()
+        )
         # Whether the target itself has said what it accepts.
         self._has_notice = False
         self._sent = decaying_rate.DecayingRate(SENT_SPAN_S)
@@ -256,16 +262,27 @@
             body=call.request.body,
         )
         self._sent.add(1.0, time.monotonic())
+        echo = self._dialect.find_echo(call.request.headers)
         try:
             outcome = await self._pool.send(
                 request,
                 max_answer_bytes=MAX_ANSWER_BYTES,
                 find_echo=self._dialect.find_echo,
                 deadline=deadline,
+                # A copy of an earlier refusal would pass for the answer.
+                fresh=echo in self._refused,
             )
         except TimeoutError:
             return verdict.MayHaveRun(verdict.Reason.DEADLINE)
-        return self._classify_outcome(outcome)
+        classified = self._classify_outcome(outcome)
+        if echo is not None and _is_refused_by_target(classified):
+            self._remember_refused(echo)
+        return classified
+
+    def _remember_refused(self, echo: bytes) -> None:
+        self._refused[echo] = None
+        if len(self._refused) > MAX_REFUSED:
+            self._refused.popitem(last=False)
 
     def _classify_outcome(
         self, outcome: http_client.Outcome
@@ -360,6 +377,13 @@
     return verdict.NotRun(reason, retry_elsewhere=True)
 
 
+def _is_refused_by_target(outcome: verdict.Verdict) -> bool:
+    return (
+        isinstance(outcome, verdict.NotRun)
+        and outcome.reason is verdict.Reason.TARGET_REFUSED
+    )
+
+
 def _is_ok(outcome: verdict.Verdict) -> bool:
     """Return whether the target neither refused the call nor was lost."""
     if isinstance(outcome, verdict.Answered):
--- a/src/eelgrasswalk/transport/http_client.py
+++ b/src/eelgrasswalk/transport/http_client.py
@@ -55,6 +55,7 @@
         max_answer_bytes: int,
         find_echo: typing.Callable[[Headers], bytes | None] | None = None,
         deadline: float = math.inf,
+        fresh: bool = False,
     ) -> Outcome:
         """Send a request and wait for the whole answer.
 
@@ -68,11 +69,16 @@
                 An answer with another id is dropped and the next awaited.
             deadline: Loop time at which the wait ends; the connection is
                 closed then.
+            fresh: Whether to use a connection that has carried no request.
 
         Raises:
             TimeoutError: The deadline passed before a connection was free.
         """
-        connection = self._pop_idle() or await self._acquire_before(deadline)
+        connection: _Connection | NotSent | None = None
+        if not fresh:
+            connection = self._pop_idle()
+        if connection is None:
+            connection = await self._acquire_before(deadline, fresh=fresh)
         if isinstance(connection, NotSent):
             return connection
         try:
@@ -88,19 +94,24 @@
         while self._idle:
             self._idle.pop().close()
 
-    async def _acquire_before(self, deadline: float) -> _Connection | NotSent:
+    async def _acquire_before(
+        self, deadline: float, *, fresh: bool
+    ) -> _Connection | NotSent:
         if deadline == math.inf:
-            return await self._acquire()
+            return await self._acquire(fresh=fresh)
         async with asyncio.timeout_at(deadline):
-            return await self._acquire()
+            return await self._acquire(fresh=fresh)
 
-    async def _acquire(self) -> _Connection | NotSent:
+    async def _acquire(self, *, fresh: bool) -> _Connection | NotSent:
         while True:
-            connection = self._pop_idle()
+            connection = None if fresh else self._pop_idle()
             if connection is not None:
                 return connection
             if self.open_connections < self.connections:
                 return await self._connect()
+            if self._idle:
+                # Its end is reported later and wakes the next in turn.
+                self._idle.popleft().close()
             waiter = asyncio.get_running_loop().create_future()
             self._waiters.append(waiter)
             try:
