Soak nodes on the platform in faults drawn from a seed

Real processes are stopped, killed, frozen and told to reload while the store fails or comes back from a copy, targets name limits, leave or refuse calls, and routes are added; faults overlap and come in series. Clients use open connections until the process is gone. Checked afterwards: answers of others, second runs, refusals of what has run, limits, late calls to targets that leave, routes that are late or go back.

--- /dev/null
+++ b/src/eelgrasswalk/bench/soak_faults.py
@@ -0,0 +1,73 @@
+"""The faults of a soak, drawn from a seed; they overlap and come in series."""
+
+import dataclasses
+import random
+
+# Limits last for long and need calls that no other fault excuses.
+KINDS = (
+    'stop',
+    'kill',
+    'freeze',
+    'reload',
+    'store-down',
+    'store-silent',
+    'store-restored',
+    'limit',
+    'limit',
+    'leaving',
+    'shed',
+    'route',
+)
+# Part of the time in which faults begin; the rest lets the nodes recover.
+ACTIVE_SHARE = 0.8
+SERIES_PROBABILITY = 0.3
+SERIES_PAUSE_S = 0.4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault.
+
+    Args:
+        at: When it begins, in seconds.
+        kind: One of KINDS.
+        node: Number of the node or of its target.
+        duration_s: How long it lasts.
+        figure: Its strength, 0 to 1.
+    """
+
+    at: float
+    kind: str
+    node: int
+    duration_s: float
+    figure: float
+
+
+def draw_faults(
+    seed: int, *, nodes: int, seconds: float, per_s: float
+) -> list[Fault]:
+    """Return the faults of a soak in order of time.
+
+    Args:
+        seed: Seed of the draw.
+        nodes: Number of nodes.
+        seconds: Length of the soak.
+        per_s: Mean number of faults per second.
+    """
+    source = random.Random(seed)
+    found = []
+    for _ in range(int(seconds * per_s)):
+        at = source.uniform(0.5, ACTIVE_SHARE * seconds)
+        kind = source.choice(KINDS)
+        length = 3 if source.random() < SERIES_PROBABILITY else 1
+        for step in range(length):
+            found.append(
+                Fault(
+                    at=at + step * SERIES_PAUSE_S,
+                    kind=kind,
+                    node=source.randrange(nodes),
+                    duration_s=source.uniform(0.3, 6.0),
+                    figure=source.random(),
+                )
+            )
+    return sorted(found, key=lambda fault: fault.at)
--- a/src/eelgrasswalk/cli/bench.py
+++ b/src/eelgrasswalk/cli/bench.py
@@ -16,6 +16,7 @@
     'overload',
     'quota',
     'replay',
+    'soak',
 )
 
 
--- a/src/eelgrasswalk/standins/app.py
+++ b/src/eelgrasswalk/standins/app.py
@@ -23,6 +23,8 @@
         path: Its path with the query.
         headers: Its headers, names in lower case.
         body: Its body.
+        target_id: The run of the application that it reached.
+        was_run: Whether it was run, not refused.
     """
 
     at: float
@@ -30,6 +32,8 @@
     path: str
     headers: dict[bytes, bytes]
     body: bytes
+    target_id: str
+    was_run: bool
 
 
 @dataclasses.dataclass(slots=True)
@@ -42,6 +46,8 @@
         status: Status of answers.
         silent: Whether requests are never answered.
         stray: Whether the answer to another request comes first.
+        calls_per_s: Limit that its answers name; None for none.
+        leaving: Whether its answers say that it is leaving.
     """
 
     work_s: float = 0.0
@@ -49,6 +55,8 @@
     status: int = 200
     silent: bool = False
     stray: bool = False
+    calls_per_s: float | None = None
+    leaving: bool = False
 
 
 class AppStandin:
@@ -69,6 +77,7 @@
         self.behaviour = Behaviour()
         self.arrivals: list[Arrival] = []
         self.port = 0
+        self.born_ms = 1_700_000_000_000
         self._sequence = 0
         self._server = http_server.HttpServer(
             self.handle, limits=http_server.Limits()
@@ -85,6 +94,13 @@
             connection.close()
         await self._server.stop()
 
+    def restart(self, target_id: str) -> None:
+        """Begin a new run, which knows nothing of the one before."""
+        self.target_id = target_id
+        self.born_ms += 1000
+        self.behaviour = Behaviour(work_s=self.behaviour.work_s)
+        self._sequence = 0
+
     async def check_in(self, control_port: int, state: str = 'ready') -> bool:
         """Tell the node of a state, and return whether it acknowledged."""
         self._sequence += 1
@@ -95,7 +111,7 @@
             'state': state,
             'cold_left_ms': 0,
             'sequence': self._sequence,
-            'born': 1_700_000_000_000,
+            'born': self.born_ms,
         }
         return await self._call(control_port, 'heartbeat', fields)
 
@@ -125,9 +141,20 @@
             and outcome.response.status == 200
         )
 
+    def _render_notice(self) -> tuple[tuple[bytes, bytes], ...]:
+        notice: list[tuple[bytes, bytes]] = []
+        if self.behaviour.calls_per_s is not None:
+            limit = f'{self.behaviour.calls_per_s:.2f}'.encode()
+            notice.append((b'server-limit', limit))
+        if self.behaviour.leaving:
+            notice.append((b'server-leaving', b'1'))
+        return tuple(notice)
+
     async def handle(self, request: message.Request) -> verdict.Response:
         """Answer one request."""
         headers = dict(request.headers)
+        expected = headers.get(b'target-instance', b'').decode()
+        was_run = expected == self.target_id and not self.behaviour.shed
         self.arrivals.append(
             Arrival(
                 at=asyncio.get_running_loop().time(),
@@ -135,9 +162,10 @@
                 path=request.target,
                 headers=headers,
                 body=request.body,
+                target_id=self.target_id,
+                was_run=was_run,
             )
         )
-        expected = headers.get(b'target-instance', b'').decode()
         if expected != self.target_id:
             own_id = self.target_id.encode()
             return verdict.Response(421, ((b'instance-id', own_id),), b'')
@@ -160,6 +188,8 @@
             (
                 (b'attempt-id', answered_id),
                 (b'response-stamp', b'stamp-' + request_id),
+                (b'instance-id', expected.encode()),
+                *self._render_notice(),
             ),
             b'answer to ' + request_id,
         )
