Write a drain before its acknowledgement, whatever began it

Every message of a target that leaves now waits for the entry, at most 0.6 s as before; the wait ends at once when it has been written.

The new test of tests.controllers.test_check_ins failed before.

--- a/src/eelgrasswalk/controllers/check_ins.py
+++ b/src/eelgrasswalk/controllers/check_ins.py
@@ -65,7 +65,10 @@
             target_lifecycle.Change.ARRIVED,
             target_lifecycle.Change.LEAVING,
         ):
-            await self._announce(change)
+            self._apply()
+        if self._life.leaving_since is not None:
+            # An answer of the target may have begun the drain before.
+            await self._keeper.wait_written(ACK_WAIT_S)
         return self._form.acknowledge()
 
     def restore(self, entry: roster.Entry) -> None:
@@ -91,11 +94,6 @@
         if change is target_lifecycle.Change.LEAVING:
             self._apply()
 
-    async def _announce(self, change: target_lifecycle.Change) -> None:
-        self._apply()
-        if change is target_lifecycle.Change.LEAVING:
-            await self._keeper.wait_written(ACK_WAIT_S)
-
     def _apply(self) -> None:
         report = self._life.report
         assert report is not None
--- a/tests/controllers/test_check_ins.py
+++ b/tests/controllers/test_check_ins.py
@@ -1,5 +1,6 @@
 """Tests of hearing the target beside the node."""
 
+import asyncio
 import dataclasses
 import typing
 import unittest
@@ -86,6 +87,20 @@
         await self.say(dataclasses.replace(BEAT, sequence=2))
         self.assertFalse(self.roster.own.is_usable)
 
+    async def test_drain_that_an_answer_began_is_written_before_its_ack(
+        self,
+    ) -> None:
+        await self.roster.start()
+        self.addAsyncCleanup(self.roster.stop)
+        await self.say(BEAT)
+        self.keeper.note_leaving('i-1')
+        leaving = dataclasses.replace(BEAT, sequence=2, draining=True)
+        saying = asyncio.create_task(self.say(leaving))
+        await fake_store.settle()
+        self.assertFalse(saying.done())
+        self.store.outcomes = [ports.Written(number) for number in (1, 2, 3)]
+        saying.cancel()
+
     async def test_new_run_of_the_same_id_is_no_longer_leaving(self) -> None:
         await self.say(BEAT)
         self.keeper.note_leaving('i-1')
