Ignore what a late answer of an earlier run says of its target

Found while reading the changes: an answer that arrives after the target has started again would have drained or limited the new run. tests.filters.test_gate failed before.

--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -267,6 +267,7 @@
             body=call.request.body,
         )
         self._sent.add(1.0, time.monotonic())
+        run_id = self._run_id
         echo = self._dialect.find_echo(call.request.headers)
         try:
             outcome = await self._pool.send(
@@ -279,7 +280,7 @@
             )
         except TimeoutError:
             return verdict.MayHaveRun(verdict.Reason.DEADLINE)
-        classified = self._classify_outcome(outcome)
+        classified = self._classify_outcome(outcome, run_id)
         if echo is not None and _is_refused_by_target(classified):
             self._remember_refused(echo)
         return classified
@@ -290,7 +291,7 @@
             self._refused.popitem(last=False)
 
     def _classify_outcome(
-        self, outcome: http_client.Outcome
+        self, outcome: http_client.Outcome, run_id: str
     ) -> verdict.Verdict:
         if isinstance(outcome, http_client.NotSent):
             events.log(events.TARGET_UNREACHABLE, detail=outcome.detail)
@@ -298,7 +299,8 @@
         if isinstance(outcome, http_client.Broken):
             return verdict.MayHaveRun(outcome.reason, outcome.detail)
         notice = self._dialect.read_notice(outcome.response)
-        if notice is not None:
+        # An answer of an earlier run says nothing of this one.
+        if notice is not None and run_id == self._run_id:
             self._apply_notice(notice)
         classified = self._dialect.judge(outcome.response)
         if isinstance(classified, verdict.Answered):
--- a/tests/filters/test_gate.py
+++ b/tests/filters/test_gate.py
@@ -212,6 +212,22 @@
         self.assertIs(verdict.Reason.LEAVING, late.outcome.reason)
         self.assertEqual(1, self.pool.send.call_count)
 
+    async def test_late_answer_of_an_earlier_run_does_not_drain_the_next(
+        self,
+    ) -> None:
+        told: list[str] = []
+        self.gate.on_leaving = told.append
+
+        async def restart(
+            *args: object, **options: object
+        ) -> http_client.Outcome:
+            self.gate.set_target('i-2', 4, run_id='i-2@2')
+            return http_client.Received(build_answer(leaving=True))
+
+        self.pool.send.side_effect = restart
+        await self.gate.run(build_call())
+        self.assertEqual([], told)
+
     async def test_stopping_node_takes_no_call_that_it_may_have_to_cut(
         self,
     ) -> None:
