Let a node removed in lost history return without accounts

Found while reading the changes: a node whose entry is missing in a full read without a restore was removed by another that could not reach it. It wrote its entry again as if nothing had happened and could own accounts at once, beside their new owners. The new test of tests.controllers.test_roster failed before.

--- a/src/eelgrasswalk/controllers/roster.py
+++ b/src/eelgrasswalk/controllers/roster.py
@@ -174,7 +174,7 @@
             changed |= self._keep_listed()
         if changed:
             self._refresh()
-        self._check_own(rows.rows)
+        self._check_own(rows.rows, is_restored=is_restored)
 
     def _drop_missing(self) -> None:
         if self._keep_listed():
@@ -186,16 +186,25 @@
             self._versions.keys() | {self._own.node_id}
         )
 
-    def _check_own(self, rows: collections.abc.Iterable[ports.Row]) -> None:
-        """Write this node's entry again if the store has lost it."""
+    def _check_own(
+        self,
+        rows: collections.abc.Iterable[ports.Row],
+        *,
+        is_restored: bool,
+    ) -> None:
+        """Write this node's entry again if it is not in the store."""
         found = None
         self._row_version = 0
         for row in rows:
             if row.key == self._own.node_id and row.value is not None:
                 self._row_version = row.version
                 found = decode_entry(row.value)
-        if self._written is not None and found != self._written:
-            self._written = None
+        if self._written is None or found == self._written:
+            return
+        self._written = None
+        if found is None and not is_restored:
+            self._seclude()
+        else:
             self.change()
 
     def take_changes(self, rows: ports.Rows, true_at: float) -> None:
@@ -221,12 +230,15 @@
     def _take_removal(self, row: ports.Row) -> bool:
         if row.key != self._own.node_id:
             return self.roster.remove(row.key)
-        # Another node has removed this one as lost.
         self._row_version = 0
         self._written = None
+        self._seclude()
+        return False
+
+    def _seclude(self) -> None:
+        """Return after another node has removed this one as lost."""
         self.change(secluded=True)
         asyncio.get_running_loop().call_later(SECLUSION_S, self._end_seclusion)
-        return False
 
     def _end_seclusion(self) -> None:
         if self._own.secluded:
--- a/tests/controllers/test_roster.py
+++ b/tests/controllers/test_roster.py
@@ -143,6 +143,18 @@
         await asyncio.sleep(0.01)
         self.assertEqual(['n2'], self.book.list_ready())
 
+    async def test_node_that_was_removed_unnoticed_returns_without_accounts(
+        self,
+    ) -> None:
+        """Others could not reach it; the removal is in lost history."""
+        self.keeper.take_all(ports.Rows((), 1, era=1), 0.0)
+        self.store.outcomes = [ports.Written(4), ports.Written(6)]
+        await self.announce()
+        self.keeper.take_all(ports.Rows((), 5, era=1), 0.0)
+        await fake_store.settle()
+        self.assertEqual(2, len(self.store.written))
+        self.assertTrue(self.keeper.own.secluded)
+
     async def test_entry_in_the_store_is_not_written_again(self) -> None:
         self.keeper.take_all(ports.Rows((), 1, era=1), 0.0)
         self.store.outcomes = [ports.Written(4)]
