Do not mix pages of a table from before and after a restore

Found while reading the changes: a table of several pages that is read across a restore was put together from both. The new test of tests.platform.test_rows failed before.

--- a/src/eelgrasswalk/platform/rows.py
+++ b/src/eelgrasswalk/platform/rows.py
@@ -58,6 +58,7 @@
         """Read a whole table."""
         rows: list[ports.Row] = []
         start = ''
+        era = 0
         while True:
             query = {'table': table, 'part': ''}
             if start:
@@ -66,6 +67,9 @@
             if isinstance(answer, ports.Unavailable | ports.HistoryGone):
                 return ports.Unavailable('the store refused to read')
             page = _decode_rows(answer)
+            if start and page.era != era:
+                return ports.Unavailable('the store was restored meanwhile')
+            era = page.era
             rows.extend(page.rows)
             if not answer.fields.get('has_more') or not page.rows:
                 return dataclasses.replace(page, rows=tuple(rows))
@@ -161,8 +165,10 @@
         value = message.find_header(response.headers, names.STORE_ERA)
         if value is None or not value.isdigit():
             return self._era
-        self._era = int(value)
-        return self._era
+        era = int(value)
+        # An answer from before a restore may be late.
+        self._era = max(self._era, era)
+        return era
 
     def _expect(self, version: int) -> int:
         """Return what a row's version must be for a conditional write."""
--- a/tests/platform/test_rows.py
+++ b/tests/platform/test_rows.py
@@ -1,6 +1,8 @@
 """Tests of the store's client against the stand-in."""
 
+import typing
 import unittest
+import unittest.mock
 
 from eelgrasswalk import ports
 from eelgrasswalk.platform import rows
@@ -115,6 +117,27 @@
         assert isinstance(again, ports.Written), again
         self.assertGreater(again.version, written.version)
 
+    async def test_pages_from_before_and_after_a_restore_are_not_mixed(
+        self,
+    ) -> None:
+        for number in range(standin.MOST_ROWS + 1):
+            self.standin.put('nodes', f'n{number:04}', b'x')
+        copy = self.standin.copy()
+        get = self.store._get
+
+        async def restore_after_first(
+            *args: typing.Any,
+        ) -> typing.Any:
+            answer = await get(*args)
+            self.standin.restore(copy)
+            return answer
+
+        with unittest.mock.patch.object(
+            self.store, '_get', restore_after_first
+        ):
+            found = await self.store.read('nodes')
+        self.assertIsInstance(found, ports.Unavailable)
+
     async def test_watch_from_before_a_restore_has_no_history(self) -> None:
         written = await self.store.put('nodes', 'n1', b'a', expected=0)
         assert isinstance(written, ports.Written), written
