Answer what still runs at the end of a planned stop

Requests that still run get a 502 then, which promises nothing, unless their answer is being written already. Two tests of tests.transport.test_http_server; the first could not be expressed before.

--- a/src/eelgrasswalk/sidecar/node.py
+++ b/src/eelgrasswalk/sidecar/node.py
@@ -166,6 +166,11 @@
                 await self._finish_calls()
         except TimeoutError:
             events.log(events.DRAIN_TIMED_OUT)
+            self._callers.end_running(
+                self._platform.dialect.render(
+                    verdict.MayHaveRun(verdict.Reason.LEAVING)
+                )
+            )
         await self._close()
         events.log(events.NODE_STOPPED)
 
--- a/src/eelgrasswalk/transport/http_server.py
+++ b/src/eelgrasswalk/transport/http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from .. import verdict
 from . import budget
 from . import server_connection
 
@@ -74,6 +75,15 @@
         if tasks:
             await asyncio.wait(tasks)
 
+    def end_running(self, answer: verdict.Response) -> None:
+        """Give every request that still runs an answer, and close.
+
+        Args:
+            answer: The answer, which must be true of all of them.
+        """
+        for connection in list(self.connections):
+            connection.end_running(answer)
+
     async def stop(self) -> None:
         """Drain, then close what is left."""
         await self.drain()
--- a/src/eelgrasswalk/transport/server_connection.py
+++ b/src/eelgrasswalk/transport/server_connection.py
@@ -89,6 +89,7 @@
         self._last_activity = loop.time()
         self._began_at = self._last_activity
         self._receiving = False
+        self._is_answering = False
         self._closing = False
         self._received = 0
         self._in_headers = True
@@ -266,10 +267,12 @@
         keep = keep_alive and not self._server.leaving
         if self._transport is not None:
             head = request.method == 'HEAD'
+            self._is_answering = True
             self._write_answer(answer, head=head, keep=keep)
             if len(answer.body) > PART_BYTES and not head:
                 await self._write_parts(answer.body)
         self._task = None
+        self._is_answering = False
         self._finish(keep)
 
     async def _write_parts(self, body: bytes) -> None:
@@ -387,6 +390,15 @@
             self.close()
         return self._task
 
+    def end_running(self, answer: verdict.Response) -> None:
+        """Answer the running request in place of its handler, and close."""
+        if self._task is None or self._is_answering:
+            return
+        self._task.cancel()
+        if self._transport is not None:
+            self._write_answer(answer, head=False, keep=False)
+        self.close()
+
     def close(self) -> None:
         """Close the connection once what was written has been sent."""
         self._closing = True
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -76,6 +76,37 @@
         transport.close.assert_called_once()
         connection.connection_lost(None)
 
+    async def test_request_that_is_cut_by_a_stop_gets_an_answer(self) -> None:
+        self.recorder.gate = asyncio.Event()
+        reader, writer = await asyncio.open_connection(*self.address)
+        writer.write(b'GET /x HTTP/1.1\r\nhost: a\r\n\r\n')
+        while not self.recorder.requests:
+            await asyncio.sleep(0)
+        self.server.end_running(verdict.Response(502, (), b'cut'))
+        answer = await reader.read()
+        self.assertTrue(answer.startswith(b'HTTP/1.1 502 '), answer)
+        self.assertTrue(answer.endswith(b'\r\n\r\ncut'), answer)
+        self.assertTrue(self.recorder.cancelled.is_set())
+        writer.close()
+
+    async def test_answer_that_is_being_written_is_not_mixed_with_another(
+        self,
+    ) -> None:
+        body = b'x' * 3_000_000
+
+        async def answer(request: message.Request) -> verdict.Response:
+            return verdict.Response(200, (), body)
+
+        self.server.handler = answer
+        reader, writer = await asyncio.open_connection(*self.address)
+        writer.write(
+            b'GET /x HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n'
+        )
+        await reader.readuntil(b'\r\n\r\n')
+        self.server.end_running(verdict.Response(502, (), b'cut'))
+        self.assertEqual(body, await reader.read())
+        writer.close()
+
     async def test_chunked_body_arrives_whole(self) -> None:
         answer = await self.send(
             b'POST /x HTTP/1.1\r\nhost: a\r\nconnection: close\r\n'
