Pause before asking a store again that confirms nothing

Found while reading the changes: a node whose rules the store does not confirm, as they are unreadable or older there, asked again without a pause, as often as the store answered.

The new test of tests.controllers.test_confirmation failed before: 50 questions in a row, now one.

--- a/src/eelgrasswalk/controllers/check_ins.py
+++ b/src/eelgrasswalk/controllers/check_ins.py
@@ -89,7 +89,11 @@
         self._apply()
 
     def note_leaving(self, target_id: str) -> None:
-        """Treat a target that says in an answer that it is leaving so."""
+        """Begin the drain of a target that said in an answer that it leaves.
+
+        Args:
+            target_id: Id of the target.
+        """
         change = self._life.deregister(target_id, self._clock())
         if change is target_lifecycle.Change.LEAVING:
             self._apply()
--- a/src/eelgrasswalk/controllers/confirmation.py
+++ b/src/eelgrasswalk/controllers/confirmation.py
@@ -124,8 +124,14 @@
                 continue
             self._outdated.clear()
             asked_at = self._clock()
-            if self._feed.is_failing or not await self._feed.confirm():
-                # The store may refuse this node and serve others.
+            known_at = self._fresh.confirmed_at
+            if (
+                self._feed.is_failing
+                or not await self._feed.confirm()
+                or self._fresh.confirmed_at <= known_at
+            ):
+                # The store may refuse this node and serve others, or show
+                # other rules than those in force.
                 self._ask_peers()
                 await asyncio.sleep(RETRY_S * (0.5 + self._random.random()))
                 continue
--- a/src/eelgrasswalk/policy/freshness.py
+++ b/src/eelgrasswalk/policy/freshness.py
@@ -55,11 +55,15 @@
 
     Args:
         limit_s: Seconds for which a confirmation is valid.
+
+    Attributes:
+        confirmed_at: Time of the last confirmation, in seconds of a clock
+            that runs through suspension.
     """
 
     def __init__(self, limit_s: float) -> None:
         self.limit_s = limit_s
-        self._confirmed_at = -math.inf
+        self.confirmed_at = -math.inf
 
     def confirm(self, confirmed_at: float) -> None:
         """Record a confirmation.
@@ -68,12 +72,12 @@
             confirmed_at: When the configuration was certainly the newest,
                 in seconds of a clock that runs through suspension.
         """
-        self._confirmed_at = max(self._confirmed_at, confirmed_at)
+        self.confirmed_at = max(self.confirmed_at, confirmed_at)
 
     def get_age(self, now: float) -> float:
         """Return the age of the last confirmation in seconds."""
-        return now - self._confirmed_at
+        return now - self.confirmed_at
 
     def is_fresh(self, now: float) -> bool:
         """Return whether keys may be accepted."""
-        return now - self._confirmed_at < self.limit_s
+        return now - self.confirmed_at < self.limit_s
--- a/tests/controllers/test_confirmation.py
+++ b/tests/controllers/test_confirmation.py
@@ -146,6 +146,20 @@
         await fake_store.settle()
         self.assertEqual(1, self.asked)
 
+    async def test_store_that_confirms_nothing_is_not_asked_without_pause(
+        self,
+    ) -> None:
+        """It answers, but shows older rules or ones that are unreadable."""
+        await self.learn()
+        self.now = 103.0
+        self.keeper.note_newer(9)
+        answers = 50
+        self.store.watches = [ports.Rows((), 1, 13.0)] * answers
+        await self.confirmation.start()
+        await fake_store.settle(200)
+        self.assertGreaterEqual(len(self.store.watches), answers - 2)
+        self.assertEqual(1, self.asked)
+
     async def test_newer_version_elsewhere_is_fetched_at_once(self) -> None:
         await self.learn()
         row = ports.Row('config', b'9', 2)
