--- a/src/eelgrasswalk/bench/mesh.py
+++ b/src/eelgrasswalk/bench/mesh.py
@@ -16,6 +16,8 @@
 
 import yaml
 
+from ..platform import process_settings
+
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 40.0
 FIRST_PORT = 10_240
@@ -182,6 +184,27 @@
 _CANDIDATES = _list_candidates()
 
 
+def start_sidecar(
+    settings: pathlib.Path, *, log: pathlib.Path
+) -> subprocess.Popen[bytes]:
+    """Start a node on the platform.
+
+    Args:
+        settings: Path of its settings.
+        log: Path that its standard output is added to.
+    """
+    environment = {
+        **os.environ,
+        process_settings.FILE_VARIABLE: str(settings),
+    }
+    with log.open('ab') as output:
+        return subprocess.Popen(
+            [sys.executable, '-m', 'eelgrasswalk.cli.sidecar'],
+            env=environment,
+            stdout=output,
+        )
+
+
 def find_sidecar_ports() -> list[int]:
     """Return free ports for a node on the platform.
 
--- a/src/eelgrasswalk/bench/soak_fleet.py
+++ b/src/eelgrasswalk/bench/soak_fleet.py
@@ -4,14 +4,11 @@
 import contextlib
 import dataclasses
 import json
-import os
 import pathlib
 import signal
 import subprocess
-import sys
 import time
 
-from ..platform import process_settings
 from ..standins import app
 from ..standins import deployment
 from ..standins import rows
@@ -55,16 +52,7 @@
 
     def start(self) -> None:
         """Start the process."""
-        environment = {
-            **os.environ,
-            process_settings.FILE_VARIABLE: str(self.settings),
-        }
-        with self.log.open('ab') as output:
-            self.process = subprocess.Popen(
-                [sys.executable, '-m', 'eelgrasswalk.cli.sidecar'],
-                env=environment,
-                stdout=output,
-            )
+        self.process = mesh.start_sidecar(self.settings, log=self.log)
 
     def signal(self, number: signal.Signals) -> None:
         """Send the process a signal if it runs."""
--- a/tests/filters/test_gate.py
+++ b/tests/filters/test_gate.py
@@ -59,6 +59,32 @@
     )
 
 
+def build_gate(
+    pool: http_client.TargetPool,
+    *,
+    running: running_calls.RunningCalls,
+    shares: root_share.RootShares,
+) -> gate.Gate:
+    """Return a gate with a ready target of four slots."""
+    built = gate.Gate(
+        dialect.PlatformDialect(),
+        pool,
+        admit.Admitter(
+            slot_queue.SlotQueue(slot_queue.SlotSettings(), slots=1),
+            source=random.Random(1),
+        ),
+        budget.ByteBudget(1_000_000),
+        running,
+        shares,
+        get_retry_use=lambda: 0.25,
+        log=unittest.mock.Mock(spec=request_log.RequestLog),
+        service='back',
+        drain_s=2.0,
+    )
+    built.set_target('i-1', 4, run_id='i-1@1')
+    return built
+
+
 class GateTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.shares = root_share.RootShares(
@@ -69,22 +95,9 @@
         self.pool.send = unittest.mock.AsyncMock(
             return_value=http_client.Received(RESPONSE)
         )
-        self.gate = gate.Gate(
-            dialect.PlatformDialect(),
-            self.pool,
-            admit.Admitter(
-                slot_queue.SlotQueue(slot_queue.SlotSettings(), slots=1),
-                source=random.Random(1),
-            ),
-            budget.ByteBudget(1_000_000),
-            self.running,
-            self.shares,
-            get_retry_use=lambda: 0.25,
-            log=unittest.mock.Mock(spec=request_log.RequestLog),
-            service='back',
-            drain_s=2.0,
+        self.gate = build_gate(
+            self.pool, running=self.running, shares=self.shares
         )
-        self.gate.set_target('i-1', 4, run_id='i-1@1')
 
     def record_starved_calls(self) -> None:
         for _ in range(100):
--- a/tests/filters/test_gate_refusals.py
+++ b/tests/filters/test_gate_refusals.py
@@ -1,19 +1,12 @@
 """Tests of the gate with a target that repeats an earlier refusal."""
 
 import asyncio
-import random
 import unittest
 import unittest.mock
 
-from eelgrasswalk import request_log
 from eelgrasswalk import verdict
-from eelgrasswalk.filters import admit
-from eelgrasswalk.filters import gate
-from eelgrasswalk.platform import dialect
 from eelgrasswalk.policy import root_share
 from eelgrasswalk.policy import running_calls
-from eelgrasswalk.policy import slot_queue
-from eelgrasswalk.transport import budget
 from eelgrasswalk.transport import http_client
 from tests.filters import test_gate
 
@@ -37,22 +30,11 @@
         port = server.sockets[0].getsockname()[1]
         self.pool = http_client.TargetPool('127.0.0.1', port, connections=1)
         self.addAsyncCleanup(self.pool.close)
-        self.gate = gate.Gate(
-            dialect.PlatformDialect(),
+        self.gate = test_gate.build_gate(
             self.pool,
-            admit.Admitter(
-                slot_queue.SlotQueue(slot_queue.SlotSettings(), slots=1),
-                source=random.Random(1),
-            ),
-            budget.ByteBudget(1_000_000),
-            running_calls.RunningCalls(),
-            root_share.RootShares(root_share.ShareSettings()),
-            get_retry_use=lambda: 0.0,
-            log=unittest.mock.Mock(spec=request_log.RequestLog),
-            service='back',
-            drain_s=2.0,
+            running=running_calls.RunningCalls(),
+            shares=root_share.RootShares(root_share.ShareSettings()),
         )
-        self.gate.set_target('i-1', 4, run_id='i-1@1')
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/tests/integration/sidecars.py
+++ b/tests/integration/sidecars.py
@@ -3,18 +3,15 @@
 import asyncio
 import dataclasses
 import json
-import os
 import pathlib
 import signal
 import subprocess
-import sys
 import tempfile
 import typing
 import unittest
 
 from eelgrasswalk import verdict
 from eelgrasswalk.bench import mesh
-from eelgrasswalk.platform import process_settings
 from eelgrasswalk.standins import app
 from eelgrasswalk.standins import deployment
 from eelgrasswalk.standins import rows
@@ -49,16 +46,7 @@
 
     def start(self) -> None:
         """Start the process."""
-        environment = {
-            **os.environ,
-            process_settings.FILE_VARIABLE: str(self.settings),
-        }
-        with self.log.open('ab') as output:
-            self.process = subprocess.Popen(
-                [sys.executable, '-m', 'eelgrasswalk.cli.sidecar'],
-                env=environment,
-                stdout=output,
-            )
+        self.process = mesh.start_sidecar(self.settings, log=self.log)
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send the process a signal."""
