Keep header names of the platform to the stand-ins in the soak

Found while reading the change again: the soak read headers by their names on the wire, which belong to platform/ and the stand-ins. The stand-in of the application reads its own notices now. Two fields that nothing used are gone. No behaviour changes.

--- a/src/eelgrasswalk/bench/soak.py
+++ b/src/eelgrasswalk/bench/soak.py
@@ -24,7 +24,6 @@
 from ..standins import deployment
 from ..standins import rows
 from ..transport import http_client
-from ..transport import message
 from . import report
 from . import soak_checks
 from . import soak_faults
@@ -74,7 +73,6 @@
             maxlen=COPIES
         )
         self._is_store_faulty = False
-        self._shed: set[tuple[str, float]] = set()
 
     async def run(self, seconds: float) -> None:
         """Send calls and let the faults happen."""
@@ -261,24 +259,21 @@
     call: soak_checks.Call, outcome: http_client.Received
 ) -> soak_checks.Call:
     response = outcome.response
-    limit = message.find_header(response.headers, b'server-limit')
-    leaving = message.find_header(response.headers, b'server-leaving')
-    target_id = message.find_header(response.headers, b'instance-id')
+    notice = app.read_notice(response)
     return dataclasses.replace(
         call,
         status=response.status,
         is_own=response.body == f'answer to {call.request_id}'.encode(),
-        target_id='' if target_id is None else target_id.decode(),
-        calls_per_s=None if limit is None else float(limit),
-        leaving=leaving == b'1',
+        target_id=notice.target_id,
+        calls_per_s=notice.calls_per_s,
+        leaving=notice.leaving,
     )
 
 
 def _build_run(arrival: app.Arrival) -> soak_checks.Run:
-    request_id = arrival.headers.get(b'attempt-id', b'').decode()
-    node, _, _ = request_id.partition('-')
+    node, _, _ = arrival.request_id.partition('-')
     return soak_checks.Run(
-        request_id=request_id,
+        request_id=arrival.request_id,
         target_id=arrival.target_id,
         node=int(node),
         at=arrival.at,
--- a/src/eelgrasswalk/bench/soak_fleet.py
+++ b/src/eelgrasswalk/bench/soak_fleet.py
@@ -37,7 +37,6 @@
         settings: Path of its settings.
         log: Path of its standard output.
         process: The process; None while there is none.
-        is_frozen: Whether it is stopped by a signal.
         is_busy: Whether a fault replaces its process just now.
     """
 
@@ -47,7 +46,6 @@
     settings: pathlib.Path
     log: pathlib.Path
     process: subprocess.Popen[bytes] | None = None
-    is_frozen: bool = False
     is_busy: bool = False
 
     def start(self) -> None:
--- a/src/eelgrasswalk/standins/app.py
+++ b/src/eelgrasswalk/standins/app.py
@@ -25,6 +25,7 @@
         body: Its body.
         target_id: The run of the application that it reached.
         was_run: Whether it was run, not refused.
+        request_id: The client's id of it; empty when there is none.
     """
 
     at: float
@@ -34,6 +35,7 @@
     body: bytes
     target_id: str
     was_run: bool
+    request_id: str = ''
 
 
 @dataclasses.dataclass(slots=True)
@@ -59,6 +61,32 @@
     leaving: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Notice:
+    """What an answer says of the application that gave it.
+
+    Args:
+        target_id: The run of the application; empty if unknown.
+        calls_per_s: Limit that it names; None for none.
+        leaving: Whether it says that it is leaving.
+    """
+
+    target_id: str
+    calls_per_s: float | None
+    leaving: bool
+
+
+def read_notice(response: verdict.Response) -> Notice:
+    """Return what an answer says of the application that gave it."""
+    headers = dict(response.headers)
+    limit = headers.get(b'server-limit')
+    return Notice(
+        target_id=headers.get(b'instance-id', b'').decode(),
+        calls_per_s=None if limit is None else float(limit),
+        leaving=headers.get(b'server-leaving') == b'1',
+    )
+
+
 class AppStandin:
     """Serves requests and tells the node beside it of itself.
 
@@ -155,6 +183,7 @@
         headers = dict(request.headers)
         expected = headers.get(b'target-instance', b'').decode()
         was_run = expected == self.target_id and not self.behaviour.shed
+        request_id = headers.get(b'attempt-id', b'')
         self.arrivals.append(
             Arrival(
                 at=asyncio.get_running_loop().time(),
@@ -164,12 +193,12 @@
                 body=request.body,
                 target_id=self.target_id,
                 was_run=was_run,
+                request_id=request_id.decode(),
             )
         )
         if expected != self.target_id:
             own_id = self.target_id.encode()
             return verdict.Response(421, ((b'instance-id', own_id),), b'')
-        request_id = headers.get(b'attempt-id', b'')
         if self.behaviour.shed:
             return verdict.Response(
                 503,
