--- a/tests/platform/test_rows.py
+++ b/tests/platform/test_rows.py
@@ -9,7 +9,9 @@
 from eelgrasswalk.standins import rows as standin
 
 
-class PlatformRowsTest(unittest.IsolatedAsyncioTestCase):
+class RowsTestCase(unittest.IsolatedAsyncioTestCase):
+    """A client and a stand-in that it speaks with."""
+
     async def asyncSetUp(self) -> None:
         self.standin = standin.RowsStandin()
         port = await self.standin.start()
@@ -17,6 +19,8 @@
         self.store = rows.PlatformRows('127.0.0.1', port)
         self.addAsyncCleanup(self.store.close)
 
+
+class PlatformRowsTest(RowsTestCase):
     async def test_written_row_is_read(self) -> None:
         written = await self.store.put('nodes', 'n1', b'\x00x', expected=0)
         assert isinstance(written, ports.Written), written
@@ -94,15 +98,11 @@
         self.assertIsInstance(outcome, ports.Unavailable)
 
 
-class RestoredRowsTest(unittest.IsolatedAsyncioTestCase):
+class RestoredRowsTest(RowsTestCase):
     """Versions grow across restores, though the store's own go back."""
 
     async def asyncSetUp(self) -> None:
-        self.standin = standin.RowsStandin()
-        port = await self.standin.start()
-        self.addAsyncCleanup(self.standin.stop)
-        self.store = rows.PlatformRows('127.0.0.1', port)
-        self.addAsyncCleanup(self.store.close)
+        await super().asyncSetUp()
         self.copy = self.standin.copy()
 
     async def restore(self) -> None:
