Let programs that run side by side try other ports

That module takes 375 ports, while the next program's ports began 211 further on, and a soak that runs beside it leaves the ports of a killed node free for a moment.

--- a/src/eelgrasswalk/bench/mesh.py
+++ b/src/eelgrasswalk/bench/mesh.py
@@ -22,7 +22,7 @@
 STOP_TIMEOUT_S = 40.0
 FIRST_PORT = 10_240
 LAST_PORT = 32_000
-PORTS_APART = 211
+PORTS_APART = 1009
 PORTS_PER_SIDECAR = 5
 SECRET = 'a secret for tests and the demo only'
 
@@ -164,10 +164,17 @@
     return found
 
 
-def _list_candidates() -> collections.abc.Iterator[int]:
-    # Programs that run side by side begin far apart.
+def list_candidates(pid: int) -> collections.abc.Iterator[int]:
+    """Return the ports that a process tries, in order.
+
+    Programs that run side by side begin far apart: a port that one of them
+    leaves free while it restarts a node must not be taken by another.
+
+    Args:
+        pid: Id of the process.
+    """
     span = LAST_PORT - FIRST_PORT
-    for step in itertools.count(os.getpid() * PORTS_APART):
+    for step in itertools.count(pid * PORTS_APART):
         yield FIRST_PORT + step % span
 
 
@@ -181,7 +188,7 @@
     return True
 
 
-_CANDIDATES = _list_candidates()
+_CANDIDATES = list_candidates(os.getpid())
 
 
 def start_sidecar(
