Tell a crashed target from a lost connection, and requests by digest

Cause to look for: logs can't tell whether one request crashes the targets. A call whose connection ends is now lost with its target if the target's host refuses connections right after (reason target-crashed). The crash is one line (event 4007) with the digests of all calls that ran; lines of calls carry the digest of their request, which is the same whenever it comes again.

Calls are repeated and answered as before.

--- a/src/eelgrasswalk/events.py
+++ b/src/eelgrasswalk/events.py
@@ -174,6 +174,13 @@
 TARGET_LEAVING = Event(
     4006, logging.INFO, 'target says in an answer that it is leaving'
 )
+TARGET_CRASHED = Event(
+    4007,
+    logging.WARNING,
+    'target has ended while it ran calls',
+    'look at the target; a digest that several of these lines share is of a '
+    'request that may crash it',
+)
 REQUEST_FAILED = Event(
     5001,
     logging.ERROR,
--- a/src/eelgrasswalk/filters/front.py
+++ b/src/eelgrasswalk/filters/front.py
@@ -17,6 +17,7 @@
 from ..policy import root_hash
 from ..policy import running_calls
 from ..transport import message
+from . import identity
 
 # Within this time the node normally has up-to-date rules again.
 STALE_RETRY_S = 0.5
@@ -219,6 +220,9 @@
             latency_s=now - call.arrived_at,
             describe=lambda: {
                 'request': call.request_id,
+                'digest': identity.compute_digest(
+                    call.request, call.account
+                ).hex(),
                 'parent': call.parent_id,
                 'route': call.route.name,
                 'importance': call.priority.importance,
--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import collections.abc
 import math
 import time
 import typing
@@ -22,6 +23,8 @@
 from ..transport import http_client
 from ..transport import message
 from . import admit
+from . import deliveries
+from . import identity
 
 MAX_ANSWER_BYTES = 33_554_432
 MIN_REMAINING_S = 0.002
@@ -34,6 +37,12 @@
 SENT_SPAN_S = 4.0
 # Refused requests that are remembered; the oldest are forgotten.
 MAX_REFUSED = 4096
+# Digests in the log line of a crash; the first are of the oldest calls.
+MAX_LOGGED_DIGESTS = 32
+# The connection has ended, as it does when the target crashes.
+_LOST_REASONS = frozenset(
+    (verdict.Reason.TARGET_LOST, verdict.Reason.ANSWER_INCOMPLETE)
+)
 _CALLER_GONE = dialler.Reply(
     verdict.MayHaveRun(verdict.Reason.CALLER_GONE), None
 )
@@ -100,6 +109,7 @@
         # Whether the target itself has said what it accepts.
         self._has_notice = False
         self._sent = decaying_rate.DecayingRate(SENT_SPAN_S)
+        self._deliveries = deliveries.Deliveries(pool, self._handle_crash)
         self._accepts_until = math.inf
         self._delivers_until = math.inf
 
@@ -205,6 +215,7 @@
         feedback = reply.feedback
         return {
             'request': self._dialect.read_request_id(call.request.headers),
+            'digest': _compute_digest(call).hex(),
             'route': call.route,
             'target': self._target_id,
             'left_ms': round(call.remaining_s * 1000.0),
@@ -269,6 +280,7 @@
         self._sent.add(1.0, time.monotonic())
         run_id = self._run_id
         echo = self._dialect.find_echo(call.request.headers)
+        self._deliveries.begin(call)
         try:
             outcome = await self._pool.send(
                 request,
@@ -278,13 +290,40 @@
                 # A copy of an earlier refusal would pass for the answer.
                 fresh=echo in self._refused,
             )
+            if await self._is_crash(outcome, run_id):
+                return verdict.MayHaveRun(verdict.Reason.TARGET_CRASHED)
         except TimeoutError:
             return verdict.MayHaveRun(verdict.Reason.DEADLINE)
+        finally:
+            self._deliveries.end(call)
         classified = self._classify_outcome(outcome, run_id)
         if echo is not None and _is_refused_by_target(classified):
             self._remember_refused(echo)
         return classified
 
+    async def _is_crash(
+        self, outcome: http_client.Outcome, run_id: str
+    ) -> bool:
+        """Return whether a call was lost because its target has ended."""
+        return (
+            isinstance(outcome, http_client.Broken)
+            and outcome.reason in _LOST_REASONS
+            and await self._deliveries.has_target_ended(run_id)
+        )
+
+    def _handle_crash(
+        self, run_id: str, calls: collections.abc.Sequence[frames.Call]
+    ) -> None:
+        digests = [
+            _compute_digest(call).hex() for call in calls[:MAX_LOGGED_DIGESTS]
+        ]
+        events.log(
+            events.TARGET_CRASHED,
+            target=run_id,
+            running=len(calls),
+            digests=digests,
+        )
+
     def _remember_refused(self, echo: bytes) -> None:
         self._refused[echo] = None
         if len(self._refused) > MAX_REFUSED:
@@ -376,6 +415,10 @@
         return frames.TargetNotice(self._run_id, self._calls_per_s, is_leaving)
 
 
+def _compute_digest(call: frames.Call) -> bytes:
+    return identity.compute_digest(call.request, call.context.account)
+
+
 def _ignore(target_id: str) -> None:
     """Ignore that the target is leaving."""
 
--- a/src/eelgrasswalk/operations/explanation.py
+++ b/src/eelgrasswalk/operations/explanation.py
@@ -58,6 +58,7 @@
     'target-unreachable': 'the target took no connection',
     'target-refused': 'the target itself refused the request',
     'target-lost': 'the target ended the connection before its answer',
+    'target-crashed': 'the target ended while it ran the request',
     'link-lost': (
         'the link to the node of the target was lost while the request was '
         'there'
--- a/src/eelgrasswalk/policy/retries.py
+++ b/src/eelgrasswalk/policy/retries.py
@@ -16,6 +16,7 @@
     (
         verdict.Reason.LINK_LOST,
         verdict.Reason.TARGET_LOST,
+        verdict.Reason.TARGET_CRASHED,
         verdict.Reason.TARGET_UNREACHABLE,
         verdict.Reason.ANSWER_INCOMPLETE,
     )
--- a/src/eelgrasswalk/transport/client_connection.py
+++ b/src/eelgrasswalk/transport/client_connection.py
@@ -46,9 +46,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotSent:
-    """No byte of the request left this process."""
+    """No byte of the request left this process.
+
+    Args:
+        detail: One sentence.
+        is_refusal: Whether the host refused the connection.
+    """
 
     detail: str
+    is_refusal: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/eelgrasswalk/transport/http_client.py
+++ b/src/eelgrasswalk/transport/http_client.py
@@ -11,6 +11,8 @@
 from . import message
 
 CONNECT_TIMEOUT_S = 2.0
+# A target that ends resets its connections one after the other.
+RESET_SPREAD_S = 0.002
 
 Headers: typing.TypeAlias = message.Headers
 Received = client_connection.Received
@@ -41,6 +43,7 @@
         self.connections = connections
         self._bodies = bodies
         self.open_connections = 0
+        self._connecting = 0
         self._host = host
         self._port = port
         self._idle: collections.deque[_Connection] = collections.deque()
@@ -89,6 +92,21 @@
             self._release(connection)
         return outcome
 
+    async def is_refused(self) -> bool:
+        """Return whether the target's host refuses connections.
+
+        A target that has merely closed some connections still has others, or
+        accepts a new one.
+        """
+        await asyncio.sleep(RESET_SPREAD_S)
+        if self.open_connections > self._connecting:
+            return False
+        connection = await self._connect()
+        if isinstance(connection, NotSent):
+            return connection.is_refusal
+        self._release(connection)
+        return False
+
     async def close(self) -> None:
         """Close every idle connection."""
         while self._idle:
@@ -133,6 +151,7 @@
     async def _connect(self) -> _Connection | NotSent:
         loop = asyncio.get_running_loop()
         self.open_connections += 1
+        self._connecting += 1
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
@@ -142,10 +161,15 @@
                 )
         except (OSError, TimeoutError) as error:
             self._forget()
-            return NotSent(f'connecting to the target failed: {error!r}')
+            return NotSent(
+                f'connecting to the target failed: {error!r}',
+                is_refusal=isinstance(error, ConnectionRefusedError),
+            )
         except BaseException:
             self._forget()
             raise
+        finally:
+            self._connecting -= 1
         return connection
 
     def _release(self, connection: _Connection) -> None:
--- a/src/eelgrasswalk/transport/problem.py
+++ b/src/eelgrasswalk/transport/problem.py
@@ -50,6 +50,7 @@
     verdict.Reason.FENCED: 'The attempt was fenced',
     verdict.Reason.LINK_LOST: 'The link to the upstream was lost',
     verdict.Reason.TARGET_LOST: 'The target closed the connection',
+    verdict.Reason.TARGET_CRASHED: 'The target has ended',
     verdict.Reason.ANSWER_INCOMPLETE: 'The answer was incomplete',
     verdict.Reason.ANSWER_TOO_LARGE: 'The answer is too large',
     verdict.Reason.CALLER_GONE: 'The caller has gone',
--- a/src/eelgrasswalk/verdict.py
+++ b/src/eelgrasswalk/verdict.py
@@ -34,6 +34,7 @@
     FENCED = 'fenced'
     LINK_LOST = 'link-lost'
     TARGET_LOST = 'target-lost'
+    TARGET_CRASHED = 'target-crashed'
     ANSWER_INCOMPLETE = 'answer-incomplete'
     ANSWER_TOO_LARGE = 'answer-too-large'
     CALLER_GONE = 'caller-gone'
--- /dev/null
+++ b/tests/filters/test_deliveries.py
@@ -0,0 +1,75 @@
+"""Tests that calls lost with their target are told from lost connections."""
+
+import asyncio
+import collections.abc
+import unittest
+
+from eelgrasswalk.filters import deliveries
+from eelgrasswalk.transport import frames
+from eelgrasswalk.transport import message
+
+
+def build_call(number: int) -> frames.Call:
+    return frames.Call(
+        attempt=bytes([number]) * 16,
+        route='browse',
+        context=frames.Context('', 2, bytes(16), 0.5, 0.0, 0),
+        remaining_s=5.0,
+        allowance=0,
+        idempotency_key='',
+        request=message.Request('GET', f'/{number}', (), b''),
+        body_length=0,
+        digest=0,
+    )
+
+
+class FakeHost:
+    """Refuses connections or not, once it is asked."""
+
+    def __init__(self) -> None:
+        self.refuses = True
+        self.questions = 0
+        self.answers = asyncio.Event()
+        self.answers.set()
+
+    async def is_refused(self) -> bool:
+        self.questions += 1
+        await self.answers.wait()
+        return self.refuses
+
+
+class DeliveriesTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.host = FakeHost()
+        self.crashes: list[tuple[str, list[str]]] = []
+        self.deliveries = deliveries.Deliveries(self.host, self.record)
+
+    def record(
+        self, run_id: str, calls: collections.abc.Sequence[frames.Call]
+    ) -> None:
+        self.crashes.append((run_id, [call.request.target for call in calls]))
+
+    async def test_calls_lost_together_are_one_crash(self) -> None:
+        calls = [build_call(number) for number in range(3)]
+        for call in calls:
+            self.deliveries.begin(call)
+        self.deliveries.end(calls[0])
+        found = await asyncio.gather(
+            *(self.deliveries.has_target_ended('i-1@1') for _ in range(2))
+        )
+        self.assertEqual([True, True], found)
+        self.assertEqual([('i-1@1', ['/1', '/2'])], self.crashes)
+        self.assertEqual(1, self.host.questions)
+
+    async def test_lost_connection_is_no_crash(self) -> None:
+        self.host.refuses = False
+        self.deliveries.begin(build_call(1))
+        self.assertFalse(await self.deliveries.has_target_ended('i-1@1'))
+        self.assertEqual([], self.crashes)
+
+    async def test_silent_host_holds_up_no_call(self) -> None:
+        """A host that is cut off does not even refuse connections."""
+        self.host.answers.clear()
+        self.deliveries.begin(build_call(1))
+        self.assertFalse(await self.deliveries.has_target_ended('i-1@1'))
+        self.host.answers.set()
--- a/tests/filters/test_gate.py
+++ b/tests/filters/test_gate.py
@@ -241,6 +241,26 @@
         await self.gate.run(build_call())
         self.assertEqual([], told)
 
+    async def test_crash_names_the_calls_that_ran(self) -> None:
+        broken = http_client.Broken(verdict.Reason.TARGET_LOST, 'closed')
+        self.pool.send.return_value = broken
+        self.pool.is_refused.return_value = True
+        with self.assertLogs('eelgrasswalk') as logged:
+            reply = await self.gate.run(build_call())
+        assert isinstance(reply.outcome, verdict.MayHaveRun)
+        self.assertIs(verdict.Reason.TARGET_CRASHED, reply.outcome.reason)
+        (record,) = logged.records
+        self.assertEqual('i-1@1', record.__dict__['target'])
+        self.assertEqual(1, len(record.__dict__['digests']))
+
+    async def test_lost_connection_is_no_crash(self) -> None:
+        broken = http_client.Broken(verdict.Reason.TARGET_LOST, 'closed')
+        self.pool.send.return_value = broken
+        self.pool.is_refused.return_value = False
+        reply = await self.gate.run(build_call())
+        assert isinstance(reply.outcome, verdict.MayHaveRun)
+        self.assertIs(verdict.Reason.TARGET_LOST, reply.outcome.reason)
+
     async def test_stopping_node_takes_no_call_that_it_may_have_to_cut(
         self,
     ) -> None:
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -25,6 +25,7 @@
         self.connections = 0
         self.closes = False
         server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
+        self.server = server
         self.addAsyncCleanup(server.wait_closed)
         self.addCleanup(server.close)
         port = server.sockets[0].getsockname()[1]
@@ -100,6 +101,28 @@
         self.assertIsInstance(await self.send(), http_client.Broken)
 
 
+class RefusalTest(ClientTestCase):
+    async def test_target_that_closed_a_connection_is_not_refused(
+        self,
+    ) -> None:
+        self.closes = True
+        self.answers = [render(b'mine', b'1')]
+        await self.send()
+        self.assertFalse(await self.pool.is_refused())
+        self.assertEqual(2, self.connections)
+
+    async def test_open_connection_is_proof_enough(self) -> None:
+        self.answers = [render(b'mine', b'1')]
+        await self.send()
+        self.assertFalse(await self.pool.is_refused())
+        self.assertEqual(1, self.connections)
+
+    async def test_target_that_has_ended_is_refused(self) -> None:
+        self.server.close()
+        await self.server.wait_closed()
+        self.assertTrue(await self.pool.is_refused())
+
+
 class KeepAliveTest(ClientTestCase):
     async def test_connection_is_used_again(self) -> None:
         self.answers = [render(b'mine', b'1'), render(b'mine', b'2')]
