--- a/src/eelgrasswalk/standins/app.py
+++ b/src/eelgrasswalk/standins/app.py
@@ -50,6 +50,7 @@
         stray: Whether the answer to another request comes first.
         calls_per_s: Limit that its answers name; None for none.
         leaving: Whether its answers say that it is leaving.
+        deadly_paths: Paths of requests that crash it once they have run.
     """
 
     work_s: float = 0.0
@@ -59,6 +60,7 @@
     stray: bool = False
     calls_per_s: float | None = None
     leaving: bool = False
+    deadly_paths: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -104,12 +106,16 @@
         self.slots = slots
         self.behaviour = Behaviour()
         self.arrivals: list[Arrival] = []
+        # Loop times at which it has crashed.
+        self.crashes: list[float] = []
         self.port = 0
         self.born_ms = 1_700_000_000_000
         self._sequence = 0
-        self._server = http_server.HttpServer(
-            self.handle, limits=http_server.Limits()
-        )
+        self._server = self._build_server()
+        self._ending: asyncio.Task[None] | None = None
+
+    def _build_server(self) -> http_server.HttpServer:
+        return http_server.HttpServer(self.handle, limits=http_server.Limits())
 
     async def start(self, port: int = 0) -> int:
         """Listen on loopback, and return the port."""
@@ -118,9 +124,26 @@
 
     async def stop(self) -> None:
         """Close every connection."""
-        for connection in list(self._server.connections):
-            connection.close()
-        await self._server.stop()
+        if self._ending is not None:
+            await self._ending
+        await _end(self._server)
+
+    def crash(self) -> None:
+        """End without a word; its requests get no answer."""
+        loop = asyncio.get_running_loop()
+        self.crashes.append(loop.time())
+        self._ending = loop.create_task(_end(self._server))
+        self._server = self._build_server()
+
+    async def recover(self, target_id: str) -> None:
+        """Begin a new run at the same port after a crash.
+
+        Requests that crashed the last run crash this one as well.
+        """
+        deadly_paths = self.behaviour.deadly_paths
+        self.restart(target_id)
+        self.behaviour.deadly_paths = deadly_paths
+        await self.start(self.port)
 
     def restart(self, target_id: str) -> None:
         """Begin a new run, which knows nothing of the one before."""
@@ -209,6 +232,9 @@
             await asyncio.Event().wait()
         if self.behaviour.work_s:
             await asyncio.sleep(self.behaviour.work_s)
+        if request.target in self.behaviour.deadly_paths:
+            self.crash()
+            await asyncio.Event().wait()
         answered_id = request_id
         if self.behaviour.stray:
             answered_id = b'another'
@@ -222,3 +248,9 @@
             ),
             b'answer to ' + request_id,
         )
+
+
+async def _end(server: http_server.HttpServer) -> None:
+    for connection in list(server.connections):
+        connection.close()
+    await server.stop()
