Keep requests that crash their targets away from them

Cause: nothing remembered which requests ran when a target ended. The request came again under new ids and at other nodes, and the nodes' own retries took it to a second target at once.

Evidence: with digests in the logs, one request is in flight at every crash. Ruled out: load, and connections lost without a crash.

Change: what ran at a crash is suspected at all nodes of the service, runs at one target at a time and apart from other suspects, and is cleared by an answer. A target that crashes under a lone suspect a second time finds it guilty: refused with 400 from then on, by a record in the store.

Why it works: the request can't start at a second target before its first run has ended, and the crash of that one is proof.

--- a/src/eelgrasswalk/controllers/roster.py
+++ b/src/eelgrasswalk/controllers/roster.py
@@ -254,6 +254,14 @@
         """Return the nodes that are reachable and not stopping."""
         return [entry.node_id for entry in self._list_available_entries()]
 
+    def list_group(self, service: str) -> list[str]:
+        """Return the available nodes beside targets of a service."""
+        return [
+            entry.node_id
+            for entry in self._list_available_entries()
+            if entry.service == service
+        ]
+
     def list_owners(self) -> list[str]:
         """Return the nodes that may own accounts.
 
--- a/src/eelgrasswalk/events.py
+++ b/src/eelgrasswalk/events.py
@@ -181,6 +181,19 @@
     'look at the target; a digest that several of these lines share is of a '
     'request that may crash it',
 )
+QUARANTINE_CHANGED = Event(
+    4008,
+    logging.WARNING,
+    'quarantine of a request that crashes its targets has changed',
+    'mend the service; when the request is wanted again before it is tried, '
+    'lift its quarantine',
+)
+QUARANTINE_REJECTED = Event(
+    3016,
+    logging.WARNING,
+    'quarantined requests in the store cannot be read',
+    'look for another writer of the table of quarantines',
+)
 REQUEST_FAILED = Event(
     5001,
     logging.ERROR,
--- a/src/eelgrasswalk/filters/attempt_history.py
+++ b/src/eelgrasswalk/filters/attempt_history.py
@@ -10,6 +10,8 @@
         verdict.Reason.TARGET_UNREACHABLE,
         verdict.Reason.FENCED,
         verdict.Reason.LEAVING,
+        verdict.Reason.ISOLATED,
+        verdict.Reason.QUARANTINED,
         verdict.Reason.OVERLOAD,
         verdict.Reason.MEMORY,
     )
@@ -24,6 +26,8 @@
         attempts: Number of attempts that were allowed to queue.
         deliveries: Number of attempts whose target has, or may have, received
             the call.
+        run_at: Id of the node to which the last one was directed; empty if it
+            was not.
         probed: Ids of nodes that a probe found without a free slot. The call
             queues at one of them only if no other node is left.
         tried: Ids of nodes that an attempt allowed to queue was sent to.
@@ -34,6 +38,7 @@
 
     attempts: int = 0
     deliveries: int = 0
+    run_at: str = ''
     probed: set[str] = dataclasses.field(default_factory=set)
     tried: set[str] = dataclasses.field(default_factory=set)
     reached: set[str] = dataclasses.field(default_factory=set)
--- a/src/eelgrasswalk/filters/forward.py
+++ b/src/eelgrasswalk/filters/forward.py
@@ -134,7 +134,9 @@
             if upstream is None:
                 return self._give_up(failure), capacity_failure_ratio
             may_wait = not self._may_probe(call, history)
-            reply = await self._attempt(call, upstream, may_wait=may_wait)
+            reply = await self._attempt(
+                call, upstream, history, may_wait=may_wait
+            )
             outcome = reply.outcome
             self._record_free_slot(call, reply)
             if reply.feedback is not None:
@@ -146,6 +148,8 @@
                 continue
             failure = verdict.combine(failure, outcome)
             history.record(upstream.node_id, outcome)
+            if reply.feedback is not None:
+                history.run_at = reply.feedback.run_at
             if not self._may_retry(call, outcome, history):
                 return self._give_up(failure), capacity_failure_ratio
             call.is_retry = call.is_retry or history.deliveries > 0
@@ -185,6 +189,12 @@
             return self._choose_among(
                 call, frozenset(), allowed=history.reached
             )
+        if history.run_at:
+            found = self._choose_among(
+                call, frozenset(), allowed={history.run_at}
+            )
+            if found is not None:
+                return found
         tried = history.tried
         if history.probed:
             found = self._choose_among(call, tried | history.probed)
@@ -255,6 +265,9 @@
     def _give_up(self, failure: verdict.Failure) -> verdict.Failure:
         if isinstance(failure, verdict.MayHaveRun):
             return failure
+        if failure.reason is verdict.Reason.QUARANTINED:
+            # Coming back would be of no use.
+            return failure
         # Jitter spreads the retries of callers that were refused together; the
         # base gives the queue that refused them time to drain.
         queue_drain_s = failure.retry_after_s or 0.0
@@ -267,6 +280,7 @@
         self,
         call: front.IncomingCall,
         upstream: balance.Upstream,
+        history: attempt_history.AttemptHistory,
         *,
         may_wait: bool,
     ) -> dialler.Reply:
@@ -275,7 +289,7 @@
         try:
             reply = await self._transmitter.transmit(
                 upstream.node_id,
-                self._build_call(call, upstream, may_wait=may_wait),
+                self._build_call(call, upstream, history, may_wait=may_wait),
                 deadline=call.deadline,
                 retriable=call.route.idempotent,
             )
@@ -304,6 +318,8 @@
             failure_rate = reply.feedback.failing
             self._record_leaf(call, reply.feedback)
             self._record_notice(upstream, reply)
+            if reply.feedback.ended_run:
+                call.ended_runs += (reply.feedback.ended_run,)
             self._retry_budget.record_report(
                 call.service, reply.feedback.retry_use, now
             )
@@ -364,6 +380,7 @@
         self,
         call: front.IncomingCall,
         upstream: balance.Upstream,
+        history: attempt_history.AttemptHistory,
         *,
         may_wait: bool,
     ) -> frames.Call:
@@ -394,6 +411,7 @@
             ),
             may_wait=may_wait,
             notice=self._notices.find(upstream.node_id),
+            history=_build_history(call, history),
         )
 
 
@@ -405,6 +423,17 @@
     return outcome.reason.value
 
 
+def _build_history(
+    call: front.IncomingCall, history: attempt_history.AttemptHistory
+) -> frames.CallHistory | None:
+    if not (call.ended_runs or history.tried):
+        return None
+    return frames.CallHistory(
+        ended_runs=call.ended_runs[: frames.MAX_NAMES],
+        tried=tuple(history.tried)[: frames.MAX_NAMES],
+    )
+
+
 def _is_target_call(call: front.IncomingCall) -> bool:
     """Return whether this node's own target makes the call."""
     # Only targets use open routes.
--- a/src/eelgrasswalk/filters/front.py
+++ b/src/eelgrasswalk/filters/front.py
@@ -59,6 +59,7 @@
         parent_id: Id of the request that it was made for; empty if unknown.
         is_retry: Whether the next attempt is a retry, or the run that makes
             the call is one.
+        ended_runs: Runs of targets that ended while they ran it.
         attempts: Results of its attempts, for the log.
     """
 
@@ -73,6 +74,7 @@
     root_hash: float
     parent_id: str = ''
     is_retry: bool = False
+    ended_runs: tuple[str, ...] = ()
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
 
 
--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -7,6 +7,8 @@
 import time
 import typing
 
+import msgspec
+
 from .. import clock
 from .. import events
 from .. import ports
@@ -25,6 +27,7 @@
 from . import admit
 from . import deliveries
 from . import identity
+from . import isolation as call_isolation
 
 MAX_ANSWER_BYTES = 33_554_432
 MIN_REMAINING_S = 0.002
@@ -37,12 +40,15 @@
 SENT_SPAN_S = 4.0
 # Refused requests that are remembered; the oldest are forgotten.
 MAX_REFUSED = 4096
-# Digests in the log line of a crash; the first are of the oldest calls.
+# Digests in the log line of a crash; the last are of the newest calls.
 MAX_LOGGED_DIGESTS = 32
 # The connection has ended, as it does when the target crashes.
 _LOST_REASONS = frozenset(
     (verdict.Reason.TARGET_LOST, verdict.Reason.ANSWER_INCOMPLETE)
 )
+BuildIsolation: typing.TypeAlias = typing.Callable[
+    [deliveries.Deliveries], call_isolation.Isolation
+]
 _CALLER_GONE = dialler.Reply(
     verdict.MayHaveRun(verdict.Reason.CALLER_GONE), None
 )
@@ -59,6 +65,7 @@
         running: Requests that the target is running.
         shares: Decides which new call trees to accept while the target's own
             calls fail for lack of capacity downstream.
+        isolate: Builds what keeps deadly requests away from the target.
         get_retry_use: Returns which part of the retry budgets for the
             target's own calls is used.
         log: Records the outcome of each attempt.
@@ -67,6 +74,7 @@
             still reach the target.
 
     Attributes:
+        isolation: Keeps deadly requests away from the target.
         drain_s: As above; a change applies to the next drain.
         on_leaving: Called with the id of the target when it says in an answer
             that it is leaving.
@@ -81,6 +89,7 @@
         running: running_calls.RunningCalls,
         shares: root_share.RootShares,
         *,
+        isolate: BuildIsolation,
         get_retry_use: typing.Callable[[], float],
         log: request_log.RequestLog,
         service: str,
@@ -110,6 +119,7 @@
         self._has_notice = False
         self._sent = decaying_rate.DecayingRate(SENT_SPAN_S)
         self._deliveries = deliveries.Deliveries(pool, self._handle_crash)
+        self.isolation = isolate(self._deliveries)
         self._accepts_until = math.inf
         self._delivers_until = math.inf
 
@@ -122,6 +132,8 @@
             run_id: Id of this run of the target.
         """
         if run_id != self._run_id:
+            if self._run_id:
+                self._deliveries.handle_end(self._run_id)
             self._failures = target_failures.TargetFailures()
             self._limit_rate(None)
             self._has_notice = False
@@ -161,6 +173,26 @@
         refusal = self._check(call)
         if refusal is not None:
             return dialler.Reply(refusal, None)
+        allowed = await self.isolation.enter(
+            call, wait_s=min(call.objective_s, call.remaining_s)
+        )
+        if isinstance(allowed, call_isolation.Refused):
+            feedback = self._build_feedback(call.route, 0.0)
+            return dialler.Reply(
+                allowed.outcome,
+                msgspec.structs.replace(feedback, run_at=allowed.run_at),
+            )
+        outcome: verdict.Verdict | None = None
+        try:
+            reply = await self._run_admitted(call, started_at)
+            outcome = reply.outcome
+        finally:
+            self.isolation.leave(call, allowed, outcome)
+        return reply
+
+    async def _run_admitted(
+        self, call: frames.Call, started_at: float
+    ) -> dialler.Reply:
         deadline = started_at + call.remaining_s
         admitted = await self._admitter.admit(
             call.context,
@@ -184,16 +216,18 @@
             ),
             is_retry=call.context.is_retry,
         )
+        run_id = self._run_id
         try:
-            outcome = await self._deliver(call, deadline)
+            outcome = await self._deliver(call, deadline, run_id)
             ok = _is_ok(outcome)
         finally:
             has_failed_call = self._running.end(request_id)
             self._admitter.finish(admitted.call_id, ok=ok)
         self._failures.observe(outcome, has_failed_call=has_failed_call)
-        return dialler.Reply(
-            outcome, self._build_feedback(call.route, waited_s)
-        )
+        feedback = self._build_feedback(call.route, waited_s)
+        if _is_crash(outcome):
+            feedback = msgspec.structs.replace(feedback, ended_run=run_id)
+        return dialler.Reply(outcome, feedback)
 
     def _record(
         self, call: frames.Call, reply: dialler.Reply, started_at: float
@@ -215,7 +249,9 @@
         feedback = reply.feedback
         return {
             'request': self._dialect.read_request_id(call.request.headers),
-            'digest': _compute_digest(call).hex(),
+            'digest': identity.compute_digest(
+                call.request, call.context.account
+            ).hex(),
             'route': call.route,
             'target': self._target_id,
             'left_ms': round(call.remaining_s * 1000.0),
@@ -259,7 +295,7 @@
         )
 
     async def _deliver(
-        self, call: frames.Call, deadline: float
+        self, call: frames.Call, deadline: float, run_id: str
     ) -> verdict.Verdict:
         # The drain time includes time for which the host is suspended.
         if clock.read_boot_time() >= self._delivers_until:
@@ -278,7 +314,6 @@
             body=call.request.body,
         )
         self._sent.add(1.0, time.monotonic())
-        run_id = self._run_id
         echo = self._dialect.find_echo(call.request.headers)
         self._deliveries.begin(call)
         try:
@@ -290,18 +325,27 @@
                 # A copy of an earlier refusal would pass for the answer.
                 fresh=echo in self._refused,
             )
-            if await self._is_crash(outcome, run_id):
+            if await self._has_crashed(outcome, run_id):
+                self._deliveries.end(call)
                 return verdict.MayHaveRun(verdict.Reason.TARGET_CRASHED)
         except TimeoutError:
+            self._deliveries.end(call)
             return verdict.MayHaveRun(verdict.Reason.DEADLINE)
-        finally:
+        except asyncio.CancelledError:
+            self._deliveries.abandon(call)
+            raise
+        if isinstance(outcome, http_client.Broken):
+            self._deliveries.abandon(call)
+        else:
             self._deliveries.end(call)
+        if isinstance(outcome, http_client.NotSent) and outcome.is_refusal:
+            self._deliveries.handle_end(run_id)
         classified = self._classify_outcome(outcome, run_id)
         if echo is not None and _is_refused_by_target(classified):
             self._remember_refused(echo)
         return classified
 
-    async def _is_crash(
+    async def _has_crashed(
         self, outcome: http_client.Outcome, run_id: str
     ) -> bool:
         """Return whether a call was lost because its target has ended."""
@@ -312,17 +356,22 @@
         )
 
     def _handle_crash(
-        self, run_id: str, calls: collections.abc.Sequence[frames.Call]
+        self,
+        run_id: str,
+        started: collections.abc.Sequence[deliveries.Started],
     ) -> None:
-        digests = [
-            _compute_digest(call).hex() for call in calls[:MAX_LOGGED_DIGESTS]
-        ]
+        digests = [each.digest.hex() for each in started]
+        is_leaving = self._accepts_until < math.inf
         events.log(
             events.TARGET_CRASHED,
             target=run_id,
-            running=len(calls),
-            digests=digests,
+            running=len(started),
+            digests=digests[-MAX_LOGGED_DIGESTS:],
+            is_leaving=is_leaving,
         )
+        if not is_leaving:
+            # The end of a target that leaves has been announced.
+            self.isolation.handle_crash(run_id, started)
 
     def _remember_refused(self, echo: bytes) -> None:
         self._refused[echo] = None
@@ -415,10 +464,6 @@
         return frames.TargetNotice(self._run_id, self._calls_per_s, is_leaving)
 
 
-def _compute_digest(call: frames.Call) -> bytes:
-    return identity.compute_digest(call.request, call.context.account)
-
-
 def _ignore(target_id: str) -> None:
     """Ignore that the target is leaving."""
 
@@ -427,6 +472,13 @@
     return verdict.NotRun(reason, retry_elsewhere=True)
 
 
+def _is_crash(outcome: verdict.Verdict) -> bool:
+    return (
+        isinstance(outcome, verdict.MayHaveRun)
+        and outcome.reason is verdict.Reason.TARGET_CRASHED
+    )
+
+
 def _is_refused_by_target(outcome: verdict.Verdict) -> bool:
     return (
         isinstance(outcome, verdict.NotRun)
--- a/src/eelgrasswalk/operations/explanation.py
+++ b/src/eelgrasswalk/operations/explanation.py
@@ -59,6 +59,11 @@
     'target-refused': 'the target itself refused the request',
     'target-lost': 'the target ended the connection before its answer',
     'target-crashed': 'the target ended while it ran the request',
+    'isolated': (
+        'the request ran when a target crashed, and could not be run apart '
+        'from others in time'
+    ),
+    'quarantined': 'the request crashes the targets that run it',
     'link-lost': (
         'the link to the node of the target was lost while the request was '
         'there'
--- a/src/eelgrasswalk/platform/dialect.py
+++ b/src/eelgrasswalk/platform/dialect.py
@@ -21,6 +21,8 @@
     verdict.Reason.BODY_TOO_LARGE: 413,
     verdict.Reason.HEADERS_TOO_LARGE: 431,
     verdict.Reason.QUOTA: 429,
+    # Ends the client's retries.
+    verdict.Reason.QUARANTINED: 400,
 }
 _IN_DOUBT_STATUS = {verdict.Reason.DEADLINE: 504}
 
--- a/src/eelgrasswalk/sidecar/node.py
+++ b/src/eelgrasswalk/sidecar/node.py
@@ -30,6 +30,9 @@
 # Maximum delay of a check-in that arrives while the node starts; it has to be
 # acknowledged within 1 s.
 CHECK_IN_WAIT_S = 0.8
+# A starting node serves without the quarantined requests after this time: the
+# store may answer for other tables alone.
+QUARANTINE_WAIT_S = 1.0
 METRICS_PATH = '/metrics'
 # Settings that can change while the node runs. The others are addresses, the
 # identity of the node, or lengths of windows that have already begun.
@@ -138,6 +141,8 @@
         )
         await self._control_plane.rules_feed.start()
         await self._control_plane.roster_feed.start()
+        await self._control_plane.quarantine_feed.start()
+        await self._control_plane.quarantine.start()
         await self._control_plane.relay.start()
         await self._control_plane.confirmation.start()
         self._join_task = asyncio.get_running_loop().create_task(self._join())
@@ -213,6 +218,9 @@
             bootstrap=self.config.bootstrap
         )
         await control_plane.roster_feed.filled.wait()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(QUARANTINE_WAIT_S):
+                await control_plane.quarantine_feed.filled.wait()
         previous = control_plane.roster.find_previous()
         incarnation = time.time_ns()
         if previous is not None:
@@ -257,6 +265,8 @@
         await self._control_plane.roster.stop()
         await self._control_plane.confirmation.stop()
         await self._control_plane.relay.stop()
+        await self._control_plane.quarantine.stop()
+        await self._control_plane.quarantine_feed.stop()
         await self._control_plane.rules_feed.stop()
         await self._control_plane.roster_feed.stop()
 
--- a/src/eelgrasswalk/sidecar/wiring.py
+++ b/src/eelgrasswalk/sidecar/wiring.py
@@ -16,23 +16,28 @@
 from ..controllers import directory
 from ..controllers import feed
 from ..controllers import mesh_secret
+from ..controllers import quarantine as quarantine_keeper
 from ..controllers import reaper
 from ..controllers import relay
 from ..controllers import roster as roster_keeper
 from ..controllers import rules
 from ..filters import admit
+from ..filters import deliveries
 from ..filters import forward
 from ..filters import front
 from ..filters import gate
+from ..filters import isolation
 from ..filters import transmit
 from ..policy import attempts
 from ..policy import freshness
+from ..policy import quarantine
 from ..policy import retry_budget
 from ..policy import root_share
 from ..policy import roster
 from ..policy import running_calls
 from ..policy import slot_queue
 from ..policy import spread
+from ..policy import suspects
 from ..policy import target_lifecycle
 from ..transport import acceptor
 from ..transport import budget
@@ -96,7 +101,10 @@
         roster: Keeps the entries of all nodes, and writes this node's own.
         roster_feed: Follows the table of nodes.
         secrets: Keeps the secret of the mesh in the store.
-        relay: Relays changes of both tables between nodes.
+        confined: Requests that are refused because they crash targets.
+        quarantine: Shares them and the crashes with other nodes.
+        quarantine_feed: Follows the table of quarantined requests.
+        relay: Relays changes of the tables between nodes.
         router: Dispatches control messages by topic.
         bodies: Memory budget for request and answer bodies.
         log: Logs and counts outcomes of calls.
@@ -113,6 +121,9 @@
     roster: roster_keeper.RosterKeeper
     roster_feed: feed.Feed
     secrets: mesh_secret.SecretKeeper
+    confined: quarantine.Quarantine
+    quarantine: quarantine_keeper.QuarantineKeeper
+    quarantine_feed: feed.Feed
     relay: relay.Relay
     router: control_router.ControlRouter
     bodies: budget.ByteBudget
@@ -209,6 +220,28 @@
         source=random_source,
         watches=False,
     )
+    confined = quarantine.Quarantine()
+    keeper = quarantine_keeper.QuarantineKeeper(
+        node_id=config.node_id,
+        service=config.service,
+        confined=confined,
+        store=platform.store,
+        list_group=lambda: node_roster.list_group(config.service),
+        send=router.send,
+        source=random_source,
+    )
+    router.register(quarantine_keeper.TOPIC, keeper.receive)
+    quarantine_feed = feed.Feed(
+        platform.store,
+        quarantine_keeper.TABLE,
+        keeper,
+        wait_s=ROSTER_POLL_TIMEOUT_S,
+        gather_s=0.0,
+        clock=clock.read_boot_time,
+        source=random_source,
+        watches=False,
+        keeps_rows=True,
+    )
     secret_keeper = mesh_secret.SecretKeeper(
         platform.store,
         count_nodes=lambda: len(node_roster.roster),
@@ -220,6 +253,7 @@
         {
             platform.rule_source.table: rules_feed,
             roster_keeper.TABLE: roster_feed,
+            quarantine_keeper.TABLE: quarantine_feed,
         },
         list_nodes=node_roster.list_available,
         send=router.send,
@@ -253,6 +287,9 @@
         roster=node_roster,
         roster_feed=roster_feed,
         secrets=secret_keeper,
+        confined=confined,
+        quarantine=keeper,
+        quarantine_feed=quarantine_feed,
         relay=node_relay,
         router=router,
         bodies=budget.ByteBudget(int(config.memory_bytes * BODY_MEMORY_SHARE)),
@@ -323,6 +360,7 @@
         control_plane.bodies,
         running,
         shares,
+        isolate=lambda calls: _build_isolation(control_plane, calls),
         get_retry_use=lambda: call_retry_budget.compute_nested_use(
             time.monotonic(),
             len(control_plane.roster.roster),
@@ -377,6 +415,7 @@
         call_retry_budget=call_retry_budget,
         quotas=quotas,
     )
+    control_plane.quarantine.listener = target_gate.isolation
     target_gate.on_leaving = call_path.check_ins.note_leaving
     control_plane.router.links = call_path
     return call_path
@@ -408,6 +447,24 @@
     )
 
 
+def _build_isolation(
+    control_plane: ControlPlane, running: deliveries.Deliveries
+) -> isolation.Isolation:
+    config = control_plane.config
+    return isolation.Isolation(
+        node_id=config.node_id,
+        known=suspects.Suspects(suspects.SuspectSettings()),
+        confined=control_plane.confined,
+        running=running,
+        list_upstreams=lambda: (
+            isolation.Upstream(entry.node_id, entry.run_id)
+            for entry in control_plane.roster.roster.list_entries()
+            if entry.service == config.service and entry.is_usable
+        ),
+        reporter=control_plane.quarantine,
+    )
+
+
 def _build_front(
     control_plane: ControlPlane,
     forwarder: forward.Forwarder,
--- a/src/eelgrasswalk/transport/frames.py
+++ b/src/eelgrasswalk/transport/frames.py
@@ -21,6 +21,8 @@
 NONCE_BYTES = 16
 MAX_BODY_BYTES = 1 << 31
 MAX_ATTEMPTS_IN_ACK = 1_024
+# Names in the history of a call.
+MAX_NAMES = 16
 
 AttemptId: typing.TypeAlias = typing.Annotated[
     bytes, msgspec.Meta(min_length=ATTEMPT_BYTES, max_length=ATTEMPT_BYTES)
@@ -28,6 +30,9 @@
 Attempts: typing.TypeAlias = typing.Annotated[
     tuple[AttemptId, ...], msgspec.Meta(max_length=MAX_ATTEMPTS_IN_ACK)
 ]
+Names: typing.TypeAlias = typing.Annotated[
+    tuple[str, ...], msgspec.Meta(max_length=MAX_NAMES)
+]
 Count: typing.TypeAlias = typing.Annotated[int, msgspec.Meta(ge=0)]
 Length: typing.TypeAlias = typing.Annotated[
     int, msgspec.Meta(ge=0, le=MAX_BODY_BYTES)
@@ -111,6 +116,18 @@
     leaving: bool = False
 
 
+class CallHistory(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """What became of earlier attempts of a call.
+
+    Args:
+        ended_runs: Runs of targets that ended while they ran the call.
+        tried: Nodes to which it has been sent.
+    """
+
+    ended_runs: Names = ()
+    tried: Names = ()
+
+
 class Call(msgspec.Struct, frozen=True, array_like=True, gc=False, tag=4):
     """One attempt to run a request at an upstream.
 
@@ -129,6 +146,7 @@
         may_wait: Whether it may wait at the upstream for a free slot.
         notice: What the caller's node knows of the target, for a node that
             has restarted since.
+        history: Earlier attempts; None for the first.
     """
 
     attempt: AttemptId
@@ -143,6 +161,7 @@
     objective_s: Number = 0.0
     may_wait: bool = True
     notice: TargetNotice | None = None
+    history: CallHistory | None = None
 
 
 class Feedback(msgspec.Struct, frozen=True, array_like=True, gc=False):
@@ -163,6 +182,9 @@
             which the target calls, directly or not; the highest of them.
         notice: What the target has said of itself; None for nothing that
             matters.
+        run_at: Node at which a call that was refused may run; empty if any
+            may run it.
+        ended_run: Run of the target that ended under the call; empty if none.
     """
 
     importance: Count
@@ -175,6 +197,8 @@
     makes_calls: bool = True
     retry_use: Number = 0.0
     notice: TargetNotice | None = None
+    run_at: str = ''
+    ended_run: str = ''
 
 
 SILENT_FEEDBACK = Feedback(
--- a/src/eelgrasswalk/transport/problem.py
+++ b/src/eelgrasswalk/transport/problem.py
@@ -20,6 +20,7 @@
     verdict.Reason.HEADERS_TOO_LARGE: 431,
     verdict.Reason.QUOTA: 429,
     verdict.Reason.DUPLICATE: 409,
+    verdict.Reason.QUARANTINED: 400,
 }
 
 _MAY_HAVE_RUN_STATUS = {
@@ -43,6 +44,8 @@
     verdict.Reason.NO_UPSTREAM: 'No upstream is available',
     verdict.Reason.LEAVING: 'The upstream is leaving',
     verdict.Reason.DUPLICATE: 'The idempotency key is in use',
+    verdict.Reason.ISOLATED: 'The request may have crashed its target',
+    verdict.Reason.QUARANTINED: 'The request crashes its targets',
     verdict.Reason.NO_CONFIGURATION: 'The node has no current configuration',
     verdict.Reason.STORE_UNAVAILABLE: 'The claim store is unavailable',
     verdict.Reason.TARGET_REFUSED: 'The target refused the request',
--- a/src/eelgrasswalk/verdict.py
+++ b/src/eelgrasswalk/verdict.py
@@ -27,6 +27,8 @@
     NO_UPSTREAM = 'no-upstream'
     LEAVING = 'leaving'
     DUPLICATE = 'duplicate'
+    ISOLATED = 'isolated'
+    QUARANTINED = 'quarantined'
     NO_CONFIGURATION = 'no-configuration'
     STORE_UNAVAILABLE = 'store-unavailable'
     TARGET_REFUSED = 'target-refused'
--- a/tests/filters/test_deliveries.py
+++ b/tests/filters/test_deliveries.py
@@ -45,9 +45,12 @@
         self.deliveries = deliveries.Deliveries(self.host, self.record)
 
     def record(
-        self, run_id: str, calls: collections.abc.Sequence[frames.Call]
+        self,
+        run_id: str,
+        started: collections.abc.Sequence[deliveries.Started],
     ) -> None:
-        self.crashes.append((run_id, [call.request.target for call in calls]))
+        targets = [each.subject.target for each in started]
+        self.crashes.append((run_id, targets))
 
     async def test_calls_lost_together_are_one_crash(self) -> None:
         calls = [build_call(number) for number in range(3)]
@@ -61,6 +64,36 @@
         self.assertEqual([('i-1@1', ['/1', '/2'])], self.crashes)
         self.assertEqual(1, self.host.questions)
 
+    async def test_call_that_is_lost_later_belongs_to_the_same_crash(
+        self,
+    ) -> None:
+        for number in range(2):
+            self.deliveries.begin(build_call(number))
+        await self.deliveries.has_target_ended('i-1@1')
+        self.deliveries.end(build_call(0))
+        self.assertTrue(await self.deliveries.has_target_ended('i-1@1'))
+        self.deliveries.handle_end('i-1@1')
+        self.assertEqual(1, len(self.crashes))
+
+    async def test_abandoned_calls_are_among_those_that_ran(self) -> None:
+        """A target goes on with what it has begun when its caller leaves."""
+        for number in range(2):
+            self.deliveries.begin(build_call(number))
+        self.deliveries.abandon(build_call(0))
+        await self.deliveries.has_target_ended('i-1@1')
+        self.assertEqual([('i-1@1', ['/0', '/1'])], self.crashes)
+
+    async def test_abandoned_calls_are_bounded(self) -> None:
+        for _ in range(2 * deliveries.MAX_ABANDONED):
+            self.deliveries.abandon(build_call(1))
+        self.deliveries.handle_end('i-1@1')
+        ((_, targets),) = self.crashes
+        self.assertEqual(deliveries.MAX_ABANDONED, len(targets))
+
+    async def test_end_under_no_call_is_no_crash(self) -> None:
+        self.deliveries.handle_end('i-1@1')
+        self.assertEqual([], self.crashes)
+
     async def test_lost_connection_is_no_crash(self) -> None:
         self.host.refuses = False
         self.deliveries.begin(build_call(1))
--- a/tests/filters/test_forward.py
+++ b/tests/filters/test_forward.py
@@ -26,6 +26,8 @@
     verdict.Reason.OVERLOAD, retry_after_s=1.0, retry_elsewhere=True
 )
 REJECTED = verdict.NotRun(verdict.Reason.TARGET_REFUSED, retry_elsewhere=True)
+ISOLATED = verdict.NotRun(verdict.Reason.ISOLATED, retry_elsewhere=True)
+CRASHED = verdict.MayHaveRun(verdict.Reason.TARGET_CRASHED)
 POSSIBLE_RUN = verdict.MayHaveRun(verdict.Reason.TARGET_LOST)
 ANSWER = verdict.Answered(verdict.Response(200, (), b''))
 FAILURE = verdict.Answered(verdict.Response(500, (), b''))
@@ -40,6 +42,7 @@
         self.may_wait: list[bool] = []
         self.contexts: list[frames.Context] = []
         self.notices: list[frames.TargetNotice | None] = []
+        self.histories: list[frames.CallHistory | None] = []
 
     async def transmit(
         self,
@@ -53,6 +56,7 @@
         self.may_wait.append(call.may_wait)
         self.contexts.append(call.context)
         self.notices.append(call.notice)
+        self.histories.append(call.history)
         return self.replies.pop(0)
 
 
@@ -166,6 +170,44 @@
         self.assertEqual([None, notice], later[:2])
         self.assertTrue(all(item is None for item in later[3:]))
 
+    async def test_suspect_goes_to_the_node_that_may_run_it(self) -> None:
+        for home in ('n0', 'n1', 'n2'):
+            isolated = frames.Feedback(255, 1.0, 0.0, 0, run_at=home)
+            forwarder = self.build(
+                dialler.Reply(ISOLATED, isolated), build_reply(ANSWER)
+            )
+            self.assertEqual(ANSWER, await forwarder.send(build_call()))
+            self.assertEqual(home, self.transmitter.sent_to[1])
+
+    async def test_call_tells_under_which_runs_it_crashed_targets(
+        self,
+    ) -> None:
+        """A retry must not be ahead of the news of the crash."""
+        crashed = frames.Feedback(255, 1.0, 0.0, 0, ended_run='i-1@1')
+        forwarder = self.build(
+            dialler.Reply(CRASHED, crashed), build_reply(ANSWER)
+        )
+        self.assertEqual(ANSWER, await forwarder.send(build_call()))
+        first = self.transmitter.sent_to[0]
+        self.assertEqual(
+            [None, frames.CallHistory(('i-1@1',), (first,))],
+            self.transmitter.histories,
+        )
+
+    async def test_quarantined_request_is_not_told_to_come_back(
+        self,
+    ) -> None:
+        quarantined = verdict.NotRun(verdict.Reason.QUARANTINED)
+        forwarder = self.build(build_reply(quarantined))
+        self.assertEqual(quarantined, await forwarder.send(build_call()))
+        self.assertEqual(1, len(self.transmitter.sent_to))
+
+    async def test_request_that_has_crashed_a_target_has_run(self) -> None:
+        """The refusal of its retry must not hide that."""
+        quarantined = verdict.NotRun(verdict.Reason.QUARANTINED)
+        forwarder = self.build(build_reply(CRASHED), build_reply(quarantined))
+        self.assertEqual(CRASHED, await forwarder.send(build_call()))
+
     async def test_refused_call_goes_to_another_upstream(self) -> None:
         forwarder = self.build(build_reply(OVERLOAD), build_reply(ANSWER))
         self.assertEqual(ANSWER, await forwarder.send(build_call()))
--- a/tests/filters/test_gate.py
+++ b/tests/filters/test_gate.py
@@ -9,7 +9,9 @@
 from eelgrasswalk import request_log
 from eelgrasswalk import verdict
 from eelgrasswalk.filters import admit
+from eelgrasswalk.filters import deliveries
 from eelgrasswalk.filters import gate
+from eelgrasswalk.filters import isolation
 from eelgrasswalk.platform import dialect
 from eelgrasswalk.policy import root_share
 from eelgrasswalk.policy import running_calls
@@ -59,6 +61,13 @@
     )
 
 
+def build_isolation(calls: deliveries.Deliveries) -> isolation.Isolation:
+    """Return one that lets every call pass, at a node without others."""
+    built = unittest.mock.Mock(spec=isolation.Isolation)
+    built.enter.return_value = isolation.Pass()
+    return built
+
+
 def build_gate(
     pool: http_client.TargetPool,
     *,
@@ -76,6 +85,7 @@
         budget.ByteBudget(1_000_000),
         running,
         shares,
+        isolate=build_isolation,
         get_retry_use=lambda: 0.25,
         log=unittest.mock.Mock(spec=request_log.RequestLog),
         service='back',
@@ -253,6 +263,67 @@
         self.assertEqual('i-1@1', record.__dict__['target'])
         self.assertEqual(1, len(record.__dict__['digests']))
 
+    async def test_caller_learns_which_run_of_the_target_ended(self) -> None:
+        broken = http_client.Broken(verdict.Reason.TARGET_LOST, 'closed')
+        self.pool.send.return_value = broken
+        self.pool.is_refused.return_value = True
+        reply = await self.gate.run(build_call())
+        assert reply.feedback is not None
+        self.assertEqual('i-1@1', reply.feedback.ended_run)
+
+    async def test_announced_end_of_a_target_accuses_nobody(self) -> None:
+        broken = http_client.Broken(verdict.Reason.TARGET_LOST, 'closed')
+        self.pool.send.return_value = broken
+        self.pool.is_refused.return_value = True
+        self.gate.start_draining()
+        await self.gate.run(build_call())
+        self.find_isolation().handle_crash.assert_not_called()
+
+    async def test_target_that_is_back_at_once_has_crashed_as_well(
+        self,
+    ) -> None:
+        """It accepts connections again before the lost call is judged."""
+        broken = http_client.Broken(verdict.Reason.TARGET_LOST, 'closed')
+        self.pool.send.return_value = broken
+        self.pool.is_refused.return_value = False
+        await self.gate.run(build_call())
+        self.gate.set_target('i-2', 4, run_id='i-2@2')
+        (crash,) = self.find_isolation().handle_crash.call_args_list
+        self.assertEqual('i-1@1', crash.args[0])
+
+    async def test_call_that_nobody_waits_for_may_have_caused_a_crash(
+        self,
+    ) -> None:
+        """Targets go on with what they have begun when its caller leaves."""
+        self.pool.send.side_effect = asyncio.CancelledError
+        with self.assertRaises(asyncio.CancelledError):
+            await self.gate.run(build_call())
+        self.pool.send.side_effect = None
+        self.pool.send.return_value = http_client.NotSent(
+            'refused', is_refusal=True
+        )
+        await self.gate.run(build_call(request_id=b'b'))
+        (crash,) = self.find_isolation().handle_crash.call_args_list
+        self.assertEqual(1, len(crash.args[1]))
+
+    async def test_suspect_is_directed_to_the_node_that_may_run_it(
+        self,
+    ) -> None:
+        refusal = verdict.NotRun(verdict.Reason.ISOLATED, retry_elsewhere=True)
+        self.find_isolation().enter.return_value = isolation.Refused(
+            refusal, run_at='node-b'
+        )
+        reply = await self.gate.run(build_call())
+        self.assertEqual(refusal, reply.outcome)
+        assert reply.feedback is not None
+        self.assertEqual('node-b', reply.feedback.run_at)
+        self.pool.send.assert_not_called()
+
+    def find_isolation(self) -> unittest.mock.Mock:
+        built = self.gate.isolation
+        assert isinstance(built, unittest.mock.Mock)
+        return built
+
     async def test_lost_connection_is_no_crash(self) -> None:
         broken = http_client.Broken(verdict.Reason.TARGET_LOST, 'closed')
         self.pool.send.return_value = broken
