Keep messages that come while a link is dialled

Cause: two messages to a node without a link, 13 ms apart; the second came while the link was dialled and was dropped. It was the news of the second crash, so one node took that target for alive and directed the request there.

Evidence: the node's log has the request refused towards the crashed target until another node found it guilty; the test shows that only the first of three messages arrives on the code before.

Change: messages wait for the link, 64 at the most.

--- a/src/eelgrasswalk/transport/dialler.py
+++ b/src/eelgrasswalk/transport/dialler.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 import typing
 
@@ -26,6 +27,8 @@
 RESOLVE_LIMIT_S = 3.0
 # Acknowledgements are sent with the next call, or after this time.
 ACK_INTERVAL_S = 1.0
+# Controllers' messages that wait for a new link; the first are dropped.
+MAX_UNSENT = 64
 # Wait after the deadline for the upstream's own verdict.
 DEADLINE_GRACE_S = 0.1
 
@@ -183,6 +186,9 @@
         self._retired = False
         self._acks: list[bytes] = []
         self._ack_timer: asyncio.TimerHandle | None = None
+        self._unsent: collections.deque[frames.Control] = collections.deque(
+            maxlen=MAX_UNSENT
+        )
 
     @property
     def is_open(self) -> bool:
@@ -219,9 +225,11 @@
     def send_control(self, item: frames.Control) -> None:
         if self._link is not None:
             self._link.send(item)
-        elif self._dialling is None:
-            task = self._start_dialling()
-            task.add_done_callback(lambda _: self._send_late(item))
+            return
+        self._unsent.append(item)
+        dialling = self._dialling or self._start_dialling()
+        if len(self._unsent) == 1:
+            dialling.add_done_callback(self._send_late)
 
     async def stop(self) -> None:
         for task in (self._resolving, self._dialling):
@@ -398,9 +406,12 @@
             self._ask([pending.call.attempt for pending in sent])
         opened.outstanding = len(self._pending)
 
-    def _send_late(self, item: frames.Control) -> None:
-        if self._link is not None:
-            self._link.send(item)
+    def _send_late(self, dialling: asyncio.Task[bool]) -> None:
+        unsent = list(self._unsent)
+        self._unsent.clear()
+        for item in unsent:
+            if self._link is not None:
+                self._link.send(item)
 
     # Unknown outcomes
 
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -52,6 +52,7 @@
 class LinkTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.runner = Runner()
+        self.received: list[str] = []
         self.acceptor = self.build_acceptor(incarnation=1)
         host, port = await self.acceptor.start('127.0.0.1', 0)
         self.far_address = (host, port)
@@ -69,7 +70,9 @@
             runner=self.runner,
             bodies=budget.ByteBudget(MEMORY),
             table=attempts.AttemptTable(max_answer_bytes=10_000_000),
-            on_control=ignore_control,
+            on_control=lambda node_id, topic, payload: self.received.append(
+                topic
+            ),
         )
 
     def build_dialler(self, secret: bytes) -> dialler.Dialler:
@@ -120,6 +123,22 @@
         self.assertIs(verdict.Reason.BODY_TOO_LARGE, reply.outcome.reason)
         self.assertEqual([], self.runner.runs)
 
+    async def test_messages_that_follow_each_other_need_one_link(
+        self,
+    ) -> None:
+        """The second came while the link was dialled, and was dropped."""
+        for topic in ('first', 'second', 'third'):
+            self.dialler.send_control(self.address, topic, b'')
+        await self.start_call(self.build_call())
+        self.assertEqual(['first', 'second', 'third'], self.received)
+
+    async def test_messages_that_wait_for_a_link_are_bounded(self) -> None:
+        for number in range(2 * dialler.MAX_UNSENT):
+            self.dialler.send_control(self.address, str(number), b'')
+        await self.start_call(self.build_call())
+        self.assertEqual(dialler.MAX_UNSENT, len(self.received))
+        self.assertEqual(str(2 * dialler.MAX_UNSENT - 1), self.received[-1])
+
     async def test_crossed_answers_reach_their_own_callers(self) -> None:
         bodies = [b'%d' % index * 40_000 for index in range(8)]
         tasks = [self.start_call(self.build_call(body)) for body in bodies]
