Start no suspect at a target while it runs at another

Cause: the node at which a suspect may run is chosen by a hash among targets that are up. When a target with a higher hash came back, the suspect was started there while it still ran at the other.

Change: a node tells the others of each suspect that it starts, and they direct the suspect there. Ruled out: asking an owner before each run, which costs a round trip and an owner that may be lost.

--- a/src/eelgrasswalk/controllers/quarantine.py
+++ b/src/eelgrasswalk/controllers/quarantine.py
@@ -32,8 +32,10 @@
     def receive_crash(self, crash: isolation.Crash) -> None:
         """Handle a crash of another target of the service."""
 
-    def receive_running(self, node_id: str, digest: bytes) -> None:
-        """Handle that a suspect runs at another target already."""
+    def receive_running(
+        self, node_id: str, digests: collections.abc.Iterable[bytes]
+    ) -> None:
+        """Handle that suspects run at another target."""
 
     def receive_cleared(self, digest: bytes) -> None:
         """Handle that a suspect has got an answer."""
@@ -124,11 +126,14 @@
             )
         )
 
-    def report_running(self, digest: bytes) -> None:
-        """Tell that a suspect runs at this node's target already."""
+    def report_running(self, digests: collections.abc.Sequence[bytes]) -> None:
+        """Tell that suspects run at this node's target."""
         self._spread(
             messages.RunningNotice(
-                self._service, self._node_id, dissemination.MAX_HOPS, digest
+                self._service,
+                self._node_id,
+                dissemination.MAX_HOPS,
+                tuple(digests[: messages.MAX_DIGESTS]),
             )
         )
 
@@ -202,7 +207,7 @@
 
     def _take_running(self, notice: messages.RunningNotice) -> None:
         if self.listener is not None:
-            self.listener.receive_running(notice.origin, notice.digest)
+            self.listener.receive_running(notice.origin, notice.digests)
 
     def _take_crash(self, notice: messages.CrashNotice) -> None:
         record = None
--- a/src/eelgrasswalk/controllers/quarantine_messages.py
+++ b/src/eelgrasswalk/controllers/quarantine_messages.py
@@ -17,6 +17,9 @@
         max_length=request_digest.DIGEST_BYTES,
     ),
 ]
+Digests: typing.TypeAlias = typing.Annotated[
+    tuple[Digest, ...], msgspec.Meta(max_length=MAX_DIGESTS)
+]
 HexDigest: typing.TypeAlias = typing.Annotated[
     str,
     msgspec.Meta(pattern=f'^[0-9a-f]{{{2 * request_digest.DIGEST_BYTES}}}$'),
@@ -74,9 +77,7 @@
     origin: Text
     hops: Number
     run_id: Text
-    digests: typing.Annotated[
-        tuple[Digest, ...], msgspec.Meta(max_length=MAX_DIGESTS)
-    ]
+    digests: Digests
     record: RecordFields | None = None
 
 
@@ -86,9 +87,7 @@
     service: Text
     origin: Text
     hops: Number
-    digests: typing.Annotated[
-        tuple[Digest, ...], msgspec.Meta(max_length=MAX_DIGESTS)
-    ]
+    digests: Digests
 
 
 class RecordNotice(msgspec.Struct, frozen=True, array_like=True, tag=3):
@@ -101,12 +100,12 @@
 
 
 class RunningNotice(msgspec.Struct, frozen=True, array_like=True, tag=4):
-    """A suspect runs at the target of the origin; fields as above."""
+    """Suspects run at the target of the origin; fields as above."""
 
     service: Text
     origin: Text
     hops: Number
-    digest: Digest
+    digests: Digests
 
 
 Notice: typing.TypeAlias = (
--- a/src/eelgrasswalk/filters/isolation.py
+++ b/src/eelgrasswalk/filters/isolation.py
@@ -91,8 +91,8 @@
     def report_crash(self, crash: Crash) -> None:
         """Tell of a crash of this node's target."""
 
-    def report_running(self, digest: bytes) -> None:
-        """Tell that a suspect runs at this node's target already."""
+    def report_running(self, digests: collections.abc.Sequence[bytes]) -> None:
+        """Tell that suspects run at this node's target."""
 
     def report_cleared(self, digest: bytes) -> None:
         """Tell that a suspect has got an answer."""
@@ -142,7 +142,7 @@
         self._waiting: dict[int, asyncio.Future[Decision]] = {}
         # Suspects that ran before they were known as such.
         self._adopted: dict[bytes, isolation_queue.Ticket] = {}
-        # Nodes at whose targets such suspects run.
+        # Nodes at whose targets suspects run, or ran last.
         self._running_at: collections.OrderedDict[bytes, str] = (
             collections.OrderedDict()
         )
@@ -218,12 +218,22 @@
         self._adopt_running()
         self._advance()
 
-    def receive_running(self, node_id: str, digest: bytes) -> None:
-        """Handle that a suspect runs at another target already."""
-        self._running_at[digest] = node_id
-        self._running_at.move_to_end(digest)
-        if len(self._running_at) > MAX_RUNNING:
-            self._running_at.popitem(last=False)
+    def receive_running(
+        self, node_id: str, digests: collections.abc.Iterable[bytes]
+    ) -> None:
+        """Handle that suspects run at a target of the service."""
+        for digest in digests:
+            self._running_at[digest] = node_id
+            self._running_at.move_to_end(digest)
+            if len(self._running_at) > MAX_RUNNING:
+                self._running_at.popitem(last=False)
+
+    def _report_running(
+        self, digests: collections.abc.Sequence[bytes]
+    ) -> None:
+        if digests:
+            self.receive_running(self._node_id, digests)
+            self._reporter.report_running(digests)
 
     def receive_cleared(self, digest: bytes) -> None:
         """Handle that a suspect has got an answer at another target."""
@@ -337,6 +347,7 @@
 
     def _adopt_running(self) -> None:
         """Queue no suspect beside those that run here already."""
+        adopted = []
         for call in self._running.list_calls():
             digest = identity.compute_digest(
                 call.request, call.context.account
@@ -346,8 +357,8 @@
             ticket = self._queue.adopt(digest)
             if ticket is not None:
                 self._adopted[call.attempt] = ticket
-                self.receive_running(self._node_id, digest)
-                self._reporter.report_running(digest)
+                adopted.append(digest)
+        self._report_running(adopted)
 
     def _record_ended(self, node_id: str, run_id: str) -> None:
         self._ended[node_id] = run_id
@@ -391,7 +402,9 @@
                 self._release(ticket, _refuse_confined())
             elif not self._is_held(ticket.digest):
                 self._release(ticket, Pass(ticket.digest))
-        for ticket in self._queue.start():
+        started = self._queue.start()
+        self._report_running([ticket.digest for ticket in started])
+        for ticket in started:
             self._settle(ticket, Pass(ticket.digest, ticket))
 
     def _release(
--- a/tests/controllers/test_quarantine.py
+++ b/tests/controllers/test_quarantine.py
@@ -61,7 +61,7 @@
         listener = unittest.mock.Mock(spec=keeper.Listener)
         other = self.build_keeper('node-b')
         other.listener = listener
-        self.keeper.report_running(DIGEST)
+        self.keeper.report_running([DIGEST])
         self.keeper.report_lifted(RECORD)
         self.keeper.report_cleared(DIGEST)
         async with asyncio.timeout(5.0):
@@ -69,7 +69,7 @@
                 await asyncio.sleep(0.01)
         for _, payload in self.sent[::2]:
             other.receive('node-a', payload)
-        listener.receive_running.assert_called_once_with('node-a', DIGEST)
+        listener.receive_running.assert_called_once_with('node-a', (DIGEST,))
         listener.receive_record.assert_called_once_with(RECORD)
         listener.receive_cleared.assert_called_once_with(DIGEST)
         await other.stop()
@@ -78,7 +78,7 @@
         """Nodes that know different nodes might pass it on for ever."""
         self.group = [f'node-{number}' for number in range(100)]
         notice = messages.RunningNotice(
-            'back', 'node-0', dissemination.MAX_HOPS, DIGEST
+            'back', 'node-0', dissemination.MAX_HOPS, (DIGEST,)
         )
         child = dissemination.list_children('node-0', 'node-0', self.group)[0]
         other = self.build_keeper(child)
@@ -87,7 +87,7 @@
             other.receive(
                 'node-0',
                 messages.encode_notice(
-                    messages.RunningNotice('back', 'node-0', hops, DIGEST)
+                    messages.RunningNotice('back', 'node-0', hops, (DIGEST,))
                 ),
             )
             self.assertEqual(hops > 1, bool(self.sent))
@@ -99,7 +99,7 @@
         listener = unittest.mock.Mock(spec=keeper.Listener)
         self.keeper.listener = listener
         wrong = messages.encode_notice(
-            messages.RunningNotice('other', 'node-b', 1, DIGEST)
+            messages.RunningNotice('other', 'node-b', 1, (DIGEST,))
         )
         for payload in (b'', b'\xff', b'\x91' * 50_000, wrong):
             self.keeper.receive('node-b', payload)
--- a/tests/filters/test_isolation.py
+++ b/tests/filters/test_isolation.py
@@ -68,9 +68,9 @@
         for other in self._service.list_others(self._node_id):
             other.receive_crash(crash)
 
-    def report_running(self, digest: bytes) -> None:
+    def report_running(self, digests: collections.abc.Sequence[bytes]) -> None:
         for other in self._service.list_others(self._node_id):
-            other.receive_running(self._node_id, digest)
+            other.receive_running(self._node_id, digests)
 
     def report_cleared(self, digest: bytes) -> None:
         for other in self._service.list_others(self._node_id):
@@ -240,6 +240,28 @@
         assert isinstance(decision, isolation.Refused)
         self.assertIs(verdict.Reason.QUARANTINED, decision.outcome.reason)
 
+    async def test_target_that_returns_does_not_get_what_runs_elsewhere(
+        self,
+    ) -> None:
+        """Its hash may be the highest; the suspect ran at two targets."""
+        homes = set()
+        for number in range(20):
+            target = f'/{number}'
+            first = await self.crash_first(target)
+            home = await self.find_home(target)
+            await home.start(self.build_call(target))
+            first.recover()
+            for node in self.nodes:
+                decision = await node.start(self.build_call(target))
+                self.assertIsInstance(decision, isolation.Refused)
+                assert isinstance(decision, isolation.Refused)
+                if decision.run_at:
+                    self.assertEqual(home.node_id, decision.run_at)
+            homes.add(home.node_id)
+            for call, allowed in list(home.calls.values()):
+                home.end(call, allowed, ANSWERED)
+        self.assertGreater(len(homes), 1)
+
     async def test_crash_under_two_suspects_finds_none_guilty(self) -> None:
         other = self.nodes[2]
         for target in (DEADLY, '/popular'):
