Read rows of another writer without ending the reader

Cause: decoders let RecursionError and OverflowError through and took fields of any type; a background task that raises is gone for good, without a log line.

--- a/src/eelgrasswalk/controllers/relay.py
+++ b/src/eelgrasswalk/controllers/relay.py
@@ -249,7 +249,7 @@
                     f'news of more than {MAX_UNCOMPRESSED_BYTES} bytes'
                 )
         return _DECODER.decode(data)
-    except (msgspec.DecodeError, zlib.error) as error:
+    except (msgspec.DecodeError, zlib.error, RecursionError) as error:
         raise ValueError(f'not news: {error}') from error
 
 
--- a/src/eelgrasswalk/controllers/roster.py
+++ b/src/eelgrasswalk/controllers/roster.py
@@ -4,7 +4,6 @@
 import collections.abc
 import contextlib
 import dataclasses
-import json
 import typing
 
 from .. import events
@@ -13,6 +12,7 @@
 from ..transport import dialler
 from . import background
 from . import directory
+from . import roster_entries
 
 TABLE = 'nodes'
 TOPIC = 'node'
@@ -117,7 +117,7 @@
         self._changed.set()
         if changed.target_id:
             self._reported.set()
-        self._messenger.announce(TOPIC, encode_entry(changed))
+        self._messenger.announce(TOPIC, roster_entries.encode_entry(changed))
 
     async def wait_written(self, limit_s: float) -> bool:
         """Wait until the store has this node's current entry."""
@@ -135,7 +135,7 @@
 
     def receive(self, node_id: str, payload: bytes) -> None:
         """Handle a peer's own entry."""
-        entry = decode_entry(payload)
+        entry = roster_entries.decode_entry(payload)
         if entry is None or entry.node_id != node_id:
             events.log(events.ENTRY_REJECTED, entry=node_id)
             return
@@ -144,7 +144,7 @@
 
     def receive_passed_on(self, node_id: str, payload: bytes) -> None:
         """Handle an entry that a neighbour relays, and relay it if new."""
-        entry = decode_entry(payload)
+        entry = roster_entries.decode_entry(payload)
         if entry is None:
             events.log(events.ENTRY_REJECTED, entry=node_id)
             return
@@ -198,7 +198,7 @@
         for row in rows:
             if row.key == self._own.node_id and row.value is not None:
                 self._row_version = row.version
-                found = decode_entry(row.value)
+                found = roster_entries.decode_entry(row.value)
         if self._written is None or found == self._written:
             return
         self._written = None
@@ -220,7 +220,7 @@
                 changed |= self._take_removal(row)
                 continue
             self._versions[row.key] = row.version
-            entry = decode_entry(row.value)
+            entry = roster_entries.decode_entry(row.value)
             if entry is None or entry.node_id != row.key:
                 events.log(events.ENTRY_REJECTED, entry=row.key)
                 continue
@@ -317,13 +317,13 @@
         if entry.revision == self._announced_revision:
             return
         self._announced_revision = entry.revision
-        self._relay(encode_entry(entry))
+        self._relay(roster_entries.encode_entry(entry))
 
     async def _write(self, entry: roster.Entry) -> bool:
         outcome = await self._store.put(
             TABLE,
             entry.node_id,
-            encode_entry(entry),
+            roster_entries.encode_entry(entry),
             expected=self._row_version,
         )
         if isinstance(outcome, ports.Conflict):
@@ -351,26 +351,6 @@
     pass
 
 
-def encode_entry(entry: roster.Entry) -> bytes:
-    """Encode an entry for the store and for messages."""
-    fields = dataclasses.asdict(entry)
-    fields['state'] = entry.state.value
-    return json.dumps(fields, separators=(',', ':')).encode()
-
-
-def decode_entry(value: bytes) -> roster.Entry | None:
-    """Decode an entry; return None if it is malformed."""
-    try:
-        fields = json.loads(value)
-        fields['state'] = roster.TargetState(fields['state'])
-        known = {item.name for item in dataclasses.fields(roster.Entry)}
-        return roster.Entry(
-            **{name: item for name, item in fields.items() if name in known}
-        )
-    except (ValueError, TypeError, KeyError):
-        return None
-
-
 def _build_peer(entry: roster.Entry) -> directory.Peer:
     state = _UNUSABLE
     if entry.is_usable:
--- a/src/eelgrasswalk/events.py
+++ b/src/eelgrasswalk/events.py
@@ -202,6 +202,12 @@
 )
 
 
+BACKGROUND_FAILED = Event(
+    5004,
+    logging.ERROR,
+    'background work of the node failed and begins again',
+    'report the traceback to the developers',
+)
 CALL_ENDED = Event(
     5002, logging.INFO, 'call has ended at the node where it began'
 )
--- a/src/eelgrasswalk/platform/check_ins.py
+++ b/src/eelgrasswalk/platform/check_ins.py
@@ -11,6 +11,8 @@
 
 _STATES = frozenset(('ready', 'draining'))
 _MAX_ID_BYTES = 200
+# Larger ones can't be told apart as floats.
+_MAX_NUMBER = 2**53
 _ACKNOWLEDGEMENT = verdict.Response(
     200, ((b'content-type', b'application/json'),), b'{}'
 )
@@ -37,7 +39,13 @@
             return ports.Unreadable(f'no such call: {call}')
         try:
             return _decode_check_in(target_id, json.loads(request.body))
-        except (ValueError, TypeError, KeyError, AttributeError) as error:
+        except (
+            ValueError,
+            TypeError,
+            KeyError,
+            AttributeError,
+            RecursionError,
+        ) as error:
             return ports.Unreadable(f'not a check-in: {error!r}')
 
     def acknowledge(self) -> verdict.Response:
@@ -62,8 +70,8 @@
 
 
 def _take_number(value: typing.Any) -> float:
-    if type(value) not in (int, float) or value < 0:
-        raise ValueError(f'not a number of at least 0: {value!r}')
+    if type(value) not in (int, float) or not 0 <= value < _MAX_NUMBER:
+        raise ValueError(f'not a number from 0 to {_MAX_NUMBER}: {value!r}')
     return float(value)
 
 
--- a/src/eelgrasswalk/platform/operator_config.py
+++ b/src/eelgrasswalk/platform/operator_config.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import json
+import math
 import typing
 
 from .. import ports
@@ -48,7 +49,13 @@
     try:
         fields = json.loads(value)
         return _decode(fields)
-    except (TypeError, KeyError, AttributeError) as error:
+    except (
+        TypeError,
+        KeyError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         raise ValueError(f'field missing or of another type: {error!r}') from (
             error
         )
@@ -75,7 +82,7 @@
 
 def _decode_route(hostname: str, rule: Fields) -> call_rules.RouteRule:
     action = rule['action']
-    timeout_s = float(action['timeout_ms']) / _MS_PER_S
+    timeout_s = _take_number(action['timeout_ms']) / _MS_PER_S
     objective_ms = rule.get('target_latency_ms')
     return call_rules.RouteRule(
         name=str(rule['name']),
@@ -87,7 +94,9 @@
         open_to_all=bool(rule.get('auth_exempt')),
         timeout_s=timeout_s,
         objective_s=(
-            float(objective_ms) / _MS_PER_S if objective_ms else timeout_s
+            _take_number(objective_ms) / _MS_PER_S
+            if objective_ms
+            else timeout_s
         ),
         max_upstreams=max(1, int(action.get('max_attempts') or 1)),
     )
@@ -98,9 +107,9 @@
     if not split:
         return (call_rules.Share(str(action['service']), 1.0),)
     return tuple(
-        call_rules.Share(str(part['service']), float(part['weight']))
+        call_rules.Share(str(part['service']), _take_number(part['weight']))
         for part in split
-        if float(part['weight']) > 0.0
+        if _take_number(part['weight']) > 0.0
     )
 
 
@@ -116,8 +125,8 @@
     return call_rules.AccountRule(
         name=str(fields['name']),
         keys=tuple(map(str, fields.get('api_keys') or ())),
-        rate=float(fields.get('rate_per_s') or 0.0),
-        burst=float(fields.get('burst') or 0.0),
+        rate=_take_number(fields.get('rate_per_s') or 0.0),
+        burst=_take_number(fields.get('burst') or 0.0),
         importance=None if priority is None else _decode_importance(priority),
     )
 
@@ -130,11 +139,20 @@
 
 
 def _decode_limits(fields: Fields) -> call_rules.ListenerLimits:
-    header_ms = float(fields.get('header_timeout_ms') or _HEADER_TIMEOUT_MS)
-    idle_ms = float(fields.get('idle_timeout_ms') or _IDLE_TIMEOUT_MS)
+    header_ms = _take_number(
+        fields.get('header_timeout_ms') or _HEADER_TIMEOUT_MS
+    )
+    idle_ms = _take_number(fields.get('idle_timeout_ms') or _IDLE_TIMEOUT_MS)
     return call_rules.ListenerLimits(
         header_bytes=int(fields.get('max_header_bytes') or _HEADER_BYTES),
         body_bytes=int(fields.get('max_body_bytes') or _BODY_BYTES),
         header_timeout_s=header_ms / _MS_PER_S,
         idle_timeout_s=idle_ms / _MS_PER_S,
     )
+
+
+def _take_number(value: typing.Any) -> float:
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError(f'not a finite number: {value!r}')
+    return number
--- a/src/eelgrasswalk/platform/process_settings.py
+++ b/src/eelgrasswalk/platform/process_settings.py
@@ -34,11 +34,17 @@
         )
     try:
         fields = json.loads(pathlib.Path(name).read_bytes())
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise BadSettingsError(f'{name}: cannot be read: {error}') from error
     try:
         return decode_settings(fields)
-    except (KeyError, TypeError, ValueError, IndexError) as error:
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        IndexError,
+        OverflowError,
+    ) as error:
         raise BadSettingsError(
             f'{name}: a field is missing or not allowed: {error!r}; compare '
             'the file with the page of the settings'
--- a/src/eelgrasswalk/platform/rows.py
+++ b/src/eelgrasswalk/platform/rows.py
@@ -4,6 +4,7 @@
 import base64
 import dataclasses
 import json
+import re
 import typing
 import urllib.parse
 
@@ -22,6 +23,14 @@
 _NUMBER_BITS = 44
 # No row has it.
 _NO_VERSION = (1 << _NUMBER_BITS) - 1
+_ERA = re.compile(rb'\d{1,9}')
+_MALFORMED = (
+    ValueError,
+    TypeError,
+    KeyError,
+    AttributeError,
+    OverflowError,
+)
 _JSON = (b'content-type', b'application/json')
 
 
@@ -67,6 +76,8 @@
             if isinstance(answer, ports.Unavailable | ports.HistoryGone):
                 return ports.Unavailable('the store refused to read')
             page = _decode_rows(answer)
+            if page is None:
+                return ports.Unavailable('the store sent malformed rows')
             if start and page.era != era:
                 return ports.Unavailable('the store was restored meanwhile')
             era = page.era
@@ -89,7 +100,10 @@
             return answer
         if answer.era != _get_era(after):
             return ports.HistoryGone()
-        return _decode_rows(answer)
+        rows = _decode_rows(answer)
+        if rows is None:
+            return ports.Unavailable('the store sent malformed rows')
+        return rows
 
     async def put(
         self, table: str, key: str, value: bytes, *, expected: int
@@ -152,18 +166,23 @@
         fields = _read_body(response)
         if response.status == 412 and fields is not None:
             answer = _Answer(fields, self._note_era(response))
-            found = _decode_rows(answer).rows
-            return ports.Conflict(found[0] if found else None)
+            found = _decode_rows(answer)
+            if found is None:
+                return ports.Unavailable('the store sent malformed rows')
+            return ports.Conflict(found.rows[0] if found.rows else None)
         if response.status == 200 and fields is not None:
-            era = self._note_era(response)
-            return ports.Written(_build_version(era, int(fields['ver'])))
+            answer = _Answer(fields, self._note_era(response))
+            written = _decode_rows(answer)
+            if written is None or 'ver' not in fields:
+                return ports.Unknown('the store sent no version')
+            return ports.Written(written.version)
         if 400 <= response.status < 500 or response.status == 503:
             return ports.Unavailable(f'status {response.status}')
         return ports.Unknown(f'status {response.status}')
 
     def _note_era(self, response: verdict.Response) -> int:
         value = message.find_header(response.headers, names.STORE_ERA)
-        if value is None or not value.isdigit():
+        if value is None or not _ERA.fullmatch(value):
             return self._era
         era = int(value)
         # An answer from before a restore may be late.
@@ -194,7 +213,7 @@
 def _read_body(response: verdict.Response) -> dict[str, typing.Any] | None:
     try:
         fields = json.loads(response.body)
-    except ValueError:
+    except (ValueError, RecursionError):
         return None
     return fields if isinstance(fields, dict) else None
 
@@ -211,19 +230,20 @@
     return version & _NO_VERSION
 
 
-def _decode_rows(answer: _Answer) -> ports.Rows:
+def _decode_rows(answer: _Answer) -> ports.Rows | None:
+    """Return the rows of an answer; None if it is malformed."""
     fields = answer.fields
-    rows = tuple(
-        _decode_row(item, answer.era)
-        for item in fields.get('rows') or ()
-        if item
-    )
-    return ports.Rows(
-        rows,
-        _build_version(answer.era, int(fields.get('ver') or 0)),
-        float(fields.get('now_ms') or 0.0) / _MS_PER_S,
-        answer.era,
-    )
+    try:
+        rows = tuple(
+            _decode_row(item, answer.era)
+            for item in fields.get('rows') or ()
+            if item
+        )
+        version = _build_version(answer.era, int(fields.get('ver') or 0))
+        store_s = float(fields.get('now_ms') or 0.0) / _MS_PER_S
+    except _MALFORMED:
+        return None
+    return ports.Rows(rows, version, store_s, answer.era)
 
 
 def _decode_row(item: dict[str, typing.Any], era: int) -> ports.Row:
--- a/tests/controllers/test_check_ins.py
+++ b/tests/controllers/test_check_ins.py
@@ -10,6 +10,7 @@
 from eelgrasswalk import verdict
 from eelgrasswalk.controllers import check_ins
 from eelgrasswalk.controllers import roster as roster_keeper
+from eelgrasswalk.controllers import roster_entries
 from eelgrasswalk.policy import roster
 from eelgrasswalk.policy import target_lifecycle
 from eelgrasswalk.transport import message
@@ -129,7 +130,7 @@
             self.addAsyncCleanup(self.roster.stop)
             await self.say(BEAT)
             await self.say(ports.Departure('i-1'))
-        entry = roster_keeper.decode_entry(self.store.written[-1][1])
+        entry = roster_entries.decode_entry(self.store.written[-1][1])
         assert entry is not None
         self.assertIs(roster.TargetState.DRAINING, entry.state)
 
--- a/tests/controllers/test_roster.py
+++ b/tests/controllers/test_roster.py
@@ -3,12 +3,15 @@
 import asyncio
 import collections.abc
 import dataclasses
+import json
+import math
 import unittest
 import unittest.mock
 
 from eelgrasswalk import ports
 from eelgrasswalk.controllers import directory
 from eelgrasswalk.controllers import roster as roster_keeper
+from eelgrasswalk.controllers import roster_entries
 from eelgrasswalk.policy import roster
 from tests.controllers import fake_store
 
@@ -59,7 +62,52 @@
 
 
 def build_row(entry: roster.Entry, version: int = 1) -> ports.Row:
-    return ports.Row(entry.node_id, roster_keeper.encode_entry(entry), version)
+    return ports.Row(
+        entry.node_id, roster_entries.encode_entry(entry), version
+    )
+
+
+class EntryTest(unittest.TestCase):
+    def test_entry_is_read_as_it_was_written(self) -> None:
+        for entry in (OWN, OTHER):
+            value = roster_entries.encode_entry(entry)
+            self.assertEqual(entry, roster_entries.decode_entry(value))
+
+    def test_entry_of_a_later_release_is_read(self) -> None:
+        fields = json.loads(roster_entries.encode_entry(OTHER))
+        value = json.dumps({**fields, 'new': [1]}).encode()
+        self.assertEqual(OTHER, roster_entries.decode_entry(value))
+
+    def test_odd_entries_are_none(self) -> None:
+        """They ended the task that follows the table, or each call."""
+        fields = json.loads(roster_entries.encode_entry(OTHER))
+        odd = [
+            json.dumps({**fields, name: value}).encode()
+            for name, value in (
+                ('port', 70_000),
+                ('port', 0),
+                ('port', '80'),
+                ('port', 10**40),
+                ('host', 'no such host'),
+                ('host', 7),
+                ('incarnation', '7'),
+                ('incarnation', 1.5),
+                ('revision', None),
+                ('slots', -1),
+                ('slots', math.inf),
+                ('service', ['back']),
+                ('service', 'x' * 100_000),
+                ('target_id', 7),
+                ('state', 'asleep'),
+                ('state', []),
+                ('stopping', 'no'),
+                ('born_ms', 10**40),
+            )
+        ]
+        odd += [b'', b'7', b'\xff', b'[' * 50_000, b'{"a":' * 50_000]
+        for value in odd:
+            with self.subTest(value[-60:]):
+                self.assertIsNone(roster_entries.decode_entry(value))
 
 
 class RosterKeeperTest(unittest.IsolatedAsyncioTestCase):
@@ -92,7 +140,7 @@
         await self.announce()
         ((key, value, expected),) = self.store.written
         self.assertEqual(('n1', 0), (key, expected))
-        entry = roster_keeper.decode_entry(value)
+        entry = roster_entries.decode_entry(value)
         assert entry is not None
         self.assertEqual('i-1', entry.target_id)
         self.assertEqual(1, self.news.announced)
@@ -116,7 +164,7 @@
         self.keeper.take_all(ports.Rows((), 5, era=2), 0.0)
         await fake_store.settle()
         self.assertEqual([0, 0], [item[2] for item in self.store.written])
-        entry = roster_keeper.decode_entry(self.store.written[-1][1])
+        entry = roster_entries.decode_entry(self.store.written[-1][1])
         assert entry is not None
         self.assertEqual('i-1', entry.target_id)
 
@@ -176,7 +224,7 @@
         self,
     ) -> None:
         self.keeper.list_neighbours = lambda: ('n3', 'n4')
-        payload = roster_keeper.encode_entry(OTHER)
+        payload = roster_entries.encode_entry(OTHER)
         for sender in ('n3', 'n4'):
             self.keeper.receive_passed_on(sender, payload)
         self.assertEqual(['n4'], self.news.sent)
@@ -187,7 +235,7 @@
     ) -> None:
         stopping = dataclasses.replace(OWN, stopping=True, revision=99)
         self.keeper.receive_passed_on(
-            'n2', roster_keeper.encode_entry(stopping)
+            'n2', roster_entries.encode_entry(stopping)
         )
         self.assertFalse(self.keeper.own.stopping)
         self.assertEqual([], self.news.sent)
@@ -252,7 +300,7 @@
         leaving = dataclasses.replace(
             OTHER, revision=3, state=roster.TargetState.DRAINING
         )
-        self.keeper.receive('n2', roster_keeper.encode_entry(leaving))
+        self.keeper.receive('n2', roster_entries.encode_entry(leaving))
         self.assertEqual([], self.book.list_ready())
         late = dataclasses.replace(OTHER, revision=2)
         self.keeper.take_changes(ports.Rows((build_row(late),), 2), 0.0)
@@ -267,7 +315,7 @@
         rows = (
             ports.Row('n3', b'{', 1),
             ports.Row('n4', b'{"node_id": "n4"}', 2),
-            ports.Row('n5', roster_keeper.encode_entry(OTHER), 3),
+            ports.Row('n5', roster_entries.encode_entry(OTHER), 3),
             build_row(OTHER),
         )
         with self.assertLogs('eelgrasswalk', 'WARNING') as logs:
@@ -277,7 +325,7 @@
 
     async def test_nobody_speaks_for_another_node(self) -> None:
         with self.assertLogs('eelgrasswalk', 'WARNING'):
-            self.keeper.receive('n9', roster_keeper.encode_entry(OTHER))
+            self.keeper.receive('n9', roster_entries.encode_entry(OTHER))
         self.assertEqual([], self.book.list_ready())
 
     async def test_stopping_nodes_own_nothing(self) -> None:
--- a/tests/integration/sidecars.py
+++ b/tests/integration/sidecars.py
@@ -190,6 +190,25 @@
             return outcome.response
         return None
 
+    async def send_check_in(self, node: Node, body: bytes) -> int:
+        """Send bytes as a check-in; return the status, 0 without one."""
+        pool = http_client.TargetPool(
+            '127.0.0.1', node.ports[2], connections=1
+        )
+        request = message.Request(
+            'POST',
+            f'/-/rpc?call=instances.heartbeat&of={node.app.target_id}',
+            ((b'host', b'control'),),
+            body,
+        )
+        try:
+            outcome = await pool.send(request, max_answer_bytes=4096)
+        finally:
+            await pool.close()
+        if isinstance(outcome, http_client.Received):
+            return outcome.response.status
+        return 0
+
     async def ask_readiness(self, node: Node) -> int:
         """Return the status of a node's readiness; 0 without an answer."""
         answer = await self.ask(node.ports[1], '/-/readiness')
--- a/tests/platform/test_check_ins.py
+++ b/tests/platform/test_check_ins.py
@@ -69,6 +69,19 @@
                     decode(self.beat, body), ports.Unreadable
                 )
 
+    def test_bytes_that_end_a_reader_name_no_target(self) -> None:
+        for body in (
+            b'[' * 50_000,
+            b'{"state":' + b'{"a":' * 50_000,
+            b'{"state":"ready","service":"a","slots":1,"sequence":1e999}',
+            b'{"state":"ready","service":"a","slots":1e300,"sequence":1}',
+            b'{"state":"ready","service":"a","slots":NaN,"sequence":1}',
+        ):
+            with self.subTest(body[:40]):
+                request = message.Request('POST', self.beat, (), body)
+                decoded = check_ins.PlatformCheckIns().decode(request)
+                self.assertIsInstance(decoded, ports.Unreadable)
+
     def test_other_calls(self) -> None:
         for target in (
             '/',
--- a/tests/platform/test_operator_config.py
+++ b/tests/platform/test_operator_config.py
@@ -1,6 +1,7 @@
 """Tests of the operator's configuration as it is decoded."""
 
 import json
+import math
 import typing
 import unittest
 
@@ -110,6 +111,10 @@
             encode({**CONFIG, 'version': None}),
             encode({**CONFIG, 'listeners': [1]}),
             encode({**CONFIG, 'tenants': [{}]}),
+            b'[' * 50_000,
+            b'{"version":' + b'{"a":' * 50_000,
+            encode({**CONFIG, 'version': math.inf}),
+            encode(CONFIG).replace(b'5000', b'1e999'),
         ):
             with self.subTest(broken[:20]), self.assertRaises(ValueError):
                 operator_config.decode_rules(broken)
--- a/tests/platform/test_rows.py
+++ b/tests/platform/test_rows.py
@@ -5,8 +5,10 @@
 import unittest.mock
 
 from eelgrasswalk import ports
+from eelgrasswalk import verdict
 from eelgrasswalk.platform import rows
 from eelgrasswalk.standins import rows as standin
+from eelgrasswalk.transport import http_client
 
 
 class RowsTestCase(unittest.IsolatedAsyncioTestCase):
@@ -98,6 +100,32 @@
         self.assertIsInstance(outcome, ports.Unavailable)
 
 
+class MalformedAnswersTest(RowsTestCase):
+    async def test_malformed_answers_are_no_answers(self) -> None:
+        """They ended the tasks that follow the store's tables."""
+        for body in (
+            b'[' * 50_000,
+            b'{"rows":[7]}',
+            b'{"rows":[{"value":"","ver":1}]}',
+            b'{"rows":[{"key":"a","value":"a","ver":1}]}',
+            b'{"rows":[],"ver":1e999}',
+            b'{"rows":7}',
+        ):
+            response = verdict.Response(200, (), body)
+            with unittest.mock.patch.object(
+                self.store,
+                '_send',
+                return_value=http_client.Received(response),
+            ):
+                for answer in (
+                    await self.store.read('nodes'),
+                    await self.store.watch('nodes', 0, 0.0),
+                ):
+                    self.assertIsInstance(answer, ports.Unavailable, body[:40])
+                written = await self.store.put('a', 'b', b'', expected=0)
+                self.assertIsInstance(written, ports.Unknown, body[:40])
+
+
 class RestoredRowsTest(RowsTestCase):
     """Versions grow across restores, though the store's own go back."""
 
