Find no request guilty by chance after two crashes

Cause: a call that had run at a crash was repeated and met a second one within 10 ms: of another deadly request that nobody suspected yet, or of the same one at a node that had not heard of the first crash and so suspected only the repeated call. It was the lone suspect at its second crash.

Change: two crashes find a request guilty only if its caller has sent it more than once (its ids differ); a single one needs a third. Crashes whose report has not arrived don't count. A repetition that is ahead of the report waits for it, 30 ms at most.

Ruled out: three crashes in any case, which costs a target for each deadly request.

--- a/src/eelgrasswalk/controllers/quarantine.py
+++ b/src/eelgrasswalk/controllers/quarantine.py
@@ -121,7 +121,7 @@
                 self._node_id,
                 dissemination.MAX_HOPS,
                 crash.run_id,
-                crash.digests,
+                crash.requests,
                 None if record is None else messages.build_fields(record),
             )
         )
@@ -217,7 +217,7 @@
         if self.listener is not None:
             self.listener.receive_crash(
                 isolation.Crash(
-                    notice.origin, notice.run_id, notice.digests, record
+                    notice.origin, notice.run_id, notice.requests, record
                 )
             )
         elif record is not None:
--- a/src/eelgrasswalk/filters/isolation.py
+++ b/src/eelgrasswalk/filters/isolation.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import collections.abc
+import contextlib
 import dataclasses
 import time
 import typing
@@ -25,6 +26,9 @@
 # are forgotten.
 MAX_ENDED = 1024
 MAX_RUNNING = 1024
+# Longest time by which a retry may be ahead of the report of the crash that it
+# is for: a new link takes a few round trips.
+REPORT_WAIT_S = 0.03
 # Retry-after, before jitter, of a suspect that could not be run apart in time.
 RETRY_AFTER_S = 0.5
 
@@ -49,13 +53,13 @@
     Args:
         node_id: Node beside the target.
         run_id: Id of the run that has ended.
-        digests: Digests of the requests that it ran.
+        requests: Digest and id of each request that it ran.
         record: Quarantine of the request that has caused it, if one has.
     """
 
     node_id: str
     run_id: str
-    digests: tuple[bytes, ...]
+    requests: tuple[tuple[bytes, str], ...]
     record: quarantine.Record | None = None
 
 
@@ -140,6 +144,8 @@
         self._reporter = reporter
         self._queue = isolation_queue.IsolationQueue(self._is_prime)
         self._waiting: dict[int, asyncio.Future[Decision]] = {}
+        # Set when the report of a crash arrives, and replaced.
+        self._news = asyncio.Event()
         # Suspects that ran before they were known as such.
         self._adopted: dict[bytes, isolation_queue.Ticket] = {}
         # Nodes at whose targets suspects run, or ran last.
@@ -162,9 +168,11 @@
         if not (self._suspects or self._quarantine or ended_runs):
             return _FREE
         digest = identity.compute_digest(call.request, call.context.account)
+        await self._await_reports(ended_runs)
         for run_id in ended_runs:
-            # The report of the crash may still be on its way.
-            self._suspects.record_crash(run_id, (digest,), time.monotonic())
+            self._suspects.record_crash(
+                run_id, ((digest, ''),), time.monotonic(), is_report=False
+            )
         decision = self._decide(digest, call)
         if decision is not None:
             return decision
@@ -193,17 +201,17 @@
             run_id: Id of the run that has ended.
             started: Requests that it ran, the oldest first.
         """
-        subjects = {
-            each.digest: each.subject for each in started[-MAX_REPORTED:]
-        }
+        started = started[-MAX_REPORTED:]
+        subjects = {each.digest: each.subject for each in started}
+        requests = tuple((each.digest, each.request_id) for each in started)
         suspected = [digest for digest in subjects if self._is_held(digest)]
-        self._suspects.record_crash(run_id, subjects, time.monotonic())
+        self._suspects.record_crash(run_id, requests, time.monotonic())
         self._record_ended(self._node_id, run_id)
         record = None
         if len(suspected) == 1:
             record = self._judge(suspected[0], subjects[suspected[0]])
         self._reporter.report_crash(
-            Crash(self._node_id, run_id, tuple(subjects), record)
+            Crash(self._node_id, run_id, requests, record)
         )
         self._advance()
 
@@ -211,8 +219,10 @@
         """Handle a crash of another target of the service."""
         self._record_ended(crash.node_id, crash.run_id)
         self._suspects.record_crash(
-            crash.run_id, crash.digests, time.monotonic()
+            crash.run_id, crash.requests, time.monotonic()
         )
+        self._news.set()
+        self._news = asyncio.Event()
         if crash.record is not None:
             self.receive_record(crash.record)
         self._adopt_running()
@@ -368,6 +378,19 @@
 
     # Waiting
 
+    async def _await_reports(
+        self, run_ids: collections.abc.Sequence[str]
+    ) -> None:
+        """Wait a little for the reports of crashes that a call tells of.
+
+        It must not start beside the request that has caused them, which may
+        run here already.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(REPORT_WAIT_S):
+                while not all(map(self._suspects.is_reported, run_ids)):
+                    await self._news.wait()
+
     async def _wait(
         self, ticket: isolation_queue.Ticket, wait_s: float
     ) -> Decision:
--- a/src/eelgrasswalk/policy/suspects.py
+++ b/src/eelgrasswalk/policy/suspects.py
@@ -8,9 +8,9 @@
 were in flight at those crashes are taken for innocent.
 
 A suspect is found guilty only when a target crashes while it runs there apart
-from all other suspects. Two crashes are enough if no recent crash happened
-without it. Otherwise something else crashes targets as well, and a third is
-needed.
+from all other suspects. Two crashes are enough if its caller has sent it more
+than once and no recent crash happened without it. Otherwise a third is needed:
+a single request that was repeated once may have met another deadly one twice.
 """
 
 import collections
@@ -18,9 +18,11 @@
 import dataclasses
 import enum
 
-# Crashes that find a suspect guilty although targets crash without it, too.
+# Crashes that find a suspect guilty in any case.
 CERTAIN_CRASHES = 3
 MIN_CRASHES = 2
+# Ids that are remembered of a request, to tell that it was sent again.
+MAX_IDS = 4
 
 
 class Standing(enum.Enum):
@@ -57,10 +59,17 @@
 @dataclasses.dataclass(slots=True)
 class _Crash:
     at: float
-    digests: set[bytes]
+    digests: set[bytes] = dataclasses.field(default_factory=set)
+    is_reported: bool = False
     is_explained: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class _Suspect:
+    runs: set[str] = dataclasses.field(default_factory=set)
+    ids: set[str] = dataclasses.field(default_factory=set)
+
+
 class Suspects:
     """Crashes of one service's targets, and the requests in flight at them.
 
@@ -73,40 +82,52 @@
         self._crashes: collections.OrderedDict[str, _Crash] = (
             collections.OrderedDict()
         )
-        self._runs: dict[bytes, set[str]] = {}
+        self._known: dict[bytes, _Suspect] = {}
 
     def __bool__(self) -> bool:
         """Whether there are any suspects."""
-        return bool(self._runs)
+        return bool(self._known)
 
     def __len__(self) -> int:
-        return len(self._runs)
+        return len(self._known)
 
     def record_crash(
         self,
         run_id: str,
-        digests: collections.abc.Iterable[bytes],
+        requests: collections.abc.Iterable[tuple[bytes, str]],
         now: float,
+        *,
+        is_report: bool = True,
     ) -> None:
         """Record requests that were in flight when a run of a target ended.
 
         Args:
             run_id: Id of the run. What is recorded of it several times adds
                 up.
-            digests: Digests of the requests.
+            requests: Digest and id of each request; the id may be empty.
             now: Monotonic time in seconds.
+            is_report: Whether these are all of them, as far as known.
         """
         self._forget_old(now)
         crash = self._crashes.get(run_id)
         if crash is None:
-            crash = self._crashes[run_id] = _Crash(now, set())
+            crash = self._crashes[run_id] = _Crash(now)
+        crash.is_reported = crash.is_reported or is_report
         if crash.is_explained:
             return
-        for digest in digests:
+        for digest, request_id in requests:
             if len(crash.digests) >= self._settings.max_digests:
                 break
             crash.digests.add(digest)
-            self._runs.setdefault(digest, set()).add(run_id)
+            suspect = self._known.setdefault(digest, _Suspect())
+            suspect.runs.add(run_id)
+            if request_id and len(suspect.ids) < MAX_IDS:
+                suspect.ids.add(request_id)
+
+    def is_reported(self, run_id: str) -> bool:
+        """Return whether all requests in flight at a crash are known."""
+        crash = self._crashes.get(run_id)
+        return crash is not None and crash.is_reported
 
     def clear(self, digest: bytes) -> bool:
         """Clear a request after a run of it has ended with an answer.
@@ -114,34 +135,35 @@
         Returns:
             Whether it was a suspect.
         """
-        runs = self._runs.pop(digest, None)
-        if runs is None:
+        suspect = self._known.pop(digest, None)
+        if suspect is None:
             return False
-        for run_id in runs:
+        for run_id in suspect.runs:
             self._crashes[run_id].digests.discard(digest)
         return True
 
     def explain(self, digest: bytes) -> None:
         """Acquit the others of the crashes that a guilty request explains."""
-        for run_id in self._runs.pop(digest, set()):
+        for run_id in self._known.pop(digest, _Suspect()).runs:
             crash = self._crashes[run_id]
             crash.is_explained = True
             self._drop_digests(run_id, crash)
 
     def find_standing(self, digest: bytes) -> Standing:
         """Return how a request may be run."""
-        runs = self._runs.get(digest)
-        if runs is None:
+        suspect = self._known.get(digest)
+        if suspect is None:
             return Standing.CLEAR
-        if len(runs) > 1:
+        if len(suspect.runs) > 1:
             return Standing.PRIME
-        if any(self._has_prime_suspect(run_id) for run_id in runs):
+        if any(self._has_prime_suspect(run_id) for run_id in suspect.runs):
             return Standing.CLEAR
         return Standing.SUSPECT
 
     def count_crashes(self, digest: bytes) -> int:
         """Return the crashes that a request was in flight at."""
-        return len(self._runs.get(digest, ()))
+        suspect = self._known.get(digest)
+        return 0 if suspect is None else len(suspect.runs)
 
     def is_guilty(self, digest: bytes, now: float) -> bool:
         """Return whether a suspect that ran apart at its last crash is guilty.
@@ -150,10 +172,15 @@
             digest: Digest of the request.
             now: Monotonic time in seconds.
         """
-        count = self.count_crashes(digest)
+        suspect = self._known.get(digest, _Suspect())
+        # While a crash is not reported, others may have run at the last one
+        # that are suspects as well.
+        count = sum(self.is_reported(run_id) for run_id in suspect.runs)
         if count >= CERTAIN_CRASHES:
             return True
-        return count >= MIN_CRASHES and not any(
+        if count < MIN_CRASHES or len(suspect.ids) < 2:
+            return False
+        return not any(
             digest not in crash.digests
             and not crash.is_explained
             and now - crash.at < self._settings.doubt_s
@@ -162,7 +189,7 @@
 
     def _has_prime_suspect(self, run_id: str) -> bool:
         return any(
-            len(self._runs[digest]) > 1
+            len(self._known[digest].runs) > 1
             for digest in self._crashes[run_id].digests
         )
 
@@ -177,10 +204,10 @@
 
     def _drop_digests(self, run_id: str, crash: _Crash) -> None:
         for digest in crash.digests:
-            runs = self._runs.get(digest)
-            if runs is None:
+            suspect = self._known.get(digest)
+            if suspect is None:
                 continue
-            runs.discard(run_id)
-            if not runs:
-                del self._runs[digest]
+            suspect.runs.discard(run_id)
+            if not suspect.runs:
+                del self._known[digest]
         crash.digests.clear()
--- a/tests/controllers/test_quarantine.py
+++ b/tests/controllers/test_quarantine.py
@@ -16,7 +16,9 @@
 DIGEST = bytes(12)
 SUBJECT = quarantine.Subject('GET', '/pages/7', 'lake')
 RECORD = quarantine.Record(DIGEST, SUBJECT, 2, since_ms=1)
-CRASH = isolation.Crash('node-a', 'run-1', (DIGEST, b'a' * 12), RECORD)
+CRASH = isolation.Crash(
+    'node-a', 'run-1', ((DIGEST, 'r-1'), (b'a' * 12, 'r-2')), RECORD
+)
 GROUP = ('node-a', 'node-b', 'node-c')
 
 
--- a/tests/filters/test_deliveries.py
+++ b/tests/filters/test_deliveries.py
@@ -42,7 +42,11 @@
     async def asyncSetUp(self) -> None:
         self.host = FakeHost()
         self.crashes: list[tuple[str, list[str]]] = []
-        self.deliveries = deliveries.Deliveries(self.host, self.record)
+        self.deliveries = deliveries.Deliveries(
+            self.host,
+            lambda call: deliveries.describe_call(call, 'r'),
+            self.record,
+        )
 
     def record(
         self,
--- a/tests/filters/test_isolation.py
+++ b/tests/filters/test_isolation.py
@@ -124,7 +124,8 @@
     def crash(self) -> None:
         """Let the target crash under all that it runs."""
         started = [
-            deliveries.describe_call(call) for call, _ in self.calls.values()
+            deliveries.describe_call(call, call.attempt.hex())
+            for call, _ in self.calls.values()
         ]
         self.isolation.handle_crash(self._service.runs[self.node_id], started)
         for call, allowed in self.calls.values():
