List and lift quarantines from the command line

eelgrasswalk quarantine list, lift DIGEST: against the platform's store, as operators call no node. A lifted record reaches the nodes by their feed.

--- a/src/eelgrasswalk/cli/operator.py
+++ b/src/eelgrasswalk/cli/operator.py
@@ -9,6 +9,7 @@
 from . import keys
 from . import nodes
 from . import progress
+from . import quarantine
 from . import terminal
 from . import versions
 
@@ -76,7 +77,15 @@
     click.echo(found(main, {}, PROGRAM, variable).source())
 
 
-for _module in (files, versions, keys, progress, nodes, explaining):
+for _module in (
+    files,
+    versions,
+    keys,
+    progress,
+    nodes,
+    explaining,
+    quarantine,
+):
     for _command in _module.COMMANDS:
         main.add_command(_command)
 
