Soak nodes in requests that crash their targets

The check is the users' bound: three tries later than 3 s after the third crash, by nodes without a fault since.

--- a/src/eelgrasswalk/bench/soak.py
+++ b/src/eelgrasswalk/bench/soak.py
@@ -2,8 +2,8 @@
 
 Real processes are stopped, killed, frozen and told to reload, while the store
 fails or comes back from a copy, targets name limits, leave or refuse calls,
-and routes are added. Clients use their open connections until the process is
-gone.
+some requests crash their targets, and routes are added. Clients use their open
+connections until the process is gone.
 """
 
 import asyncio
@@ -32,6 +32,7 @@
 CALLS_PER_S = 25.0
 CONNECTIONS = 6
 DEADLINE_MS = 3000
+DEADLY_INTERVAL_S = 0.15
 MAX_ANSWER_BYTES = 100_000
 COPY_INTERVAL_S = 1.0
 COPIES = 12
@@ -80,6 +81,7 @@
         self._take_copy()
         async with asyncio.TaskGroup() as group:
             copying = group.create_task(self._copy())
+            reviving = group.create_task(self._fleet.revive_targets())
             clients = [
                 group.create_task(self._send_calls(node))
                 for node in self._fleet.nodes
@@ -90,7 +92,7 @@
                 group.create_task(self._begin(fault))
             left_s = started_at + seconds - time.monotonic()
             await asyncio.sleep(max(0.0, left_s) + SETTLE_S)
-            for task in (copying, *clients):
+            for task in (copying, reviving, *clients):
                 task.cancel()
         self._collect_runs()
 
@@ -116,6 +118,16 @@
         if self._fleet.routes and self._random.random() < 0.3:
             unsafe = False
             path = self._random.choice(self._fleet.routes)
+        await self._send(node, pool, path, unsafe=unsafe)
+
+    async def _send(
+        self,
+        node: soak_fleet.Node,
+        pool: http_client.TargetPool,
+        path: str,
+        *,
+        unsafe: bool,
+    ) -> None:
         request_id = f'{node.index}-{next(self._ids)}'
         request = deployment.build_call(
             'POST' if unsafe else 'GET',
@@ -144,8 +156,38 @@
             call = _read_answer(call, outcome)
         self.record.calls.append(call)
 
+    async def _send_deadly(self, fault: soak_faults.Fault) -> None:
+        """Send a request that crashes its targets, at any node."""
+        unsafe = fault.figure < 0.5
+        service = soak_fleet.SERVICES[fault.node % len(soak_fleet.SERVICES)]
+        kind = 'unsafe' if unsafe else 'safe'
+        path = f'/{service}/{kind}/deadly-{next(self._ids)}'
+        for node in self._fleet.nodes:
+            node.app.behaviour.deadly_paths |= {path}
+        ends_at = time.monotonic() + fault.duration_s
+        async with asyncio.TaskGroup() as group:
+            while time.monotonic() < ends_at:
+                node = self._random.choice(self._fleet.nodes)
+                group.create_task(self._send_alone(node, path, unsafe=unsafe))
+                await asyncio.sleep(DEADLY_INTERVAL_S)
+
+    async def _send_alone(
+        self, node: soak_fleet.Node, path: str, *, unsafe: bool
+    ) -> None:
+        pool = http_client.TargetPool(
+            '127.0.0.1', node.ports[0], connections=1
+        )
+        try:
+            await self._send(node, pool, path, unsafe=unsafe)
+        finally:
+            await pool.close()
+
     def _collect_runs(self) -> None:
         for node in self._fleet.nodes:
+            self.record.crashes += [
+                soak_checks.Span(crash.path, crash.at)
+                for crash in node.app.crashes
+            ]
             for arrival in node.app.arrivals:
                 self.record.runs.append(_build_run(arrival))
 
@@ -192,6 +234,8 @@
             self.record.routes.append(
                 soak_checks.Span(prefix, time.monotonic())
             )
+        elif fault.kind == 'deadly':
+            await self._send_deadly(fault)
         elif fault.kind == 'reload':
             node.signal(signal.SIGHUP)
         elif fault.kind in ('stop', 'kill', 'freeze'):
@@ -234,8 +278,7 @@
         elif fault.kind == 'leaving':
             behaviour.leaving = True
             await asyncio.sleep(soak_checks.DRAIN_S + fault.duration_s)
-            name, _, run = target.target_id.rpartition('-')
-            target.restart(f'{name}-{int(run) + 1}')
+            target.restart(soak_fleet.build_next_id(target.target_id))
         elif behaviour.calls_per_s is None:
             span = MAX_LIMIT_PER_S - MIN_LIMIT_PER_S
             limit = round(MIN_LIMIT_PER_S + fault.figure * span, 2)
@@ -278,6 +321,7 @@
         node=int(node),
         at=arrival.at,
         was_run=arrival.was_run,
+        path=arrival.path,
     )
 
 
@@ -303,6 +347,10 @@
     faults = soak_faults.draw_faults(
         seed, nodes=nodes, seconds=seconds, per_s=faults_per_s
     )
+    faults += soak_faults.draw_deadly_requests(
+        seed, nodes=nodes, seconds=seconds
+    )
+    faults.sort(key=lambda fault: fault.at)
     fleet = soak_fleet.Fleet(folder, nodes=nodes)
     try:
         await fleet.start()
--- a/src/eelgrasswalk/bench/soak_checks.py
+++ b/src/eelgrasswalk/bench/soak_checks.py
@@ -16,6 +16,9 @@
 APPLY_S = 2.0
 # A busy machine delays what is seen by this much.
 CLOCK_SLACK_S = 0.5
+# Tries of a request that has crashed three targets.
+DEADLY_CRASHES = 3
+DEADLY_TRIES = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,6 +62,7 @@
         node: Number of the node that it was sent to by its client.
         at: When it arrived, in seconds.
         was_run: Whether the target ran it.
+        path: Its path.
     """
 
     request_id: str
@@ -66,6 +70,7 @@
     node: int
     at: float
     was_run: bool
+    path: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,7 +78,7 @@
     """A time in which something holds.
 
     Args:
-        subject: Node number, target id or route.
+        subject: Node number, target id, route or path.
         start: First second.
         end: Last second.
         figure: Limit that holds.
@@ -104,6 +109,7 @@
         routes: Routes that were added; the start is the acknowledgement.
         node_faults: Restarts and freezes of nodes.
         store_faults: Outages and restores of the store.
+        crashes: Crashes of targets, by the path that caused them.
     """
 
     calls: list[Call] = dataclasses.field(default_factory=list)
@@ -112,6 +118,7 @@
     routes: list[Span] = dataclasses.field(default_factory=list)
     node_faults: list[Span] = dataclasses.field(default_factory=list)
     store_faults: list[Span] = dataclasses.field(default_factory=list)
+    crashes: list[Span] = dataclasses.field(default_factory=list)
 
 
 def check_all(record: Record) -> list[Violation]:
@@ -122,6 +129,7 @@
         *check_limits(record),
         *check_leaving(record),
         *check_routes(record),
+        *check_deadly(record),
     ]
 
 
@@ -229,6 +237,35 @@
     return found
 
 
+def check_deadly(record: Record) -> list[Violation]:
+    """Check that requests which crash targets are soon kept from them."""
+    crashes: dict[str, list[float]] = {}
+    for crash in record.crashes:
+        crashes.setdefault(crash.subject, []).append(crash.start)
+    found = []
+    for path, times in crashes.items():
+        if len(times) < DEADLY_CRASHES:
+            continue
+        bound_from = sorted(times)[DEADLY_CRASHES - 1] + STABLE_S
+        late = [
+            run
+            for run in record.runs
+            if run.path == path
+            and run.was_run
+            and run.at > bound_from
+            and _is_in_touch(record, run.node, run.at, run.at)
+        ]
+        if len(late) > DEADLY_TRIES:
+            found.append(
+                Violation(
+                    'budget',
+                    f'{path} was tried {len(late)} times from '
+                    f'{bound_from:.2f}, {DEADLY_TRIES} allowed',
+                )
+            )
+    return found
+
+
 def _names_limit(call: Call) -> bool:
     return call.calls_per_s is not None
 
--- a/src/eelgrasswalk/bench/soak_faults.py
+++ b/src/eelgrasswalk/bench/soak_faults.py
@@ -43,6 +43,37 @@
     figure: float
 
 
+# Deadly requests of a soak, and how long each one comes.
+MAX_DEADLY = 2
+MIN_DEADLY_S = 5.0
+MAX_DEADLY_S = 10.0
+
+
+def draw_deadly_requests(
+    seed: int, *, nodes: int, seconds: float
+) -> list[Fault]:
+    """Return when a client begins to send a request that crashes targets.
+
+    They are drawn apart, so that a seed keeps the faults that it had.
+
+    Args:
+        seed: Seed of the draw.
+        nodes: Number of nodes.
+        seconds: Length of the soak.
+    """
+    source = random.Random(f'deadly {seed}')
+    return [
+        Fault(
+            at=source.uniform(0.5, ACTIVE_SHARE * seconds),
+            kind='deadly',
+            node=source.randrange(nodes),
+            duration_s=source.uniform(MIN_DEADLY_S, MAX_DEADLY_S),
+            figure=source.random(),
+        )
+        for _ in range(source.randint(1, MAX_DEADLY))
+    ]
+
+
 def draw_faults(
     seed: int, *, nodes: int, seconds: float, per_s: float
 ) -> list[Fault]:
--- a/src/eelgrasswalk/bench/soak_fleet.py
+++ b/src/eelgrasswalk/bench/soak_fleet.py
@@ -20,6 +20,8 @@
 STOP_TIMEOUT_S = 7.0
 START_TIMEOUT_S = 90.0
 WORK_S = 0.05
+# Longest time for which a crashed target is down.
+DOWN_S = 1.0
 
 
 class StartError(Exception):
@@ -170,9 +172,18 @@
     async def _check_in_one(self, node: Node) -> None:
         # A target that leaves says so in its answers alone: its check-ins
         # are late.
-        if not node.app.behaviour.leaving:
+        if not (node.app.behaviour.leaving or node.app.is_down):
             await node.app.check_in(node.ports[2])
 
+    async def revive_targets(self) -> None:
+        """Start targets again that have crashed, some time later."""
+        while True:
+            await asyncio.sleep(DOWN_S)
+            for node in self.nodes:
+                app = node.app
+                if app.is_down:
+                    await app.recover(build_next_id(app.target_id))
+
     async def _is_ready(self, node: Node) -> bool:
         with contextlib.suppress(OSError, EOFError):
             reader, writer = await asyncio.open_connection(
@@ -183,3 +194,9 @@
             writer.close()
             return b' 200 ' in line
         return False
+
+
+def build_next_id(target_id: str) -> str:
+    """Return the id of a target's next run."""
+    name, _, run = target_id.rpartition('-')
+    return f'{name}-{int(run) + 1}'
--- a/src/eelgrasswalk/standins/app.py
+++ b/src/eelgrasswalk/standins/app.py
@@ -38,6 +38,19 @@
     request_id: str = ''
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Crash:
+    """A crash of the application.
+
+    Args:
+        at: Loop time.
+        path: Path of the request that caused it.
+    """
+
+    at: float
+    path: str
+
+
 @dataclasses.dataclass(slots=True)
 class Behaviour:
     """How the application answers.
@@ -106,8 +119,8 @@
         self.slots = slots
         self.behaviour = Behaviour()
         self.arrivals: list[Arrival] = []
-        # Loop times at which it has crashed.
-        self.crashes: list[float] = []
+        self.crashes: list[Crash] = []
+        self.is_down = False
         self.port = 0
         self.born_ms = 1_700_000_000_000
         self._sequence = 0
@@ -128,10 +141,13 @@
             await self._ending
         await _end(self._server)
 
-    def crash(self) -> None:
-        """End without a word; its requests get no answer."""
+    def crash(self, path: str) -> None:
+        """End without a word under a request; none gets an answer."""
+        if self.is_down:
+            return
         loop = asyncio.get_running_loop()
-        self.crashes.append(loop.time())
+        self.crashes.append(Crash(loop.time(), path))
+        self.is_down = True
         self._ending = loop.create_task(_end(self._server))
         self._server = self._build_server()
 
@@ -140,16 +156,18 @@
 
         Requests that crashed the last run crash this one as well.
         """
-        deadly_paths = self.behaviour.deadly_paths
         self.restart(target_id)
-        self.behaviour.deadly_paths = deadly_paths
         await self.start(self.port)
+        self.is_down = False
 
     def restart(self, target_id: str) -> None:
         """Begin a new run, which knows nothing of the one before."""
         self.target_id = target_id
         self.born_ms += 1000
-        self.behaviour = Behaviour(work_s=self.behaviour.work_s)
+        self.behaviour = Behaviour(
+            work_s=self.behaviour.work_s,
+            deadly_paths=self.behaviour.deadly_paths,
+        )
         self._sequence = 0
 
     async def check_in(self, control_port: int, state: str = 'ready') -> bool:
@@ -233,7 +251,7 @@
         if self.behaviour.work_s:
             await asyncio.sleep(self.behaviour.work_s)
         if request.target in self.behaviour.deadly_paths:
-            self.crash()
+            self.crash(request.target)
             await asyncio.Event().wait()
         answered_id = request_id
         if self.behaviour.stray:
--- a/tests/bench/test_soak_checks.py
+++ b/tests/bench/test_soak_checks.py
@@ -33,9 +33,9 @@
 
 
 def build_run(
-    request_id: str = 'r', *, node: int = 0, at: float = 0.0
+    request_id: str = 'r', *, node: int = 0, path: str = '', at: float = 0.0
 ) -> soak_checks.Run:
-    return soak_checks.Run(request_id, 'i-1', node, at, True)
+    return soak_checks.Run(request_id, 'i-1', node, at, True, path)
 
 
 class SoakChecksTest(unittest.TestCase):
@@ -101,3 +101,18 @@
         ]
         self.record.store_faults.append(soak_checks.Span('store', 8.0, 9.0))
         self.assertEqual(['config'], self.list_promises())
+
+    def test_late_tries_of_a_request_that_crashes_its_targets(self) -> None:
+        path = '/back/safe/deadly'
+        self.record.crashes += [
+            soak_checks.Span(path, at) for at in (1.0, 1.1, 1.2)
+        ]
+        for number in range(soak_checks.DEADLY_TRIES):
+            self.record.runs.append(
+                build_run(str(number), path=path, at=5.0 + number)
+            )
+        self.assertEqual([], self.list_promises())
+        self.record.runs.append(build_run('late', path=path, at=9.0))
+        self.assertEqual(['budget'], self.list_promises())
+        self.record.node_faults.append(soak_checks.Span('0', 6.5, 7.0))
+        self.assertEqual([], self.list_promises())
--- a/tests/integration/test_deadly_request.py
+++ b/tests/integration/test_deadly_request.py
@@ -95,7 +95,9 @@
         self.assertLessEqual(len(late), ALLOWED_TRIES, crashes)
 
     def list_crashes(self) -> list[float]:
-        return sorted(at for node in self.backs for at in node.app.crashes)
+        return sorted(
+            crash.at for node in self.backs for crash in node.app.crashes
+        )
 
     def list_runs(self, path: str) -> list[app.Arrival]:
         return [
