Judge by two crashes, and withdraw what others disprove

Change: two crashes are enough again. A verdict by two is withdrawn if a target crashes without the request within 5 s, and stands for good once a run that had begun before crashes a third. Nothing suspected starts beside a request that ran at two targets at a crash. Waiting calls leave a crashed target, and only nodes that could not run a call are passed by.

Ruled out: telling by run times or by ids; both fit innocent repetitions.

--- a/src/eelgrasswalk/controllers/quarantine.py
+++ b/src/eelgrasswalk/controllers/quarantine.py
@@ -121,7 +121,7 @@
                 self._node_id,
                 dissemination.MAX_HOPS,
                 crash.run_id,
-                crash.requests,
+                crash.digests,
                 None if record is None else messages.build_fields(record),
             )
         )
@@ -145,8 +145,8 @@
                 GATHER_S, self._send_cleared
             )
 
-    def report_lifted(self, record: quarantine.Record) -> None:
-        """Tell that a quarantine is lifted."""
+    def report_record(self, record: quarantine.Record) -> None:
+        """Tell that a quarantine has changed."""
         self._changed.set()
         self._spread(
             messages.RecordNotice(
@@ -217,7 +217,7 @@
         if self.listener is not None:
             self.listener.receive_crash(
                 isolation.Crash(
-                    notice.origin, notice.run_id, notice.requests, record
+                    notice.origin, notice.run_id, notice.digests, record
                 )
             )
         elif record is not None:
--- a/src/eelgrasswalk/controllers/quarantine_messages.py
+++ b/src/eelgrasswalk/controllers/quarantine_messages.py
@@ -4,7 +4,6 @@
 
 import msgspec
 
-from ..filters import deliveries
 from ..policy import quarantine
 from ..policy import request_digest
 
@@ -18,16 +17,9 @@
         max_length=request_digest.DIGEST_BYTES,
     ),
 ]
-RequestId: typing.TypeAlias = typing.Annotated[
-    str, msgspec.Meta(max_length=deliveries.MAX_ID_CHARACTERS)
-]
 Digests: typing.TypeAlias = typing.Annotated[
     tuple[Digest, ...], msgspec.Meta(max_length=MAX_DIGESTS)
 ]
-Requests: typing.TypeAlias = typing.Annotated[
-    tuple[tuple[Digest, RequestId], ...],
-    msgspec.Meta(max_length=MAX_DIGESTS),
-]
 HexDigest: typing.TypeAlias = typing.Annotated[
     str,
     msgspec.Meta(pattern=f'^[0-9a-f]{{{2 * request_digest.DIGEST_BYTES}}}$'),
@@ -77,7 +69,7 @@
         origin: Node beside the target.
         hops: How often the message may still be passed on.
         run_id: Run of the target that has ended.
-        requests: Digest and id of each request that it ran.
+        digests: Digests of the requests that it ran.
         record: Quarantine of the request that has caused it, if one has.
     """
 
@@ -85,7 +77,7 @@
     origin: Text
     hops: Number
     run_id: Text
-    requests: Requests
+    digests: Digests
     record: RecordFields | None = None
 
 
--- a/src/eelgrasswalk/filters/attempt_history.py
+++ b/src/eelgrasswalk/filters/attempt_history.py
@@ -18,6 +18,17 @@
 )
 
 
+_UNREACHABLE = frozenset(
+    (
+        verdict.Reason.NO_UPSTREAM,
+        verdict.Reason.TARGET_UNREACHABLE,
+        verdict.Reason.FENCED,
+        verdict.Reason.LEAVING,
+        verdict.Reason.LINK_LOST,
+    )
+)
+
+
 @dataclasses.dataclass(slots=True)
 class AttemptHistory:
     """Attempts made so far for one call.
@@ -31,6 +42,8 @@
         probed: Ids of nodes that a probe found without a free slot. The call
             queues at one of them only if no other node is left.
         tried: Ids of nodes that an attempt allowed to queue was sent to.
+        unreachable: Ids of nodes that could not be reached, or whose targets
+            took no call.
         reached: Ids of nodes whose target has, or may have, received the
             call. Once their number reaches the route's limit, retries go to
             these nodes only.
@@ -41,12 +54,15 @@
     run_at: str = ''
     probed: set[str] = dataclasses.field(default_factory=set)
     tried: set[str] = dataclasses.field(default_factory=set)
+    unreachable: set[str] = dataclasses.field(default_factory=set)
     reached: set[str] = dataclasses.field(default_factory=set)
 
     def record(self, node_id: str, outcome: verdict.Failure) -> None:
         """Record a failed attempt that was allowed to queue."""
         self.attempts += 1
         self.tried.add(node_id)
+        if outcome.reason in _UNREACHABLE:
+            self.unreachable.add(node_id)
         if may_have_reached_target(outcome):
             self.deliveries += 1
             self.reached.add(node_id)
--- a/src/eelgrasswalk/filters/deliveries.py
+++ b/src/eelgrasswalk/filters/deliveries.py
@@ -16,8 +16,6 @@
 # Abandoned requests that are remembered; the oldest are forgotten.
 MAX_ABANDONED = 256
 MAX_TARGET_CHARACTERS = 200
-# Enough to tell ids apart; they end in what makes them differ.
-MAX_ID_CHARACTERS = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,18 +24,13 @@
 
     Args:
         digest: Its digest.
-        request_id: Id under which the caller sent it this time.
         subject: What operators recognise it by.
     """
 
     digest: bytes
-    request_id: str
     subject: quarantine.Subject
 
 
-Describe: typing.TypeAlias = typing.Callable[[frames.Call], Started]
-
-
 class Host(typing.Protocol):
     """The host and port at which the target accepts connections."""
 
@@ -59,15 +52,11 @@
 
     Args:
         host: Tells whether the target's host refuses connections.
-        describe: Returns the request of a call.
         on_crash: Called once for each time that the target ends.
     """
 
-    def __init__(
-        self, host: Host, describe: Describe, on_crash: CrashHandler
-    ) -> None:
+    def __init__(self, host: Host, on_crash: CrashHandler) -> None:
         self._host = host
-        self._describe = describe
         self._on_crash = on_crash
         self._loop = asyncio.get_running_loop()
         self._calls: dict[bytes, frames.Call] = {}
@@ -92,7 +81,7 @@
         """
         self._calls.pop(call.attempt, None)
         ends_at = self._loop.time() + call.remaining_s
-        self._abandoned.append((ends_at, self._describe(call)))
+        self._abandoned.append((ends_at, describe_call(call)))
 
     def list_calls(self) -> list[frames.Call]:
         """Return the calls that run, the oldest first."""
@@ -156,22 +145,16 @@
             started for ends_at, started in self._abandoned if ends_at > now
         ]
         return abandoned + [
-            self._describe(call) for call in self._calls.values()
+            describe_call(call) for call in self._calls.values()
         ]
 
 
-def describe_call(call: frames.Call, request_id: str) -> Started:
-    """Return the request of a call.
-
-    Args:
-        call: The call.
-        request_id: Id under which the caller sent it.
-    """
+def describe_call(call: frames.Call) -> Started:
+    """Return the request of a call."""
     request = call.request
     account = call.context.account
     return Started(
         identity.compute_digest(request, account),
-        request_id[-MAX_ID_CHARACTERS:],
         quarantine.Subject(
             method=request.method,
             target=request.target[:MAX_TARGET_CHARACTERS],
--- a/src/eelgrasswalk/filters/forward.py
+++ b/src/eelgrasswalk/filters/forward.py
@@ -426,11 +426,11 @@
 def _build_history(
     call: front.IncomingCall, history: attempt_history.AttemptHistory
 ) -> frames.CallHistory | None:
-    if not (call.ended_runs or history.tried):
+    if not (call.ended_runs or history.unreachable):
         return None
     return frames.CallHistory(
         ended_runs=call.ended_runs[: frames.MAX_NAMES],
-        tried=tuple(history.tried)[: frames.MAX_NAMES],
+        unreachable=tuple(history.unreachable)[: frames.MAX_NAMES],
     )
 
 
--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -118,9 +118,7 @@
         # Whether the target itself has said what it accepts.
         self._has_notice = False
         self._sent = decaying_rate.DecayingRate(SENT_SPAN_S)
-        self._deliveries = deliveries.Deliveries(
-            pool, self._describe_started, self._handle_crash
-        )
+        self._deliveries = deliveries.Deliveries(pool, self._handle_crash)
         self.isolation = isolate(self._deliveries)
         self._accepts_until = math.inf
         self._delivers_until = math.inf
@@ -357,10 +355,6 @@
             and await self._deliveries.has_target_ended(run_id)
         )
 
-    def _describe_started(self, call: frames.Call) -> deliveries.Started:
-        request_id = self._dialect.read_request_id(call.request.headers)
-        return deliveries.describe_call(call, request_id)
-
     def _handle_crash(
         self,
         run_id: str,
--- a/src/eelgrasswalk/filters/isolation.py
+++ b/src/eelgrasswalk/filters/isolation.py
@@ -53,13 +53,13 @@
     Args:
         node_id: Node beside the target.
         run_id: Id of the run that has ended.
-        requests: Digest and id of each request that it ran.
+        digests: Digests of the requests that it ran.
         record: Quarantine of the request that has caused it, if one has.
     """
 
     node_id: str
     run_id: str
-    requests: tuple[tuple[bytes, str], ...]
+    digests: tuple[bytes, ...]
     record: quarantine.Record | None = None
 
 
@@ -101,8 +101,8 @@
     def report_cleared(self, digest: bytes) -> None:
         """Tell that a suspect has got an answer."""
 
-    def report_lifted(self, record: quarantine.Record) -> None:
-        """Tell that a quarantine is lifted."""
+    def report_record(self, record: quarantine.Record) -> None:
+        """Tell that a quarantine has changed."""
 
 
 Decision: typing.TypeAlias = Pass | Refused
@@ -171,7 +171,7 @@
         await self._await_reports(ended_runs)
         for run_id in ended_runs:
             self._suspects.record_crash(
-                run_id, ((digest, ''),), time.monotonic(), is_report=False
+                run_id, (digest,), time.monotonic(), is_report=False
             )
         decision = self._decide(digest, call)
         if decision is not None:
@@ -201,28 +201,35 @@
             run_id: Id of the run that has ended.
             started: Requests that it ran, the oldest first.
         """
-        started = started[-MAX_REPORTED:]
-        subjects = {each.digest: each.subject for each in started}
-        requests = tuple((each.digest, each.request_id) for each in started)
+        subjects = {
+            each.digest: each.subject for each in started[-MAX_REPORTED:]
+        }
         suspected = [digest for digest in subjects if self._is_held(digest)]
-        self._suspects.record_crash(run_id, requests, time.monotonic())
+        changed = self._confirm_known(subjects)
+        self._suspects.record_crash(run_id, subjects, time.monotonic())
+        for record in changed:
+            self._suspects.explain(record.digest)
         self._record_ended(self._node_id, run_id)
-        record = None
-        if len(suspected) == 1:
-            record = self._judge(suspected[0], subjects[suspected[0]])
+        changed += self._withdraw_doubtful(subjects)
+        guilty = None
+        if len(suspected) == 1 and not changed:
+            guilty = self._judge(suspected[0], subjects[suspected[0]])
         self._reporter.report_crash(
-            Crash(self._node_id, run_id, requests, record)
+            Crash(self._node_id, run_id, tuple(subjects), guilty)
         )
-        self._advance()
+        for record in changed:
+            self._reporter.report_record(record)
+        self._refuse_waiting()
 
     def receive_crash(self, crash: Crash) -> None:
         """Handle a crash of another target of the service."""
         self._record_ended(crash.node_id, crash.run_id)
         self._suspects.record_crash(
-            crash.run_id, crash.requests, time.monotonic()
+            crash.run_id, crash.digests, time.monotonic()
         )
         self._news.set()
         self._news = asyncio.Event()
+        self._withdraw_doubtful(crash.digests)
         if crash.record is not None:
             self.receive_record(crash.record)
         self._adopt_running()
@@ -255,33 +262,31 @@
         if not self._quarantine.merge(record, clock.read_boot_time()):
             return
         events.log(events.QUARANTINE_CHANGED, **describe_record(record))
-        self._suspects.explain(record.digest)
+        if record.lifted:
+            self._suspects.clear(record.digest)
+        else:
+            self._suspects.explain(record.digest)
         self._advance()
 
     # Decisions
 
     def _decide(self, digest: bytes, call: frames.Call) -> Decision | None:
         """Return the decision on a call, or None if it has to queue."""
-        if self._find_confinement(digest) is quarantine.Standing.REFUSED:
+        if self._is_refused(digest):
             return _refuse_confined()
         if not self._is_held(digest):
             return Pass(digest)
-        tried = call.history.tried if call.history else ()
-        home = self._find_home(digest, tried)
-        if home == self._node_id:
-            return None
-        return Refused(
-            verdict.NotRun(
-                verdict.Reason.ISOLATED,
-                retry_after_s=RETRY_AFTER_S,
-                retry_elsewhere=bool(home),
-            ),
-            run_at=home,
-        )
+        unreachable = call.history.unreachable if call.history else ()
+        home = self._find_home(digest, unreachable)
+        return None if home == self._node_id else _direct(home)
 
     def _find_confinement(self, digest: bytes) -> quarantine.Standing:
         return self._quarantine.find_standing(digest, clock.read_boot_time())
 
+    def _is_refused(self, digest: bytes) -> bool:
+        standing = self._find_confinement(digest)
+        return standing is quarantine.Standing.REFUSED
+
     def _is_held(self, digest: bytes) -> bool:
         """Return whether a request may run only apart, or not at all."""
         return (
@@ -297,7 +302,7 @@
         )
 
     def _find_home(
-        self, digest: bytes, tried: collections.abc.Container[str]
+        self, digest: bytes, unreachable: collections.abc.Container[str]
     ) -> str:
         """Return the node at which a suspect may run; empty if none may.
 
@@ -309,7 +314,7 @@
             upstream.node_id
             for upstream in self._list_upstreams()
             if self._ended.get(upstream.node_id) != upstream.run_id
-            and upstream.node_id not in tried
+            and upstream.node_id not in unreachable
         ]
         running_at = self._running_at.get(digest)
         if running_at in found:
@@ -336,6 +341,49 @@
         self._suspects.explain(digest)
         return record
 
+    def _confirm_known(
+        self, digests: collections.abc.Iterable[bytes]
+    ) -> list[quarantine.Record]:
+        """Count a crash under requests that are refused already.
+
+        Runs that had begun before the verdict go on.
+
+        Args:
+            digests: Digests of the requests that ran at the crash.
+        """
+        now = clock.read_boot_time()
+        confirmed = []
+        for digest in digests:
+            if not self._is_refused(digest):
+                continue
+            record = self._quarantine.confirm(digest, now)
+            if record is not None:
+                events.log(
+                    events.QUARANTINE_CHANGED, **describe_record(record)
+                )
+                confirmed.append(record)
+        return confirmed
+
+    def _withdraw_doubtful(
+        self, digests: collections.abc.Container[bytes]
+    ) -> list[quarantine.Record]:
+        """Withdraw verdicts after a crash that they do not explain.
+
+        Args:
+            digests: Digests of the requests that ran at the crash.
+        """
+        now = clock.read_boot_time()
+        withdrawn = []
+        for record in self._quarantine.list_uncertain(now):
+            if record.digest in digests:
+                continue
+            lifted = record.build_lifted()
+            self._quarantine.merge(lifted, now)
+            self._suspects.reopen(record.digest)
+            events.log(events.QUARANTINE_CHANGED, **describe_record(lifted))
+            withdrawn.append(lifted)
+        return withdrawn
+
     def _record_answer(self, call: frames.Call, allowed: Pass) -> None:
         if not (self._suspects or self._quarantine):
             return
@@ -352,7 +400,7 @@
         lifted = record.build_lifted()
         self._quarantine.merge(lifted, clock.read_boot_time())
         events.log(events.QUARANTINE_CHANGED, **describe_record(lifted))
-        self._reporter.report_lifted(lifted)
+        self._reporter.report_record(lifted)
         self._advance()
 
     def _adopt_running(self) -> None:
@@ -420,8 +468,7 @@
     def _advance(self) -> None:
         """Decide on waiting calls again, and start those that may run."""
         for ticket in self._queue.list_waiting():
-            confined = self._find_confinement(ticket.digest)
-            if confined is quarantine.Standing.REFUSED:
+            if self._is_refused(ticket.digest):
                 self._release(ticket, _refuse_confined())
             elif not self._is_held(ticket.digest):
                 self._release(ticket, Pass(ticket.digest))
@@ -430,6 +477,15 @@
         for ticket in started:
             self._settle(ticket, Pass(ticket.digest, ticket))
 
+    def _refuse_waiting(self) -> None:
+        """Direct waiting calls to other nodes, as the target is down."""
+        for ticket in self._queue.list_waiting():
+            if self._is_refused(ticket.digest):
+                self._release(ticket, _refuse_confined())
+                continue
+            home = self._find_home(ticket.digest, ())
+            self._release(ticket, _direct(home))
+
     def _release(
         self, ticket: isolation_queue.Ticket, decision: Decision
     ) -> None:
@@ -458,6 +514,18 @@
     }
 
 
+def _direct(home: str) -> Refused:
+    """Refuse a suspect that may run at another node, or at none."""
+    return Refused(
+        verdict.NotRun(
+            verdict.Reason.ISOLATED,
+            retry_after_s=RETRY_AFTER_S,
+            retry_elsewhere=bool(home),
+        ),
+        run_at=home,
+    )
+
+
 def _refuse_confined() -> Refused:
     return Refused(verdict.NotRun(verdict.Reason.QUARANTINED))
 
--- a/src/eelgrasswalk/policy/isolation_queue.py
+++ b/src/eelgrasswalk/policy/isolation_queue.py
@@ -27,10 +27,12 @@
     Args:
         number: Number that no other place has; the lowest came first.
         digest: Digest of the request.
+        is_adopted: Whether it ran already when it became a suspect.
     """
 
     number: int
     digest: bytes
+    is_adopted: bool = False
 
 
 class IsolationQueue:
@@ -59,7 +61,7 @@
         if digest in self._running:
             return None
         self._last_number += 1
-        ticket = Ticket(self._last_number, digest)
+        ticket = Ticket(self._last_number, digest, is_adopted=True)
         self._running[digest] = ticket
         return ticket
 
@@ -109,4 +111,8 @@
             return True
         if len(self._running) >= self._width or self._is_prime(ticket.digest):
             return False
-        return not any(self._is_prime(digest) for digest in self._running)
+        # One that ran at two targets at a crash is likely the deadly one.
+        return not any(
+            other.is_adopted or self._is_prime(other.digest)
+            for other in self._running.values()
+        )
--- a/src/eelgrasswalk/policy/quarantine.py
+++ b/src/eelgrasswalk/policy/quarantine.py
@@ -19,6 +19,10 @@
 # Seconds until a request may be tried again, by the tries that have crashed
 # another target.
 TRIAL_AFTER_S = (30.0, 600.0, 3600.0)
+# A verdict by fewer crashes is withdrawn if a target crashes without the
+# request within DOUBT_S: another one that is deadly comes soon again.
+CERTAIN_CRASHES = 3
+DOUBT_S = 5.0
 # Records that are kept; lifted ones go first, then the oldest.
 MAX_RECORDS = 32
 
@@ -68,6 +72,11 @@
     lifted: bool = False
     since_ms: int = 0
 
+    @property
+    def is_certain(self) -> bool:
+        """Whether it stands although targets crash without the request."""
+        return self.crashes >= CERTAIN_CRASHES
+
     def build_lifted(self) -> 'Record':
         """Return the record once its quarantine is lifted."""
         return dataclasses.replace(
@@ -78,6 +87,7 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Held:
     record: Record
+    held_at: float
     trial_at: float
 
 
@@ -137,7 +147,7 @@
             record = Record(
                 digest,
                 subject,
-                known.crashes + crashes,
+                max(known.crashes, crashes),
                 tries=known.tries,
                 revision=known.revision + 1,
                 since_ms=since_ms,
@@ -152,6 +162,39 @@
         self._hold(record, now)
         return record
 
+    def list_uncertain(self, now: float) -> list[Record]:
+        """Return the records that another crash would cast doubt on.
+
+        Args:
+            now: Seconds of a clock that runs through suspension.
+        """
+        return [
+            held.record
+            for held in self._held.values()
+            if not held.record.lifted
+            and not held.record.is_certain
+            and now < held.held_at + DOUBT_S
+        ]
+
+    def confirm(self, digest: bytes, now: float) -> Record | None:
+        """Count a crash under a run that had begun before the verdict.
+
+        Args:
+            digest: Digest of the request.
+            now: Seconds of a clock that runs through suspension.
+
+        Returns:
+            The changed record; None if there is none in force.
+        """
+        known = self.find(digest)
+        if known is None or known.lifted:
+            return None
+        record = dataclasses.replace(
+            known, crashes=known.crashes + 1, revision=known.revision + 1
+        )
+        self._hold(record, now)
+        return record
+
     def merge(self, record: Record, now: float) -> bool:
         """Take a record that another node or the store holds.
 
@@ -170,7 +213,7 @@
         trial_after_s = math.inf
         if record.tries < len(TRIAL_AFTER_S):
             trial_after_s = TRIAL_AFTER_S[record.tries]
-        self._held[record.digest] = _Held(record, now + trial_after_s)
+        self._held[record.digest] = _Held(record, now, now + trial_after_s)
         if len(self._held) > MAX_RECORDS:
             self._forget_one()
 
--- a/src/eelgrasswalk/policy/suspects.py
+++ b/src/eelgrasswalk/policy/suspects.py
@@ -8,9 +8,10 @@
 were in flight at those crashes are taken for innocent.
 
 A suspect is found guilty only when a target crashes while it runs there apart
-from all other suspects. Two crashes are enough if its caller has sent it more
-than once and no recent crash happened without it. Otherwise a third is needed:
-a single request that was repeated once may have met another deadly one twice.
+from all other suspects. Two crashes are enough if no recent crash happened
+without it. Otherwise something else crashes targets as well, and a third is
+needed. If such a crash comes only later, the verdict was made by two crashes
+and is withdrawn: the suspect may have met another deadly request by chance.
 """
 
 import collections
@@ -18,11 +19,9 @@
 import dataclasses
 import enum
 
-# Crashes that find a suspect guilty in any case.
+# Crashes that find a suspect guilty although targets crash without it, too.
 CERTAIN_CRASHES = 3
 MIN_CRASHES = 2
-# Ids that are remembered of a request, to tell that it was sent again.
-MAX_IDS = 4
 
 
 class Standing(enum.Enum):
@@ -61,13 +60,7 @@
     at: float
     digests: set[bytes] = dataclasses.field(default_factory=set)
     is_reported: bool = False
-    is_explained: bool = False
-
-
-@dataclasses.dataclass(slots=True)
-class _Suspect:
-    runs: set[str] = dataclasses.field(default_factory=set)
-    ids: set[str] = dataclasses.field(default_factory=set)
+    culprit: bytes | None = None
 
 
 class Suspects:
@@ -82,19 +75,23 @@
         self._crashes: collections.OrderedDict[str, _Crash] = (
             collections.OrderedDict()
         )
-        self._known: dict[bytes, _Suspect] = {}
+        self._runs: dict[bytes, set[str]] = {}
 
     def __bool__(self) -> bool:
         """Whether there are any suspects."""
-        return bool(self._known)
+        return any(
+            crash.culprit is None and crash.digests
+            for crash in self._crashes.values()
+        )
 
     def __len__(self) -> int:
-        return len(self._known)
+        """Number of requests that are remembered."""
+        return len(self._runs)
 
     def record_crash(
         self,
         run_id: str,
-        requests: collections.abc.Iterable[tuple[bytes, str]],
+        digests: collections.abc.Iterable[bytes],
         now: float,
         *,
         is_report: bool = True,
@@ -104,7 +101,7 @@
         Args:
             run_id: Id of the run. What is recorded of it several times adds
                 up.
-            requests: Digest and id of each request; the id may be empty.
+            digests: Digests of the requests.
             now: Monotonic time in seconds.
             is_report: Whether these are all of them, as far as known.
         """
@@ -113,16 +110,11 @@
         if crash is None:
             crash = self._crashes[run_id] = _Crash(now)
         crash.is_reported = crash.is_reported or is_report
-        if crash.is_explained:
-            return
-        for digest, request_id in requests:
+        for digest in digests:
             if len(crash.digests) >= self._settings.max_digests:
                 break
             crash.digests.add(digest)
-            suspect = self._known.setdefault(digest, _Suspect())
-            suspect.runs.add(run_id)
-            if request_id and len(suspect.ids) < MAX_IDS:
-                suspect.ids.add(request_id)
+            self._runs.setdefault(digest, set()).add(run_id)
 
     def is_reported(self, run_id: str) -> bool:
         """Return whether all requests in flight at a crash are known."""
@@ -135,35 +127,36 @@
         Returns:
             Whether it was a suspect.
         """
-        suspect = self._known.pop(digest, None)
-        if suspect is None:
-            return False
-        for run_id in suspect.runs:
+        was_suspect = bool(self._list_open_runs(digest))
+        for run_id in self._runs.pop(digest, ()):
             self._crashes[run_id].digests.discard(digest)
-        return True
+        return was_suspect
 
     def explain(self, digest: bytes) -> None:
         """Acquit the others of the crashes that a guilty request explains."""
-        for run_id in self._known.pop(digest, _Suspect()).runs:
-            crash = self._crashes[run_id]
-            crash.is_explained = True
-            self._drop_digests(run_id, crash)
+        for run_id in self._list_open_runs(digest):
+            self._crashes[run_id].culprit = digest
+
+    def reopen(self, digest: bytes) -> None:
+        """Explain no crash by a request any more; its verdict is withdrawn."""
+        for crash in self._crashes.values():
+            if crash.culprit == digest:
+                crash.culprit = None
 
     def find_standing(self, digest: bytes) -> Standing:
         """Return how a request may be run."""
-        suspect = self._known.get(digest)
-        if suspect is None:
+        runs = self._list_open_runs(digest)
+        if not runs:
             return Standing.CLEAR
-        if len(suspect.runs) > 1:
+        if len(runs) > 1:
             return Standing.PRIME
-        if any(self._has_prime_suspect(run_id) for run_id in suspect.runs):
+        if self._has_prime_suspect(runs[0]):
             return Standing.CLEAR
         return Standing.SUSPECT
 
     def count_crashes(self, digest: bytes) -> int:
-        """Return the crashes that a request was in flight at."""
-        suspect = self._known.get(digest)
-        return 0 if suspect is None else len(suspect.runs)
+        """Return the unexplained crashes that a request was in flight at."""
+        return len(self._list_open_runs(digest))
 
     def is_guilty(self, digest: bytes, now: float) -> bool:
         """Return whether a suspect that ran apart at its last crash is guilty.
@@ -172,24 +165,29 @@
             digest: Digest of the request.
             now: Monotonic time in seconds.
         """
-        suspect = self._known.get(digest, _Suspect())
         # While a crash is not reported, others may have run at the last one
         # that are suspects as well.
-        count = sum(self.is_reported(run_id) for run_id in suspect.runs)
+        count = sum(map(self.is_reported, self._list_open_runs(digest)))
         if count >= CERTAIN_CRASHES:
             return True
-        if count < MIN_CRASHES or len(suspect.ids) < 2:
-            return False
-        return not any(
+        return count >= MIN_CRASHES and not any(
             digest not in crash.digests
-            and not crash.is_explained
+            and crash.culprit is None
             and now - crash.at < self._settings.doubt_s
             for crash in self._crashes.values()
         )
 
+    def _list_open_runs(self, digest: bytes) -> list[str]:
+        """Return the crashes of a request that nothing explains."""
+        return [
+            run_id
+            for run_id in self._runs.get(digest, ())
+            if self._crashes[run_id].culprit is None
+        ]
+
     def _has_prime_suspect(self, run_id: str) -> bool:
         return any(
-            len(self._known[digest].runs) > 1
+            len(self._list_open_runs(digest)) > 1
             for digest in self._crashes[run_id].digests
         )
 
@@ -199,15 +197,8 @@
             is_old = now - crash.at >= self._settings.memory_s
             if not is_old and len(self._crashes) < self._settings.max_crashes:
                 return
-            self._drop_digests(run_id, crash)
+            for digest in crash.digests:
+                self._runs[digest].discard(run_id)
+                if not self._runs[digest]:
+                    del self._runs[digest]
             del self._crashes[run_id]
-
-    def _drop_digests(self, run_id: str, crash: _Crash) -> None:
-        for digest in crash.digests:
-            suspect = self._known.get(digest)
-            if suspect is None:
-                continue
-            suspect.runs.discard(run_id)
-            if not suspect.runs:
-                del self._known[digest]
-        crash.digests.clear()
--- a/src/eelgrasswalk/transport/frames.py
+++ b/src/eelgrasswalk/transport/frames.py
@@ -121,11 +121,12 @@
 
     Args:
         ended_runs: Runs of targets that ended while they ran the call.
-        tried: Nodes to which it has been sent.
+        unreachable: Nodes that could not be reached, or whose targets took no
+            call.
     """
 
     ended_runs: Names = ()
-    tried: Names = ()
+    unreachable: Names = ()
 
 
 class Call(msgspec.Struct, frozen=True, array_like=True, gc=False, tag=4):
--- a/tests/policy/test_isolation_queue.py
+++ b/tests/policy/test_isolation_queue.py
@@ -73,6 +73,14 @@
         self.queue.leave(ticket)
         self.assertEqual([b'a'], self.start())
 
+    def test_many_suspects_wait_for_one_that_ran_before(self) -> None:
+        ticket = self.queue.adopt(b'a')
+        assert ticket is not None
+        self.enter(*(b'%d' % number for number in range(30)))
+        self.assertEqual([], self.start())
+        self.queue.leave(ticket)
+        self.assertGreater(len(self.start()), 1)
+
     def test_one_that_has_left_does_not_start(self) -> None:
         first, second = self.enter(b'a', b'b')
         self.queue.leave(first)
