--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -268,6 +268,7 @@
             'share': round(
                 self._shares.compute_share(call.route, time.monotonic()), 2
             ),
+            'run_at': '' if feedback is None else feedback.run_at,
         }
 
     def _check(self, call: frames.Call) -> verdict.NotRun | None:
--- a/src/eelgrasswalk/sidecar/node.py
+++ b/src/eelgrasswalk/sidecar/node.py
@@ -348,6 +348,13 @@
                 'Bytes of bodies held',
                 control_plane.bodies.used,
             ),
+            'eelgrasswalk_quarantined_requests': (
+                'Requests that are refused as they crash their targets',
+                sum(
+                    not record.lifted
+                    for record in control_plane.confined.list_records()
+                ),
+            ),
         }
         if self.call_path is not None:
             policy = self.call_path.admitter.policy
--- a/tests/integration/test_deadly_request.py
+++ b/tests/integration/test_deadly_request.py
@@ -60,15 +60,18 @@
                 calls.append(
                     group.create_task(self.call(node, path, method=method))
                 )
-            calls.append(group.create_task(self.send_innocent(number)))
+            # A popular request is in flight at every crash.
+            for target in (f'/back/safe/{number}', '/back/safe/popular'):
+                calls.append(
+                    group.create_task(self.send_innocent(node, target))
+                )
             await asyncio.sleep(INNOCENT_INTERVAL_S)
         await asyncio.wait(calls)
 
-    async def send_innocent(self, number: int) -> None:
+    async def send_innocent(self, node: sidecars.Node, target: str) -> None:
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
-        node = self.nodes[number % len(self.nodes)]
-        answer = await self.call(node, f'/back/safe/{number}')
+        answer = await self.call(node, target)
         self.statuses.append((sent_at, 0 if answer is None else answer.status))
 
     async def revive(self, node: sidecars.Node) -> None:
@@ -113,6 +116,8 @@
         late = [status for at, status in self.statuses if at > settled_from]
         self.assertTrue(late)
         self.assertEqual({200}, set(late))
+        # No proper request is refused for another's fault.
+        self.assertNotIn(400, [status for _, status in self.statuses])
 
     async def test_request_that_crashes_every_target_is_stopped(self) -> None:
         """Guards against the BUDGET incident of the day `deadly`."""
