Do not ask the store for a table that has not changed

Cause: a node takes its parent in the relay tree for silent unless the parent's version of a table is at least its own. The store's version grows with every table, and the parent of an idle table learns it once in 20 s, so every child of the new table of quarantines asked the store every 2 s.

Change: the parent has to reach the last change of the table that the node knows. Ruled out: a shorter wait of the parents, which are few but would ask all the time.

The test fails on the code before (one question).

--- a/src/eelgrasswalk/controllers/relay.py
+++ b/src/eelgrasswalk/controllers/relay.py
@@ -168,7 +168,8 @@
         for update in _decode_or_log(node_id, payload):
             following = self._feeds.get(update.table)
             if following is not None:
-                if update.version >= following.version:
+                # Its newest version grows with every table of the store.
+                if update.version >= following.changed_at:
                     self._updated_at[update.table] = self._loop.time()
                 following.apply_peer_update(_build_advance(update))
 
--- a/tests/controllers/test_relay.py
+++ b/tests/controllers/test_relay.py
@@ -307,6 +307,26 @@
         await fake_store.settle()
         self.assertEqual(2, self.fleet.store.calls)
 
+    async def test_table_without_changes_is_not_asked_for(self) -> None:
+        """The parent read it when the store's version was lower."""
+        node = self.fleet.nodes[self.find_leaf()]
+        self.fleet.store.version += 10
+        await node.feeds[OTHER_TABLE].confirm()
+        self.fleet.store.calls = 0
+        now = asyncio.get_running_loop().time()
+        with unittest.mock.patch.object(
+            asyncio.get_running_loop(), 'time', return_value=now + 1.5
+        ):
+            header = relay.TableUpdate(OTHER_TABLE, 0, 2, 0.0)
+            node.relay.receive('n0', relay.encode_updates([header]))
+            header = relay.TableUpdate(TABLE, 0, 10**6, 0.0)
+            node.relay.receive('n0', relay.encode_updates([header]))
+        await fake_store.settle()
+        self.fleet.store.calls = 0
+        node.relay.check_update_times(now + 2.5)
+        await fake_store.settle()
+        self.assertEqual(0, self.fleet.store.calls)
+
     async def test_node_that_the_store_refuses_learns_from_any_peer(
         self,
     ) -> None:
