Tell children of tables that were read from an empty store

Cause, from a trial that prints each call: 13 of 16 nodes ask for the new table every 2 s. It was read when the store was empty, at version 0, and updates left out tables with version 0, so children took their parents for silent.

Change: updates tell of every table that has been read. The test fails on the code before (one question).

--- a/src/eelgrasswalk/controllers/relay.py
+++ b/src/eelgrasswalk/controllers/relay.py
@@ -204,7 +204,7 @@
         items += (
             self._summarise(other)
             for other, each in self._feeds.items()
-            if other != table and each.version
+            if other != table and each.filled.is_set()
         )
         payload = encode_updates(items)
         if len(payload) > MAX_UPDATE_BYTES:
--- a/tests/controllers/test_relay.py
+++ b/tests/controllers/test_relay.py
@@ -327,6 +327,27 @@
         await fake_store.settle()
         self.assertEqual(0, self.fleet.store.calls)
 
+    async def test_table_that_was_read_from_an_empty_store_is_told_of(
+        self,
+    ) -> None:
+        """Its version is 0, and nobody told its children that they know it."""
+        fleet = Fleet(NODES)
+        fleet.store.version = 0
+        await fleet.start()
+        name = self.find_leaf()
+        node = fleet.nodes[name]
+        now = asyncio.get_running_loop().time()
+        with unittest.mock.patch.object(
+            asyncio.get_running_loop(), 'time', return_value=now + 1.5
+        ):
+            parent = fleet.nodes[node.relay.place.parent or '']
+            fleet.store.version = 1
+            await parent.feeds[TABLE].confirm()
+        fleet.store.calls = 0
+        node.relay.check_update_times(now + 2.5)
+        await fake_store.settle()
+        self.assertEqual(0, fleet.store.calls)
+
     async def test_node_that_the_store_refuses_learns_from_any_peer(
         self,
     ) -> None:
