Decide on waiting suspects only when something has changed

A crash under full load leaves a hundred suspects and more, and each that entered or left the queue decided on all others again, for each of them over all requests of their crashes. Whether a crash has prime suspects is kept until something changes, and only news of suspects decides on those that wait.

--- a/src/eelgrasswalk/filters/isolation.py
+++ b/src/eelgrasswalk/filters/isolation.py
@@ -185,10 +185,12 @@
         ticket = allowed.ticket or self._adopted.pop(call.attempt, None)
         if ticket is not None:
             self._queue.leave(ticket)
-        if isinstance(outcome, verdict.Answered):
-            self._record_answer(call, allowed)
-        if ticket is not None:
+        if isinstance(outcome, verdict.Answered) and self._record_answer(
+            call, allowed
+        ):
             self._advance()
+        elif ticket is not None:
+            self._start_waiting()
 
     def handle_crash(
         self,
@@ -384,24 +386,25 @@
             withdrawn.append(lifted)
         return withdrawn
 
-    def _record_answer(self, call: frames.Call, allowed: Pass) -> None:
+    def _record_answer(self, call: frames.Call, allowed: Pass) -> bool:
+        """Clear the request of a call, and return whether that was needed."""
         if not (self._suspects or self._quarantine):
-            return
+            return False
         # The call may have begun before there were any suspects.
         digest = allowed.digest or identity.compute_digest(
             call.request, call.context.account
         )
-        if self._suspects.clear(digest):
+        was_suspect = self._suspects.clear(digest)
+        if was_suspect:
             self._reporter.report_cleared(digest)
-            self._advance()
         record = self._quarantine.find(digest)
         if record is None or record.lifted:
-            return
+            return was_suspect
         lifted = record.build_lifted()
         self._quarantine.merge(lifted, clock.read_boot_time())
         events.log(events.QUARANTINE_CHANGED, **describe_record(lifted))
         self._reporter.report_record(lifted)
-        self._advance()
+        return True
 
     def _adopt_running(self) -> None:
         """Queue no suspect beside those that run here already."""
@@ -444,7 +447,7 @@
     ) -> Decision:
         future = asyncio.get_running_loop().create_future()
         self._waiting[ticket.number] = future
-        self._advance()
+        self._start_waiting()
         try:
             async with asyncio.timeout(wait_s):
                 decision: Decision = await future
@@ -463,15 +466,18 @@
     def _withdraw(self, ticket: isolation_queue.Ticket) -> None:
         self._waiting.pop(ticket.number, None)
         self._queue.leave(ticket)
-        self._advance()
+        self._start_waiting()
 
     def _advance(self) -> None:
-        """Decide on waiting calls again, and start those that may run."""
+        """Decide on waiting calls again after the suspects have changed."""
         for ticket in self._queue.list_waiting():
             if self._is_refused(ticket.digest):
                 self._release(ticket, _refuse_confined())
             elif not self._is_held(ticket.digest):
                 self._release(ticket, Pass(ticket.digest))
+        self._start_waiting()
+
+    def _start_waiting(self) -> None:
         started = self._queue.start()
         self._report_running([ticket.digest for ticket in started])
         for ticket in started:
--- a/src/eelgrasswalk/policy/isolation_queue.py
+++ b/src/eelgrasswalk/policy/isolation_queue.py
@@ -8,6 +8,7 @@
 request wait for its run.
 """
 
+import collections
 import collections.abc
 import dataclasses
 import math
@@ -45,6 +46,9 @@
     def __init__(self, is_prime: IsPrime) -> None:
         self._is_prime = is_prime
         self._waiting: dict[int, Ticket] = {}
+        self._waiting_digests: collections.Counter[bytes] = (
+            collections.Counter()
+        )
         self._running: dict[bytes, Ticket] = {}
         self._last_number = 0
         self._width = 1
@@ -54,6 +58,7 @@
         self._last_number += 1
         ticket = Ticket(self._last_number, digest)
         self._waiting[ticket.number] = ticket
+        self._waiting_digests[digest] += 1
         return ticket
 
     def adopt(self, digest: bytes) -> Ticket | None:
@@ -67,7 +72,7 @@
 
     def leave(self, ticket: Ticket) -> None:
         """Remove a request that waits or runs."""
-        self._waiting.pop(ticket.number, None)
+        self._remove_waiting(ticket)
         if self._running.get(ticket.digest) is ticket:
             del self._running[ticket.digest]
         if not self._waiting and not self._running:
@@ -75,14 +80,16 @@
 
     def start(self) -> list[Ticket]:
         """Start the requests that may run now, and return them."""
-        started = []
+        started: list[Ticket] = []
         self._widen()
+        if len(self._running) >= self._width:
+            return started
         for ticket in self._sort_waiting():
             if ticket.digest in self._running:
                 continue
             if not self._has_room(ticket):
                 break
-            del self._waiting[ticket.number]
+            self._remove_waiting(ticket)
             self._running[ticket.digest] = ticket
             started.append(ticket)
         return started
@@ -91,6 +98,13 @@
         """Return the requests that wait."""
         return list(self._waiting.values())
 
+    def _remove_waiting(self, ticket: Ticket) -> None:
+        if self._waiting.pop(ticket.number, None) is None:
+            return
+        self._waiting_digests[ticket.digest] -= 1
+        if not self._waiting_digests[ticket.digest]:
+            del self._waiting_digests[ticket.digest]
+
     def _sort_waiting(self) -> collections.abc.Sequence[Ticket]:
         return sorted(
             self._waiting.values(),
@@ -102,8 +116,7 @@
 
     def _widen(self) -> None:
         """Let more run at a time if more have come."""
-        digests = {ticket.digest for ticket in self._waiting.values()}
-        count = len(digests | self._running.keys())
+        count = len(self._waiting_digests) + len(self._running)
         self._width = max(self._width, math.ceil(count / ROUNDS))
 
     def _has_room(self, ticket: Ticket) -> bool:
--- a/src/eelgrasswalk/policy/suspects.py
+++ b/src/eelgrasswalk/policy/suspects.py
@@ -76,6 +76,9 @@
             collections.OrderedDict()
         )
         self._runs: dict[bytes, set[str]] = {}
+        # Whether a crash has prime suspects, as far as it was asked for since
+        # the last change.
+        self._has_prime: dict[str, bool] = {}
 
     def __bool__(self) -> bool:
         """Whether there are any suspects."""
@@ -106,6 +109,7 @@
             is_report: Whether these are all of them, as far as known.
         """
         self._forget_old(now)
+        self._has_prime.clear()
         crash = self._crashes.get(run_id)
         if crash is None:
             crash = self._crashes[run_id] = _Crash(now)
@@ -128,17 +132,20 @@
             Whether it was a suspect.
         """
         was_suspect = bool(self._list_open_runs(digest))
+        self._has_prime.clear()
         for run_id in self._runs.pop(digest, ()):
             self._crashes[run_id].digests.discard(digest)
         return was_suspect
 
     def explain(self, digest: bytes) -> None:
         """Acquit the others of the crashes that a guilty request explains."""
+        self._has_prime.clear()
         for run_id in self._list_open_runs(digest):
             self._crashes[run_id].culprit = digest
 
     def reopen(self, digest: bytes) -> None:
         """Explain no crash by a request any more; its verdict is withdrawn."""
+        self._has_prime.clear()
         for crash in self._crashes.values():
             if crash.culprit == digest:
                 crash.culprit = None
@@ -186,10 +193,13 @@
         ]
 
     def _has_prime_suspect(self, run_id: str) -> bool:
-        return any(
-            len(self._list_open_runs(digest)) > 1
-            for digest in self._crashes[run_id].digests
-        )
+        known = self._has_prime.get(run_id)
+        if known is None:
+            known = self._has_prime[run_id] = any(
+                len(self._list_open_runs(digest)) > 1
+                for digest in self._crashes[run_id].digests
+            )
+        return known
 
     def _forget_old(self, now: float) -> None:
         while self._crashes:
