--- a/src/eelgrasswalk/filters/isolation.py
+++ b/src/eelgrasswalk/filters/isolation.py
@@ -263,7 +263,7 @@
         """Handle a quarantine that another node or the store tells of."""
         if not self._quarantine.merge(record, clock.read_boot_time()):
             return
-        events.log(events.QUARANTINE_CHANGED, **describe_record(record))
+        events.log(events.QUARANTINE_CHANGED, **_describe_record(record))
         if record.lifted:
             self._suspects.clear(record.digest)
         else:
@@ -339,7 +339,7 @@
             since_ms=time.time_ns() // 1_000_000,
             now=clock.read_boot_time(),
         )
-        events.log(events.QUARANTINE_CHANGED, **describe_record(record))
+        events.log(events.QUARANTINE_CHANGED, **_describe_record(record))
         self._suspects.explain(digest)
         return record
 
@@ -361,7 +361,7 @@
             record = self._quarantine.confirm(digest, now)
             if record is not None:
                 events.log(
-                    events.QUARANTINE_CHANGED, **describe_record(record)
+                    events.QUARANTINE_CHANGED, **_describe_record(record)
                 )
                 confirmed.append(record)
         return confirmed
@@ -382,7 +382,7 @@
             lifted = record.build_lifted()
             self._quarantine.merge(lifted, now)
             self._suspects.reopen(record.digest)
-            events.log(events.QUARANTINE_CHANGED, **describe_record(lifted))
+            events.log(events.QUARANTINE_CHANGED, **_describe_record(lifted))
             withdrawn.append(lifted)
         return withdrawn
 
@@ -402,7 +402,7 @@
             return was_suspect
         lifted = record.build_lifted()
         self._quarantine.merge(lifted, clock.read_boot_time())
-        events.log(events.QUARANTINE_CHANGED, **describe_record(lifted))
+        events.log(events.QUARANTINE_CHANGED, **_describe_record(lifted))
         self._reporter.report_record(lifted)
         return True
 
@@ -506,7 +506,7 @@
             future.set_result(decision)
 
 
-def describe_record(record: quarantine.Record) -> dict[str, typing.Any]:
+def _describe_record(record: quarantine.Record) -> dict[str, typing.Any]:
     """Return the fields of a record for the log."""
     return {
         'digest': record.digest.hex(),
