--- a/review/harness/installation.py
+++ b/review/harness/installation.py
@@ -14,10 +14,9 @@
 import typing
 import urllib.request
 
-from eelgrasswalk.standins import rows
-
 from . import client
 from . import record
+from . import store
 from . import upstream
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -207,16 +206,27 @@
     Args:
         records: Where to write what happens.
         services: Service of each machine's upstream.
+        names: Ids of the nodes; numbers by default.
+        zones: Zones of the machines, in turn.
     """
 
     def __init__(
-        self, records: record.Record, services: typing.Sequence[str]
+        self,
+        records: record.Record,
+        services: typing.Sequence[str],
+        *,
+        names: typing.Sequence[str] = (),
+        zones: typing.Sequence[str] = ('cleveland', 'toledo'),
     ) -> None:
         self.record = records
-        self.store = rows.RowsStandin()
+        self.store = store.Store()
         self.machines: list[Machine] = []
         self.upstreams: list[upstream.Upstream] = []
         self._services = services
+        self._zones = zones
+        self._names = names or [
+            f'sidecar-{index + 1}' for index in range(len(services))
+        ]
         self._folder = tempfile.TemporaryDirectory(prefix='review-')
 
     async def start(self, config: bytes, **options: typing.Any) -> None:
@@ -231,10 +241,10 @@
         ports = _find_ports(len(self._services))
         for index, service in enumerate(self._services):
             machine = Machine(
-                f'sidecar-{index + 1}',
+                self._names[index],
                 _build_ip(index),
                 service=service,
-                zone=('cleveland', 'toledo')[index % 2],
+                zone=self._zones[index % len(self._zones)],
                 ports=ports,
                 folder=pathlib.Path(self._folder.name),
                 store_port=store_port,
