--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,11 +1,11 @@
 """The operator lowers the rate of an account while it sends nothing."""
 
 import asyncio
-import bisect
 import time
 
 from harness import installation
 from harness import main
+from harness import quota
 from harness import record
 
 SERVICES = ('catalogue', 'catalogue')
@@ -15,7 +15,6 @@
 SENT_S = 6.0
 PER_S = 250.0
 APPLY_S = installation.BOUNDS['config_apply_ms'] / 1000.0
-WINDOW_S = float(installation.BOUNDS['quota_window_s'])
 
 
 async def send_requests(
@@ -51,18 +50,6 @@
     await asyncio.gather(*running)
 
 
-def count_most(moments: list[float]) -> int:
-    """Return the most moments in one window."""
-    moments = sorted(moments)
-    return max(
-        (
-            bisect.bisect_right(moments, moment + WINDOW_S) - index
-            for index, moment in enumerate(moments)
-        ),
-        default=0,
-    )
-
-
 async def run(records: record.Record, has_trouble: bool) -> bool:
     """Return whether more requests ran in a window than the limit allows."""
     place = installation.Installation(records, SERVICES)
@@ -93,20 +80,16 @@
             place, sent, name='late', per_s=PER_S, for_s=SENT_S
         )
         # The lower limit binds one window after config_apply_ms.
-        binds_at = lowered_at + APPLY_S + WINDOW_S
-        moments = [
-            sent[started.request_id]
-            for app in place.upstreams
-            for started in app.runs
-            if sent[started.request_id] >= binds_at
-        ]
-        most = count_most(moments)
-        allowed = (NEW_RATE * WINDOW_S + NEW_BURST) * (
-            1.0 + installation.BOUNDS['quota_overage']
-        ) + installation.BOUNDS['quota_slack']
+        binds_at = lowered_at + APPLY_S + quota.WINDOW_S
+        most, _ = quota.find_fullest(
+            [started for app in place.upstreams for started in app.runs],
+            sent,
+            since=binds_at,
+        )
+        allowed = quota.compute_allowed(NEW_RATE, NEW_BURST)
         records.write(
-            f'{len(sent)} requests sent; at most {most} of them ran in '
-            f'{WINDOW_S} s, {allowed:.0f} are allowed'
+            f'{len(sent)} requests sent; at most {most} of them were sent and '
+            f'ran in {quota.WINDOW_S} s, {allowed:.0f} are allowed'
         )
         return most > allowed
     finally:
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 export PYTHONDONTWRITEBYTECODE=1 PYTHONPATH="target/deps:src:review"
-python3 -c 'from harness import client, installation, main, record, store, upstream'
+python3 -c 'from harness import client, installation, main, quota, record, store, upstream'
--- a/review/harness/installation.py
+++ b/review/harness/installation.py
@@ -101,6 +101,7 @@
         self.ip = ip
         self.ports = ports
         self.process: subprocess.Popen[bytes] | None = None
+        self._is_closed = False
         self._zone = zone
         self._store_port = store_port
         self._settings = folder / f'{name}.json'
@@ -148,6 +149,8 @@
 
     def start(self) -> None:
         """Start the node's process as the deploy file says."""
+        if self._is_closed:
+            return
         environment = {
             name: os.environ[name]
             for name in ('PATH', 'HOME', 'LANG')
@@ -176,6 +179,11 @@
             self.process.kill()
             self.process.wait()
 
+    def close(self) -> None:
+        """End the process, and start none again."""
+        self._is_closed = True
+        self.kill()
+
     def read_log(self) -> str:
         """Return what the process has written."""
         return self._log.read_text() if self._log.exists() else ''
@@ -294,7 +302,7 @@
     async def stop(self) -> None:
         """End every process and every stand-in."""
         for machine in self.machines:
-            machine.kill()
+            machine.close()
         for app in self.upstreams:
             with contextlib.suppress(OSError):
                 await app.stop()
--- a/review/harness/main.py
+++ b/review/harness/main.py
@@ -4,6 +4,7 @@
 import collections.abc
 import os
 import pathlib
+import signal
 import sys
 import traceback
 import typing
@@ -14,6 +15,7 @@
 HELD = 0
 BROKEN = 1
 CANNOT_RUN = 2
+_INTERRUPTS = (signal.SIGINT, signal.SIGTERM, signal.SIGHUP)
 
 Case: typing.TypeAlias = collections.abc.Callable[
     [record.Record, bool], collections.abc.Awaitable[bool]
@@ -34,12 +36,17 @@
     records.write(f'TROUBLE={int(has_trouble)}')
 
     async def limited() -> bool:
+        # An interrupted case ends the processes that it has started.
+        task = asyncio.current_task()
+        assert task is not None
+        for number in _INTERRUPTS:
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         async with asyncio.timeout(LIMIT_S):
             return await case(records, has_trouble)
 
     try:
         status = BROKEN if asyncio.run(limited()) else HELD
-    except Exception:
+    except (Exception, asyncio.CancelledError):
         records.write(f'the case could not run: {traceback.format_exc()}')
         status = CANNOT_RUN
     names = {HELD: 'held', BROKEN: 'broken', CANNOT_RUN: 'not run'}
