Log what a target's state was learned from, and whether a departure is stored

Line 4004 names the source of a state, with the sequence number and the start that it carries; line 4009 says whether the store had taken a departure when it was acknowledged.

--- a/src/eelgrasswalk/controllers/check_ins.py
+++ b/src/eelgrasswalk/controllers/check_ins.py
@@ -1,5 +1,6 @@
 """Hears the target beside the node and tells the others of it."""
 
+import enum
 import typing
 
 from .. import events
@@ -15,6 +16,15 @@
 ACK_WAIT_S = 0.6
 
 
+class Source(enum.Enum):
+    """What a state of the target was learned from, for the log."""
+
+    CHECK_IN = 'check-in'
+    DEPARTURE = 'departure'
+    ANSWER = 'answer'
+    STORE = 'store'
+
+
 class Gate(typing.Protocol):
     """What admits calls to the target."""
 
@@ -58,17 +68,25 @@
             events.log(events.CHECK_IN_REJECTED, detail=item.detail)
             return verdict.Response(400, (), b'')
         if isinstance(item, ports.Departure):
+            source = Source.DEPARTURE
             change = self._life.deregister(item.target_id, self._clock())
         else:
+            source = Source.CHECK_IN
             change = self._life.observe(_build_report(item), self._clock())
         if change in (
             target_lifecycle.Change.ARRIVED,
             target_lifecycle.Change.LEAVING,
         ):
-            self._apply()
+            self._apply(source)
         if self._life.leaving_since is not None:
             # An answer of the target may have begun the drain before.
-            await self._keeper.wait_written(ACK_WAIT_S)
+            is_written = await self._keeper.wait_written(ACK_WAIT_S)
+            if change is target_lifecycle.Change.LEAVING:
+                events.log(
+                    events.LEAVING_ACKNOWLEDGED,
+                    target=item.target_id,
+                    is_written=is_written,
+                )
         return self._form.acknowledge()
 
     def restore(self, entry: roster.Entry) -> None:
@@ -86,7 +104,7 @@
             self._life.observe(report, self._clock())
         else:
             self._life.restore(report)
-        self._apply()
+        self._apply(Source.STORE)
 
     def note_leaving(self, target_id: str) -> None:
         """Begin the drain of a target that said in an answer that it leaves.
@@ -96,9 +114,9 @@
         """
         change = self._life.deregister(target_id, self._clock())
         if change is target_lifecycle.Change.LEAVING:
-            self._apply()
+            self._apply(Source.ANSWER)
 
-    def _apply(self) -> None:
+    def _apply(self, source: Source) -> None:
         report = self._life.report
         assert report is not None
         if self._life.is_ready:
@@ -110,7 +128,12 @@
             self._gate.start_draining()
             state = roster.TargetState.DRAINING
         events.log(
-            events.TARGET_CHANGED, target=report.target_id, state=state.value
+            events.TARGET_CHANGED,
+            target=report.target_id,
+            state=state.value,
+            source=source.value,
+            sequence=report.sequence,
+            born_ms=report.born_ms,
         )
         self._keeper.change(
             state=state,
--- a/src/eelgrasswalk/events.py
+++ b/src/eelgrasswalk/events.py
@@ -188,6 +188,9 @@
     'mend the service; when the request is wanted again before it is tried, '
     'lift its quarantine',
 )
+LEAVING_ACKNOWLEDGED = Event(
+    4009, logging.INFO, 'departure of the target is acknowledged'
+)
 QUARANTINE_REJECTED = Event(
     3016,
     logging.WARNING,
