Wait for the target to confirm that it is ready after a start

Cause: a process that has just started took its row for the present state of the target. The row may be from before the outage, or from a copy. A check-in that is late would have done the same.

Ruled out: a late check-in and another node's message; none came.

Fix: after a start, a target is ready once it has confirmed that itself, by a health check that answers 200 with its id or by a second check-in. It never does so again after a departure, so no store and no other node has to have kept the departure before it is acknowledged. Departures that are stored or reported count at once.

--- a/src/eelgrasswalk/controllers/check_ins.py
+++ b/src/eelgrasswalk/controllers/check_ins.py
@@ -1,5 +1,7 @@
 """Hears the target beside the node and tells the others of it."""
 
+import asyncio
+import contextlib
 import enum
 import typing
 
@@ -11,9 +13,13 @@
 from ..transport import message
 from . import roster as roster_keeper
 
-# An acknowledged drain must outlast this process, so the store is given
+# Other nodes stop to send calls once the store has a drain, so it is given
 # this long to take it; check-ins have to be acknowledged within a second.
 ACK_WAIT_S = 0.6
+# Pause between two health checks of a target that is not confirmed yet, and
+# their number until its next check-in: a busy target may turn one away.
+PROBE_PAUSE_S = 0.25
+MAX_PROBES = 4
 
 
 class Source(enum.Enum):
@@ -22,6 +28,7 @@
     CHECK_IN = 'check-in'
     DEPARTURE = 'departure'
     ANSWER = 'answer'
+    HEALTH_CHECK = 'health check'
     STORE = 'store'
 
 
@@ -35,6 +42,13 @@
         """Start to drain the target."""
 
 
+class Probe(typing.Protocol):
+    """Asks the target for its health."""
+
+    async def is_serving(self, target_id: str) -> bool:
+        """Return whether a target is there, healthy and not leaving."""
+
+
 class CheckInKeeper:
     """Answers check-ins.
 
@@ -43,6 +57,7 @@
         life: The lifetime that this node serves.
         keeper: Tells the others.
         gate: Admits calls to the target.
+        probe: Confirms a target that this process has not known.
         clock: Monotonic seconds.
     """
 
@@ -52,6 +67,7 @@
         life: target_lifecycle.TargetLifecycle,
         keeper: roster_keeper.RosterKeeper,
         gate: Gate,
+        probe: Probe,
         *,
         clock: typing.Callable[[], float],
     ) -> None:
@@ -59,7 +75,16 @@
         self._life = life
         self._keeper = keeper
         self._gate = gate
+        self._probe = probe
         self._clock = clock
+        self._probing: asyncio.Task[None] | None = None
+
+    async def stop(self) -> None:
+        """Stop to probe the target."""
+        if self._probing is not None:
+            self._probing.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._probing
 
     async def handle(self, request: message.Request) -> verdict.Response:
         """Answer one check-in."""
@@ -73,11 +98,7 @@
         else:
             source = Source.CHECK_IN
             change = self._life.observe(_build_report(item), self._clock())
-        if change in (
-            target_lifecycle.Change.ARRIVED,
-            target_lifecycle.Change.LEAVING,
-        ):
-            self._apply(source)
+        self._handle_change(change, source)
         if self._life.leaving_since is not None:
             # An answer of the target may have begun the drain before.
             is_written = await self._keeper.wait_written(ACK_WAIT_S)
@@ -96,15 +117,12 @@
         report = target_lifecycle.InstanceReport(
             target_id=entry.target_id,
             born_ms=entry.born_ms,
-            sequence=-1,
+            sequence=target_lifecycle.STORED_SEQUENCE,
             slots=entry.slots,
             draining=entry.state is not roster.TargetState.READY,
         )
-        if report.draining:
-            self._life.observe(report, self._clock())
-        else:
-            self._life.restore(report)
-        self._apply(Source.STORE)
+        change = self._life.restore(report, self._clock())
+        self._handle_change(change, Source.STORE)
 
     def note_leaving(self, target_id: str) -> None:
         """Begin the drain of a target that said in an answer that it leaves.
@@ -113,8 +131,34 @@
             target_id: Id of the target.
         """
         change = self._life.deregister(target_id, self._clock())
-        if change is target_lifecycle.Change.LEAVING:
-            self._apply(Source.ANSWER)
+        self._handle_change(change, Source.ANSWER)
+
+    def _handle_change(
+        self, change: target_lifecycle.Change, source: Source
+    ) -> None:
+        if change in (
+            target_lifecycle.Change.ARRIVED,
+            target_lifecycle.Change.LEAVING,
+        ):
+            self._apply(source)
+        elif change is target_lifecycle.Change.UNCONFIRMED:
+            self._log_state('unconfirmed', source)
+            if self._probing is None or self._probing.done():
+                self._probing = asyncio.get_running_loop().create_task(
+                    self._confirm()
+                )
+
+    async def _confirm(self) -> None:
+        """Probe the target until it is confirmed."""
+        for _ in range(MAX_PROBES):
+            report = self._life.report
+            run_id = self._life.unconfirmed_run
+            if report is None or not run_id:
+                return
+            if await self._probe.is_serving(report.target_id):
+                change = self._life.confirm(run_id)
+                self._handle_change(change, Source.HEALTH_CHECK)
+            await asyncio.sleep(PROBE_PAUSE_S)
 
     def _apply(self, source: Source) -> None:
         report = self._life.report
@@ -127,20 +171,25 @@
         else:
             self._gate.start_draining()
             state = roster.TargetState.DRAINING
+        self._log_state(state.value, source)
+        self._keeper.change(
+            state=state,
+            target_id=report.target_id,
+            slots=report.slots,
+            born_ms=report.born_ms,
+        )
+
+    def _log_state(self, state: str, source: Source) -> None:
+        report = self._life.report
+        assert report is not None
         events.log(
             events.TARGET_CHANGED,
             target=report.target_id,
-            state=state.value,
+            state=state,
             source=source.value,
             sequence=report.sequence,
             born_ms=report.born_ms,
         )
-        self._keeper.change(
-            state=state,
-            target_id=report.target_id,
-            slots=report.slots,
-            born_ms=report.born_ms,
-        )
 
 
 def _build_report(item: ports.CheckIn) -> target_lifecycle.InstanceReport:
--- a/src/eelgrasswalk/platform/dialect.py
+++ b/src/eelgrasswalk/platform/dialect.py
@@ -122,6 +122,11 @@
             return None
         return ports.TargetNotice()
 
+    def read_target_id(self, response: verdict.Response) -> str:
+        """Return the id of the target that answered; empty if not told."""
+        value = message.find_header(response.headers, names.ANSWERING_ID)
+        return '' if value is None else value.decode('latin-1')
+
     def judge(self, response: verdict.Response) -> verdict.Verdict:
         """Return what a target's answer says of its call."""
         headers = response.headers
--- a/src/eelgrasswalk/platform/names.py
+++ b/src/eelgrasswalk/platform/names.py
@@ -13,6 +13,8 @@
 ACCOUNT = b'tenant-id'
 # The lifetime that alone may run the request.
 TARGET_ID = b'target-instance'
+# The lifetime that answers a health check.
+ANSWERING_ID = b'instance-id'
 # Its presence says that the target has not run the request.
 NOT_RUN = b'not-executed'
 # Calls a second that the target takes from all hosts together, with
--- a/src/eelgrasswalk/platform/operator_config.py
+++ b/src/eelgrasswalk/platform/operator_config.py
@@ -135,6 +135,7 @@
     return call_rules.ServiceRule(
         name=str(fields['name']),
         connections=int(fields.get('max_connections') or 0),
+        health_path=str(fields.get('health_path') or ''),
     )
 
 
--- a/src/eelgrasswalk/policy/call_rules.py
+++ b/src/eelgrasswalk/policy/call_rules.py
@@ -80,10 +80,13 @@
         name: Name of the service.
         connections: Connections that one upstream accepts from all callers
             together; 0 if not specified.
+        health_path: Path at which an upstream tells whether it is healthy;
+            empty if not specified.
     """
 
     name: str
     connections: int
+    health_path: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/eelgrasswalk/policy/target_lifecycle.py
+++ b/src/eelgrasswalk/policy/target_lifecycle.py
@@ -3,12 +3,21 @@
 An instance is one run of the target's process. Its check-ins may arrive late,
 twice or out of order, also after the instance has ended. An instance that has
 begun to drain never becomes ready again.
+
+It handles a node that is restarted, perhaps with all others and during an
+outage of the store, after an earlier process has acknowledged that the
+instance leaves. Neither the stored state nor a single check-in shows that the
+instance is still ready: both may be older than its departure. The instance
+itself remembers the departure, so a process that has just started goes by
+what the instance says now.
 """
 
 import collections
 import dataclasses
 import enum
 
+# Sequence number of a report that was not heard but read from the store.
+STORED_SEQUENCE = -1
 _MAX_DRAINED = 64
 
 
@@ -42,12 +51,16 @@
     NONE = 'none'
     ARRIVED = 'arrived'
     LEAVING = 'leaving'
+    UNCONFIRMED = 'unconfirmed'
     STALE = 'stale'
 
 
 class TargetLifecycle:
     """Tracks the target instance that this node serves.
 
+    The first instance that is ready is confirmed by its answer to a health
+    check, or by a second check-in: a check-in that is late is the last one.
+
     Attributes:
         report: Last report of the instance; None before the first.
         leaving_since: When it began to drain, in seconds; None until then.
@@ -56,13 +69,25 @@
     def __init__(self) -> None:
         self.report: InstanceReport | None = None
         self.leaving_since: float | None = None
+        self._is_confirmed = False
         self._drained: collections.OrderedDict[tuple[str, int], None] = (
             collections.OrderedDict()
         )
 
     @property
     def is_ready(self) -> bool:
-        """Whether there is an instance that is not draining."""
+        """Whether there is a confirmed instance that is not draining."""
+        return self._is_confirmed and self._is_staying
+
+    @property
+    def unconfirmed_run(self) -> str:
+        """Id of the run that has yet to be confirmed; empty for none."""
+        if self.report is None or self._is_confirmed or not self._is_staying:
+            return ''
+        return self.report.run_id
+
+    @property
+    def _is_staying(self) -> bool:
         return self.report is not None and self.leaving_since is None
 
     def observe(self, report: InstanceReport, now: float) -> Change:
@@ -80,7 +105,18 @@
         if report.draining and self.leaving_since is None:
             self._begin_drain(report, now)
             return Change.LEAVING
-        return Change.NONE
+        if not self.unconfirmed_run:
+            return Change.NONE
+        if current.sequence == STORED_SEQUENCE:
+            return Change.UNCONFIRMED
+        return self.confirm(report.run_id)
+
+    def confirm(self, run_id: str) -> Change:
+        """Record that an instance is ready at present."""
+        if not run_id or run_id != self.unconfirmed_run:
+            return Change.NONE
+        self._is_confirmed = True
+        return Change.ARRIVED
 
     def deregister(self, target_id: str, now: float) -> Change:
         """Record that an instance deregisters, and return the effect."""
@@ -93,10 +129,16 @@
         self._begin_drain(current, now)
         return Change.LEAVING
 
-    def restore(self, report: InstanceReport) -> None:
-        """Adopt the state that an earlier process of this node had stored."""
-        if self.report is None:
-            self.report = report
+    def restore(self, report: InstanceReport, now: float) -> Change:
+        """Adopt the state that an earlier process of this node had stored.
+
+        Args:
+            report: The state, with STORED_SEQUENCE.
+            now: Current time, in seconds.
+        """
+        if self.report is not None:
+            return Change.STALE
+        return self._begin(report, now)
 
     def _is_other_instance(
         self, report: InstanceReport, current: InstanceReport
@@ -123,6 +165,8 @@
         if report.draining or (report.target_id, 0) in self._drained:
             self._begin_drain(report, now)
             return Change.LEAVING
+        if not self._is_confirmed:
+            return Change.UNCONFIRMED
         return Change.ARRIVED
 
     def _begin_drain(self, report: InstanceReport, now: float) -> None:
--- a/src/eelgrasswalk/ports.py
+++ b/src/eelgrasswalk/ports.py
@@ -287,6 +287,9 @@
             state.
         """
 
+    def read_target_id(self, response: verdict.Response) -> str:
+        """Return the id of the target that answered; empty if not told."""
+
     def judge(self, response: verdict.Response) -> verdict.Verdict:
         """Return what a target's answer says of its call."""
 
--- a/src/eelgrasswalk/sidecar/node.py
+++ b/src/eelgrasswalk/sidecar/node.py
@@ -255,6 +255,7 @@
         call_path = self.call_path
         if call_path is not None:
             await call_path.reaper.stop()
+            await call_path.check_ins.stop()
             await call_path.dialler.stop()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(LINK_CLOSE_TIMEOUT_S):
--- a/src/eelgrasswalk/sidecar/wiring.py
+++ b/src/eelgrasswalk/sidecar/wiring.py
@@ -21,6 +21,7 @@
 from ..controllers import relay
 from ..controllers import roster as roster_keeper
 from ..controllers import rules
+from ..controllers import target_probe
 from ..filters import admit
 from ..filters import deliveries
 from ..filters import forward
@@ -403,6 +404,7 @@
             target_lifecycle.TargetLifecycle(),
             control_plane.roster,
             target_gate,
+            _build_probe(control_plane, pool),
             clock=time.monotonic,
         ),
         reaper=reaper.Reaper(
@@ -434,6 +436,22 @@
     )
 
 
+def _build_probe(
+    control_plane: ControlPlane, pool: http_client.TargetPool
+) -> target_probe.TargetProbe:
+    config = control_plane.config
+    get_table = control_plane.rules.get_table
+
+    def get_path() -> str:
+        table = get_table()
+        service = None if table is None else table.services.get(config.service)
+        return '' if service is None else service.health_path
+
+    return target_probe.TargetProbe(
+        config.target, pool, control_plane.platform.dialect, get_path=get_path
+    )
+
+
 def _build_admitter(
     control_plane: ControlPlane,
 ) -> admit.Admitter[slot_queue.SlotQueue]:
--- a/src/eelgrasswalk/standins/app.py
+++ b/src/eelgrasswalk/standins/app.py
@@ -11,6 +11,7 @@
 from ..transport import message
 
 CHECK_IN_TIMEOUT_S = 1.0
+HEALTH_PATH = '/health'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -124,6 +125,7 @@
         self.port = 0
         self.born_ms = 1_700_000_000_000
         self._sequence = 0
+        self._is_leaving = False
         self._server = self._build_server()
         self._ending: asyncio.Task[None] | None = None
 
@@ -169,10 +171,12 @@
             deadly_paths=self.behaviour.deadly_paths,
         )
         self._sequence = 0
+        self._is_leaving = False
 
     async def check_in(self, control_port: int, state: str = 'ready') -> bool:
         """Tell the node of a state, and return whether it acknowledged."""
         self._sequence += 1
+        self._is_leaving |= state == 'draining'
         fields = {
             'service': self.service,
             'address': f'127.0.0.1:{self.port}',
@@ -186,6 +190,7 @@
 
     async def depart(self, control_port: int) -> bool:
         """Tell the node that it leaves."""
+        self._is_leaving = True
         return await self._call(control_port, 'deregister', {})
 
     async def _call(
@@ -221,6 +226,8 @@
 
     async def handle(self, request: message.Request) -> verdict.Response:
         """Answer one request."""
+        if request.target == HEALTH_PATH:
+            return self._report_health()
         headers = dict(request.headers)
         expected = headers.get(b'target-instance', b'').decode()
         was_run = expected == self.target_id and not self.behaviour.shed
@@ -267,6 +274,14 @@
             b'answer to ' + request_id,
         )
 
+    def _report_health(self) -> verdict.Response:
+        is_leaving = self._is_leaving or self.behaviour.leaving
+        return verdict.Response(
+            503 if is_leaving else 200,
+            ((b'instance-id', self.target_id.encode()),),
+            b'',
+        )
+
 
 async def _end(server: http_server.HttpServer) -> None:
     for connection in list(server.connections):
--- a/src/eelgrasswalk/standins/deployment.py
+++ b/src/eelgrasswalk/standins/deployment.py
@@ -47,7 +47,12 @@
         'tenants': [tenant],
         'listeners': [{'hostname': HOST, 'rule_set': rules}],
         'clusters': [
-            {'name': service, 'max_connections': 100} for service in services
+            {
+                'name': service,
+                'max_connections': 100,
+                'health_path': '/health',
+            }
+            for service in services
         ],
     }
     return json.dumps(config).encode()
--- a/tests/controllers/test_check_ins.py
+++ b/tests/controllers/test_check_ins.py
@@ -48,10 +48,23 @@
         self.told.append('leave')
 
 
+class Probe:
+    """Answers as the test wants, and keeps what was asked."""
+
+    def __init__(self) -> None:
+        self.is_healthy = True
+        self.asked: list[str] = []
+
+    async def is_serving(self, target_id: str) -> bool:
+        self.asked.append(target_id)
+        return self.is_healthy
+
+
 class CheckInKeeperTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.form = Form()
         self.gate = Gate()
+        self.probe = Probe()
         self.store = fake_store.FakeStore()
         self.roster = roster_keeper.RosterKeeper(
             test_roster.OWN,
@@ -64,15 +77,19 @@
             target_lifecycle.TargetLifecycle(),
             self.roster,
             self.gate,
+            self.probe,
             clock=lambda: 0.0,
         )
+        self.addAsyncCleanup(self.keeper.stop)
 
     async def say(
         self, said: ports.CheckIn | ports.Departure | ports.Unreadable
     ) -> int:
         self.form.said = said
         request = message.Request('POST', '/', (), b'')
-        return (await self.keeper.handle(request)).status
+        status = (await self.keeper.handle(request)).status
+        await fake_store.settle()
+        return status
 
     async def test_target_that_arrives_gets_calls(self) -> None:
         self.assertEqual(200, await self.say(BEAT))
@@ -149,14 +166,47 @@
         self.assertEqual(400, status)
         self.assertEqual([], self.gate.told)
 
-    async def test_what_an_earlier_process_knew_is_restored(self) -> None:
+    def restore(self, state: roster.TargetState) -> None:
         known: dict[str, typing.Any] = {'target_id': 'i-1', 'slots': 8}
-        ready = dataclasses.replace(
-            test_roster.OWN, state=roster.TargetState.READY, **known
+        self.keeper.restore(
+            dataclasses.replace(
+                test_roster.OWN, state=state, born_ms=1000, **known
+            )
         )
-        self.keeper.restore(ready)
+
+    async def test_known_target_gets_calls_once_it_says_that_it_is_healthy(
+        self,
+    ) -> None:
+        self.restore(roster.TargetState.READY)
+        self.assertEqual([], self.gate.told)
+        await fake_store.settle()
+        self.assertEqual(['i-1'], self.probe.asked)
+        self.assertEqual(['i-1'], self.gate.told)
+
+    async def test_departure_before_a_restart_is_not_forgotten(self) -> None:
+        """The row is older than the departure that was acknowledged."""
+        self.probe.is_healthy = False
+        self.restore(roster.TargetState.READY)
+        await self.say(dataclasses.replace(BEAT, sequence=7))
+        self.assertEqual([], self.gate.told)
+        self.assertFalse(self.roster.own.is_usable)
+
+    async def test_second_check_in_confirms_a_target_without_health(
+        self,
+    ) -> None:
+        self.probe.is_healthy = False
+        self.restore(roster.TargetState.READY)
+        for sequence in (7, 8):
+            await self.say(dataclasses.replace(BEAT, sequence=sequence))
         self.assertEqual(['i-1'], self.gate.told)
 
+    async def test_busy_target_is_asked_again_a_few_times(self) -> None:
+        self.probe.is_healthy = False
+        with unittest.mock.patch.object(check_ins, 'PROBE_PAUSE_S', 0.0):
+            self.restore(roster.TargetState.READY)
+            await fake_store.settle()
+        self.assertEqual(['i-1'] * check_ins.MAX_PROBES, self.probe.asked)
+
     async def test_drain_that_an_earlier_process_acknowledged_holds(
         self,
     ) -> None:
--- /dev/null
+++ b/tests/controllers/test_target_probe.py
@@ -0,0 +1,63 @@
+"""Tests of asking the target whether it serves."""
+
+import typing
+import unittest
+
+from eelgrasswalk import address
+from eelgrasswalk import verdict
+from eelgrasswalk.controllers import target_probe
+from eelgrasswalk.platform import dialect
+from eelgrasswalk.transport import http_client
+from eelgrasswalk.transport import http_server
+from eelgrasswalk.transport import message
+
+HEALTHY = verdict.Response(200, ((b'instance-id', b'i-1'),), b'')
+
+
+class TargetProbeTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.answer = HEALTHY
+        self.paths: list[str] = []
+        self.path = '/health'
+        server = http_server.HttpServer(
+            self.handle, limits=http_server.Limits()
+        )
+        host, port = await server.start('127.0.0.1', 0)
+        self.addAsyncCleanup(server.stop)
+        pool = http_client.TargetPool(host, port, connections=1)
+        self.addAsyncCleanup(pool.close)
+        self.probe = target_probe.TargetProbe(
+            address.Address(host, port),
+            pool,
+            dialect.PlatformDialect(),
+            get_path=lambda: self.path,
+        )
+
+    async def handle(self, request: message.Request) -> verdict.Response:
+        self.paths.append(request.target)
+        return self.answer
+
+    async def ask(self, *answer: typing.Any) -> bool:
+        if answer:
+            self.answer = verdict.Response(*answer)
+        return await self.probe.is_serving('i-1')
+
+    async def test_healthy_target_serves(self) -> None:
+        self.assertTrue(await self.ask())
+        self.assertEqual(['/health'], self.paths)
+
+    async def test_target_that_leaves_does_not(self) -> None:
+        self.assertFalse(await self.ask(503, ((b'instance-id', b'i-1'),), b''))
+
+    async def test_healthy_target_that_is_leaving_does_not(self) -> None:
+        headers = ((b'instance-id', b'i-1'), (b'server-leaving', b'1'))
+        self.assertFalse(await self.ask(200, headers, b''))
+
+    async def test_other_target_at_the_address_does_not(self) -> None:
+        self.assertFalse(await self.ask(200, ((b'instance-id', b'i-2'),), b''))
+        self.assertFalse(await self.ask(200, (), b''))
+
+    async def test_target_without_a_path_is_not_asked(self) -> None:
+        self.path = ''
+        self.assertFalse(await self.ask())
+        self.assertEqual([], self.paths)
