Count the time of an old limit from the change, not from the next call

Cause: DelayedReductions noticed a reduction when the limit was next looked up, and counted the 3 s of the old limit from there.

Ruled out: a late configuration (line 3001 at both nodes over 9 s before the late calls), two owners or a silent one (275 lines name the same owner and the new rate).

Fix: each node compares the limits of all accounts when a version comes into force. Each replaced limit has its own time, which an increase between neither cuts nor renews. Buckets and requests of removed accounts are dropped, buckets of owners one window later.

--- a/src/eelgrasswalk/controllers/account_quota.py
+++ b/src/eelgrasswalk/controllers/account_quota.py
@@ -134,6 +134,28 @@
             self._clock(),
         )
 
+    def change_rules(self, table: call_rules.RuleTable) -> None:
+        """Begin with the limits of a new version of the rules."""
+        now = self._clock()
+        accounts = table.accounts
+        self._lower.change_limits(
+            {
+                account.name: account_rates.RateLimit(
+                    account.rate, account.burst
+                )
+                for account in accounts.values()
+                if account.rate > 0.0
+            },
+            now,
+        )
+        self._owned.keep_only(accounts, now, unused_s=self.slack.window_s)
+        self._fallback.keep_only(accounts)
+        for name in self._owners.keys() - accounts.keys():
+            del self._owners[name]
+        for name, requests in list(self._requests.items()):
+            if name not in accounts and not requests.waiting:
+                del self._requests[name]
+
     async def admit(
         self, account: call_rules.AccountRule, importance: int
     ) -> quota.Refused | None:
--- a/src/eelgrasswalk/policy/account_rates.py
+++ b/src/eelgrasswalk/policy/account_rates.py
@@ -64,6 +64,10 @@
     rate: float
     burst: float
 
+    def exceeds(self, other: 'RateLimit') -> bool:
+        """Return whether another limit allows less at some time."""
+        return self.rate > other.rate or self.burst > other.burst
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _PreviousLimit:
@@ -76,7 +80,9 @@
 
     An operator may set a limit far below an account's current traffic. The
     account is entitled to its previous limit until the new configuration
-    version must be in force on all nodes.
+    version must be in force on all nodes. That time begins with the new
+    version, not with the account's next call: an account that has been quiet
+    since the change, or that another node owned, has no claim left.
 
     Args:
         grace_s: Seconds for which the previous limit stays in force.
@@ -85,36 +91,47 @@
     def __init__(self, grace_s: float) -> None:
         self._grace_s = grace_s
         self._newest: dict[str, RateLimit] = {}
-        self._previous: dict[str, _PreviousLimit] = {}
+        self._previous: dict[str, list[_PreviousLimit]] = {}
+
+    def change_limits(
+        self, limits: collections.abc.Mapping[str, RateLimit], now: float
+    ) -> None:
+        """Begin with the limits of a new configuration version.
+
+        Args:
+            limits: Limits of all accounts that have one, by name.
+            now: When the version came into force on this node, in seconds.
+        """
+        known, self._newest = self._newest, dict(limits)
+        previous, self._previous = self._previous, {}
+        for account, limit in limits.items():
+            kept = [
+                item
+                for item in previous.get(account, ())
+                if now < item.valid_until and item.limit.exceeds(limit)
+            ]
+            replaced = known.get(account)
+            if replaced is not None and replaced.exceeds(limit):
+                valid_until = now + self._grace_s
+                kept.append(_PreviousLimit(replaced, valid_until))
+            if kept:
+                self._previous[account] = kept
 
     def find_limit(
-        self, account: str, new: RateLimit, now: float
+        self, account: str, newest: RateLimit, now: float
     ) -> RateLimit:
         """Return the limit in force.
 
         Args:
             account: Name of the account.
-            new: Its limit in the newest configuration version.
+            newest: Its limit in the newest configuration version.
             now: Current time, in seconds.
         """
-        newest = self._newest.get(account)
-        if newest is None or newest == new:
-            self._newest[account] = new
-        elif new.rate < newest.rate or new.burst < newest.burst:
-            self._previous[account] = _PreviousLimit(
-                newest, now + self._grace_s
-            )
-            self._newest[account] = new
-        else:
-            self._previous.pop(account, None)
-            self._newest[account] = new
-        previous = self._previous.get(account)
-        if previous is None:
-            return new
-        if now < previous.valid_until:
-            return previous.limit
-        del self._previous[account]
-        return new
+        for previous in self._previous.get(account, ()):
+            # The oldest is the first to end.
+            if now < previous.valid_until:
+                return previous.limit
+        return newest
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -190,6 +207,25 @@
             self._buckets[account] = bucket
         return bucket.take(wanted, now, rate=rate, depth=max(1.0, burst))
 
+    def keep_only(
+        self,
+        accounts: collections.abc.Container[str],
+        now: float,
+        *,
+        unused_s: float,
+    ) -> None:
+        """Drop the buckets of removed accounts.
+
+        Args:
+            accounts: Names of the accounts that there are.
+            now: Current time, in seconds.
+            unused_s: A bucket is kept for so long after its last use. An
+                account that returns sooner would get its burst twice.
+        """
+        for account, bucket in list(self._buckets.items()):
+            if account not in accounts and now - bucket.used_at > unused_s:
+                del self._buckets[account]
+
     def change_owners(
         self, is_owned: typing.Callable[[str], bool], now: float
     ) -> None:
@@ -268,6 +304,12 @@
             depth=depth,
         )
 
+    def keep_only(self, accounts: collections.abc.Container[str]) -> None:
+        """Drop the buckets of accounts that were removed."""
+        for account in list(self._buckets):
+            if account not in accounts:
+                del self._buckets[account]
+
     def reset(self, account: str) -> None:
         """Drop an account's bucket, so that the next one starts anew."""
         self._buckets.pop(account, None)
--- a/src/eelgrasswalk/policy/token_bucket.py
+++ b/src/eelgrasswalk/policy/token_bucket.py
@@ -65,6 +65,11 @@
         ]
         self._refused = decaying_rate.DecayingRate(DECAY_S)
 
+    @property
+    def used_at(self) -> float:
+        """When it was used last, in seconds."""
+        return self._filled_at
+
     def take(
         self,
         wanted: collections.abc.Sequence[int],
--- a/src/eelgrasswalk/sidecar/node.py
+++ b/src/eelgrasswalk/sidecar/node.py
@@ -280,8 +280,11 @@
             request_timeout_s=limits.header_timeout_s,
             idle_timeout_s=limits.idle_timeout_s,
         )
+        if self.call_path is None:
+            return
+        self.call_path.quotas.change_rules(table)
         service = table.services.get(self.config.service)
-        if self.call_path is not None and service is not None:
+        if service is not None:
             self.call_path.pool.connections = max(1, service.connections)
 
     @property
--- a/tests/controllers/test_account_quota.py
+++ b/tests/controllers/test_account_quota.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import random
 import unittest
 import unittest.mock
@@ -80,10 +81,21 @@
 
         return send
 
-    async def count_admitted(self, node_id: str, calls: int) -> int:
+    def change_rules(self, account: call_rules.AccountRule) -> None:
+        """Put a version with one account in force on all nodes."""
+        rules = dataclasses.replace(TABLE.rules, accounts=(account,))
+        for node in self.nodes.values():
+            node.change_rules(call_rules.RuleTable(rules))
+
+    async def count_admitted(
+        self,
+        node_id: str,
+        calls: int,
+        account: call_rules.AccountRule = LAKE,
+    ) -> int:
         """Return how many of so many calls at once are admitted."""
         outcomes = await asyncio.gather(
-            *(self.nodes[node_id].admit(LAKE, 0) for _ in range(calls))
+            *(self.nodes[node_id].admit(account, 0) for _ in range(calls))
         )
         return outcomes.count(None)
 
@@ -111,6 +123,26 @@
         )
         self.assertEqual(int(first), admitted)
 
+    async def test_lower_limit_of_a_quiet_account_is_in_force(self) -> None:
+        """Its old limit ends a while after the change, without a call."""
+        lower = dataclasses.replace(LAKE, rate=5.0, burst=5.0)
+        self.mesh.change_rules(LAKE)
+        self.mesh.now += 10.0
+        await self.mesh.count_admitted(self.mesh.owner, 1)
+        self.mesh.change_rules(lower)
+        self.mesh.now += 12.0
+        admitted = await self.mesh.count_admitted(self.mesh.owner, 50, lower)
+        self.assertEqual(5, admitted)
+
+    async def test_old_limit_holds_for_a_while_after_the_change(self) -> None:
+        lower = dataclasses.replace(LAKE, rate=5.0, burst=5.0)
+        self.mesh.change_rules(LAKE)
+        self.mesh.now += 10.0
+        self.mesh.change_rules(lower)
+        self.mesh.now += 1.0
+        admitted = await self.mesh.count_admitted(self.mesh.owner, 60, lower)
+        self.assertEqual(50, admitted)
+
     async def test_refusal_says_when_to_come_back(self) -> None:
         other = self.mesh.others[0]
         while await self.mesh.count_admitted(other, 1):
--- a/tests/policy/test_account_rates.py
+++ b/tests/policy/test_account_rates.py
@@ -88,6 +88,27 @@
         )
         self.assertEqual(50, grant.tokens)
 
+    def test_account_that_returns_soon_does_not_get_its_burst_twice(
+        self,
+    ) -> None:
+        owned = account_rates.OwnedAccounts(0.0)
+        owned.grant('lake', [50], 10.0, rate=10.0, burst=50.0, slack=SLACK)
+        owned.keep_only(frozenset(), 11.0, unused_s=SLACK.window_s)
+        grant = owned.grant(
+            'lake', [50], 12.0, rate=10.0, burst=50.0, slack=SLACK
+        )
+        self.assertEqual(20, grant.tokens)
+
+    def test_bucket_of_a_removed_account_is_dropped(self) -> None:
+        owned = account_rates.OwnedAccounts(0.0)
+        owned.grant('lake', [50], 10.0, rate=1.0, burst=50.0, slack=SLACK)
+        owned.keep_only(frozenset(), 15.1, unused_s=SLACK.window_s)
+        owned.change_owners(lambda account: True, 15.1)
+        grant = owned.grant(
+            'lake', [1], 15.1, rate=1.0, burst=0.5, slack=SLACK
+        )
+        self.assertEqual(0, grant.tokens)
+
     def test_refusal_carries_the_wait_for_the_next_token(self) -> None:
         owned = account_rates.OwnedAccounts(0.0)
         initial = account_rates.compute_initial_tokens(
@@ -132,32 +153,77 @@
         self.reductions = account_rates.DelayedReductions(1.5)
         self.old = account_rates.RateLimit(90.0, 90.0)
         self.new = account_rates.RateLimit(30.0, 30.0)
-        self.reductions.find_limit('lake', self.old, 0.0)
+        self.change(self.old, 0.0)
+
+    def change(
+        self, limit: account_rates.RateLimit | None, now: float
+    ) -> None:
+        self.newest = limit
+        limits = {} if limit is None else {'lake': limit}
+        self.reductions.change_limits(limits, now)
 
-    def find(
-        self, limit: account_rates.RateLimit, now: float
-    ) -> account_rates.RateLimit:
-        return self.reductions.find_limit('lake', limit, now)
+    def find(self, now: float) -> account_rates.RateLimit:
+        assert self.newest is not None
+        return self.reductions.find_limit('lake', self.newest, now)
 
     def test_reduction_applies_after_the_grace_period(self) -> None:
-        self.assertEqual(self.old, self.find(self.new, 10.0))
-        self.assertEqual(self.old, self.find(self.new, 11.4))
-        self.assertEqual(self.new, self.find(self.new, 11.5))
-        self.assertEqual(self.new, self.find(self.new, 11.6))
+        self.change(self.new, 10.0)
+        self.assertEqual(self.old, self.find(10.0))
+        self.assertEqual(self.old, self.find(11.4))
+        self.assertEqual(self.new, self.find(11.5))
+        self.assertEqual(self.new, self.find(11.6))
 
     def test_increase_applies_at_once(self) -> None:
         higher = account_rates.RateLimit(100.0, 100.0)
-        self.assertEqual(higher, self.find(higher, 10.0))
+        self.change(higher, 10.0)
+        self.assertEqual(higher, self.find(10.0))
 
     def test_reduction_reverted_within_the_grace_period(self) -> None:
-        self.find(self.new, 10.0)
-        self.assertEqual(self.old, self.find(self.old, 10.5))
-        self.assertEqual(self.old, self.find(self.old, 20.0))
+        self.change(self.new, 10.0)
+        self.change(self.old, 10.5)
+        self.assertEqual(self.old, self.find(10.5))
+        self.assertEqual(self.old, self.find(20.0))
 
     def test_limit_of_a_new_account_applies_at_once(self) -> None:
         found = self.reductions.find_limit('creek', self.new, 0.0)
         self.assertEqual(self.new, found)
 
+    def test_old_limit_of_a_quiet_account_ends_before_its_next_call(
+        self,
+    ) -> None:
+        """The grace period begins with the change, not with a look at it."""
+        self.change(self.new, 10.0)
+        self.assertEqual(self.new, self.find(22.0))
+
+    def test_other_changes_do_not_renew_the_grace_period(self) -> None:
+        self.change(self.new, 10.0)
+        self.change(self.new, 11.0)
+        self.assertEqual(self.old, self.find(11.4))
+        self.assertEqual(self.new, self.find(11.5))
+
+    def test_each_of_two_reductions_has_its_own_grace_period(self) -> None:
+        lowest = account_rates.RateLimit(5.0, 5.0)
+        self.change(self.new, 10.0)
+        self.change(lowest, 11.0)
+        self.assertEqual(self.old, self.find(11.4))
+        self.assertEqual(self.new, self.find(11.5))
+        self.assertEqual(lowest, self.find(12.5))
+
+    def test_increase_between_does_not_cut_the_grace_period(self) -> None:
+        between = account_rates.RateLimit(60.0, 60.0)
+        self.change(self.new, 10.0)
+        self.change(between, 11.0)
+        self.assertEqual(self.old, self.find(11.4))
+        self.assertEqual(between, self.find(11.5))
+        self.change(self.new, 30.0)
+        self.assertEqual(between, self.find(31.4))
+        self.assertEqual(self.new, self.find(31.5))
+
+    def test_account_that_returns_has_its_new_limit(self) -> None:
+        self.change(None, 10.0)
+        self.change(self.new, 20.0)
+        self.assertEqual(self.new, self.find(20.0))
+
 
 class FallbackTest(unittest.TestCase):
     def test_unreachable_owner_leaves_only_the_slack(self) -> None:
