Hold bodies in one buffer, and free them as soon as they are given up

What was seen (the report of bytes without end): with two nodes of 300 MB, 24 calls to targets that send a body until the caller closes took both nodes from 35 MB to 420 MB, and 24 more to 804, 24 more to 1188. The memory was never given back. A platform that enforces its limit would have ended the processes, and with them the calls of other clients.

Cause: what is reserved is not what is held. - The parts of an answer that was given up stayed with its connection, which its parser refers to and it to the parser: only the garbage collector frees them, which runs every 50,000 allocations. Ruled out: the answers' way to the other node (every call ends with 502 at the target's node) and sockets (the same target in heads, fields, interim answers, extensions and trailers: no growth).

Fix: BodyBuffer, for answers of targets and the store, health checks and requests of clients: one buffer that counts every byte while it arrives, and is dropped when the exchange ends. Bodies between nodes use one buffer as well. The store's answers have a budget of their own, 32 MB; check-ins and questions to the node are at most 64 KiB. Short answers are taken also when the budget is used up, as before.

--- a/src/eelgrasswalk/platform/rows.py
+++ b/src/eelgrasswalk/platform/rows.py
@@ -10,6 +10,7 @@
 
 from .. import ports
 from .. import verdict
+from ..transport import budget
 from ..transport import http_client
 from ..transport import message
 from . import names
@@ -19,6 +20,9 @@
 # A feed may answer this much later than it was asked to.
 FEED_SLACK_S = 1.0
 MAX_ANSWER_BYTES = 16_777_216
+# Bytes of answers that are held at a time, apart from the bodies of calls: an
+# endless answer of a target must not keep the node from its rules.
+MAX_HELD_BYTES = 2 * MAX_ANSWER_BYTES
 _MS_PER_S = 1000.0
 _NUMBER_BITS = 44
 # No row has it.
@@ -56,7 +60,10 @@
         self._host = (b'host', f'{host}:{port}'.encode('ascii'))
         self._era = 0
         self._pool = http_client.TargetPool(
-            host, port, connections=connections
+            host,
+            port,
+            connections=connections,
+            bodies=budget.ByteBudget(MAX_HELD_BYTES),
         )
 
     async def close(self) -> None:
--- a/src/eelgrasswalk/sidecar/node.py
+++ b/src/eelgrasswalk/sidecar/node.py
@@ -18,6 +18,8 @@
 from . import wiring
 
 MAX_HEADERS = 256
+# Check-ins, questions of the platform and of operators are short.
+_CONTROL_LIMITS = http_server.Limits(body_bytes=65_536)
 # The platform probes readiness every second and takes a host out of rotation
 # after two failures; it sends calls until then.
 READINESS_PROPAGATION_S = 3.0
@@ -102,13 +104,13 @@
             bodies=self._control_plane.bodies,
         )
         self._readiness = http_server.HttpServer(
-            self._handle_readiness, limits=http_server.Limits()
+            self._handle_readiness, limits=_CONTROL_LIMITS
         )
         self._check_ins = http_server.HttpServer(
-            self._handle_check_in, limits=http_server.Limits()
+            self._handle_check_in, limits=_CONTROL_LIMITS
         )
         self._admin = http_server.HttpServer(
-            self._handle_admin, limits=http_server.Limits()
+            self._handle_admin, limits=_CONTROL_LIMITS
         )
         self._listeners = (
             (self._readiness, config.readiness),
--- a/src/eelgrasswalk/transport/bodies.py
+++ b/src/eelgrasswalk/transport/bodies.py
@@ -116,8 +116,7 @@
 @dataclasses.dataclass(slots=True)
 class _Incoming:
     item: Carrier
-    chunks: list[bytes]
-    received: int
+    body: bytearray
     hasher: typing.Any
     reserved: int = 0
     granted: int = 0
@@ -159,7 +158,7 @@
         if item.body_length > self._memory.limit:
             self._turn_away(item)
             return
-        incoming = _Incoming(item, [body], len(body), xxhash.xxh3_64(body))
+        incoming = _Incoming(item, bytearray(body), xxhash.xxh3_64(body))
         self._bodies[item.attempt] = incoming
         incoming.waiter = asyncio.get_running_loop().create_task(
             self._reserve(incoming)
@@ -179,10 +178,9 @@
         if length > incoming.granted:
             raise BadBodyError('a part goes beyond its credit')
         incoming.granted -= length
-        incoming.received += length
-        incoming.chunks.append(item.payload)
+        incoming.body += item.payload
         incoming.hasher.update(item.payload)
-        if incoming.received < incoming.item.body_length:
+        if len(incoming.body) < incoming.item.body_length:
             self._grant(incoming)
             return
         del self._bodies[item.attempt]
@@ -212,7 +210,8 @@
 
     def _grant(self, incoming: _Incoming) -> None:
         outstanding = incoming.granted
-        missing = incoming.item.body_length - incoming.received - outstanding
+        received = len(incoming.body)
+        missing = incoming.item.body_length - received - outstanding
         length = min(WINDOW_BYTES - outstanding, missing)
         if length > 0 and outstanding <= WINDOW_BYTES // 2:
             incoming.granted += length
@@ -222,7 +221,7 @@
         if incoming.hasher.intdigest() != incoming.item.digest:
             self._memory.release(incoming.reserved)
             raise BadBodyError('the digest of a body is wrong')
-        item = _replace_body(incoming.item, b''.join(incoming.chunks))
+        item = _replace_body(incoming.item, bytes(incoming.body))
         holder = (
             item.request if isinstance(item, frames.Call) else item.response
         )
--- a/src/eelgrasswalk/transport/budget.py
+++ b/src/eelgrasswalk/transport/budget.py
@@ -7,7 +7,8 @@
 # Calls are refused from this share on, which leaves the rest to bodies of
 # calls that already run.
 ADMIT_SHARE = 0.5
-# Bodies up to this length are not counted; the number of calls bounds them.
+# Bodies up to this length count only while they arrive; after that, the number
+# of calls bounds them.
 UNCOUNTED_BYTES = 65_536
 
 
@@ -34,13 +35,25 @@
         """Tell whether a new call may start; its own body is held already."""
         return not self._waiters and self.used <= self.limit * ADMIT_SHARE
 
-    def try_reserve(self, length: int) -> bool:
-        """Reserve bytes if they are free and nobody waits for them."""
-        if self._waiters or self.used + length > self.limit:
+    def try_reserve(self, length: int, *, is_short: bool = False) -> bool:
+        """Reserve bytes if they are free.
+
+        Args:
+            length: Number of bytes.
+            is_short: Whether the whole body is short; others give way to
+                those that wait.
+        """
+        if self._waiters and not is_short:
+            return False
+        if self.used + length > self.limit:
             return False
         self.used += length
         return True
 
+    def reserve_anyway(self, length: int) -> None:
+        """Reserve bytes, beyond the limit if they are not free."""
+        self.used += length
+
     async def reserve(self, length: int) -> None:
         """Reserve bytes, first come first served.
 
--- a/src/eelgrasswalk/transport/client_connection.py
+++ b/src/eelgrasswalk/transport/client_connection.py
@@ -10,6 +10,7 @@
 import httptools
 
 from .. import verdict
+from . import body_buffer
 from . import budget
 from . import message
 
@@ -93,8 +94,11 @@
         on_lost: typing.Callable[[], None],
         bodies: budget.ByteBudget | None,
     ) -> None:
-        self._bodies = bodies
-        self._reserved = 0
+        # A call that has run is worth its short answer; the number of calls
+        # bounds these.
+        self._body = body_buffer.BodyBuffer(
+            bodies, guaranteed=budget.UNCOUNTED_BYTES
+        )
         self.usable = True
         self.idle_until = 0.0
         self.max_idle_s = MAX_IDLE_S
@@ -176,7 +180,7 @@
             if timer is not None:
                 timer.cancel()
             self._waiter = None
-            self._release_reserved()
+            self._body.drop()
 
     def _expire(self) -> None:
         self._fail('no answer by the deadline', verdict.Reason.DEADLINE)
@@ -193,7 +197,6 @@
         self._waiter = self._loop.create_future()
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
         self._body_length = 0
         self._received = 0
         self._dropped = 0
@@ -235,39 +238,14 @@
                 verdict.Reason.ANSWER_TOO_LARGE,
             )
             return
-        if not self._reserve():
+        if not self._body.append(body):
             self._fail('the node holds too many bodies', verdict.Reason.MEMORY)
-            return
-        self._body.append(body)
-
-    def _reserve(self) -> bool:
-        """Reserve what the body needs beyond what is reserved already."""
-        missing = self._body_length - self._reserved
-        if self._bodies is None or missing <= 0:
-            return True
-        if self._body_length <= budget.UNCOUNTED_BYTES:
-            return True
-        length = max(missing, budget.UNCOUNTED_BYTES)
-        if not self._bodies.try_reserve(length):
-            return False
-        self._reserved += length
-        return True
-
-    def _release_reserved(self) -> None:
-        if self._bodies is not None and self._reserved:
-            self._bodies.release(self._reserved)
-        self._reserved = 0
 
     def _build_answer(self, headers: Headers) -> verdict.Response:
-        answer = verdict.Response(
-            status=self._parser.get_status_code(),
-            headers=headers,
-            body=b''.join(self._body),
+        status = self._parser.get_status_code()
+        return self._body.take(
+            lambda body: verdict.Response(status, headers, body)
         )
-        if self._bodies is not None and self._reserved:
-            self._bodies.hold(answer, self._reserved)
-            self._reserved = 0
-        return answer
 
     def on_message_complete(self) -> None:
         if self._parser.get_status_code() < 200:
@@ -309,7 +287,7 @@
             self._fail('the target answered another request')
             return
         self._headers.clear()
-        self._body.clear()
+        self._body.drop()
         self._body_length = 0
         self._received = 0
         self._headers_done = False
@@ -321,6 +299,7 @@
     ) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(Broken(reason, detail))
+        self._body.drop()
         self.close()
 
     def _judge_loss(self, exc: Exception | None) -> Outcome:
--- a/src/eelgrasswalk/transport/server_connection.py
+++ b/src/eelgrasswalk/transport/server_connection.py
@@ -9,6 +9,7 @@
 import httptools
 
 from .. import verdict
+from . import body_buffer
 from . import budget
 from . import message
 from . import problem
@@ -93,7 +94,7 @@
         self._closing = False
         self._received = 0
         self._in_headers = True
-        self._reserved = 0
+        self._body = body_buffer.BodyBuffer(server.bodies)
         self._writable: asyncio.Future[None] | None = None
         self._linger: asyncio.TimerHandle | None = None
         self._reset_request()
@@ -101,7 +102,7 @@
     def _reset_request(self) -> None:
         self._target = b''
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        self._body.drop()
         self._body_length = 0
 
     # asyncio.Protocol
@@ -115,7 +116,7 @@
         self._transport = None
         self._waiting.clear()
         self._server.connections.discard(self)
-        self._release_reserved()
+        self._body.drop()
         self.resume_writing()
         if self._linger is not None:
             self._linger.cancel()
@@ -197,39 +198,18 @@
             raise _Rejected(
                 problem.describe_body_too_large(self._server.limits.body_bytes)
             )
-        self._reserve()
-        self._body.append(body)
-
-    def _reserve(self) -> None:
-        """Reserve what the body needs beyond what is reserved already."""
-        bodies = self._server.bodies
-        missing = self._body_length - self._reserved
-        if bodies is None or missing <= 0:
-            return
-        if self._body_length <= budget.UNCOUNTED_BYTES:
-            return
-        length = max(missing, budget.UNCOUNTED_BYTES)
-        if not bodies.try_reserve(length):
+        if not self._body.append(body):
             raise _Rejected(problem.describe_memory_full())
-        self._reserved += length
-
-    def _release_reserved(self) -> None:
-        if self._server.bodies is not None and self._reserved:
-            self._server.bodies.release(self._reserved)
-        self._reserved = 0
 
     def _build_request(self) -> message.Request:
-        request = message.Request(
-            method=self._parser.get_method().decode('ascii'),
-            target=self._target.decode('latin-1'),
-            headers=tuple(self._headers),
-            body=b''.join(self._body),
+        return self._body.take(
+            lambda body: message.Request(
+                method=self._parser.get_method().decode('ascii'),
+                target=self._target.decode('latin-1'),
+                headers=tuple(self._headers),
+                body=body,
+            )
         )
-        self._body.clear()
-        if self._server.bodies is not None and self._reserved:
-            self._server.bodies.hold(request, self._reserved)
-            self._reserved = 0
-        return request
 
     def on_message_complete(self) -> None:
         self._receiving = False
@@ -339,8 +319,7 @@
         if self._transport is None:
             return
         self._receiving = False
-        self._release_reserved()
-        self._body.clear()
+        self._body.drop()
         self._write_answer(answer, head=False, keep=False)
         self._transport.write_eof()
         self._received = 0
--- /dev/null
+++ b/tests/integration/test_endless_answers.py
@@ -0,0 +1,74 @@
+"""A target sends bytes that are no answer, without end.
+
+The memory of the nodes stays within its limit, and other calls are served.
+"""
+
+import asyncio
+import json
+import typing
+import unittest.mock
+
+from eelgrasswalk import verdict
+from tests.integration import floods
+from tests.integration import sidecars
+
+MEMORY_MB = 300
+# Endless answers at a time, and how often they come.
+FLOODS = 6
+ROUNDS = 6
+
+
+class EndlessAnswersTest(sidecars.SidecarTestCase):
+    services = ('front', 'back')
+
+    async def asyncSetUp(self) -> None:
+        with unittest.mock.patch.object(
+            sidecars.app, 'AppStandin', floods.FloodStandin
+        ):
+            await super().asyncSetUp()
+        for node in self.nodes:
+            fields = json.loads(node.settings.read_text())
+            fields['limits'] = {'memory_mb': MEMORY_MB}
+            node.settings.write_text(json.dumps(fields))
+        await self.start_all()
+
+    def set_kind(self, kind: str) -> None:
+        for node in self.nodes:
+            target = typing.cast(floods.FloodStandin, node.app)
+            target.kind = kind
+
+    async def flood(self, count: int) -> list[int]:
+        """Call for so many endless answers; return the statuses."""
+        answers = await asyncio.gather(
+            *(
+                self.call(
+                    self.nodes[number % 2],
+                    f'/{self.services[number % 2]}/safe/flood/{number}',
+                )
+                for number in range(count)
+            )
+        )
+        return [_get_status(answer) for answer in answers]
+
+    def read_peak_mb(self) -> float:
+        return max(
+            floods.read_memory_mb(node.process.pid, ('VmHWM',))
+            for node in self.nodes
+            if node.process is not None
+        )
+
+    async def test_memory_stays_within_its_limit(self) -> None:
+        for kind in floods.KINDS:
+            with self.subTest(kind):
+                self.set_kind(kind)
+                for _ in range(ROUNDS if kind == 'chunks' else 1):
+                    statuses = await self.flood(FLOODS)
+                    self.assertNotIn(200, statuses)
+                    self.assertNotIn(0, statuses)
+                self.assertLess(self.read_peak_mb(), MEMORY_MB)
+                for node in self.nodes:
+                    self.assertTrue(await self.is_served(node, 'back'))
+
+
+def _get_status(answer: verdict.Response | None) -> int:
+    return 0 if answer is None else answer.status
--- a/tests/transport/test_endless_answers.py
+++ b/tests/transport/test_endless_answers.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import gc
 import itertools
+import tracemalloc
 import typing
 import unittest
 
@@ -14,6 +16,7 @@
 
 REQUEST = message.Request('GET', '/', ((b'id', b'mine'),), b'')
 MOST_ANSWER_BYTES = 200_000
+MEMORY_ANSWER_BYTES = 1_000_000
 # What fits the buffers of two sockets may be sent and never be read.
 SOCKET_BYTES = 16_000_000
 WAIT_S = 15.0
@@ -96,6 +99,68 @@
         server.close()
 
 
+class MemoryTest(unittest.IsolatedAsyncioTestCase):
+    """What is held is what is reserved, without the garbage collector."""
+
+    async def asyncSetUp(self) -> None:
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+
+    async def send(
+        self, first: bytes, again: bytes, *, repeats: int | None = None
+    ) -> http_client.Outcome:
+        """Send a request to a target that answers so, perhaps endlessly."""
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b'\r\n\r\n')
+            parts = itertools.repeat(again)
+            if repeats is not None:
+                parts = itertools.repeat(again, repeats)
+            await pour(writer, itertools.chain([first], parts))
+            if repeats is not None:
+                await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        pool = http_client.TargetPool('127.0.0.1', port, connections=1)
+        try:
+            async with asyncio.timeout(WAIT_S):
+                return await pool.send(
+                    REQUEST,
+                    max_answer_bytes=MEMORY_ANSWER_BYTES,
+                    deadline=asyncio.get_running_loop().time() + 1.0,
+                )
+        finally:
+            await pool.close()
+            server.close()
+
+    async def test_answers_that_were_given_up_are_free_at_once(self) -> None:
+        """A connection and its parser refer to each other."""
+        first, again = ANSWERS['body']
+        await self.send(first, again)
+        before, _ = tracemalloc.get_traced_memory()
+        for _ in range(4):
+            outcome = await self.send(first, again)
+            self.assertIsInstance(outcome, client_connection.Broken)
+        after, _ = tracemalloc.get_traced_memory()
+        self.assertLess(after - before, MEMORY_ANSWER_BYTES)
+
+    async def test_small_parts_take_no_objects_of_their_own(self) -> None:
+        """Each part as an object takes 40 bytes and more."""
+        tracemalloc.reset_peak()
+        before, _ = tracemalloc.get_traced_memory()
+        await self.send(CHUNKED, b'2\r\nxy\r\n' * 1000, repeats=300)
+        _, peak = tracemalloc.get_traced_memory()
+        # The buffer, what is read at a time, and what the target writes.
+        self.assertLess(peak - before, 4 * MEMORY_ANSWER_BYTES)
+
+
 class EndlessRequestTest(unittest.IsolatedAsyncioTestCase):
     async def test_request_without_end_is_refused(self) -> None:
         server = http_server.HttpServer(
