Handle bodies in small parts in turns, and give up those with too many

What was seen: beside eight endless answers in chunks of one byte, calls of other clients waited up to 4.15 s and one of 100 got 503 (trial on, two nodes); the nodes used 5.8 s of processor time in 10 s. A client that sends so has the same effect.

Cause: the sender chooses the sizes of the parts. Each chunk is a call from the parser, about a microsecond; 256 KiB that are read at once hold 43,000 of them, for each connection, before anything else has its turn.

Fix: bytes are fed to the parser in steps. Once 256 parts have been handled, the connection reads no more, and the rest is fed in turns of 256 parts, one connection at a time, with a millisecond for everything else between. What waits counts as memory. A body may have 65,536 small parts, and one for each 64 bytes beyond.

--- a/src/eelgrasswalk/transport/client_connection.py
+++ b/src/eelgrasswalk/transport/client_connection.py
@@ -13,6 +13,7 @@
 from . import body_buffer
 from . import budget
 from . import message
+from . import pacing
 
 MAX_ANSWER_HEADERS = 256
 # Bytes of an answer that are not its body: head, interim answers, extensions
@@ -81,6 +82,7 @@
         loop: The running loop.
         on_lost: Called once when it has ended.
         bodies: Budget for bodies of answers; None for no bound.
+        turns: Shared by connections whose answers come in small parts.
 
     Attributes:
         usable: Whether another exchange may follow.
@@ -93,7 +95,9 @@
         loop: asyncio.AbstractEventLoop,
         on_lost: typing.Callable[[], None],
         bodies: budget.ByteBudget | None,
+        turns: pacing.Turns,
     ) -> None:
+        self._paced = pacing.PacedFeed(turns, self._parse, bodies)
         # A call that has run is worth its short answer; the number of calls
         # bounds these.
         self._body = body_buffer.BodyBuffer(
@@ -125,13 +129,26 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.usable = False
+        if self._is_waiting:
+            self._paced.flush()
+        self._paced.drop()
         self._transport = None
         self._on_lost()
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(self._judge_loss(exc))
 
+    @property
+    def _is_waiting(self) -> bool:
+        return self._waiter is not None and not self._waiter.done()
+
     def data_received(self, data: bytes) -> None:
-        if self._waiter is None or self._waiter.done():
+        if self._transport is not None and not self._paced.receive(
+            data, self._transport
+        ):
+            self._fail('the node holds too many bodies', verdict.Reason.MEMORY)
+
+    def _parse(self, data: memoryview) -> None:
+        if not self._is_waiting:
             # Bytes outside an exchange belong to no request of ours.
             self.close()
             return
@@ -151,6 +168,8 @@
             self._received, self._body_length, head_bytes=MOST_FRAMING_BYTES
         ):
             self._fail('the target sent bytes without end')
+        elif message.has_excess_parts(self._parts, self._body_length):
+            self._fail('the target sent its answer in too many small parts')
 
     # Exchange
 
@@ -188,6 +207,7 @@
     def close(self) -> None:
         """Close at once."""
         self.usable = False
+        self._paced.drop()
         if self._transport is not None:
             self._transport.abort()
 
@@ -198,6 +218,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[tuple[bytes, bytes]] = []
         self._body_length = 0
+        self._parts = 0
         self._received = 0
         self._dropped = 0
         self._headers_done = False
@@ -214,6 +235,7 @@
             self.usable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        self._paced.parts += 1
         if self._headers_done:
             # A trailer; what it says came too late to be relied on.
             return
@@ -231,6 +253,8 @@
             self._complete()
 
     def on_body(self, body: bytes) -> None:
+        self._paced.parts += 1
+        self._parts += 1
         self._body_length += len(body)
         if self._body_length > self._limit:
             self._fail(
--- a/src/eelgrasswalk/transport/http_client.py
+++ b/src/eelgrasswalk/transport/http_client.py
@@ -9,6 +9,7 @@
 from . import budget
 from . import client_connection
 from . import message
+from . import pacing
 
 CONNECT_TIMEOUT_S = 2.0
 # A target that ends resets its connections one after the other.
@@ -42,6 +43,7 @@
     ) -> None:
         self.connections = connections
         self._bodies = bodies
+        self._turns = pacing.Turns()
         self.open_connections = 0
         self._connecting = 0
         self._host = host
@@ -155,7 +157,9 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: _Connection(loop, self._forget, self._bodies),
+                    lambda: _Connection(
+                        loop, self._forget, self._bodies, self._turns
+                    ),
                     self._host,
                     self._port,
                 )
--- a/src/eelgrasswalk/transport/http_server.py
+++ b/src/eelgrasswalk/transport/http_server.py
@@ -4,6 +4,7 @@
 
 from .. import verdict
 from . import budget
+from . import pacing
 from . import server_connection
 
 SWEEP_INTERVAL_S = 1.0
@@ -30,6 +31,7 @@
     ) -> None:
         self.handler = handler
         self.bodies = bodies
+        self.turns = pacing.Turns()
         self.limits = limits
         self.leaving = False
         self.draining = False
--- a/src/eelgrasswalk/transport/message.py
+++ b/src/eelgrasswalk/transport/message.py
@@ -16,6 +16,9 @@
 
 # Sizes of chunks, for each byte of a body; small chunks take a few.
 FRAMING_PER_BODY_BYTE = 8
+# Parts of a body that may be small, and the mean length of those beyond.
+MAX_SMALL_PARTS = 65_536
+MIN_PART_BYTES = 64
 
 HOP_BY_HOP = frozenset(
     {
@@ -68,6 +71,16 @@
     return received - body_length > allowed
 
 
+def has_excess_parts(parts: int, body_length: int) -> bool:
+    """Return whether a body consists of too many small parts.
+
+    Args:
+        parts: Its parts so far.
+        body_length: Its bytes so far.
+    """
+    return parts > MAX_SMALL_PARTS + body_length // MIN_PART_BYTES
+
+
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of a header, or None."""
     for key, value in headers:
--- a/src/eelgrasswalk/transport/server_connection.py
+++ b/src/eelgrasswalk/transport/server_connection.py
@@ -12,6 +12,7 @@
 from . import body_buffer
 from . import budget
 from . import message
+from . import pacing
 from . import problem
 
 MAX_HEADER_BYTES = 32_768
@@ -63,6 +64,7 @@
     handler: Handler
     limits: Limits
     bodies: budget.ByteBudget | None
+    turns: pacing.Turns
     leaving: bool
     draining: bool
     connections: set['ServerConnection']
@@ -95,6 +97,9 @@
         self._received = 0
         self._in_headers = True
         self._body = body_buffer.BodyBuffer(server.bodies)
+        self._paced = pacing.PacedFeed(
+            server.turns, self._parse, server.bodies
+        )
         self._writable: asyncio.Future[None] | None = None
         self._linger: asyncio.TimerHandle | None = None
         self._reset_request()
@@ -104,6 +109,7 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._body.drop()
         self._body_length = 0
+        self._parts = 0
 
     # asyncio.Protocol
 
@@ -117,6 +123,7 @@
         self._waiting.clear()
         self._server.connections.discard(self)
         self._body.drop()
+        self._paced.drop()
         self.resume_writing()
         if self._linger is not None:
             self._linger.cancel()
@@ -132,11 +139,17 @@
         self._writable = None
 
     def data_received(self, data: bytes) -> None:
+        self._last_activity = self._loop.time()
+        if self._transport is not None and not self._paced.receive(
+            data, self._transport
+        ):
+            self._reject(problem.describe_memory_full())
+
+    def _parse(self, data: memoryview) -> None:
         self._received += len(data)
         if self._closing:
             self._discard()
             return
-        self._last_activity = self._loop.time()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
@@ -163,6 +176,7 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        self._paced.parts += 1
         if not self._in_headers:
             # A trailer; what it says came too late to be relied on.
             return
@@ -193,6 +207,8 @@
             self._transport.write(_CONTINUE)
 
     def on_body(self, body: bytes) -> None:
+        self._paced.parts += 1
+        self._parts += 1
         self._body_length += len(body)
         if self._body_length > self._server.limits.body_bytes:
             raise _Rejected(
@@ -340,7 +356,7 @@
         # The head counts as well, up to its own limit.
         if message.has_excess_framing(
             self._received, self._body_length, head_bytes=2 * limit
-        ):
+        ) or message.has_excess_parts(self._parts, self._body_length):
             self._reject(
                 problem.describe_bad_request('the body has too much framing')
             )
--- a/tests/integration/test_endless_answers.py
+++ b/tests/integration/test_endless_answers.py
@@ -16,6 +16,7 @@
 # Endless answers at a time, and how often they come.
 FLOODS = 6
 ROUNDS = 6
+OTHER_DEADLINE_MS = 600
 
 
 class EndlessAnswersTest(sidecars.SidecarTestCase):
@@ -69,6 +70,22 @@
                 for node in self.nodes:
                     self.assertTrue(await self.is_served(node, 'back'))
 
+    async def test_other_calls_are_served_beside_single_bytes(self) -> None:
+        """A call of the parser for each byte took the node for seconds."""
+        self.set_kind('single bytes')
+        flooding = asyncio.create_task(self.flood(4 * FLOODS))
+        statuses = []
+        while not flooding.done() or len(statuses) < 20:
+            answer = await self.call(
+                self.nodes[len(statuses) % 2],
+                '/back/safe/',
+                deadline_ms=OTHER_DEADLINE_MS,
+            )
+            statuses.append(_get_status(answer))
+            await asyncio.sleep(0.02)
+        self.assertEqual({200}, set(statuses))
+        self.assertNotIn(200, await flooding)
+
 
 def _get_status(answer: verdict.Response | None) -> int:
     return 0 if answer is None else answer.status
--- a/tests/transport/test_endless_answers.py
+++ b/tests/transport/test_endless_answers.py
@@ -7,12 +7,14 @@
 import tracemalloc
 import typing
 import unittest
+import unittest.mock
 
 from eelgrasswalk import verdict
 from eelgrasswalk.transport import client_connection
 from eelgrasswalk.transport import http_client
 from eelgrasswalk.transport import http_server
 from eelgrasswalk.transport import message
+from eelgrasswalk.transport import pacing
 
 REQUEST = message.Request('GET', '/', ((b'id', b'mine'),), b'')
 MOST_ANSWER_BYTES = 200_000
@@ -46,6 +48,7 @@
     'header name': (b'GET / HTTP/1.1\r\nhost: h\r\n', FILLING),
     'header value': (b'GET / HTTP/1.1\r\nhost: h\r\na: ', FILLING),
     'body': (HEAD, b'2000\r\n' + FILLING + b'\r\n'),
+    'small chunks': (HEAD, b'1\r\nx\r\n' * 500),
     'chunk extension': (HEAD + b'1;', FILLING),
     'trailer': (HEAD + b'0\r\na: ', FILLING),
 }
@@ -123,7 +126,8 @@
                 parts = itertools.repeat(again, repeats)
             await pour(writer, itertools.chain([first], parts))
             if repeats is not None:
-                await reader.read()
+                with contextlib.suppress(ConnectionError):
+                    await reader.read()
             writer.close()
 
         server = await asyncio.start_server(serve, '127.0.0.1', 0)
@@ -161,6 +165,59 @@
         self.assertLess(peak - before, 4 * MEMORY_ANSWER_BYTES)
 
 
+class SmallPartsTest(unittest.IsolatedAsyncioTestCase):
+    """Single bytes must not keep the node from everything else."""
+
+    async def asyncSetUp(self) -> None:
+        self.parts = 0
+        server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        self.pool = http_client.TargetPool('127.0.0.1', port, connections=8)
+        self.addAsyncCleanup(self.pool.close)
+        on_body = client_connection.ClientConnection.on_body
+
+        def count(
+            connection: client_connection.ClientConnection, body: bytes
+        ) -> None:
+            self.parts += 1
+            on_body(connection, body)
+
+        self.enterContext(
+            unittest.mock.patch.object(
+                client_connection.ClientConnection, 'on_body', count
+            )
+        )
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        parts = itertools.repeat(b'1\r\nx\r\n' * 10_000)
+        await pour(writer, itertools.chain([CHUNKED], parts))
+        writer.close()
+
+    async def send(self) -> http_client.Outcome:
+        return await self.pool.send(
+            REQUEST, max_answer_bytes=MEMORY_ANSWER_BYTES
+        )
+
+    async def test_answer_in_too_many_small_parts_is_given_up(self) -> None:
+        outcome = await self.send()
+        self.assertIsInstance(outcome, client_connection.Broken)
+        self.assertLess(self.parts, 2 * message.MAX_SMALL_PARTS)
+
+    async def test_everything_else_has_its_turn_between(self) -> None:
+        sending = asyncio.gather(*(self.send() for _ in range(4)))
+        most = 0
+        while not sending.done():
+            before = self.parts
+            await asyncio.sleep(0)
+            most = max(most, self.parts - before)
+        # The first step of each connection is a large one.
+        self.assertLess(most, 4 * pacing.STEP_BYTES / len(b'1\r\nx\r\n') + 1)
+
+
 class EndlessRequestTest(unittest.IsolatedAsyncioTestCase):
     async def test_request_without_end_is_refused(self) -> None:
         server = http_server.HttpServer(
