Copy a message of a peer once, and hold little of strangers

Found while looking for kin of the endless answers: what does a byte cost, and what is held for it?

Cause: a message between nodes that arrives in small parts was copied as a whole with each part, up to 256 KiB for one byte, which is the square of its length in processor time. A connection could also have as much held for it before it proved the secret of the mesh, for two seconds, however many there are.

Fix: the reader looks at a message again once it can be whole, so that it is copied once; until the handshake is over, a message may have 4 KiB.

--- a/src/eelgrasswalk/transport/codec.py
+++ b/src/eelgrasswalk/transport/codec.py
@@ -52,10 +52,24 @@
 
 
 class FrameReader:
-    """Takes messages out of a stream of bytes."""
+    """Takes messages out of a stream of bytes.
 
-    def __init__(self) -> None:
+    The sender chooses how many bytes arrive at a time, so a message is only
+    looked at again once it can be whole.
+
+    Args:
+        max_message_bytes: Longest message that is taken.
+
+    Attributes:
+        max_message_bytes: As above; a change applies to the next message.
+    """
+
+    def __init__(
+        self, max_message_bytes: int = frames.MAX_MESSAGE_BYTES
+    ) -> None:
+        self.max_message_bytes = max_message_bytes
         self._held = bytearray()
+        self._needed = _LENGTH.size
 
     def feed(self, data: bytes) -> typing.Iterator[frames.Message]:
         """Return the messages that are whole now.
@@ -69,18 +83,22 @@
         """
         if self._held:
             self._held += data
+            if len(self._held) < self._needed:
+                return
             data = bytes(self._held)
             self._held.clear()
         start = 0
+        self._needed = _LENGTH.size
         while len(data) - start >= _LENGTH.size:
             (length,) = _LENGTH.unpack_from(data, start)
-            if length > frames.MAX_MESSAGE_BYTES:
+            if length > self.max_message_bytes:
                 raise DecodeError(
                     f'a message of {length} bytes is longer than '
-                    f'{frames.MAX_MESSAGE_BYTES}'
+                    f'{self.max_message_bytes}'
                 )
             end = start + _LENGTH.size + length
             if end > len(data):
+                self._needed = end - start
                 break
             item = decode_message(data[start + _LENGTH.size : end])
             start = end
--- a/src/eelgrasswalk/transport/link.py
+++ b/src/eelgrasswalk/transport/link.py
@@ -15,6 +15,8 @@
 from . import liveness
 
 HANDSHAKE_TIMEOUT_S = 2.0
+# Longest message before the other side has proved the mesh secret.
+MAX_HANDSHAKE_BYTES = 4_096
 WRITE_HIGH_WATER_BYTES = 131_072
 # A link that is silent this long with a call outstanding is probed, and
 # abandoned when the probe stays unanswered for as long again.
@@ -110,7 +112,7 @@
         self._paused = False
         self._outbox = bodies.Outbox(self.send, self._is_writable)
         self._inbox = bodies.Inbox(memory, self.send, self._deliver)
-        self._reader = codec.FrameReader()
+        self._reader = codec.FrameReader(MAX_HANDSHAKE_BYTES)
         # The peer has ended its side and reads no more.
         self._ended = False
 
@@ -299,6 +301,7 @@
 
     def _open(self) -> None:
         self.state = State.OPEN
+        self._reader.max_message_bytes = frames.MAX_MESSAGE_BYTES
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
--- a/tests/transport/test_codec.py
+++ b/tests/transport/test_codec.py
@@ -2,6 +2,7 @@
 
 import math
 import unittest
+import unittest.mock
 
 import hypothesis
 from hypothesis import strategies
@@ -161,6 +162,26 @@
                 found += reader.feed(data[start : start + length])
             self.assertEqual(list(MESSAGES), found)
 
+    def test_message_in_single_bytes_is_copied_once(self) -> None:
+        """Copied with each byte, a long one takes seconds."""
+        request = msgspec.structs.replace(CALL.request, body=b'x' * 10_000)
+        call = msgspec.structs.replace(
+            CALL, request=request, body_length=10_000
+        )
+        copied: list[int] = []
+
+        def copy(data: bytearray) -> bytes:
+            copied.append(len(data))
+            return memoryview(data).tobytes()
+
+        reader = codec.FrameReader()
+        received: list[frames.Message] = []
+        with unittest.mock.patch.object(codec, 'bytes', copy, create=True):
+            for byte in codec.encode_frame(call):
+                received += reader.feed(b'%c' % byte)
+        self.assertEqual([call], received)
+        self.assertLess(sum(copied), 3 * 10_000)
+
     def test_message_longer_than_allowed_is_refused_by_its_length(
         self,
     ) -> None:
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -1,6 +1,7 @@
 """Tests of links: bodies, doubt after a lost link, fencing, silence."""
 
 import asyncio
+import contextlib
 import secrets
 import unittest
 import unittest.mock
@@ -296,6 +297,15 @@
         self.assertIs(verdict.Reason.NO_UPSTREAM, reply.outcome.reason)
         self.assertEqual([], self.runner.runs)
 
+    async def test_stranger_cannot_send_long_messages(self) -> None:
+        """Nodes hold what a connection sends before it proves the secret."""
+        reader, writer = await asyncio.open_connection(*self.far_address)
+        self.addCleanup(writer.close)
+        writer.write(frames.MAX_MESSAGE_BYTES.to_bytes(4, 'big'))
+        async with asyncio.timeout(link.HANDSHAKE_TIMEOUT_S / 2):
+            with contextlib.suppress(ConnectionError):
+                await reader.read()
+
     async def test_planned_stop_leaves_no_doubt(self) -> None:
         self.runner.gate.clear()
         task = self.start_call(self.build_call())
