Name the target whose answer was given up, and write up endless answers

An operator could not tell from an id which target had sent too much: bounds of the framing were logged as answers that broke off, and no line or counter named the target. Line 4010 does, with the request and how much came, and eelgrasswalk_answers_given_up_total counts by target; 64 targets are kept.

Tests: test_request_leads_to_the_target_that_sent_too_much in tests.integration.test_endless_answers, test_request_log.

--- a/src/eelgrasswalk/events.py
+++ b/src/eelgrasswalk/events.py
@@ -191,6 +191,13 @@
 LEAVING_ACKNOWLEDGED = Event(
     4009, logging.INFO, 'departure of the target is acknowledged'
 )
+ANSWER_GIVEN_UP = Event(
+    4010,
+    logging.WARNING,
+    'answer of the target was given up: it is longer than the node takes',
+    'look at what the target sends; while its answers use up the memory for '
+    'bodies, calls are refused',
+)
 QUARANTINE_REJECTED = Event(
     3016,
     logging.WARNING,
--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -46,6 +46,10 @@
 _LOST_REASONS = frozenset(
     (verdict.Reason.TARGET_LOST, verdict.Reason.ANSWER_INCOMPLETE)
 )
+# The target has sent more than is taken from it.
+_EXCESS_REASONS = frozenset(
+    (verdict.Reason.ANSWER_TOO_LARGE, verdict.Reason.MEMORY)
+)
 BuildIsolation: typing.TypeAlias = typing.Callable[
     [deliveries.Deliveries], call_isolation.Isolation
 ]
@@ -337,6 +341,8 @@
             raise
         if isinstance(outcome, http_client.Broken):
             self._deliveries.abandon(call)
+            if outcome.reason in _EXCESS_REASONS:
+                self._report_given_up(call, outcome)
         else:
             self._deliveries.end(call)
         if isinstance(outcome, http_client.NotSent) and outcome.is_refusal:
@@ -346,6 +352,20 @@
             self._remember_refused(echo)
         return classified
 
+    def _report_given_up(
+        self, call: frames.Call, outcome: http_client.Broken
+    ) -> None:
+        """Name the target whose answer was too large, and the request."""
+        events.log(
+            events.ANSWER_GIVEN_UP,
+            target=self._target_id,
+            request=self._dialect.read_request_id(call.request.headers),
+            reason=outcome.reason.value,
+            detail=outcome.detail,
+            body_bytes=self._bodies.used,
+        )
+        self._log.count_given_up(self._target_id, outcome.reason)
+
     async def _has_crashed(
         self, outcome: http_client.Outcome, run_id: str
     ) -> bool:
--- a/src/eelgrasswalk/metrics_page.py
+++ b/src/eelgrasswalk/metrics_page.py
@@ -55,6 +55,15 @@
             )
             calls.add_metric(labels, count)
         yield calls
+        given_up = core.CounterMetricFamily(
+            'eelgrasswalk_answers_given_up',
+            'Answers that were longer than the node takes, by target',
+            labels=('target', 'reason'),
+        )
+        for target_id, counts in self._log.given_up.items():
+            for reason, count in counts.items():
+                given_up.add_metric((target_id, reason), count)
+        yield given_up
         latencies = core.HistogramMetricFamily(
             'eelgrasswalk_call_seconds',
             'Seconds from arrival to outcome, by hop',
--- a/src/eelgrasswalk/operations/explanation.py
+++ b/src/eelgrasswalk/operations/explanation.py
@@ -69,6 +69,9 @@
         'there'
     ),
     'answer-incomplete': 'the answer of the target did not arrive whole',
+    'answer-too-large': (
+        'the target sent more than the node takes, perhaps without end'
+    ),
     'caller-gone': 'the caller left before its answer',
     'memory': 'the node held as many bodies as its memory allows',
 }
--- a/src/eelgrasswalk/request_log.py
+++ b/src/eelgrasswalk/request_log.py
@@ -25,6 +25,10 @@
 )
 
 
+# Targets whose answers are counted; the oldest are forgotten.
+MAX_TARGETS = 64
+
+
 class CallKind(typing.NamedTuple):
     """What calls are counted by; hashed for each of them.
 
@@ -72,13 +76,31 @@
 
     Args:
         budget: Decides which lines are written.
+
+    Attributes:
+        calls: Calls by what they are counted by.
+        latencies: Latencies by hop.
+        given_up: Answers that were given up, by target and reason.
     """
 
     def __init__(self, budget: log_budget.LogBudget) -> None:
         self.calls: collections.Counter[CallKind] = collections.Counter()
         self.latencies: dict[str, Histogram] = {}
+        self.given_up: dict[str, collections.Counter[str]] = {}
         self._budget = budget
 
+    def count_given_up(self, target_id: str, reason: verdict.Reason) -> None:
+        """Count an answer that was too large.
+
+        Args:
+            target_id: Id of the target that sent it.
+            reason: Why it was given up.
+        """
+        counts = self.given_up.setdefault(target_id, collections.Counter())
+        counts[reason.value] += 1
+        if len(self.given_up) > MAX_TARGETS:
+            del self.given_up[next(iter(self.given_up))]
+
     def record(
         self,
         event: events.Event,
--- a/src/eelgrasswalk/transport/client_connection.py
+++ b/src/eelgrasswalk/transport/client_connection.py
@@ -167,9 +167,15 @@
         if message.has_excess_framing(
             self._received, self._body_length, head_bytes=MOST_FRAMING_BYTES
         ):
-            self._fail('the target sent bytes without end')
+            self._fail(
+                f'{self._received} bytes with a body of {self._body_length}',
+                verdict.Reason.ANSWER_TOO_LARGE,
+            )
         elif message.has_excess_parts(self._parts, self._body_length):
-            self._fail('the target sent its answer in too many small parts')
+            self._fail(
+                f'{self._body_length} bytes in {self._parts} parts',
+                verdict.Reason.ANSWER_TOO_LARGE,
+            )
 
     # Exchange
 
--- a/tests/integration/test_endless_answers.py
+++ b/tests/integration/test_endless_answers.py
@@ -70,6 +70,35 @@
                 for node in self.nodes:
                     self.assertTrue(await self.is_served(node, 'back'))
 
+    async def test_request_leads_to_the_target_that_sent_too_much(
+        self,
+    ) -> None:
+        node = self.nodes[1]
+        for kind in ('chunks', 'single bytes', 'extension', 'head'):
+            with self.subTest(kind):
+                self.set_kind(kind)
+                request_id = kind.replace(' ', '-')
+                await self.call(
+                    node, '/back/safe/flood/', request_id=request_id
+                )
+                lines = [
+                    line
+                    for line in node.read_log()
+                    if line.get('request') == request_id
+                ]
+                self.assertIn(4010, [line['event'] for line in lines])
+                for line in lines:
+                    if line['event'] == 4010:
+                        self.assertEqual(node.app.target_id, line['target'])
+                        self.assertEqual('answer-too-large', line['reason'])
+        page = await self.ask(node.ports[4], '/metrics')
+        assert page is not None
+        self.assertIn(
+            'eelgrasswalk_answers_given_up_total{reason="answer-too-large",'
+            f'target="{node.app.target_id}"}}',
+            page.body.decode(),
+        )
+
     async def test_other_calls_are_served_beside_single_bytes(self) -> None:
         """A call of the parser for each byte took the node for seconds."""
         self.set_kind('single bytes')
--- a/tests/test_request_log.py
+++ b/tests/test_request_log.py
@@ -82,6 +82,15 @@
         self.assertLess(len(self.stream.lines), 100)
         self.assertEqual(2000, sum(self.log.calls.values()))
 
+    def test_targets_whose_answers_were_given_up_are_bounded(self) -> None:
+        for number in range(request_log.MAX_TARGETS + 1):
+            for _ in range(2):
+                self.log.count_given_up(
+                    f'i-{number}', verdict.Reason.ANSWER_TOO_LARGE
+                )
+        self.assertEqual(request_log.MAX_TARGETS, len(self.log.given_up))
+        self.assertEqual({'answer-too-large': 2}, self.log.given_up['i-64'])
+
     def test_line_that_is_not_written_costs_no_description(self) -> None:
         described: list[int] = []
 
