--- a/src/eelgrasswalk/controllers/check_ins.py
+++ b/src/eelgrasswalk/controllers/check_ins.py
@@ -156,6 +156,7 @@
             if report is None or not run_id:
                 return
             if await self._probe.is_serving(report.target_id):
+                # Another run may have begun meanwhile; it is asked next.
                 change = self._life.confirm(run_id)
                 self._handle_change(change, Source.HEALTH_CHECK)
             await asyncio.sleep(PROBE_PAUSE_S)
--- a/src/eelgrasswalk/transport/budget.py
+++ b/src/eelgrasswalk/transport/budget.py
@@ -40,8 +40,11 @@
 
         Args:
             length: Number of bytes.
-            is_short: Whether the whole body is short; others give way to
+            is_short: Whether the whole body is short; longer ones give way to
                 those that wait.
+
+        Returns:
+            Whether they were free.
         """
         if self._waiters and not is_short:
             return False
@@ -51,7 +54,11 @@
         return True
 
     def reserve_anyway(self, length: int) -> None:
-        """Reserve bytes, beyond the limit if they are not free."""
+        """Reserve bytes, beyond the limit if they are not free.
+
+        Args:
+            length: Number of bytes.
+        """
         self.used += length
 
     async def reserve(self, length: int) -> None:
