--- a/src/eelgrasswalk/sidecar/node.py
+++ b/src/eelgrasswalk/sidecar/node.py
@@ -19,7 +19,7 @@
 
 MAX_HEADERS = 256
 # Check-ins, questions of the platform and of operators are short.
-_CONTROL_LIMITS = http_server.Limits(body_bytes=65_536)
+_CONTROL_LIMITS = http_server.Limits(body_bytes=262_144)
 # The platform probes readiness every second and takes a host out of rotation
 # after two failures; it sends calls until then.
 READINESS_PROPAGATION_S = 3.0
