Let targets of the soak depart beside outages of the store and kills

Targets deregister and serve on, mostly while the store is silent or comes back from a copy, and their node is killed and started again. An acknowledged departure excuses nothing.

--- a/src/eelgrasswalk/bench/soak.py
+++ b/src/eelgrasswalk/bench/soak.py
@@ -236,13 +236,44 @@
             )
         elif fault.kind == 'deadly':
             await self._send_deadly(fault)
+        elif fault.kind == 'departure':
+            await self._depart(node, fault)
         elif fault.kind == 'reload':
             node.signal(signal.SIGHUP)
         elif fault.kind in ('stop', 'kill', 'freeze'):
             await self._disturb(node, fault)
-        elif not node.app.behaviour.leaving:
+        elif not node.app.is_leaving:
             await self._change_target(node.app, fault)
 
+    async def _depart(
+        self, node: soak_fleet.Node, fault: soak_faults.Fault
+    ) -> None:
+        """Let a target deregister beside other faults, and serve on."""
+        target = node.app
+        if target.is_leaving or target.is_down:
+            return
+        target_id = target.target_id
+        async with asyncio.TaskGroup() as group:
+            if fault.figure < soak_faults.STORE_FAILS_BELOW:
+                kind = 'store-silent'
+                if fault.figure < soak_faults.STORE_FAILS_BELOW / 2:
+                    kind = 'store-restored'
+                outage = dataclasses.replace(
+                    fault, kind=kind, duration_s=fault.duration_s / 2.0
+                )
+                group.create_task(self._fail_store(outage))
+                await asyncio.sleep(0.1)
+            if await target.depart(node.ports[2]):
+                self.record.departures.append(
+                    soak_checks.Span(target_id, time.monotonic())
+                )
+            if fault.figure < soak_faults.NODE_ENDS_BELOW:
+                end = dataclasses.replace(fault, kind='kill')
+                group.create_task(self._disturb(node, end))
+            await asyncio.sleep(soak_checks.DRAIN_S + fault.duration_s)
+        if target.target_id == target_id and not target.is_down:
+            target.restart(soak_fleet.build_next_id(target_id))
+
     async def _disturb(
         self, node: soak_fleet.Node, fault: soak_faults.Fault
     ) -> None:
@@ -350,6 +381,7 @@
     faults += soak_faults.draw_deadly_requests(
         seed, nodes=nodes, seconds=seconds
     )
+    faults += soak_faults.draw_departures(seed, nodes=nodes, seconds=seconds)
     faults.sort(key=lambda fault: fault.at)
     fleet = soak_fleet.Fleet(folder, nodes=nodes)
     try:
--- a/src/eelgrasswalk/bench/soak_checks.py
+++ b/src/eelgrasswalk/bench/soak_checks.py
@@ -110,6 +110,8 @@
         node_faults: Restarts and freezes of nodes.
         store_faults: Outages and restores of the store.
         crashes: Crashes of targets, by the path that caused them.
+        departures: Targets that deregistered; the start is the
+            acknowledgement.
     """
 
     calls: list[Call] = dataclasses.field(default_factory=list)
@@ -119,6 +121,7 @@
     node_faults: list[Span] = dataclasses.field(default_factory=list)
     store_faults: list[Span] = dataclasses.field(default_factory=list)
     crashes: list[Span] = dataclasses.field(default_factory=list)
+    departures: list[Span] = dataclasses.field(default_factory=list)
 
 
 def check_all(record: Record) -> list[Violation]:
@@ -128,6 +131,7 @@
         *check_runs(record),
         *check_limits(record),
         *check_leaving(record),
+        *check_departures(record),
         *check_routes(record),
         *check_deadly(record),
     ]
@@ -208,6 +212,20 @@
     return found
 
 
+def check_departures(record: Record) -> list[Violation]:
+    """Check that a target that has deregistered gets no late call.
+
+    An acknowledgement binds whatever else happens to the node and the store.
+    """
+    acknowledged = {span.subject: span.start for span in record.departures}
+    return [
+        Violation('drain', f'{run.request_id} reached {run.target_id}')
+        for run in record.runs
+        if run.at
+        > acknowledged.get(run.target_id, math.inf) + DRAIN_S + CLOCK_SLACK_S
+    ]
+
+
 def check_routes(record: Record) -> list[Violation]:
     """Check that added routes are served in time and stay."""
     found = []
--- a/src/eelgrasswalk/bench/soak_faults.py
+++ b/src/eelgrasswalk/bench/soak_faults.py
@@ -74,6 +74,36 @@
     ]
 
 
+# Departures of a soak. What else happens depends on the figure: beside most of
+# them the store fails and the node is killed.
+MAX_DEPARTURES = 2
+STORE_FAILS_BELOW = 0.8
+NODE_ENDS_BELOW = 0.9
+
+
+def draw_departures(seed: int, *, nodes: int, seconds: float) -> list[Fault]:
+    """Return when targets deregister and serve on.
+
+    They are drawn apart, so that a seed keeps the faults that it had.
+
+    Args:
+        seed: Seed of the draw.
+        nodes: Number of nodes.
+        seconds: Length of the soak.
+    """
+    source = random.Random(f'departures {seed}')
+    return [
+        Fault(
+            at=source.uniform(0.5, ACTIVE_SHARE * seconds),
+            kind='departure',
+            node=source.randrange(nodes),
+            duration_s=source.uniform(2.0, 6.0),
+            figure=source.random(),
+        )
+        for _ in range(source.randint(1, MAX_DEPARTURES))
+    ]
+
+
 def draw_faults(
     seed: int, *, nodes: int, seconds: float, per_s: float
 ) -> list[Fault]:
--- a/src/eelgrasswalk/bench/soak_fleet.py
+++ b/src/eelgrasswalk/bench/soak_fleet.py
@@ -170,9 +170,9 @@
             await asyncio.sleep(CHECK_IN_INTERVAL_S)
 
     async def _check_in_one(self, node: Node) -> None:
-        # A target that leaves says so in its answers alone: its check-ins
-        # are late.
-        if not (node.app.behaviour.leaving or node.app.is_down):
+        # A target that leaves says so in its answers, or departs; it says no
+        # more that it is ready.
+        if not (node.app.is_leaving or node.app.is_down):
             await node.app.check_in(node.ports[2])
 
     async def revive_targets(self) -> None:
--- a/src/eelgrasswalk/standins/app.py
+++ b/src/eelgrasswalk/standins/app.py
@@ -215,6 +215,11 @@
             and outcome.response.status == 200
         )
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether this run has said that it leaves, in whatever way."""
+        return self._is_leaving or self.behaviour.leaving
+
     def _render_notice(self) -> tuple[tuple[bytes, bytes], ...]:
         notice: list[tuple[bytes, bytes]] = []
         if self.behaviour.calls_per_s is not None:
@@ -275,9 +280,8 @@
         )
 
     def _report_health(self) -> verdict.Response:
-        is_leaving = self._is_leaving or self.behaviour.leaving
         return verdict.Response(
-            503 if is_leaving else 200,
+            503 if self.is_leaving else 200,
             ((b'instance-id', self.target_id.encode()),),
             b'',
         )
--- a/tests/bench/test_soak_checks.py
+++ b/tests/bench/test_soak_checks.py
@@ -59,6 +59,16 @@
         self.record.runs.append(build_run())
         self.assertEqual(['refused'], self.list_promises())
 
+    def test_late_call_to_a_target_that_has_departed(self) -> None:
+        """Nothing excuses it, not even a restart of its node."""
+        self.record.departures.append(soak_checks.Span('i-1', 1.0))
+        self.record.node_faults.append(soak_checks.Span('0', 1.0, 9.0))
+        self.record.calls.append(build_call())
+        self.record.runs.append(build_run(at=3.4))
+        self.assertEqual([], self.list_promises())
+        self.record.runs.append(build_run(at=3.6))
+        self.assertEqual(['drain'], self.list_promises())
+
     def fill_limit(self) -> None:
         self.record.limits.append(soak_checks.Span('i-1', 0.0, 20.0, 2.0))
         self.record.calls.append(build_call(at=0.1, calls_per_s=2.0))
