Ask an unconfirmed target sooner again

Eight of 26 starts took 0.27 s until their target was ready: the first health check came before the configuration that names its path, and the next 0.25 s later.

The first pause is 0.03 s and doubles, six checks in all.

--- a/src/eelgrasswalk/controllers/check_ins.py
+++ b/src/eelgrasswalk/controllers/check_ins.py
@@ -16,10 +16,11 @@
 # Other nodes stop to send calls once the store has a drain, so it is given
 # this long to take it; check-ins have to be acknowledged within a second.
 ACK_WAIT_S = 0.6
-# Pause between two health checks of a target that is not confirmed yet, and
-# their number until its next check-in: a busy target may turn one away.
-PROBE_PAUSE_S = 0.25
-MAX_PROBES = 4
+# Pause after the first health check of a target that is not confirmed yet; the
+# path may be known a moment later. It doubles, as a busy target may turn some
+# away, and ends with the target's next check-in.
+FIRST_PROBE_PAUSE_S = 0.03
+MAX_PROBES = 6
 
 
 class Source(enum.Enum):
@@ -150,6 +151,7 @@
 
     async def _confirm(self) -> None:
         """Probe the target until it is confirmed."""
+        pause_s = FIRST_PROBE_PAUSE_S
         for _ in range(MAX_PROBES):
             report = self._life.report
             run_id = self._life.unconfirmed_run
@@ -159,7 +161,8 @@
                 # Another run may have begun meanwhile; it is asked next.
                 change = self._life.confirm(run_id)
                 self._handle_change(change, Source.HEALTH_CHECK)
-            await asyncio.sleep(PROBE_PAUSE_S)
+            await asyncio.sleep(pause_s)
+            pause_s *= 2
 
     def _apply(self, source: Source) -> None:
         report = self._life.report
--- a/tests/controllers/test_check_ins.py
+++ b/tests/controllers/test_check_ins.py
@@ -202,7 +202,7 @@
 
     async def test_busy_target_is_asked_again_a_few_times(self) -> None:
         self.probe.is_healthy = False
-        with unittest.mock.patch.object(check_ins, 'PROBE_PAUSE_S', 0.0):
+        with unittest.mock.patch.object(check_ins, 'FIRST_PROBE_PAUSE_S', 0.0):
             self.restore(roster.TargetState.READY)
             await fake_store.settle()
         self.assertEqual(['i-1'] * check_ins.MAX_PROBES, self.probe.asked)
