--- a/src/eelgrasswalk/bench/soak_faults.py
+++ b/src/eelgrasswalk/bench/soak_faults.py
@@ -61,22 +61,21 @@
         nodes: Number of nodes.
         seconds: Length of the soak.
     """
-    source = random.Random(f'deadly {seed}')
-    return [
-        Fault(
-            at=source.uniform(0.5, ACTIVE_SHARE * seconds),
-            kind='deadly',
-            node=source.randrange(nodes),
-            duration_s=source.uniform(MIN_DEADLY_S, MAX_DEADLY_S),
-            figure=source.random(),
-        )
-        for _ in range(source.randint(1, MAX_DEADLY))
-    ]
+    return _draw_apart(
+        'deadly',
+        seed,
+        most=MAX_DEADLY,
+        duration_s=(MIN_DEADLY_S, MAX_DEADLY_S),
+        nodes=nodes,
+        seconds=seconds,
+    )
 
 
 # Departures of a soak. What else happens depends on the figure: beside most of
 # them the store fails and the node is killed.
 MAX_DEPARTURES = 2
+MIN_DEPARTURE_S = 2.0
+MAX_DEPARTURE_S = 6.0
 STORE_FAILS_BELOW = 0.8
 NODE_ENDS_BELOW = 0.9
 
@@ -91,16 +90,36 @@
         nodes: Number of nodes.
         seconds: Length of the soak.
     """
-    source = random.Random(f'departures {seed}')
+    return _draw_apart(
+        'departure',
+        seed,
+        most=MAX_DEPARTURES,
+        duration_s=(MIN_DEPARTURE_S, MAX_DEPARTURE_S),
+        nodes=nodes,
+        seconds=seconds,
+    )
+
+
+def _draw_apart(
+    kind: str,
+    seed: int,
+    *,
+    most: int,
+    duration_s: tuple[float, float],
+    nodes: int,
+    seconds: float,
+) -> list[Fault]:
+    """Return at least one fault of a kind, from a draw of its own."""
+    source = random.Random(f'{kind} {seed}')
     return [
         Fault(
             at=source.uniform(0.5, ACTIVE_SHARE * seconds),
-            kind='departure',
+            kind=kind,
             node=source.randrange(nodes),
-            duration_s=source.uniform(2.0, 6.0),
+            duration_s=source.uniform(*duration_s),
             figure=source.random(),
         )
-        for _ in range(source.randint(1, MAX_DEPARTURES))
+        for _ in range(source.randint(1, most))
     ]
 
 
