Serve health checks, ends of exchanges and checks of excess by one piece each

- TargetPool.ask sends what TargetWatch and TargetProbe each sent themselves.
- ClientConnection settles its exchange in one place; four places had the check.
- message.describe_excess is the one check of what goes on without its body, for answers and requests, in place of two that were always called together.
- BodyBuffer.take dropped the buffer twice.
- Tests: one get_status in place of three, floods without options that nothing used.

--- a/src/eelgrasswalk/bench/soak.py
+++ b/src/eelgrasswalk/bench/soak.py
@@ -378,10 +378,7 @@
     faults = soak_faults.draw_faults(
         seed, nodes=nodes, seconds=seconds, per_s=faults_per_s
     )
-    faults += soak_faults.draw_deadly_requests(
-        seed, nodes=nodes, seconds=seconds
-    )
-    faults += soak_faults.draw_departures(seed, nodes=nodes, seconds=seconds)
+    faults += soak_faults.draw_apart(seed, nodes=nodes, seconds=seconds)
     faults.sort(key=lambda fault: fault.at)
     fleet = soak_fleet.Fleet(folder, nodes=nodes)
     try:
--- a/src/eelgrasswalk/bench/soak_checks.py
+++ b/src/eelgrasswalk/bench/soak_checks.py
@@ -215,7 +215,7 @@
 def check_departures(record: Record) -> list[Violation]:
     """Check that a target that has deregistered gets no late call.
 
-    An acknowledgement binds whatever else happens to the node and the store.
+    Neither a restart of its node nor an outage of the store excuses one.
     """
     acknowledged = {span.subject: span.start for span in record.departures}
     return [
--- a/src/eelgrasswalk/bench/soak_faults.py
+++ b/src/eelgrasswalk/bench/soak_faults.py
@@ -43,84 +43,39 @@
     figure: float
 
 
-# Deadly requests of a soak, and how long each one comes.
-MAX_DEADLY = 2
-MIN_DEADLY_S = 5.0
-MAX_DEADLY_S = 10.0
-
-
-def draw_deadly_requests(
-    seed: int, *, nodes: int, seconds: float
-) -> list[Fault]:
-    """Return when a client begins to send a request that crashes targets.
-
-    They are drawn apart, so that a seed keeps the faults that it had.
-
-    Args:
-        seed: Seed of the draw.
-        nodes: Number of nodes.
-        seconds: Length of the soak.
-    """
-    return _draw_apart(
-        'deadly',
-        seed,
-        most=MAX_DEADLY,
-        duration_s=(MIN_DEADLY_S, MAX_DEADLY_S),
-        nodes=nodes,
-        seconds=seconds,
-    )
-
-
-# Departures of a soak. What else happens depends on the figure: beside most of
+# Most faults of kinds that are drawn apart, and the bounds of their durations.
+_APART = (('deadly', 2, (5.0, 10.0)), ('departure', 2, (2.0, 6.0)))
+# What else happens beside a departure depends on its figure: beside most of
 # them the store fails and the node is killed.
-MAX_DEPARTURES = 2
-MIN_DEPARTURE_S = 2.0
-MAX_DEPARTURE_S = 6.0
 STORE_FAILS_BELOW = 0.8
 NODE_ENDS_BELOW = 0.9
 
 
-def draw_departures(seed: int, *, nodes: int, seconds: float) -> list[Fault]:
-    """Return when targets deregister and serve on.
+def draw_apart(seed: int, *, nodes: int, seconds: float) -> list[Fault]:
+    """Return requests that crash targets, and targets that deregister.
 
-    They are drawn apart, so that a seed keeps the faults that it had.
+    Each kind has a draw of its own, so that a seed keeps the faults that it
+    had before the kind was added.
 
     Args:
         seed: Seed of the draw.
         nodes: Number of nodes.
         seconds: Length of the soak.
     """
-    return _draw_apart(
-        'departure',
-        seed,
-        most=MAX_DEPARTURES,
-        duration_s=(MIN_DEPARTURE_S, MAX_DEPARTURE_S),
-        nodes=nodes,
-        seconds=seconds,
-    )
-
-
-def _draw_apart(
-    kind: str,
-    seed: int,
-    *,
-    most: int,
-    duration_s: tuple[float, float],
-    nodes: int,
-    seconds: float,
-) -> list[Fault]:
-    """Return at least one fault of a kind, from a draw of its own."""
-    source = random.Random(f'{kind} {seed}')
-    return [
-        Fault(
-            at=source.uniform(0.5, ACTIVE_SHARE * seconds),
-            kind=kind,
-            node=source.randrange(nodes),
-            duration_s=source.uniform(*duration_s),
-            figure=source.random(),
-        )
-        for _ in range(source.randint(1, most))
-    ]
+    found = []
+    for kind, most, duration_s in _APART:
+        source = random.Random(f'{kind} {seed}')
+        found += [
+            Fault(
+                at=source.uniform(0.5, ACTIVE_SHARE * seconds),
+                kind=kind,
+                node=source.randrange(nodes),
+                duration_s=source.uniform(*duration_s),
+                figure=source.random(),
+            )
+            for _ in range(source.randint(1, most))
+        ]
+    return found
 
 
 def draw_faults(
--- a/src/eelgrasswalk/controllers/target_probe.py
+++ b/src/eelgrasswalk/controllers/target_probe.py
@@ -1,25 +1,19 @@
 """Asks the target beside the node whether it serves."""
 
-import asyncio
 import typing
 
-from .. import address
 from .. import ports
-from .. import verdict
 from ..transport import http_client
-from ..transport import message
 
 # A target that is not confirmed by then is asked again a little later.
 TIMEOUT_S = 0.5
-MAX_ANSWER_BYTES = 65_536
 
 
 class TargetProbe:
     """Sends health checks to the target.
 
     Args:
-        target: Address of the target.
-        pool: Connections to it.
+        pool: Connections to the target.
         dialect: Reads its answers.
         get_path: Returns the path of its health, or an empty text while that
             is not known.
@@ -27,13 +21,11 @@
 
     def __init__(
         self,
-        target: address.Address,
         pool: http_client.TargetPool,
         dialect: ports.Dialect,
         *,
         get_path: typing.Callable[[], str],
     ) -> None:
-        self._target = target
         self._pool = pool
         self._dialect = dialect
         self._get_path = get_path
@@ -47,7 +39,7 @@
         path = self._get_path()
         if not path:
             return False
-        answer = await self._ask(path)
+        answer = await self._pool.ask(path, timeout_s=TIMEOUT_S)
         if answer is None or answer.status != 200:
             return False
         notice = self._dialect.read_notice(answer)
@@ -56,18 +48,3 @@
             not is_leaving
             and self._dialect.read_target_id(answer) == target_id
         )
-
-    async def _ask(self, path: str) -> verdict.Response | None:
-        request = message.Request(
-            'GET', path, ((b'host', str(self._target).encode()),), b''
-        )
-        deadline = asyncio.get_running_loop().time() + TIMEOUT_S
-        try:
-            outcome = await self._pool.send(
-                request, max_answer_bytes=MAX_ANSWER_BYTES, deadline=deadline
-            )
-        except TimeoutError:
-            return None
-        if isinstance(outcome, http_client.Received):
-            return outcome.response
-        return None
--- a/src/eelgrasswalk/controllers/target_watch.py
+++ b/src/eelgrasswalk/controllers/target_watch.py
@@ -10,11 +10,9 @@
 from ..policy import admission
 from ..policy import health
 from ..transport import http_client
-from ..transport import message
 
 CHECK_INTERVAL_S = 0.5
 CHECK_TIMEOUT_S = 0.4
-MAX_ANSWER_BYTES = 65_536
 
 
 class Watched(typing.Protocol):
@@ -97,22 +95,10 @@
             self._policy.report_load(*report, self._clock())
 
     async def _get(self, path: str) -> bytes | None:
-        request = message.Request(
-            'GET', path, ((b'host', str(self._target.address).encode()),), b''
-        )
-        try:
-            async with asyncio.timeout(CHECK_TIMEOUT_S):
-                outcome = await self._pool.send(
-                    request, max_answer_bytes=MAX_ANSWER_BYTES
-                )
-        except TimeoutError:
+        answer = await self._pool.ask(path, timeout_s=CHECK_TIMEOUT_S)
+        if answer is None or answer.status != 200:
             return None
-        if (
-            isinstance(outcome, http_client.Received)
-            and outcome.response.status == 200
-        ):
-            return outcome.response.body
-        return None
+        return answer.body
 
 
 def parse_load(body: bytes) -> tuple[int, int] | None:
--- a/src/eelgrasswalk/sidecar/wiring.py
+++ b/src/eelgrasswalk/sidecar/wiring.py
@@ -448,7 +448,7 @@
         return '' if service is None else service.health_path
 
     return target_probe.TargetProbe(
-        config.target, pool, control_plane.platform.dialect, get_path=get_path
+        pool, control_plane.platform.dialect, get_path=get_path
     )
 
 
--- a/src/eelgrasswalk/transport/body_buffer.py
+++ b/src/eelgrasswalk/transport/body_buffer.py
@@ -62,14 +62,8 @@
                 lives. The memory of a long body stays reserved until then.
         """
         body = self._first or bytes(self._buffer)
-        self._first = b''
-        self._buffer = bytearray()
         holder = build(body)
-        if (
-            self._memory is not None
-            and self._reserved
-            and len(body) > budget.UNCOUNTED_BYTES
-        ):
+        if self._memory is not None and len(body) > budget.UNCOUNTED_BYTES:
             self._memory.hold(holder, self._reserved)
             self._reserved = 0
         self.drop()
--- a/src/eelgrasswalk/transport/client_connection.py
+++ b/src/eelgrasswalk/transport/client_connection.py
@@ -134,13 +134,18 @@
         self._paced.drop()
         self._transport = None
         self._on_lost()
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(self._judge_loss(exc))
+        if self._is_waiting:
+            self._settle(self._judge_loss(exc))
 
     @property
     def _is_waiting(self) -> bool:
         return self._waiter is not None and not self._waiter.done()
 
+    def _settle(self, outcome: Outcome) -> None:
+        """End the exchange, unless it has ended."""
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(outcome)
+
     def data_received(self, data: bytes) -> None:
         if self._transport is not None and not self._paced.receive(
             data, self._transport
@@ -163,19 +168,15 @@
             self._check_framing()
 
     def _check_framing(self) -> None:
-        """Give up an answer that goes on without its body."""
-        if message.has_excess_framing(
-            self._received, self._body_length, head_bytes=MOST_FRAMING_BYTES
-        ):
-            self._fail(
-                f'{self._received} bytes with a body of {self._body_length}',
-                verdict.Reason.ANSWER_TOO_LARGE,
-            )
-        elif message.has_excess_parts(self._parts, self._body_length):
-            self._fail(
-                f'{self._body_length} bytes in {self._parts} parts',
-                verdict.Reason.ANSWER_TOO_LARGE,
-            )
+        """Give up an answer with too much beside its body."""
+        excess = message.describe_excess(
+            self._received,
+            self._body_length,
+            parts=self._parts,
+            head_bytes=MOST_FRAMING_BYTES,
+        )
+        if excess:
+            self._fail(excess, verdict.Reason.ANSWER_TOO_LARGE)
 
     # Exchange
 
@@ -235,7 +236,7 @@
     # httptools callbacks
 
     def on_message_begin(self) -> None:
-        if self._waiter is None or self._waiter.done():
+        if not self._is_waiting:
             # What follows the answer may be cut anywhere; its rest would be
             # taken for the beginning of the next one.
             self.usable = False
@@ -286,14 +287,14 @@
         self._complete()
 
     def _complete(self) -> None:
-        if self._waiter is None or self._waiter.done():
+        if not self._is_waiting:
             return
         headers = tuple(self._headers)
         self._note_keep_alive(headers)
         if self._is_foreign(headers):
             self._drop_answer()
             return
-        self._waiter.set_result(Received(self._build_answer(headers)))
+        self._settle(Received(self._build_answer(headers)))
 
     def _note_keep_alive(self, headers: Headers) -> None:
         value = message.find_header(headers, b'keep-alive')
@@ -327,8 +328,7 @@
         detail: str,
         reason: verdict.Reason = verdict.Reason.ANSWER_INCOMPLETE,
     ) -> None:
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(Broken(reason, detail))
+        self._settle(Broken(reason, detail))
         self._body.drop()
         self.close()
 
--- a/src/eelgrasswalk/transport/http_client.py
+++ b/src/eelgrasswalk/transport/http_client.py
@@ -6,12 +6,15 @@
 import time
 import typing
 
+from .. import verdict
 from . import budget
 from . import client_connection
 from . import message
 from . import pacing
 
 CONNECT_TIMEOUT_S = 2.0
+# Longest answer to a question about the target itself.
+MAX_REPORT_BYTES = 65_536
 # A target that ends resets its connections one after the other.
 RESET_SPREAD_S = 0.002
 
@@ -94,6 +97,29 @@
             self._release(connection)
         return outcome
 
+    async def ask(
+        self, path: str, *, timeout_s: float
+    ) -> verdict.Response | None:
+        """Ask the target for its health, its load or the like.
+
+        Args:
+            path: The path to get.
+            timeout_s: Seconds in which the answer has to be there.
+
+        Returns:
+            The answer; None without a whole one in time.
+        """
+        host = f'{self._host}:{self._port}'.encode()
+        request = message.Request('GET', path, ((b'host', host),), b'')
+        deadline = asyncio.get_running_loop().time() + timeout_s
+        try:
+            outcome = await self.send(
+                request, max_answer_bytes=MAX_REPORT_BYTES, deadline=deadline
+            )
+        except TimeoutError:
+            return None
+        return outcome.response if isinstance(outcome, Received) else None
+
     async def is_refused(self) -> bool:
         """Return whether the target's host refuses connections.
 
--- a/src/eelgrasswalk/transport/message.py
+++ b/src/eelgrasswalk/transport/message.py
@@ -57,28 +57,23 @@
         return self.target.partition('?')[0]
 
 
-def has_excess_framing(
-    received: int, body_length: int, *, head_bytes: int
-) -> bool:
-    """Return whether a message goes on without its body.
+def describe_excess(
+    received: int, body_length: int, *, parts: int, head_bytes: int
+) -> str:
+    """Return what is too much of a message; empty if nothing is.
 
     Args:
         received: Bytes of it so far.
         body_length: Bytes of its body among them.
+        parts: Parts of its body so far.
         head_bytes: Bytes beside the body that it may have in any case.
     """
-    allowed = head_bytes + body_length * FRAMING_PER_BODY_BYTE
-    return received - body_length > allowed
-
-
-def has_excess_parts(parts: int, body_length: int) -> bool:
-    """Return whether a body consists of too many small parts.
-
-    Args:
-        parts: Its parts so far.
-        body_length: Its bytes so far.
-    """
-    return parts > MAX_SMALL_PARTS + body_length // MIN_PART_BYTES
+    framing = received - body_length
+    if framing > head_bytes + body_length * FRAMING_PER_BODY_BYTE:
+        return f'{received} bytes with a body of {body_length}'
+    if parts > MAX_SMALL_PARTS + body_length // MIN_PART_BYTES:
+        return f'{body_length} bytes in {parts} parts'
+    return ''
 
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
--- a/src/eelgrasswalk/transport/server_connection.py
+++ b/src/eelgrasswalk/transport/server_connection.py
@@ -347,16 +347,19 @@
             self.close()
 
     def _check_framing(self) -> None:
-        """Refuse a request that goes on without its body."""
+        """Refuse a request with too much beside its body."""
         limit = self._server.limits.header_bytes
         if self._in_headers:
             if self._received > limit:
                 self._reject(problem.describe_headers_too_large())
             return
         # The head counts as well, up to its own limit.
-        if message.has_excess_framing(
-            self._received, self._body_length, head_bytes=2 * limit
-        ) or message.has_excess_parts(self._parts, self._body_length):
+        if message.describe_excess(
+            self._received,
+            self._body_length,
+            parts=self._parts,
+            head_bytes=2 * limit,
+        ):
             self._reject(
                 problem.describe_bad_request('the body has too much framing')
             )
--- a/tests/controllers/test_target_probe.py
+++ b/tests/controllers/test_target_probe.py
@@ -3,7 +3,6 @@
 import typing
 import unittest
 
-from eelgrasswalk import address
 from eelgrasswalk import verdict
 from eelgrasswalk.controllers import target_probe
 from eelgrasswalk.platform import dialect
@@ -27,7 +26,6 @@
         pool = http_client.TargetPool(host, port, connections=1)
         self.addAsyncCleanup(pool.close)
         self.probe = target_probe.TargetProbe(
-            address.Address(host, port),
             pool,
             dialect.PlatformDialect(),
             get_path=lambda: self.path,
--- a/tests/integration/floods.py
+++ b/tests/integration/floods.py
@@ -1,9 +1,9 @@
 """Targets whose answers never end, and the memory of processes."""
 
 import asyncio
-import collections.abc
 import contextlib
 import pathlib
+import re
 import typing
 
 from eelgrasswalk.standins import app
@@ -58,17 +58,11 @@
 
     Attributes:
         kind: What its endless answers consist of.
-        parts: How many bytes one write has; 0 for all of a part.
-        sent: Bytes that it has sent in endless answers.
-        open_answers: Endless answers under way.
     """
 
     def __init__(self, target_id: str, service: str) -> None:
         super().__init__(target_id, service, slots=64)
         self.kind = 'chunks'
-        self.parts = 0
-        self.sent = 0
-        self.open_answers = 0
         self._listener: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -129,37 +123,19 @@
         self, writer: asyncio.StreamWriter, request_id: bytes
     ) -> None:
         first, endless = KINDS[self.kind]
-        size = self.parts or len(endless)
-        pieces = [
-            endless[start : start + size]
-            for start in range(0, len(endless), size)
-        ]
         head = _HEAD % request_id
         if self.kind == 'foreign answers':
             head = _HEAD % b'another'
         writer.write(head + first)
-        self.open_answers += 1
-        try:
-            while True:
-                for piece in pieces:
-                    writer.write(piece)
-                    await writer.drain()
-                    self.sent += len(piece)
-                await asyncio.sleep(0)
-        finally:
-            self.open_answers -= 1
-
+        while True:
+            writer.write(endless)
+            await writer.drain()
+            # Writes that are taken at once let nothing else run.
+            await asyncio.sleep(0)
 
-def read_memory_mb(pid: int, fields: collections.abc.Sequence[str]) -> float:
-    """Return the sum of some fields of a process's status, in MB.
 
-    Args:
-        pid: The process.
-        fields: `VmHWM` for the peak of its resident memory, `VmRSS` for what
-            it is now.
-    """
-    values = {}
-    for line in pathlib.Path(f'/proc/{pid}/status').read_text().splitlines():
-        name, _, value = line.partition(':')
-        values[name] = value.split()
-    return sum(int(values[name][0]) for name in fields) / 1024
+def read_peak_mb(pid: int) -> float:
+    """Return the peak of a process's resident memory, in MB."""
+    status = pathlib.Path(f'/proc/{pid}/status').read_text()
+    (line,) = re.findall(r'^VmHWM:\s+(\d+) kB$', status, re.MULTILINE)
+    return int(line) / 1024
--- a/tests/integration/sidecars.py
+++ b/tests/integration/sidecars.py
@@ -64,6 +64,11 @@
         return [json.loads(line) for line in self.log.read_text().splitlines()]
 
 
+def get_status(answer: verdict.Response | None) -> int:
+    """Return the status of an answer; 0 without a whole one."""
+    return 0 if answer is None else answer.status
+
+
 class SidecarTestCase(unittest.IsolatedAsyncioTestCase):
     """Starts a store, applications and nodes for each test."""
 
--- a/tests/integration/test_endless_answers.py
+++ b/tests/integration/test_endless_answers.py
@@ -1,14 +1,10 @@
-"""A target sends bytes that are no answer, without end.
-
-The memory of the nodes stays within its limit, and other calls are served.
-"""
+"""Answers without end: memory and other calls of nodes that read them."""
 
 import asyncio
 import json
 import typing
 import unittest.mock
 
-from eelgrasswalk import verdict
 from tests.integration import floods
 from tests.integration import sidecars
 
@@ -49,11 +45,11 @@
                 for number in range(count)
             )
         )
-        return [_get_status(answer) for answer in answers]
+        return [sidecars.get_status(answer) for answer in answers]
 
     def read_peak_mb(self) -> float:
         return max(
-            floods.read_memory_mb(node.process.pid, ('VmHWM',))
+            floods.read_peak_mb(node.process.pid)
             for node in self.nodes
             if node.process is not None
         )
@@ -110,11 +106,7 @@
                 '/back/safe/',
                 deadline_ms=OTHER_DEADLINE_MS,
             )
-            statuses.append(_get_status(answer))
+            statuses.append(sidecars.get_status(answer))
             await asyncio.sleep(0.02)
         self.assertEqual({200}, set(statuses))
         self.assertNotIn(200, await flooding)
-
-
-def _get_status(answer: verdict.Response | None) -> int:
-    return 0 if answer is None else answer.status
--- a/tests/integration/test_quiet_accounts.py
+++ b/tests/integration/test_quiet_accounts.py
@@ -3,7 +3,6 @@
 import asyncio
 import typing
 
-from eelgrasswalk import verdict
 from tests.integration import sidecars
 
 
@@ -53,7 +52,9 @@
             )
         )
         took_s = asyncio.get_running_loop().time() - began_at
-        admitted = [_get_status(answer) for answer in answers].count(200)
+        admitted = [sidecars.get_status(answer) for answer in answers].count(
+            200
+        )
         self.assertLessEqual(admitted, self.low * (1.0 + took_s) + 1.0)
 
     async def test_after_one_change(self) -> None:
@@ -85,7 +86,3 @@
         for node in self.nodes:
             await self.wait_for(lambda node=node: self.knows_all(node))
         await self.check_bound()
-
-
-def _get_status(answer: verdict.Response | None) -> int:
-    return 0 if answer is None else answer.status
--- a/tests/integration/test_sidecar_path.py
+++ b/tests/integration/test_sidecar_path.py
@@ -10,7 +10,6 @@
 import typing
 import unittest
 
-from eelgrasswalk import verdict
 from tests.integration import sidecars
 
 
@@ -211,7 +210,9 @@
                 self.call(front, '/back/safe/'),
                 self.call(front, '/back/unsafe/', method='POST'),
             )
-            self.assertEqual([200, 200], [_get_status(a) for a in answers])
+            self.assertEqual(
+                [200, 200], [sidecars.get_status(a) for a in answers]
+            )
         self.assertEqual(0, one.process.returncode)
 
     async def test_long_call_is_finished_within_the_grace_time(self) -> None:
@@ -227,7 +228,7 @@
         for node in self.nodes:
             node.send_signal(signal.SIGTERM)
         started_at = time.monotonic()
-        self.assertEqual(200, _get_status(await call))
+        self.assertEqual(200, sidecars.get_status(await call))
         for node in self.nodes:
             assert node.process is not None
             while node.process.poll() is None:
@@ -300,10 +301,6 @@
         await self.wait_for(lambda: self.is_served(front, 'back'))
 
 
-def _get_status(answer: verdict.Response | None) -> int:
-    return 0 if answer is None else answer.status
-
-
 class StoreTest(sidecars.SidecarTestCase):
     bounds = {'revoke_ms': 3500}
 
@@ -319,7 +316,7 @@
         while time.monotonic() < withdrawn_at + 3.5:
             await asyncio.sleep(0.1)
         answer = await self.call(front, '/back/safe/')
-        self.assertEqual(503, _get_status(answer))
+        self.assertEqual(503, sidecars.get_status(answer))
 
     async def test_calls_go_on_while_the_store_refuses_for_a_moment(
         self,
@@ -329,7 +326,7 @@
         self.store.faults.status = 503
         for _ in range(20):
             answer = await self.call(front, '/back/safe/')
-            self.assertEqual(200, _get_status(answer))
+            self.assertEqual(200, sidecars.get_status(answer))
         self.store.faults.status = 0
 
     async def test_newest_configuration_counts_after_an_outage(self) -> None:
@@ -343,12 +340,12 @@
 
         async def is_in_force() -> bool:
             answer = await self.call(front, '/back/safe/', key='third')
-            return _get_status(answer) == 200
+            return sidecars.get_status(answer) == 200
 
         await self.wait_for(is_in_force)
         for key in (sidecars.KEY, 'second'):
             answer = await self.call(front, '/back/safe/', key=key)
-            self.assertEqual(401, _get_status(answer))
+            self.assertEqual(401, sidecars.get_status(answer))
 
     async def test_restarted_node_serves_though_the_copy_shows_no_mesh(
         self,
@@ -383,7 +380,7 @@
 
         async def is_in_force() -> bool:
             answer = await self.call(front, '/back/safe/', key='second')
-            return _get_status(answer) == 200
+            return sidecars.get_status(answer) == 200
 
         await self.wait_for(is_in_force)
 
@@ -407,9 +404,11 @@
                     for _ in range(5)
                 )
             )
-            served += sum(_get_status(answer) == 200 for answer in answers)
+            served += sum(
+                sidecars.get_status(answer) == 200 for answer in answers
+            )
             self.assertLessEqual(
-                {_get_status(answer) for answer in answers}, {200, 429}
+                {sidecars.get_status(answer) for answer in answers}, {200, 429}
             )
             await asyncio.sleep(0.02)
         elapsed = time.monotonic() - started_at
@@ -454,7 +453,7 @@
         os.close(writer)
         for _ in range(50):
             answer = await self.call(front, '/back/safe/', key='unknown')
-            self.assertEqual(401, _get_status(answer))
+            self.assertEqual(401, sidecars.get_status(answer))
         self.assertTrue(await self.is_served(front, 'back'))
 
 
