--- a/src/eelgrasswalk/standins/rows.py
+++ b/src/eelgrasswalk/standins/rows.py
@@ -34,12 +34,14 @@
         silent: No call is answered; those that write take no effect.
         lose_writes: Writes to come that take effect and are not answered.
         slow_s: Seconds that every answer takes more.
+        refuses_writes: Whether writes are refused and reads are served.
     """
 
     status: int = 0
     silent: bool = False
     lose_writes: int = 0
     slow_s: float = 0.0
+    refuses_writes: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -140,6 +142,8 @@
             await asyncio.sleep(self.faults.slow_s)
         if self.faults.status:
             return verdict.Response(self.faults.status, (), b'')
+        if self.faults.refuses_writes and request.method == 'POST':
+            return verdict.Response(503, (), b'')
         path, _, query = request.target.partition('?')
         arguments = {
             name: values[0]
--- a/tests/transport/test_endless_answers.py
+++ b/tests/transport/test_endless_answers.py
@@ -170,6 +170,7 @@
 
     async def asyncSetUp(self) -> None:
         self.parts = 0
+        self.size = 1
         server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
         self.addCleanup(server.close)
         port = server.sockets[0].getsockname()[1]
@@ -193,7 +194,8 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         await reader.readuntil(b'\r\n\r\n')
-        parts = itertools.repeat(b'1\r\nx\r\n' * 10_000)
+        chunk = b'%x\r\n%b\r\n' % (self.size, b'x' * self.size)
+        parts = itertools.repeat(chunk * (65_536 // len(chunk)))
         await pour(writer, itertools.chain([CHUNKED], parts))
         writer.close()
 
@@ -208,14 +210,18 @@
         self.assertLess(self.parts, 2 * message.MAX_SMALL_PARTS)
 
     async def test_everything_else_has_its_turn_between(self) -> None:
-        sending = asyncio.gather(*(self.send() for _ in range(4)))
-        most = 0
-        while not sending.done():
-            before = self.parts
-            await asyncio.sleep(0)
-            most = max(most, self.parts - before)
-        # The first step of each connection is a large one.
-        self.assertLess(most, 4 * pacing.STEP_BYTES / len(b'1\r\nx\r\n') + 1)
+        for size in (1, 2, 16, 63, 64, 65, 100, 255, 1000, 40_000):
+            with self.subTest(size=size):
+                self.size = size
+                sending = asyncio.gather(*(self.send() for _ in range(4)))
+                most = 0
+                while not sending.done():
+                    before = self.parts
+                    await asyncio.sleep(0)
+                    most = max(most, self.parts - before)
+                # The first step of each connection is a large one.
+                steps = 4 * pacing.STEP_BYTES / len(b'1\r\nx\r\n')
+                self.assertLess(most, steps + 1)
 
 
 class EndlessRequestTest(unittest.IsolatedAsyncioTestCase):
