--- a/tests/transport/test_endless_answers.py
+++ b/tests/transport/test_endless_answers.py
@@ -15,6 +15,7 @@
 from eelgrasswalk.transport import http_server
 from eelgrasswalk.transport import message
 from eelgrasswalk.transport import pacing
+from eelgrasswalk.transport import server_connection
 
 REQUEST = message.Request('GET', '/', ((b'id', b'mine'),), b'')
 MOST_ANSWER_BYTES = 200_000
@@ -243,5 +244,47 @@
                 self.assertLess(poured, SOCKET_BYTES)
                 writer.close()
 
+    async def test_requests_in_small_parts_leave_others_their_turn(
+        self,
+    ) -> None:
+        """Clients, check-ins and operators share this connection class."""
+        parts = 0
+        on_body = server_connection.ServerConnection.on_body
+
+        def count(
+            connection: server_connection.ServerConnection, body: bytes
+        ) -> None:
+            nonlocal parts
+            parts += 1
+            on_body(connection, body)
+
+        server = http_server.HttpServer(
+            self.answer, limits=http_server.Limits()
+        )
+        address = await server.start('127.0.0.1', 0)
+        self.addAsyncCleanup(server.stop)
+        writers = [
+            (await asyncio.open_connection(*address))[1] for _ in range(4)
+        ]
+        chunks = itertools.repeat(b'1\r\nx\r\n' * 10_000)
+        with unittest.mock.patch.object(
+            server_connection.ServerConnection, 'on_body', count
+        ):
+            pouring = asyncio.gather(
+                *(
+                    pour(writer, itertools.chain([HEAD], chunks))
+                    for writer in writers
+                )
+            )
+            most = 0
+            async with asyncio.timeout(WAIT_S):
+                while not pouring.done():
+                    before = parts
+                    await asyncio.sleep(0)
+                    most = max(most, parts - before)
+        steps = len(writers) * pacing.STEP_BYTES / len(b'1\r\nx\r\n')
+        self.assertLess(most, steps + 1)
+        self.assertLess(parts, 2 * len(writers) * message.MAX_SMALL_PARTS)
+
     async def answer(self, request: message.Request) -> verdict.Response:
         raise AssertionError('the request never ends')
