--- a/src/eelgrasswalk/policy/slot_queue.py
+++ b/src/eelgrasswalk/policy/slot_queue.py
@@ -193,7 +193,9 @@
         expected_s = self._times.estimate(candidate.route)
         if candidate.depth > 0 and candidate.may_wait:
             self._nested_work.add(expected_s, now)
-        if self._has_too_little_time(candidate, expected_s, now):
+        min_remaining_s = self._settings.min_time_ratio * expected_s
+        is_short = now + min_remaining_s > candidate.deadline
+        if is_short and self._is_busy(now):
             return [_refuse(candidate.call_id, verdict.Reason.DEADLINE, 0.0)]
         if not self._waiting and self._has_room(now):
             return [self._start(candidate, expected_s, now)]
@@ -251,22 +253,14 @@
         self._draining = True
         return self.expire(now)
 
-    def _has_too_little_time(
-        self, candidate: Candidate, expected_s: float, now: float
-    ) -> bool:
-        min_remaining_s = self._settings.min_time_ratio * expected_s
-        return now + min_remaining_s > candidate.deadline and self._is_busy(
-            now
-        )
-
     def _is_busy(self, now: float) -> bool:
         """Return whether a call that starts takes a slot from another."""
-        if not self._running:
+        running = len(self._running)
+        if not running:
             return False
         if self._waiting or not self._has_room(now):
             return True
-        min_running = self._settings.min_busy_ratio * self._limit
-        return len(self._running) >= min_running
+        return running >= self._settings.min_busy_ratio * self._limit
 
     def _has_room(self, now: float) -> bool:
         return len(self._running) < self._limit and self._start_rate.may_start(
--- a/tests/policy/test_slot_queue.py
+++ b/tests/policy/test_slot_queue.py
@@ -228,7 +228,7 @@
             queue.finish(call_id, 3.0, ok=True)
 
     def test_slow_target_refuses_short_calls_once_half_is_used(self) -> None:
-        """Replays a target that hangs: calls no longer pile up in vain."""
+        """Replays a target that hangs, which short calls must not fill."""
         queue = slot_queue.SlotQueue(SETTINGS, slots=8)
         for call_id in range(100):
             queue.offer(build_candidate(call_id, deadline=9e9), -1.0)
