Sort decisions on placement and capacity into packages of their own

Those that choose upstreams and those that decide how much a target is sent now have packages; the wiring of the control plane is a module beside that of the call path, as the new parts meet there. No behaviour changes.

--- a/src/eelgrasswalk/bench/cost_worker.py
+++ b/src/eelgrasswalk/bench/cost_worker.py
@@ -29,10 +29,14 @@
     ('dialect', ('platform/dialect', 'transport/message')),
     ('links', ('transport/', 'msgspec')),
     ('quota', ('controllers/account_quota', 'policy/account_rates')),
-    ('choice', ('policy/spread', 'policy/balance')),
+    ('choice', ('policy/placement/spread', 'policy/placement/balance')),
     (
         'admission',
-        ('filters/admit', 'policy/slot_queue', 'policy/decaying_rate'),
+        (
+            'filters/admit',
+            'policy/capacity/slot_queue',
+            'policy/decaying_rate',
+        ),
     ),
     ('log', ('request_log', 'events.py', 'log_budget', 'logging/', 'json')),
     ('entry', ('filters/front', 'filters/forward', 'filters/transmit')),
--- a/src/eelgrasswalk/bench/fleet.py
+++ b/src/eelgrasswalk/bench/fleet.py
@@ -16,10 +16,10 @@
 
 from ..document import model
 from ..policy import admission
-from ..policy import balance
-from ..policy import probing
-from ..policy import slot_queue
-from ..policy import spread
+from ..policy.capacity import slot_queue
+from ..policy.placement import balance
+from ..policy.placement import probing
+from ..policy.placement import spread
 from . import report
 from . import simulated_clock
 
--- a/src/eelgrasswalk/bench/overload_driver.py
+++ b/src/eelgrasswalk/bench/overload_driver.py
@@ -8,9 +8,9 @@
 
 from .. import verdict
 from ..policy import admission
-from ..policy import balance
 from ..policy import levels
 from ..policy import retries
+from ..policy.placement import balance
 from . import overload_fakes as fakes
 from . import overload_scenario as scenario
 from . import simulated_clock
--- a/src/eelgrasswalk/bench/overload_fakes.py
+++ b/src/eelgrasswalk/bench/overload_fakes.py
@@ -11,11 +11,11 @@
 
 from .. import verdict
 from ..policy import admission
-from ..policy import balance
 from ..policy import breaker
 from ..policy import fairness
 from ..policy import levels
 from ..policy import retries
+from ..policy.placement import balance
 from . import overload_scenario as scenario
 
 TRANSIT_S = 0.001
--- a/src/eelgrasswalk/bench/replayers.py
+++ b/src/eelgrasswalk/bench/replayers.py
@@ -7,10 +7,10 @@
 
 from .. import verdict
 from ..document import model
-from ..policy import balance
 from ..policy import breaker
 from ..policy import levels
 from ..policy import retries
+from ..policy.placement import balance
 from . import traces
 
 MAX_DEPTH = 6
--- a/src/eelgrasswalk/bench/share_replay.py
+++ b/src/eelgrasswalk/bench/share_replay.py
@@ -16,7 +16,7 @@
 from ..document import model
 from ..policy import admission
 from ..policy import root_share
-from ..policy import slot_queue
+from ..policy.capacity import slot_queue
 from . import simulated_clock
 from . import traces
 
--- a/src/eelgrasswalk/cli/sidecar.py
+++ b/src/eelgrasswalk/cli/sidecar.py
@@ -16,7 +16,7 @@
 from ..policy import log_budget
 from ..sidecar import node
 from ..sidecar import settings
-from ..sidecar import wiring
+from ..sidecar import wiring_control
 
 EXIT_BAD_SETTINGS = 2
 
@@ -52,7 +52,7 @@
     config: settings.SidecarSettings, budget: log_budget.LogBudget
 ) -> app.Application:
     """Return the application of one node."""
-    platform = wiring.Platform(
+    platform = wiring_control.Platform(
         store=rows.PlatformRows(config.store.host, config.store.port),
         rule_source=operator_config.OperatorRules(),
         check_in_format=check_ins.PlatformCheckIns(),
--- a/src/eelgrasswalk/controllers/directory.py
+++ b/src/eelgrasswalk/controllers/directory.py
@@ -5,7 +5,7 @@
 import time
 import typing
 
-from ..policy import balance
+from ..policy.placement import balance
 from ..transport import dialler
 
 STATE_READY = 'ready'
--- a/src/eelgrasswalk/filters/dispatch.py
+++ b/src/eelgrasswalk/filters/dispatch.py
@@ -9,10 +9,10 @@
 import msgspec
 
 from .. import verdict
-from ..policy import balance
 from ..policy import breaker
 from ..policy import levels
 from ..policy import retries
+from ..policy.placement import balance
 from ..transport import attempt_ids
 from ..transport import bodies
 from ..transport import budget
--- a/src/eelgrasswalk/filters/forward.py
+++ b/src/eelgrasswalk/filters/forward.py
@@ -9,15 +9,15 @@
 
 from .. import events
 from .. import verdict
-from ..policy import balance
-from ..policy import probing
 from ..policy import retries
 from ..policy import retry_budget
 from ..policy import root_share
 from ..policy import running_calls
-from ..policy import service_times
-from ..policy import spread
-from ..policy import target_notices
+from ..policy.capacity import service_times
+from ..policy.capacity import target_notices
+from ..policy.placement import balance
+from ..policy.placement import probing
+from ..policy.placement import spread
 from ..transport import attempt_ids
 from ..transport import bodies
 from ..transport import dialler
--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -17,8 +17,8 @@
 from ..policy import decaying_rate
 from ..policy import root_share
 from ..policy import running_calls
-from ..policy import slot_queue
 from ..policy import target_failures
+from ..policy.capacity import slot_queue
 from ..transport import budget
 from ..transport import dialler
 from ..transport import frames
--- a/src/eelgrasswalk/node.py
+++ b/src/eelgrasswalk/node.py
@@ -19,8 +19,8 @@
 from .filters import admit
 from .filters import guard
 from .policy import admission
-from .policy import balance
 from .policy import routing
+from .policy.placement import balance
 from .transport import acceptor
 from .transport import budget
 from .transport import dialler
--- a/src/eelgrasswalk/policy/__init__.py
+++ b/src/eelgrasswalk/policy/__init__.py
@@ -3,8 +3,8 @@
 Several decisions exist twice, for eelgrasswalk-node first and for
 eelgrasswalk-sidecar second:
 
-- choice of upstreams: `balance`, `spread`
-- admission at the target: `admission`, `slot_queue`
+- choice of upstreams: `placement.balance`, `placement.spread`
+- admission at the target: `admission`, `capacity.slot_queue`
 - limits on retries: `breaker`, `retry_budget`
 - rates of client accounts: `quota`, `account_rates`
 - look-up of accounts and routes: `routing`, `call_rules`
--- /dev/null
+++ b/src/eelgrasswalk/policy/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on how much a target is sent, and when calls start."""
--- a/src/eelgrasswalk/policy/slot_queue.py
+++ b/src/eelgrasswalk/policy/capacity/slot_queue.py
@@ -23,10 +23,10 @@
 import heapq
 import math
 
-from .. import verdict
-from . import admission
-from . import decaying_rate
-from . import queue
+from ... import verdict
+from .. import admission
+from .. import decaying_rate
+from .. import queue
 from . import service_times
 from . import start_rate
 
--- /dev/null
+++ b/src/eelgrasswalk/policy/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on which upstream serves a call."""
--- a/src/eelgrasswalk/policy/balance.py
+++ b/src/eelgrasswalk/policy/placement/balance.py
@@ -7,7 +7,7 @@
 
 import xxhash
 
-from .. import verdict
+from ... import verdict
 
 MEDIAN_INTERVAL_S = 0.1
 MIN_LATENCY_S = 0.001
--- a/src/eelgrasswalk/policy/root_share.py
+++ b/src/eelgrasswalk/policy/root_share.py
@@ -14,7 +14,7 @@
 import dataclasses
 
 from .. import verdict
-from . import service_times
+from .capacity import service_times
 
 _CAPACITY_REASONS = frozenset(
     (verdict.Reason.OVERLOAD, verdict.Reason.DEADLINE)
--- a/src/eelgrasswalk/policy/running_calls.py
+++ b/src/eelgrasswalk/policy/running_calls.py
@@ -7,7 +7,7 @@
 import collections
 import dataclasses
 
-from . import service_times
+from .capacity import service_times
 
 # A route counts as one that makes no calls of its own once so many requests
 # have finished without any.
--- a/src/eelgrasswalk/sidecar/node.py
+++ b/src/eelgrasswalk/sidecar/node.py
@@ -16,6 +16,7 @@
 from ..transport import message
 from . import settings
 from . import wiring
+from . import wiring_control
 
 MAX_HEADERS = 256
 # Check-ins, questions of the platform and of operators are short.
@@ -88,14 +89,14 @@
     def __init__(
         self,
         config: settings.SidecarSettings,
-        platform: wiring.Platform,
+        platform: wiring_control.Platform,
         log: request_log.RequestLog,
     ) -> None:
         self.config = config
         self.call_path: wiring.CallPath | None = None
         self.stopping = False
         self._platform = platform
-        self._control_plane = wiring.build_control_plane(
+        self._control_plane = wiring_control.build_control_plane(
             config, platform, log, apply_rules=self._apply_rules
         )
         self._callers = http_server.HttpServer(
--- a/src/eelgrasswalk/wiring.py
+++ b/src/eelgrasswalk/wiring.py
@@ -32,9 +32,9 @@
 from .filters import transmit
 from .policy import admission
 from .policy import attempts
-from .policy import balance
 from .policy import breaker
 from .policy import levels
+from .policy.placement import balance
 from .transport import acceptor
 from .transport import budget
 from .transport import dialler
--- a/src/eelgrasswalk/wiring_controllers.py
+++ b/src/eelgrasswalk/wiring_controllers.py
@@ -22,9 +22,9 @@
 from .controllers import quota_entry
 from .document import model
 from .platform import http
-from .policy import balance
 from .policy import member
 from .policy import quota_messages
+from .policy.placement import balance
 from .transport import dialler
 from .transport import link
 
--- a/tests/filters/test_dispatch.py
+++ b/tests/filters/test_dispatch.py
@@ -10,11 +10,11 @@
 from eelgrasswalk.filters import dispatch
 from eelgrasswalk.filters import filter_chain
 from eelgrasswalk.filters import transmit
-from eelgrasswalk.policy import balance
 from eelgrasswalk.policy import breaker
 from eelgrasswalk.policy import levels
 from eelgrasswalk.policy import retries
 from eelgrasswalk.policy import routing
+from eelgrasswalk.policy.placement import balance
 from eelgrasswalk.transport import budget
 from eelgrasswalk.transport import dialler
 from eelgrasswalk.transport import frames
--- a/tests/filters/test_forward.py
+++ b/tests/filters/test_forward.py
@@ -10,12 +10,12 @@
 from eelgrasswalk.filters import forward
 from eelgrasswalk.filters import front
 from eelgrasswalk.filters import transmit
-from eelgrasswalk.policy import balance
 from eelgrasswalk.policy import call_rules
 from eelgrasswalk.policy import retry_budget
 from eelgrasswalk.policy import root_share
 from eelgrasswalk.policy import running_calls
-from eelgrasswalk.policy import spread
+from eelgrasswalk.policy.placement import balance
+from eelgrasswalk.policy.placement import spread
 from eelgrasswalk.transport import budget
 from eelgrasswalk.transport import dialler
 from eelgrasswalk.transport import frames
--- a/tests/filters/test_gate.py
+++ b/tests/filters/test_gate.py
@@ -15,7 +15,7 @@
 from eelgrasswalk.platform import dialect
 from eelgrasswalk.policy import root_share
 from eelgrasswalk.policy import running_calls
-from eelgrasswalk.policy import slot_queue
+from eelgrasswalk.policy.capacity import slot_queue
 from eelgrasswalk.transport import budget
 from eelgrasswalk.transport import frames
 from eelgrasswalk.transport import http_client
--- a/tests/policy/test_slot_queue.py
+++ b/tests/policy/capacity/test_slot_queue.py
@@ -7,7 +7,7 @@
 from eelgrasswalk import verdict
 from eelgrasswalk.document import model
 from eelgrasswalk.policy import admission
-from eelgrasswalk.policy import slot_queue
+from eelgrasswalk.policy.capacity import slot_queue
 
 SETTINGS = slot_queue.SlotSettings(max_utilization=1.0)
 
--- a/tests/policy/test_start_rate.py
+++ b/tests/policy/capacity/test_start_rate.py
@@ -3,7 +3,7 @@
 import bisect
 import unittest
 
-from eelgrasswalk.policy import start_rate
+from eelgrasswalk.policy.capacity import start_rate
 
 WINDOW_S = 4.0
 
--- a/tests/policy/test_target_notices.py
+++ b/tests/policy/capacity/test_target_notices.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from eelgrasswalk.policy import target_notices
+from eelgrasswalk.policy.capacity import target_notices
 
 
 class TargetNoticesTest(unittest.TestCase):
--- a/tests/policy/test_balance.py
+++ b/tests/policy/placement/test_balance.py
@@ -4,7 +4,7 @@
 import random
 import unittest
 
-from eelgrasswalk.policy import balance
+from eelgrasswalk.policy.placement import balance
 
 Outcome = balance.Outcome
 
--- a/tests/policy/test_probing.py
+++ b/tests/policy/placement/test_probing.py
@@ -3,7 +3,7 @@
 import unittest
 
 from eelgrasswalk.bench import fleet
-from eelgrasswalk.policy import probing
+from eelgrasswalk.policy.placement import probing
 
 
 class ProbePolicyTest(unittest.TestCase):
--- a/tests/policy/test_spread.py
+++ b/tests/policy/placement/test_spread.py
@@ -7,9 +7,9 @@
 import unittest
 
 from eelgrasswalk import verdict
-from eelgrasswalk.policy import balance
-from eelgrasswalk.policy import spread
 from eelgrasswalk.policy import target_failures
+from eelgrasswalk.policy.placement import balance
+from eelgrasswalk.policy.placement import spread
 
 
 def build_upstreams(count: int = 4) -> list[balance.Upstream]:
--- a/tests/sidecar/test_reload.py
+++ b/tests/sidecar/test_reload.py
@@ -9,7 +9,7 @@
 from eelgrasswalk.policy import log_budget
 from eelgrasswalk.sidecar import node
 from eelgrasswalk.sidecar import settings
-from eelgrasswalk.sidecar import wiring
+from eelgrasswalk.sidecar import wiring_control
 
 ADDRESS = address.Address('127.0.0.1', 1)
 CONFIG = settings.SidecarSettings(
@@ -31,7 +31,7 @@
 
 class ReloadTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
-        platform = wiring.Platform(*[unittest.mock.MagicMock()] * 4)
+        platform = wiring_control.Platform(*[unittest.mock.MagicMock()] * 4)
         log = request_log.RequestLog(
             log_budget.LogBudget(log_budget.LogBounds())
         )
@@ -60,14 +60,14 @@
         self.assertEqual(0.1, self.call_path.call_retry_budget.bounds.ratio)
         self.assertEqual(5.0, self.call_path.quotas.slack.tokens)
         self.assertEqual(
-            50_000_000 * wiring.BODY_MEMORY_SHARE,
+            50_000_000 * wiring_control.BODY_MEMORY_SHARE,
             self.node._control_plane.bodies.limit,
         )
 
     def test_shorter_key_withdrawal_time_shortens_confirmations(self) -> None:
         self.reload(bounds={'withdraw_s': 3.0})
         control_plane = self.node._control_plane
-        limit_s = 3.0 - wiring.FRESHNESS_MARGIN_S
+        limit_s = 3.0 - wiring_control.FRESHNESS_MARGIN_S
         self.assertEqual(limit_s, control_plane.fresh.limit_s)
         self.assertLess(
             control_plane.confirmation.refresh_policy.relay_refresh_age_s,
--- a/tests/transport/test_path_exploration.py
+++ b/tests/transport/test_path_exploration.py
@@ -24,7 +24,7 @@
 from eelgrasswalk.policy import retry_budget
 from eelgrasswalk.policy import root_share
 from eelgrasswalk.policy import running_calls
-from eelgrasswalk.policy import spread
+from eelgrasswalk.policy.placement import spread
 from eelgrasswalk.transport import acceptor
 from eelgrasswalk.transport import budget
 from eelgrasswalk.transport import dialler
