Evacuate data centres and keep requests in their allowed regions

Cause: nothing could take traffic away from a data centre, and requests could run in any region.

Change: rows evacuate/ZONE of the operator table become a set of evacuated data centres, which the directory leaves out and the gate refuses for.

--- a/src/eelgrasswalk/controllers/directory.py
+++ b/src/eelgrasswalk/controllers/directory.py
@@ -6,6 +6,7 @@
 import typing
 
 from ..policy.placement import balance
+from ..policy.placement import evacuation
 from ..transport import dialler
 
 STATE_READY = 'ready'
@@ -67,10 +68,19 @@
         self.balancer = balancer
         self._peers: dict[str, Peer] = {}
         self._services: set[str] = set()
+        self._evacuated: frozenset[str] = frozenset()
 
     def replace(self, peers: collections.abc.Iterable[Peer]) -> None:
         """Set all known nodes."""
         self._peers = {peer.node_id: peer for peer in peers}
+        self._set_upstreams()
+
+    def set_evacuated(self, data_centres: frozenset[str]) -> None:
+        """Set the data centres whose upstreams are not chosen."""
+        self._evacuated = data_centres
+        self._set_upstreams()
+
+    def _set_upstreams(self) -> None:
         ready = self._group(STATE_READY)
         # A suspicion may be false; a suspect is better than nobody.
         suspect = self._group(STATE_SUSPECT)
@@ -85,13 +95,18 @@
         peer = self._peers.get(node_id)
         return None if peer is None else peer.links
 
-    def _group(self, state: str) -> dict[str, list[balance.Upstream]]:
+    def _group(
+        self, state: str
+    ) -> dict[str, collections.abc.Sequence[balance.Upstream]]:
         groups: dict[str, list[balance.Upstream]] = {}
         for peer in self._peers.values():
             if peer.state == state:
                 group = groups.setdefault(peer.service, [])
                 group.append(_build_upstream(peer))
-        return groups
+        return {
+            service: evacuation.keep_remaining(group, self._evacuated)
+            for service, group in groups.items()
+        }
 
     def list_peers(self) -> list[Peer]:
         """Return all known nodes."""
--- a/src/eelgrasswalk/controllers/feed.py
+++ b/src/eelgrasswalk/controllers/feed.py
@@ -40,10 +40,13 @@
     Args:
         after: Version after which the rows are complete.
         rows: The changed rows, with the version and time that they reach.
+        is_snapshot: Whether the rows are the whole table, and replace what
+            was known of it.
     """
 
     after: int
     rows: ports.Rows
+    is_snapshot: bool = False
 
 
 def _ignore(advance: Advance) -> None:
@@ -68,12 +71,15 @@
         source: Random numbers for pauses.
         watches: Whether to wait for changes at the store from the start.
         keeps_rows: Whether to keep the rows, so that a peer that cannot ask
-            the store can get the changes from this node; only for tables
-            whose rows are never removed.
+            the store can get the changes from this node.
+        max_silence_s: Seconds without an answer of the store after which
+            `poll_if_silent` polls it.
 
     Attributes:
         filled: Set after the first read.
         changed_at: Version of the last change, or a later one; 0 before any.
+            After a full read it is the version of that read, as rows may
+            have been removed until then.
         on_advance: Called with newly received changes.
         on_restored: Called when the store has come back from a copy.
         store_clock: Estimate of the store's clock from its answers.
@@ -91,6 +97,7 @@
         source: random.Random,
         watches: bool = True,
         keeps_rows: bool = False,
+        max_silence_s: float = math.inf,
     ) -> None:
         self._store = store
         self._table = table
@@ -105,7 +112,11 @@
         self._failures = 0
         self._watches = watches
         self._keeps_rows = keeps_rows
+        self._max_silence_s = max_silence_s
+        self._answered_at = -math.inf
         self._kept: dict[str, ports.Row] = {}
+        # Version of the last full read; removals before it are not known.
+        self._read_at = 0
         self._confirmed_s = 0.0
         self.changed_at = 0
         self._catching_up: asyncio.Task[bool] | None = None
@@ -148,24 +159,38 @@
             version: Version that the peer has.
 
         Returns:
-            The changes; None if this node has no newer or no complete data.
+            The changes, or a snapshot if the table has been read anew since
+            that version; None if this node has no newer or no complete data.
         """
         if version > self.version or self._confirmed_s <= 0.0:
             return None
         if version < self.version and not self._keeps_rows:
             return None
+        is_snapshot = version < self._read_at
         rows = tuple(
-            row for row in self._kept.values() if row.version > version
+            row
+            for row in self._kept.values()
+            if (
+                row.value is not None if is_snapshot else row.version > version
+            )
         )
         return Advance(
-            version, ports.Rows(rows, self.version, self._confirmed_s)
+            0 if is_snapshot else version,
+            ports.Rows(rows, self.version, self._confirmed_s),
+            is_snapshot=is_snapshot,
         )
 
     def apply_peer_update(self, advance: Advance) -> None:
-        """Apply changes that a peer has sent; poll the store after a gap."""
+        """Apply changes that a peer has sent; poll the store after a gap.
+
+        A table that was never read starts with a snapshot only.
+        """
+        rows = advance.rows
+        if advance.is_snapshot:
+            self._apply_snapshot(rows)
+            return
         if self._version is None:
             return
-        rows = advance.rows
         if advance.after > self._version:
             self.catch_up()
         elif rows.version >= self._version:
@@ -181,6 +206,24 @@
                 -math.inf if true_at is None else true_at,
             )
 
+    def _apply_snapshot(self, rows: ports.Rows) -> None:
+        """Replace the table by what a peer knows, if that is newer."""
+        if self._version is None and self.filled.is_set():
+            # The store has dropped its history and is being read; a peer may
+            # not have noticed that it has come back from a copy.
+            return
+        if rows.version <= self.version:
+            return
+        true_at = self.store_clock.to_local_time(rows.store_s, self._clock())
+        self._replace(rows, -math.inf if true_at is None else true_at)
+
+    def poll_if_silent(self) -> None:
+        """Poll the store if an answer to the long poll may be lost."""
+        age_s = self._clock() - self._answered_at
+        is_silent = self._watches and age_s > self._max_silence_s
+        if is_silent and not self._failures:
+            self.catch_up()
+
     def catch_up(self) -> None:
         """Poll the store for changes unless a poll is under way."""
         if self._catching_up is None or self._catching_up.done():
@@ -238,6 +281,7 @@
             if not self._watches:
                 self._note_failure(outcome)
             return False
+        self._answered_at = self._clock()
         if outcome.version < self.version:
             # It is from before a restore, or of a replica that lags behind.
             return False
@@ -270,21 +314,27 @@
         outcome = await self._store.read(self._table)
         if isinstance(outcome, ports.Unavailable):
             return outcome
+        self._answered_at = self._clock()
         self._note_era(outcome, self.version)
         if outcome.version < self.version:
             # Changes of a later version have been applied meanwhile.
             return None
-        self._version = outcome.version
+        self._replace(outcome, self._date(outcome, asked_at))
+        return None
+
+    def _replace(self, rows: ports.Rows, true_at: float) -> None:
+        """Take the whole table in place of what was known of it."""
+        self._version = rows.version
+        self._read_at = rows.version
         self._kept.clear()
-        # Of tables that allow it, rows may have been removed until now.
-        self.changed_at = 0 if self._keeps_rows else outcome.version
-        self._keep(outcome)
-        self._follower.take_all(outcome, self._date(outcome, asked_at))
+        # Rows may have been removed until now.
+        self.changed_at = rows.version
+        self._keep(rows)
+        self._follower.take_all(rows, true_at)
         self.filled.set()
         # Peers could not tell from the rows which ones are gone.
-        nothing = dataclasses.replace(outcome, rows=())
+        nothing = dataclasses.replace(rows, rows=())
         self.on_advance(Advance(self.changed_at, nothing))
-        return None
 
     def _keep(self, rows: ports.Rows) -> None:
         self._confirmed_s = max(self._confirmed_s, rows.store_s)
@@ -314,6 +364,7 @@
             events.log(events.HISTORY_GONE, table=self._table, version=version)
             self._version = None
             return None
+        self._answered_at = self._clock()
         if outcome.version < self.version:
             # It is from before a restore, or of a replica that lags behind.
             return None
--- a/src/eelgrasswalk/controllers/relay.py
+++ b/src/eelgrasswalk/controllers/relay.py
@@ -42,6 +42,8 @@
         store_s: Time of the store's clock at that version, in seconds.
         rows: Key, value and version of each row that has changed; a value of
             None is a row that is gone.
+        is_snapshot: Whether the rows are the whole table. Releases before
+            this field take them for changes.
     """
 
     table: str
@@ -49,6 +51,7 @@
     version: int
     store_s: float
     rows: tuple[tuple[str, bytes | None, int], ...] = ()
+    is_snapshot: bool = False
 
 
 class SendControl(typing.Protocol):
@@ -118,8 +121,11 @@
         while True:
             pause_s = CHECK_INTERVAL_S * (0.5 + self._random.random())
             await asyncio.sleep(pause_s)
+            self.ask_for_unread()
             if self.place.parent is not None:
                 self.check_update_times(self._loop.time())
+            else:
+                self.check_answers()
 
     def check_update_times(self, now: float) -> None:
         """Poll the store for tables without a recent update.
@@ -132,6 +138,17 @@
                 self._updated_at[table] = now
                 each.catch_up()
 
+    def ask_for_unread(self) -> None:
+        """Request the tables that the store has not let this node read."""
+        for table, each in self._feeds.items():
+            if not each.filled.is_set():
+                self.ask(table)
+
+    def check_answers(self) -> None:
+        """Poll the store for tables of which it has not told for long."""
+        for each in self._feeds.values():
+            each.poll_if_silent()
+
     def note_nodes(self) -> None:
         """Compute this node's place again if the nodes have changed."""
         if not self._gather_s:
@@ -266,11 +283,14 @@
         rows.version,
         rows.store_s,
         tuple((row.key, row.value, row.version) for row in rows.rows),
+        advance.is_snapshot,
     )
 
 
 def _build_advance(update: TableUpdate) -> feed.Advance:
     rows = tuple(ports.Row(*fields) for fields in update.rows)
     return feed.Advance(
-        update.after, ports.Rows(rows, update.version, update.store_s)
+        update.after,
+        ports.Rows(rows, update.version, update.store_s),
+        update.is_snapshot,
     )
--- a/src/eelgrasswalk/controllers/rules.py
+++ b/src/eelgrasswalk/controllers/rules.py
@@ -7,6 +7,7 @@
 from .. import ports
 from ..policy import call_rules
 from ..policy import freshness
+from ..policy.placement import evacuation
 
 Apply: typing.TypeAlias = typing.Callable[[call_rules.RuleTable], None]
 
@@ -24,9 +25,16 @@
     store_s: float
 
 
+def _ignore(change: evacuation.Change) -> None:
+    """Ignore a change of the evacuated data centres."""
+
+
 class RuleKeeper:
     """Puts each newer version in force, and never goes back.
 
+    Evacuations have no versions of their own: the rows that the store shows
+    are in force.
+
     Args:
         source: Decodes the operator's configuration.
         fresh: Is told when the version in force was the newest.
@@ -35,6 +43,8 @@
     Attributes:
         table: The rules in force; None before the first version.
         certainty: The newest certainty about them; None before the first.
+        evacuated: The evacuated data centres.
+        on_evacuated: Called when they have changed.
     """
 
     def __init__(
@@ -45,6 +55,8 @@
     ) -> None:
         self.table: call_rules.RuleTable | None = None
         self.certainty: Certainty | None = None
+        self.evacuated: frozenset[str] = frozenset()
+        self.on_evacuated: typing.Callable[[evacuation.Change], None] = _ignore
         self._source = source
         self._fresh = fresh
         self._apply = apply
@@ -58,12 +70,37 @@
 
     def take_all(self, rows: ports.Rows, true_at: float) -> None:
         """Take everything that the table holds."""
+        self._take_evacuations(rows, is_complete=True)
         self._take(rows, true_at)
 
     def take_changes(self, rows: ports.Rows, true_at: float) -> None:
         """Take what has changed."""
+        if rows.rows:
+            self._take_evacuations(rows, is_complete=False)
         self._take(rows, true_at)
 
+    def _take_evacuations(
+        self, rows: ports.Rows, *, is_complete: bool
+    ) -> None:
+        """Take evacuations, also beside a configuration that is unreadable."""
+        change = evacuation.find_change(
+            self.evacuated,
+            self._source.decode_evacuations(rows.rows),
+            is_complete=is_complete,
+        )
+        if change is None:
+            return
+        self.evacuated = change.evacuated
+        events.log(
+            events.EVACUATION_CHANGED,
+            evacuated=sorted(change.evacuated),
+            begun=sorted(change.begun),
+            lifted=sorted(change.lifted),
+            version=rows.version,
+            store_s=rows.store_s,
+        )
+        self.on_evacuated(change)
+
     def _take(self, rows: ports.Rows, true_at: float) -> None:
         try:
             rules = self._source.decode(rows.rows)
--- a/src/eelgrasswalk/events.py
+++ b/src/eelgrasswalk/events.py
@@ -204,6 +204,9 @@
     'quarantined requests in the store cannot be read',
     'look for another writer of the table of quarantines',
 )
+EVACUATION_CHANGED = Event(
+    3017, logging.INFO, 'evacuated data centres have changed'
+)
 REQUEST_FAILED = Event(
     5001,
     logging.ERROR,
--- a/src/eelgrasswalk/filters/admit.py
+++ b/src/eelgrasswalk/filters/admit.py
@@ -14,7 +14,9 @@
 from ..policy import retries
 from ..transport import frames
 
-_RETRY_ELSEWHERE = frozenset((verdict.Reason.LEAVING,))
+_RETRY_ELSEWHERE = frozenset(
+    (verdict.Reason.LEAVING, verdict.Reason.EVACUATED)
+)
 _IMPORTANCES = tuple(sorted(model.Importance))
 
 
--- a/src/eelgrasswalk/filters/attempt_history.py
+++ b/src/eelgrasswalk/filters/attempt_history.py
@@ -10,6 +10,7 @@
         verdict.Reason.TARGET_UNREACHABLE,
         verdict.Reason.FENCED,
         verdict.Reason.LEAVING,
+        verdict.Reason.EVACUATED,
         verdict.Reason.ISOLATED,
         verdict.Reason.QUARANTINED,
         verdict.Reason.OVERLOAD,
@@ -24,6 +25,7 @@
         verdict.Reason.TARGET_UNREACHABLE,
         verdict.Reason.FENCED,
         verdict.Reason.LEAVING,
+        verdict.Reason.EVACUATED,
         verdict.Reason.LINK_LOST,
     )
 )
@@ -47,6 +49,8 @@
         reached: Ids of nodes whose target has, or may have, received the
             call. Once their number reaches the route's limit, retries go to
             these nodes only.
+        evacuated: Data centres whose nodes refused the call because of an
+            evacuation.
     """
 
     attempts: int = 0
@@ -56,6 +60,18 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     unreachable: set[str] = dataclasses.field(default_factory=set)
     reached: set[str] = dataclasses.field(default_factory=set)
+    evacuated: set[str] = dataclasses.field(default_factory=set)
+
+    def record_evacuated(self, node_id: str, data_centre: str) -> None:
+        """Record a refusal because of an evacuation.
+
+        It does not count as an attempt: this node may not know of the
+        evacuation yet. No other node of the data centre is tried, so there
+        is at most one such refusal for each data centre.
+        """
+        self.tried.add(node_id)
+        self.unreachable.add(node_id)
+        self.evacuated.add(data_centre)
 
     def record(self, node_id: str, outcome: verdict.Failure) -> None:
         """Record a failed attempt that was allowed to queue."""
@@ -77,6 +93,14 @@
     )
 
 
+def is_evacuated(outcome: verdict.Verdict) -> bool:
+    """Return whether a node refused because of an evacuation."""
+    return (
+        isinstance(outcome, verdict.NotRun)
+        and outcome.reason is verdict.Reason.EVACUATED
+    )
+
+
 def may_have_reached_target(outcome: verdict.Failure) -> bool:
     """Return whether the target has, or may have, received the call."""
     if isinstance(outcome, verdict.MayHaveRun):
--- a/src/eelgrasswalk/filters/forward.py
+++ b/src/eelgrasswalk/filters/forward.py
@@ -33,10 +33,17 @@
 MAX_DELIVERIES = 8
 # A call that queued for less than this counts as having found a free slot.
 IMMEDIATE_START_S = 0.001
+FindHomes: typing.TypeAlias = typing.Callable[
+    [front.IncomingCall], collections.abc.Set[str] | None
+]
 # Minimum retry-after, before jitter, of a call that was refused everywhere.
 MIN_RETRY_AFTER_S = 0.1
 
 
+def _find_no_homes(call: front.IncomingCall) -> None:
+    """Allow all data centres."""
+
+
 class Forwarder:
     """Forwards calls as the last step at the caller's node.
 
@@ -49,6 +56,8 @@
         budget: This node's part of the fleet-wide retry budget.
         count_nodes: Returns the number of nodes that share that budget.
         source: Random number generator, for load balancing and jitter.
+        find_homes: Returns the data centres in which a call may run, or None
+            for all.
     """
 
     def __init__(
@@ -61,6 +70,7 @@
         budget: retry_budget.RetryBudget,
         count_nodes: typing.Callable[[], int],
         source: random.Random,
+        find_homes: FindHomes = _find_no_homes,
     ) -> None:
         self._transmitter = transmitter
         self._balancer = balancer
@@ -75,6 +85,7 @@
         )
         self._probing = probing.ProbePolicy(probing.ProbeSettings())
         self._random = source
+        self._find_homes = find_homes
         self._ids = attempt_ids.AttemptIds()
         self._loop = asyncio.get_running_loop()
         # The event loop's clock is too coarse to measure latencies.
@@ -130,10 +141,11 @@
         failure: verdict.Failure = verdict.NotRun(verdict.Reason.NO_UPSTREAM)
         capacity_failure_ratio = 0.0
         while True:
-            upstream = self._choose(call, history)
+            homes = self._find_homes(call)
+            upstream = self._choose(call, history, homes)
             if upstream is None:
                 return self._give_up(failure), capacity_failure_ratio
-            may_wait = not self._may_probe(call, history)
+            may_wait = not self._may_probe(call, history, homes)
             reply = await self._attempt(
                 call, upstream, history, may_wait=may_wait
             )
@@ -147,6 +159,13 @@
                 history.probed.add(upstream.node_id)
                 continue
             failure = verdict.combine(failure, outcome)
+            if attempt_history.is_evacuated(outcome):
+                history.record_evacuated(
+                    upstream.node_id, upstream.data_centre
+                )
+                if self._loop.time() >= call.deadline:
+                    return self._give_up(failure), capacity_failure_ratio
+                continue
             history.record(upstream.node_id, outcome)
             if reply.feedback is not None:
                 history.run_at = reply.feedback.run_at
@@ -155,7 +174,10 @@
             call.is_retry = call.is_retry or history.deliveries > 0
 
     def _may_probe(
-        self, call: front.IncomingCall, history: attempt_history.AttemptHistory
+        self,
+        call: front.IncomingCall,
+        history: attempt_history.AttemptHistory,
+        homes: collections.abc.Set[str] | None,
     ) -> bool:
         """Return whether the next attempt is a probe, which does not queue."""
         if history.attempts or history.reached:
@@ -163,7 +185,9 @@
         return self._probing.should_probe(
             call.service,
             probes=len(history.probed),
-            targets=self._balancer.count_upstreams(call.service),
+            targets=self._balancer.count_upstreams(
+                call.service, data_centres=homes
+            ),
             random_value=self._random.random(),
         )
 
@@ -183,41 +207,39 @@
         self._probing.observe(call.service, found_free_slot=found)
 
     def _choose(
-        self, call: front.IncomingCall, history: attempt_history.AttemptHistory
+        self,
+        call: front.IncomingCall,
+        history: attempt_history.AttemptHistory,
+        homes: collections.abc.Set[str] | None,
     ) -> balance.Upstream | None:
-        if len(history.reached) >= call.route.max_upstreams:
-            return self._choose_among(
-                call, frozenset(), allowed=history.reached
+        def choose(
+            excluded: collections.abc.Set[str],
+            allowed: collections.abc.Set[str] | None = None,
+        ) -> balance.Upstream | None:
+            return self._balancer.choose(
+                call.service,
+                self._clock(),
+                (self._random.random(), self._random.random()),
+                excluded=excluded,
+                allowed=allowed,
+                data_centres=homes,
+                avoided=history.evacuated,
+                route=call.route.name,
+                remaining_s=self._compute_remaining(call),
             )
+
+        if len(history.reached) >= call.route.max_upstreams:
+            return choose(frozenset(), history.reached)
         if history.run_at:
-            found = self._choose_among(
-                call, frozenset(), allowed={history.run_at}
-            )
+            found = choose(frozenset(), {history.run_at})
             if found is not None:
                 return found
         tried = history.tried
         if history.probed:
-            found = self._choose_among(call, tried | history.probed)
+            found = choose(tried | history.probed)
             if found is not None:
                 return found
-        return self._choose_among(call, tried)
-
-    def _choose_among(
-        self,
-        call: front.IncomingCall,
-        excluded: collections.abc.Set[str],
-        *,
-        allowed: collections.abc.Set[str] | None = None,
-    ) -> balance.Upstream | None:
-        return self._balancer.choose(
-            call.service,
-            self._clock(),
-            (self._random.random(), self._random.random()),
-            excluded=excluded,
-            allowed=allowed,
-            route=call.route.name,
-            remaining_s=self._compute_remaining(call),
-        )
+        return choose(tried)
 
     def _compute_remaining(self, call: front.IncomingCall) -> float:
         """Return the seconds left, as far as the choice of upstream uses them.
--- a/src/eelgrasswalk/filters/front.py
+++ b/src/eelgrasswalk/filters/front.py
@@ -61,6 +61,8 @@
             the call is one.
         ended_runs: Runs of targets that ended while they ran it.
         attempts: Results of its attempts, for the log.
+        account_regions: Regions that the client account allows; empty for
+            all.
     """
 
     request: message.Request
@@ -76,6 +78,7 @@
     is_retry: bool = False
     ended_runs: tuple[str, ...] = ()
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
+    account_regions: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -317,6 +320,9 @@
             deadline=now + min(call_timeout_s, MAX_TIMEOUT_S),
             root_hash=self._find_root_hash(request_id),
             parent_id=self._dialect.find_parent_id(request_id),
+            account_regions=(
+                frozenset() if account is None else account.regions
+            ),
         )
 
     def _find_root_hash(self, request_id: str) -> float:
--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -113,6 +113,7 @@
         self.on_leaving: typing.Callable[[str], None] = _ignore
         self._loop = asyncio.get_running_loop()
         self._is_stopping = False
+        self._is_evacuated = False
         self._target_id = ''
         self._run_id = ''
         self._calls_per_s: float | None = None
@@ -159,6 +160,18 @@
         """Refuse new calls, as this node is about to stop."""
         self._is_stopping = True
 
+    def set_evacuated(self, evacuated: bool) -> None:
+        """Choose whether calls are refused because of an evacuation.
+
+        Queued calls are refused at once, so that they can run elsewhere in
+        time.
+        """
+        self._is_evacuated = evacuated
+        if evacuated:
+            self._admitter.carry_out(
+                self._admitter.policy.refuse_waiting(verdict.Reason.EVACUATED)
+            )
+
     async def run(self, call: frames.Call) -> dialler.Reply:
         """Run one attempt; the reply reports the target's load."""
         started_at = self._loop.time()
@@ -278,6 +291,8 @@
     def _check(self, call: frames.Call) -> verdict.NotRun | None:
         if call.remaining_s <= MIN_REMAINING_S:
             return verdict.NotRun(verdict.Reason.DEADLINE)
+        if self._is_evacuated:
+            return _refuse(verdict.Reason.EVACUATED)
         if not self._target_id:
             return _refuse(verdict.Reason.TARGET_UNREACHABLE)
         if self._is_stopping or clock.read_boot_time() >= self._accepts_until:
@@ -305,6 +320,8 @@
         # The drain time includes time for which the host is suspended.
         if clock.read_boot_time() >= self._delivers_until:
             return _refuse(verdict.Reason.LEAVING)
+        if self._is_evacuated:
+            return _refuse(verdict.Reason.EVACUATED)
         remaining_s = deadline - self._loop.time()
         if remaining_s <= MIN_REMAINING_S:
             return verdict.NotRun(verdict.Reason.DEADLINE)
@@ -329,6 +346,7 @@
                 deadline=deadline,
                 # A copy of an earlier refusal would pass for the answer.
                 fresh=echo in self._refused,
+                may_send=self._may_send,
             )
             if await self._has_crashed(outcome, run_id):
                 self._deliveries.end(call)
@@ -352,6 +370,9 @@
             self._remember_refused(echo)
         return classified
 
+    def _may_send(self) -> bool:
+        return not self._is_evacuated
+
     def _report_given_up(
         self, call: frames.Call, outcome: http_client.Broken
     ) -> None:
@@ -403,6 +424,8 @@
         self, outcome: http_client.Outcome, run_id: str
     ) -> verdict.Verdict:
         if isinstance(outcome, http_client.NotSent):
+            if self._is_evacuated:
+                return _refuse(verdict.Reason.EVACUATED)
             events.log(events.TARGET_UNREACHABLE, detail=outcome.detail)
             return _refuse(verdict.Reason.TARGET_UNREACHABLE)
         if isinstance(outcome, http_client.Broken):
--- a/src/eelgrasswalk/platform/names.py
+++ b/src/eelgrasswalk/platform/names.py
@@ -34,6 +34,8 @@
 # Tables and rows.
 OPERATOR_TABLE = 'op'
 CONFIGURATION_KEY = 'config'
+# The rest of the key is a zone that gets no calls while the row exists.
+EVACUATION_PREFIX = 'evacuate/'
 
 # Paths.
 CALL_PATH = '/-/rpc'
--- a/src/eelgrasswalk/platform/operator_config.py
+++ b/src/eelgrasswalk/platform/operator_config.py
@@ -8,6 +8,7 @@
 from .. import ports
 from ..document import model
 from ..policy import call_rules
+from ..policy.placement import evacuation
 from . import names
 
 Fields: typing.TypeAlias = dict[str, typing.Any]
@@ -18,6 +19,7 @@
 _BODY_BYTES = 67_108_864
 _HEADER_TIMEOUT_MS = 3_000
 _IDLE_TIMEOUT_MS = 15_000
+_NO_MARKS = evacuation.Marks()
 
 
 class OperatorRules:
@@ -39,6 +41,30 @@
                 newest = row.value
         return None if newest is None else decode_rules(newest)
 
+    def decode_evacuations(
+        self, rows: collections.abc.Iterable[ports.Row]
+    ) -> evacuation.Marks:
+        """Return what some rows say of evacuated data centres.
+
+        The value of such a row carries no meaning.
+        """
+        is_evacuated = {
+            row.key.removeprefix(names.EVACUATION_PREFIX): (
+                row.value is not None
+            )
+            for row in rows
+            if row.key.startswith(names.EVACUATION_PREFIX)
+            and row.key != names.EVACUATION_PREFIX
+        }
+        if not is_evacuated:
+            return _NO_MARKS
+        return evacuation.Marks(
+            frozenset(name for name, value in is_evacuated.items() if value),
+            frozenset(
+                name for name, value in is_evacuated.items() if not value
+            ),
+        )
+
 
 def decode_rules(value: bytes) -> call_rules.Rules:
     """Return the rules of one configuration.
@@ -99,6 +125,7 @@
             else timeout_s
         ),
         max_upstreams=max(1, int(action.get('max_attempts') or 1)),
+        regions=_decode_regions(rule.get('allowed_regions')),
     )
 
 
@@ -128,9 +155,24 @@
         rate=_take_number(fields.get('rate_per_s') or 0.0),
         burst=_take_number(fields.get('burst') or 0.0),
         importance=None if priority is None else _decode_importance(priority),
+        regions=_decode_regions(fields.get('allowed_regions')),
     )
 
 
+def _decode_regions(value: typing.Any) -> frozenset[str]:
+    """Return the allowed regions; empty for all.
+
+    Raises:
+        ValueError: The value is no list. A guess could let requests run
+            where they must not.
+    """
+    if value is None:
+        return frozenset()
+    if not isinstance(value, list):
+        raise ValueError(f'allowed_regions is no list: {value!r}')
+    return frozenset(map(str, value))
+
+
 def _decode_service(fields: Fields) -> call_rules.ServiceRule:
     return call_rules.ServiceRule(
         name=str(fields['name']),
--- a/src/eelgrasswalk/platform/process_settings.py
+++ b/src/eelgrasswalk/platform/process_settings.py
@@ -80,9 +80,24 @@
         memory_bytes=int(limits.get('memory_mb') or _MEMORY_MB) * 1_000_000,
         bounds=_decode_bounds(bounds),
         bootstrap=fields.get('bootstrap') is True,
+        region=str(fields.get('region') or ''),
+        regions=_decode_zones(fields.get('zones')),
     )
 
 
+def _decode_zones(value: typing.Any) -> dict[str, str]:
+    """Return the region of each zone."""
+    if value is None:
+        return {}
+    if not isinstance(value, dict):
+        raise ValueError(f'zones is no table: {value!r}')
+    return {zone: region for zone, region in value.items() if _is_name(region)}
+
+
+def _is_name(region: typing.Any) -> bool:
+    return isinstance(region, str) and bool(region)
+
+
 def _decode_bounds(
     fields: dict[str, typing.Any],
 ) -> sidecar_settings.Bounds:
@@ -107,4 +122,5 @@
         quota_window_s=number('quota_window_s', default.quota_window_s),
         quota_overage=number('quota_overage', default.quota_overage),
         quota_slack=number('quota_slack', default.quota_slack),
+        evacuate_s=seconds('evacuate_ms', default.evacuate_s),
     )
--- a/src/eelgrasswalk/policy/call_rules.py
+++ b/src/eelgrasswalk/policy/call_rules.py
@@ -39,6 +39,7 @@
         timeout_s: Longest time until a caller gets a response, in seconds.
         objective_s: Latency objective, in seconds.
         max_upstreams: Number of upstreams that one call may be sent to.
+        regions: Regions in which its calls may run; empty for all.
     """
 
     name: str
@@ -51,6 +52,7 @@
     timeout_s: float
     objective_s: float
     max_upstreams: int
+    regions: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,6 +65,7 @@
         rate: Calls per second across all hosts; 0 for no limit.
         burst: Calls that may arrive at once.
         importance: Overrides the importance of the route unless None.
+        regions: Regions in which its calls may run; empty for all.
     """
 
     name: str
@@ -70,6 +73,7 @@
     rate: float
     burst: float
     importance: model.Importance | None = None
+    regions: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,6 +141,10 @@
         self.version = rules.version
         self.accounts = {item.name: item for item in rules.accounts}
         self.services = {item.name: item for item in rules.services}
+        # Whether any route or account limits where its calls may run.
+        self.has_homes = any(route.regions for route in rules.routes) or any(
+            account.regions for account in rules.accounts
+        )
         self._by_key = {
             _hash_key(key.encode('latin-1', 'replace')): account
             for account in rules.accounts
--- a/src/eelgrasswalk/policy/capacity/slot_queue.py
+++ b/src/eelgrasswalk/policy/capacity/slot_queue.py
@@ -220,6 +220,13 @@
             return []
         return [_refuse(call_id, verdict.Reason.CALLER_GONE, 0.0)]
 
+    def refuse_waiting(self, reason: verdict.Reason) -> list[admission.Action]:
+        """Refuse all queued calls."""
+        call_ids = list(self._waiting)
+        for call_id in call_ids:
+            self._remove_waiting(call_id)
+        return [_refuse(call_id, reason, 0.0) for call_id in call_ids]
+
     def expire(self, now: float) -> list[admission.Action]:
         """Refuse calls that waited too long and start those that fit."""
         actions: list[admission.Action] = []
--- a/src/eelgrasswalk/policy/placement/spread.py
+++ b/src/eelgrasswalk/policy/placement/spread.py
@@ -169,9 +169,24 @@
                 del self._states[node_id]
         self._services[service] = states
 
-    def count_upstreams(self, service: str) -> int:
-        """Return the number of upstreams of a service."""
-        return len(self._services.get(service, ()))
+    def count_upstreams(
+        self,
+        service: str,
+        *,
+        data_centres: collections.abc.Set[str] | None = None,
+    ) -> int:
+        """Return the number of upstreams of a service.
+
+        Args:
+            service: The service.
+            data_centres: Data centres to count in; None for all.
+        """
+        states = self._services.get(service, ())
+        if data_centres is None:
+            return len(states)
+        return sum(
+            state.upstream.data_centre in data_centres for state in states
+        )
 
     def choose(
         self,
@@ -181,6 +196,8 @@
         *,
         excluded: collections.abc.Set[str] = frozenset(),
         allowed: collections.abc.Set[str] | None = None,
+        data_centres: collections.abc.Set[str] | None = None,
+        avoided: collections.abc.Set[str] = frozenset(),
         route: str = '',
         remaining_s: float = math.inf,
     ) -> balance.Upstream | None:
@@ -193,6 +210,8 @@
             excluded: Ids of nodes not to choose, such as those already
                 tried.
             allowed: Ids of the nodes to choose from; None for all.
+            data_centres: Data centres to choose from; None for all.
+            avoided: Data centres not to choose from.
             route: Name of the route of the call.
             remaining_s: Seconds until the deadline of the call.
         """
@@ -205,6 +224,12 @@
             usable = [
                 state for state in usable if state.upstream.node_id in allowed
             ]
+        if data_centres is not None or avoided:
+            usable = [
+                state
+                for state in usable
+                if _is_in(state.upstream.data_centre, data_centres, avoided)
+            ]
         reachable = [
             state for state in usable if state.unreachable_until <= now
         ]
@@ -473,3 +498,13 @@
         ratio = latency_s / max(mean_s, 0.001)
         ratio = min(ratio, self._settings.max_latency_factor)
         state.latency_ratio += ewma_weight * (ratio - state.latency_ratio)
+
+
+def _is_in(
+    data_centre: str,
+    allowed: collections.abc.Set[str] | None,
+    avoided: collections.abc.Set[str],
+) -> bool:
+    if data_centre in avoided:
+        return False
+    return allowed is None or data_centre in allowed
--- a/src/eelgrasswalk/policy/target_failures.py
+++ b/src/eelgrasswalk/policy/target_failures.py
@@ -15,6 +15,7 @@
         verdict.Reason.CALLER_GONE,
         verdict.Reason.DEADLINE,
         verdict.Reason.LEAVING,
+        verdict.Reason.EVACUATED,
     )
 )
 
--- a/src/eelgrasswalk/ports.py
+++ b/src/eelgrasswalk/ports.py
@@ -7,6 +7,7 @@
 from . import verdict
 from .policy import call_rules
 from .policy import deadline
+from .policy.placement import evacuation
 from .transport import message
 
 
@@ -143,6 +144,11 @@
             ValueError: The rules cannot be read.
         """
 
+    def decode_evacuations(
+        self, rows: collections.abc.Iterable[Row]
+    ) -> evacuation.Marks:
+        """Return what some rows say of evacuated data centres."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CheckIn:
--- a/src/eelgrasswalk/sidecar/node.py
+++ b/src/eelgrasswalk/sidecar/node.py
@@ -36,10 +36,12 @@
 # A starting node serves without the quarantined requests after this time: the
 # store may answer for other tables alone.
 QUARANTINE_WAIT_S = 1.0
+# The same for the rules, which tell whether the data centre is evacuated.
+RULES_WAIT_S = 1.0
 METRICS_PATH = '/metrics'
 # Settings that can change while the node runs. The others are addresses, the
 # identity of the node, or lengths of windows that have already begun.
-_RELOADABLE = frozenset(('memory_bytes',))
+_RELOADABLE = frozenset(('memory_bytes', 'regions'))
 _RELOADABLE_BOUNDS = frozenset(
     (
         'drain_s',
@@ -138,6 +140,7 @@
             events.NODE_STARTED,
             service=config.service,
             data_centre=config.data_centre,
+            region=config.region,
             target=str(config.target),
             store=str(config.store),
             bounds=dataclasses.asdict(config.bounds),
@@ -224,6 +227,9 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(QUARANTINE_WAIT_S):
                 await control_plane.quarantine_feed.filled.wait()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(RULES_WAIT_S):
+                await control_plane.rules_feed.filled.wait()
         previous = control_plane.roster.find_previous()
         incarnation = time.time_ns()
         if previous is not None:
@@ -363,6 +369,10 @@
                 ),
             ),
         }
+        gauges['eelgrasswalk_evacuated_data_centres'] = (
+            'Data centres that calls are not sent to',
+            len(control_plane.evacuations.evacuated),
+        )
         if self.call_path is not None:
             policy = self.call_path.admitter.policy
             gauges |= {
--- a/src/eelgrasswalk/sidecar/settings.py
+++ b/src/eelgrasswalk/sidecar/settings.py
@@ -27,6 +27,8 @@
             fraction of the rate.
         quota_slack: Calls in each window allowed beyond the rate and the
             overage.
+        evacuate_s: Seconds within which the evacuation of a data centre is
+            in force.
     """
 
     drain_s: float = 2.0
@@ -39,6 +41,7 @@
     quota_window_s: float = 5.0
     quota_overage: float = 0.1
     quota_slack: float = 20.0
+    evacuate_s: float = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,6 +63,8 @@
         memory_bytes: Memory limit of the process, in bytes.
         bounds: Limits that the operators require the whole system to keep.
         bootstrap: Whether the whole mesh starts for the first time.
+        region: Region of the node, for the log; empty when not told.
+        regions: Region of each data centre.
     """
 
     node_id: str
@@ -76,3 +81,5 @@
     memory_bytes: int
     bounds: Bounds
     bootstrap: bool = False
+    region: str = ''
+    regions: dict[str, str] = dataclasses.field(default_factory=dict)
--- a/src/eelgrasswalk/sidecar/wiring.py
+++ b/src/eelgrasswalk/sidecar/wiring.py
@@ -14,6 +14,7 @@
 from ..controllers import relay
 from ..controllers import target_probe
 from ..filters import admit
+from ..filters import call_homes
 from ..filters import deliveries
 from ..filters import forward
 from ..filters import front
@@ -99,6 +100,7 @@
     control_plane.bodies.limit = int(
         control_plane.config.memory_bytes * wiring_control.BODY_MEMORY_SHARE
     )
+    control_plane.homes.set_regions(control_plane.config.regions)
     if call_path is not None:
         call_path.gate.drain_s = bounds.drain_s
         call_path.call_retry_budget.bounds = (
@@ -175,6 +177,9 @@
         budget=call_retry_budget,
         count_nodes=lambda: len(control_plane.roster.roster),
         source=control_plane.random_source,
+        find_homes=call_homes.CallHomes(
+            control_plane.homes, control_plane.rules.get_table
+        ).find,
     )
     call_path = CallPath(
         front=_build_front(control_plane, forwarder, quotas),
@@ -202,6 +207,7 @@
         quotas=quotas,
     )
     control_plane.quarantine.listener = target_gate.isolation
+    control_plane.evacuations.set_gate(target_gate)
     target_gate.on_leaving = call_path.check_ins.note_leaving
     control_plane.router.links = call_path
     return call_path
@@ -231,7 +237,11 @@
         policy,
         source=control_plane.random_source,
         retry_elsewhere=frozenset(
-            (verdict.Reason.LEAVING, verdict.Reason.OVERLOAD)
+            (
+                verdict.Reason.LEAVING,
+                verdict.Reason.EVACUATED,
+                verdict.Reason.OVERLOAD,
+            )
         ),
     )
 
@@ -248,7 +258,9 @@
         list_upstreams=lambda: (
             isolation.Upstream(entry.node_id, entry.run_id)
             for entry in control_plane.roster.roster.list_entries()
-            if entry.service == config.service and entry.is_usable
+            if entry.service == config.service
+            and entry.is_usable
+            and entry.data_centre not in control_plane.evacuations.evacuated
         ),
         reporter=control_plane.quarantine,
     )
--- a/src/eelgrasswalk/sidecar/wiring_control.py
+++ b/src/eelgrasswalk/sidecar/wiring_control.py
@@ -9,6 +9,7 @@
 from ..controllers import confirmation
 from ..controllers import control_router
 from ..controllers import directory
+from ..controllers import evacuations
 from ..controllers import feed
 from ..controllers import mesh_secret
 from ..controllers import quarantine as quarantine_keeper
@@ -18,6 +19,7 @@
 from ..policy import freshness
 from ..policy import quarantine
 from ..policy import roster
+from ..policy.placement import homes
 from ..policy.placement import spread
 from ..transport import budget
 from . import policy_settings
@@ -27,6 +29,10 @@
 # next poll, changes of the rules are found by confirmations.
 RULES_POLL_TIMEOUT_S = 8.0
 ROSTER_POLL_TIMEOUT_S = 20.0
+# Part of the time within which an evacuation is in force after which a root of
+# the relay tree polls the store again. An answer of the store may be lost, and
+# confirmations of peers say nothing of evacuations.
+MAX_SILENCE_RATIO = 0.4
 ROSTER_BATCH_DELAY_S = 0.5
 PLACEMENT_DELAY_S = 0.1
 # Approximate time until nodes that start together have discovered each other.
@@ -69,6 +75,8 @@
         rules_feed: Follows the table of the rules.
         confirmation: Has the rules confirmed by peers or by the store.
         directory: Known nodes and the load balancer.
+        evacuations: Puts evacuations of data centres in force.
+        homes: Finds the data centres in which calls may run.
         roster: Keeps the entries of all nodes, and writes this node's own.
         roster_feed: Follows the table of nodes.
         secrets: Keeps the secret of the mesh in the store.
@@ -89,6 +97,8 @@
     rules_feed: feed.Feed
     confirmation: confirmation.Confirmation
     directory: directory.Directory[spread.LoadAwareBalancer]
+    evacuations: evacuations.Evacuations
+    homes: homes.Homes
     roster: roster_keeper.RosterKeeper
     roster_feed: feed.Feed
     secrets: mesh_secret.SecretKeeper
@@ -127,6 +137,10 @@
             spread.LoadAwareSettings(), data_centre=config.data_centre
         )
     )
+    node_evacuations = evacuations.Evacuations(
+        config.data_centre, node_directory
+    )
+    rule_keeper.on_evacuated = node_evacuations.apply
     router = control_router.ControlRouter()
     node_roster = roster_keeper.RosterKeeper(
         _build_entry(config), platform.store, node_directory, router
@@ -145,6 +159,7 @@
         source=random_source,
         watches=False,
         keeps_rows=True,
+        max_silence_s=MAX_SILENCE_RATIO * config.bounds.evacuate_s,
     )
     roster_feed = feed.Feed(
         platform.store,
@@ -220,6 +235,8 @@
             source=random_source,
         ),
         directory=node_directory,
+        evacuations=node_evacuations,
+        homes=homes.Homes(config.regions),
         roster=node_roster,
         roster_feed=roster_feed,
         secrets=secret_keeper,
--- a/src/eelgrasswalk/transport/http_client.py
+++ b/src/eelgrasswalk/transport/http_client.py
@@ -64,6 +64,7 @@
         find_echo: typing.Callable[[Headers], bytes | None] | None = None,
         deadline: float = math.inf,
         fresh: bool = False,
+        may_send: typing.Callable[[], bool] | None = None,
     ) -> Outcome:
         """Send a request and wait for the whole answer.
 
@@ -78,17 +79,21 @@
             deadline: Loop time at which the wait ends; the connection is
                 closed then.
             fresh: Whether to use a connection that has carried no request.
+            may_send: Asked after a wait for a connection; the request is not
+                sent if it returns False.
 
         Raises:
             TimeoutError: The deadline passed before a connection was free.
         """
-        connection: _Connection | NotSent | None = None
-        if not fresh:
-            connection = self._pop_idle()
+        connection = None if fresh else self._pop_idle()
         if connection is None:
-            connection = await self._acquire_before(deadline, fresh=fresh)
-        if isinstance(connection, NotSent):
-            return connection
+            acquired = await self._acquire_before(deadline, fresh=fresh)
+            if isinstance(acquired, NotSent):
+                return acquired
+            connection = acquired
+            if may_send is not None and not may_send():
+                self._release(connection)
+                return NotSent('the request was withdrawn meanwhile')
         try:
             outcome = await connection.exchange(
                 request, max_answer_bytes, find_echo, deadline
--- a/src/eelgrasswalk/transport/problem.py
+++ b/src/eelgrasswalk/transport/problem.py
@@ -43,6 +43,7 @@
     verdict.Reason.MEMORY: 'The node holds too many bodies',
     verdict.Reason.NO_UPSTREAM: 'No upstream is available',
     verdict.Reason.LEAVING: 'The upstream is leaving',
+    verdict.Reason.EVACUATED: 'The data centre is evacuated',
     verdict.Reason.DUPLICATE: 'The idempotency key is in use',
     verdict.Reason.ISOLATED: 'The request may have crashed its target',
     verdict.Reason.QUARANTINED: 'The request crashes its targets',
--- a/src/eelgrasswalk/verdict.py
+++ b/src/eelgrasswalk/verdict.py
@@ -26,6 +26,7 @@
     MEMORY = 'memory'
     NO_UPSTREAM = 'no-upstream'
     LEAVING = 'leaving'
+    EVACUATED = 'evacuated'
     DUPLICATE = 'duplicate'
     ISOLATED = 'isolated'
     QUARANTINED = 'quarantined'
--- a/tests/controllers/test_rules.py
+++ b/tests/controllers/test_rules.py
@@ -7,6 +7,7 @@
 from eelgrasswalk.controllers import rules
 from eelgrasswalk.policy import call_rules
 from eelgrasswalk.policy import freshness
+from eelgrasswalk.policy.placement import evacuation
 
 LIMITS = call_rules.ListenerLimits(1, 1, 1.0, 1.0)
 
@@ -24,6 +25,11 @@
             return call_rules.Rules(int(row.value), (), (), (), LIMITS)
         return None
 
+    def decode_evacuations(
+        self, rows: collections.abc.Iterable[ports.Row]
+    ) -> evacuation.Marks:
+        return evacuation.Marks()
+
 
 def build_rows(*values: bytes) -> ports.Rows:
     return ports.Rows(
