--- a/src/eelgrasswalk/cli/operator.py
+++ b/src/eelgrasswalk/cli/operator.py
@@ -4,6 +4,7 @@
 import click.shell_completion
 
 from ..operations import connections
+from . import evacuations
 from . import explaining
 from . import files
 from . import keys
@@ -85,6 +86,7 @@
     nodes,
     explaining,
     quarantine,
+    evacuations,
 ):
     for _command in _module.COMMANDS:
         main.add_command(_command)
--- a/src/eelgrasswalk/cli/quarantine.py
+++ b/src/eelgrasswalk/cli/quarantine.py
@@ -7,9 +7,8 @@
 
 import click
 
-from .. import address
 from ..operations import quarantine
-from ..platform import rows
+from . import stores
 from . import terminal
 
 
@@ -26,7 +25,7 @@
 @terminal.run_async
 async def list_quarantined(session: terminal.Session) -> None:
     """List the requests that are refused, by service."""
-    async with _open_store(session) as store:
+    async with stores.open_store(session) as store:
         with _report_errors():
             found = await quarantine.list_quarantined(store)
     session.emit(
@@ -41,30 +40,12 @@
 @terminal.run_async
 async def lift_quarantine(session: terminal.Session, digest: str) -> None:
     """Let the request with DIGEST, or the first digits of it, run again."""
-    async with _open_store(session) as store:
+    async with stores.open_store(session) as store:
         with _report_errors():
             lifted = await quarantine.lift_quarantine(store, digest)
     session.emit({'lifted': _export(lifted)}, [f'Lifted: {_format(lifted)}'])
 
 
-@contextlib.asynccontextmanager
-async def _open_store(
-    session: terminal.Session,
-) -> collections.abc.AsyncIterator[rows.PlatformRows]:
-    try:
-        place = address.parse_address(session.platform)
-    except ValueError as error:
-        raise terminal.Failure(
-            terminal.ExitCode.USAGE,
-            f"--platform {error}. Give the address of the platform's store.",
-        ) from error
-    store = rows.PlatformRows(place.host, place.port)
-    try:
-        yield store
-    finally:
-        await store.close()
-
-
 @contextlib.contextmanager
 def _report_errors() -> collections.abc.Iterator[None]:
     try:
--- a/tests/platform/test_operator_config.py
+++ b/tests/platform/test_operator_config.py
@@ -67,6 +67,34 @@
     return json.dumps(config).encode()
 
 
+class DecodeRegionsTest(unittest.TestCase):
+    def decode(self, value: typing.Any) -> tuple[frozenset[str], ...]:
+        """Return the regions of a route and of an account."""
+        config = json.loads(encode(CONFIG))
+        config['listeners'][0]['rule_set'][0]['allowed_regions'] = value
+        config['tenants'][0]['allowed_regions'] = value
+        rules = operator_config.decode_rules(encode(config))
+        return rules.routes[0].regions, rules.accounts[0].regions
+
+    def test_listed_regions(self) -> None:
+        regions = frozenset(('north', 'south'))
+        self.assertEqual(
+            (regions, regions), self.decode(['north', 'south', 'north'])
+        )
+
+    def test_absent_or_empty_means_all(self) -> None:
+        rules = operator_config.decode_rules(encode(CONFIG))
+        self.assertEqual(frozenset(), rules.routes[0].regions)
+        for value in (None, []):
+            self.assertEqual((frozenset(),) * 2, self.decode(value))
+
+    def test_value_that_is_no_list_is_rejected(self) -> None:
+        """A text must not become a list of letters, nor 0 mean all."""
+        for value in ('north', 0, False, {}):
+            with self.assertRaises(ValueError):
+                self.decode(value)
+
+
 class DecodeRulesTest(unittest.TestCase):
     def setUp(self) -> None:
         self.rules = operator_config.decode_rules(encode(CONFIG))
--- a/tests/platform/test_process_settings.py
+++ b/tests/platform/test_process_settings.py
@@ -42,6 +42,32 @@
         self.assertEqual(5.0, config.bounds.withdraw_s)
 
 
+class ZonesTest(unittest.TestCase):
+    def test_regions_of_zones(self) -> None:
+        config = process_settings.decode_settings(
+            {
+                **FIELDS,
+                'zones': {'erie': 'north', 'tahoe': 'south', 'odd': 7},
+                'region': 'north',
+                'bounds': {'evacuate_ms': 4000},
+            }
+        )
+        # The region of `odd` is unknown.
+        self.assertEqual({'erie': 'north', 'tahoe': 'south'}, config.regions)
+        self.assertEqual('north', config.region)
+        self.assertEqual(4.0, config.bounds.evacuate_s)
+
+    def test_settings_without_zones(self) -> None:
+        config = process_settings.decode_settings(FIELDS)
+        self.assertEqual({}, config.regions)
+        self.assertEqual(5.0, config.bounds.evacuate_s)
+
+    def test_zones_that_are_no_table(self) -> None:
+        for value in (['erie'], 'erie', 0):
+            with self.assertRaises(ValueError):
+                process_settings.decode_settings({**FIELDS, 'zones': value})
+
+
 class LoadSettingsTest(unittest.TestCase):
     def load(self, text: str) -> str:
         with tempfile.TemporaryDirectory() as folder:
--- a/tests/sidecar/test_reload.py
+++ b/tests/sidecar/test_reload.py
@@ -50,6 +50,17 @@
             )
         )
 
+    def test_regions_of_data_centres_apply_at_once(self) -> None:
+        """A new zone must not need a restart of all nodes."""
+        result = self.reload(bounds={}, regions={'erie': 'north'})
+        self.assertEqual(('regions',), result.applied)
+        self.assertEqual(
+            frozenset(('erie',)),
+            self.node._control_plane.homes.find_allowed(
+                frozenset(('north',)), frozenset()
+            ),
+        )
+
     def test_reloadable_settings_apply_at_once(self) -> None:
         result = self.reload(
             bounds={'drain_s': 1.0, 'retry_ratio': 0.1, 'quota_slack': 5.0},
