Refuse calls that were kept apart when an evacuation began

Cause: such a call entered the queue after the queued calls had been refused, and waited for a slot only to be refused then.

Change: the gate checks again after the wait; tests of evacuations with processes.

--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -210,6 +210,9 @@
     async def _run_admitted(
         self, call: frames.Call, started_at: float
     ) -> dialler.Reply:
+        if self._is_evacuated:
+            # The evacuation has begun while the call was kept apart.
+            return dialler.Reply(_refuse(verdict.Reason.EVACUATED), None)
         deadline = started_at + call.remaining_s
         admitted = await self._admitter.admit(
             call.context,
--- a/tests/filters/test_gate_evacuation.py
+++ b/tests/filters/test_gate_evacuation.py
@@ -5,6 +5,7 @@
 import unittest.mock
 
 from eelgrasswalk import verdict
+from eelgrasswalk.filters import isolation
 from eelgrasswalk.policy import root_share
 from eelgrasswalk.policy import running_calls
 from eelgrasswalk.transport import dialler
@@ -77,6 +78,25 @@
         self.expect_refusal(await queued)
         self.assertEqual(1, self.pool.send.call_count)
 
+    async def test_suspect_that_waited_apart_does_not_queue(self) -> None:
+        """All slots are in use; it would wait for one in vain."""
+        running = [
+            asyncio.create_task(self.gate.run(test_gate.build_call()))
+            for _ in range(4)
+        ]
+        await fake_store.settle()
+
+        async def wait(*args: object, **options: object) -> isolation.Pass:
+            self.gate.set_evacuated(True)
+            return isolation.Pass()
+
+        built = self.gate.isolation
+        assert isinstance(built, unittest.mock.Mock)
+        built.enter.side_effect = wait
+        self.expect_refusal(await self.gate.run(test_gate.build_call()))
+        self.answered.set()
+        await asyncio.gather(*running)
+
     async def test_refusal_before_delivery_is_no_failure_of_the_target(
         self,
     ) -> None:
