--- a/src/eelgrasswalk/operations/explanation.py
+++ b/src/eelgrasswalk/operations/explanation.py
@@ -55,6 +55,7 @@
     'key-missing': 'the request came without a key',
     'no-upstream': 'no target of the service was known to take calls',
     'leaving': 'the target or its node was stopping',
+    'evacuated': 'the data centre of the target was evacuated',
     'target-unreachable': 'the target took no connection',
     'target-refused': 'the target itself refused the request',
     'target-lost': 'the target ended the connection before its answer',
