Refuse answers of targets with a status outside 100 to 599

Cause: the parser takes any three digits, and ClientConnection compared them with 200 only. 000 and 099 counted as interim answers, so the call was held until its deadline; 600 and 999 were passed on with the target's stamp, and what they said of the target (Server-Limit, Server-Leaving) was believed.

Change: the answer is given up when its head is complete. The call ends as answer-incomplete, may have run, which a caller's node retries for safe calls; the connection is closed and the target counts as failing. An invalid answer to another request ends the call as well, as what follows can't be relied on. The dialect trusts no notice on such an answer and sends 502 in its place when a node of an older release passes one on; a status line never has an invalid status.

Conclusion: the class of fault is closed at the one way to targets.

--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -273,6 +273,7 @@
                 self._shares.compute_share(call.route, time.monotonic()), 2
             ),
             'run_at': '' if feedback is None else feedback.run_at,
+            'detail': getattr(reply.outcome, 'detail', ''),
         }
 
     def _check(self, call: frames.Call) -> verdict.NotRun | None:
--- a/src/eelgrasswalk/operations/explanation.py
+++ b/src/eelgrasswalk/operations/explanation.py
@@ -68,7 +68,9 @@
         'the link to the node of the target was lost while the request was '
         'there'
     ),
-    'answer-incomplete': 'the answer of the target did not arrive whole',
+    'answer-incomplete': (
+        'the answer of the target did not arrive whole or was not valid'
+    ),
     'answer-too-large': (
         'the target sent more than the node takes, perhaps without end'
     ),
--- a/src/eelgrasswalk/platform/dialect.py
+++ b/src/eelgrasswalk/platform/dialect.py
@@ -106,8 +106,10 @@
         self, response: verdict.Response
     ) -> ports.TargetNotice | None:
         """Return what a target's answer says of the target."""
-        if response.status == 421:
-            # Another target answers at the address.
+        if response.status == 421 or not message.is_valid_status(
+            response.status
+        ):
+            # Another target answers at the address, or one in trouble.
             return None
         headers = response.headers
         limit = message.find_header(headers, names.RATE_LIMIT)
@@ -130,6 +132,8 @@
     def judge(self, response: verdict.Response) -> verdict.Verdict:
         """Return what a target's answer says of its call."""
         headers = response.headers
+        if not message.is_valid_status(response.status):
+            return _build_unknown('the answer has an invalid status')
         if response.status == 421 or (
             message.find_header(headers, names.NOT_RUN) is not None
         ):
@@ -150,7 +154,10 @@
     def render(self, outcome: verdict.Verdict) -> verdict.Response:
         """Return the answer for the caller."""
         if isinstance(outcome, verdict.Answered):
-            return outcome.response
+            if message.is_valid_status(outcome.response.status):
+                return outcome.response
+            # The node beside the target is of a release that takes any.
+            return _build_answer(502, verdict.Reason.ANSWER_INCOMPLETE, None)
         if isinstance(outcome, verdict.MayHaveRun):
             status = _IN_DOUBT_STATUS.get(outcome.reason, 502)
             return _build_answer(status, outcome.reason, None)
--- a/src/eelgrasswalk/transport/client_connection.py
+++ b/src/eelgrasswalk/transport/client_connection.py
@@ -251,7 +251,12 @@
             raise ValueError('too many headers')
 
     def on_headers_complete(self) -> None:
-        if self._parser.get_status_code() < 200:
+        status = self._parser.get_status_code()
+        if not message.is_valid_status(status):
+            self._fail(f'the target sent the invalid status {status:03}')
+            # Ends the parser: nothing behind the answer can be relied on.
+            raise ValueError('invalid status')
+        if status < 200:
             return
         self._headers_done = True
         if self._head:
--- a/src/eelgrasswalk/transport/message.py
+++ b/src/eelgrasswalk/transport/message.py
@@ -14,6 +14,9 @@
 
 _OWN_LENGTH = len(OWN_PREFIX)
 
+MIN_STATUS = 100
+MAX_STATUS = 599
+
 # Sizes of chunks, for each byte of a body; small chunks take a few.
 FRAMING_PER_BODY_BYTE = 8
 # Parts of a body that may be small, and the mean length of those beyond.
@@ -57,6 +60,18 @@
         return self.target.partition('?')[0]
 
 
+def is_valid_status(status: int) -> bool:
+    """Return whether a number is the status of an HTTP answer."""
+    return MIN_STATUS <= status <= MAX_STATUS
+
+
+def build_status_line(status: int) -> bytes:
+    """Return the line of a status that has no phrase; 502 if it is invalid."""
+    if not is_valid_status(status):
+        status = 502
+    return b'HTTP/1.1 %d Unknown\r\n' % status
+
+
 def describe_excess(
     received: int, body_length: int, *, parts: int, head_bytes: int
 ) -> str:
--- a/src/eelgrasswalk/transport/server_connection.py
+++ b/src/eelgrasswalk/transport/server_connection.py
@@ -300,7 +300,7 @@
         assert self._transport is not None
         parts = [
             _STATUS_LINES.get(answer.status)
-            or f'HTTP/1.1 {answer.status} Unknown\r\n'.encode()
+            or message.build_status_line(answer.status)
         ]
         parts += [
             b'%b: %b\r\n' % pair
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -6,8 +6,10 @@
 from eelgrasswalk import verdict
 from eelgrasswalk.platform import dialect
 from eelgrasswalk.policy import deadline
+from eelgrasswalk.policy import retries
 
 DIALECT = dialect.PlatformDialect()
+INVALID_STATUSES = (-1, 0, 99, 600, 999)
 
 
 def build_answer(
@@ -145,8 +147,26 @@
         answer = build_answer(421, (b'server-limit', b'5'))
         self.assertIsNone(DIALECT.read_notice(answer))
 
+    def test_answer_with_an_invalid_status_says_nothing(self) -> None:
+        """A target in trouble would have limited or drained its node."""
+        for status in INVALID_STATUSES:
+            for header in (
+                (b'server-limit', b'5'),
+                (b'server-leaving', b'1'),
+                (b'response-stamp', b's'),
+            ):
+                answer = build_answer(status, header)
+                self.assertIsNone(DIALECT.read_notice(answer), answer)
+
 
 class JudgeTest(unittest.TestCase):
+    def test_answer_with_an_invalid_status_proves_nothing(self) -> None:
+        for status in INVALID_STATUSES:
+            for header in (b'response-stamp', b'not-executed'):
+                judged = DIALECT.judge(build_answer(status, (header, b'1')))
+                assert isinstance(judged, verdict.MayHaveRun), judged
+                self.assertIn(judged.reason, retries.RETRYABLE_IF_IDEMPOTENT)
+
     def test_stamped_answer_is_passed_on_as_it_is(self) -> None:
         for status in (200, 404, 500, 504):
             answer = build_answer(status, (b'response-stamp', b's'))
@@ -176,6 +196,14 @@
 
 
 class RenderTest(unittest.TestCase):
+    def test_invalid_status_from_another_node_is_not_passed_on(self) -> None:
+        """A node of an older release takes any status for an answer."""
+        for status in INVALID_STATUSES:
+            stamped = build_answer(status, (b'response-stamp', b's'))
+            answer = DIALECT.render(verdict.Answered(stamped))
+            self.assertEqual(502, answer.status)
+            self.assertNotIn(b'response-stamp', dict(answer.headers))
+
     def test_only_proven_refusals_promise(self) -> None:
         promises = {429, 503, 408, 421}
         for reason in verdict.Reason:
--- a/tests/policy/test_target_failures.py
+++ b/tests/policy/test_target_failures.py
@@ -25,6 +25,10 @@
             with self.subTest(outcome):
                 self.assertGreater(self.measure(outcome), 0.9)
 
+    def test_answer_with_an_invalid_status_counts(self) -> None:
+        outcome = verdict.MayHaveRun(verdict.Reason.ANSWER_INCOMPLETE)
+        self.assertGreater(self.measure(outcome), 0.9)
+
     def test_successes_do_not_count(self) -> None:
         self.assertEqual(0.0, self.measure(ANSWER))
 
