Keep the load that targets report, and show it as metrics

Cause: some targets send Server-Load, and nothing read it.

After 1 s a report says nothing. No decision uses it.

Conclusion: operators see reported running, waiting, slowdown and age.

--- a/src/eelgrasswalk/controllers/target_probe.py
+++ b/src/eelgrasswalk/controllers/target_probe.py
@@ -3,12 +3,22 @@
 import typing
 
 from .. import ports
+from .. import verdict
 from ..transport import http_client
 
 # A target that is not confirmed by then is asked again a little later.
 TIMEOUT_S = 0.5
 
 
+class LoadListener(typing.Protocol):
+    """Takes the load that the target reports."""
+
+    run_id: str
+
+    def observe(self, response: verdict.Response, run_id: str) -> None:
+        """Record what an answer of a run reports."""
+
+
 class TargetProbe:
     """Sends health checks to the target.
 
@@ -17,6 +27,7 @@
         dialect: Reads its answers.
         get_path: Returns the path of its health, or an empty text while that
             is not known.
+        loads: Takes the load that its answers report; None for nothing.
     """
 
     def __init__(
@@ -25,10 +36,12 @@
         dialect: ports.Dialect,
         *,
         get_path: typing.Callable[[], str],
+        loads: LoadListener | None = None,
     ) -> None:
         self._pool = pool
         self._dialect = dialect
         self._get_path = get_path
+        self._loads = loads
 
     async def is_serving(self, target_id: str) -> bool:
         """Return whether a target is there, healthy and not leaving.
@@ -39,12 +52,13 @@
         path = self._get_path()
         if not path:
             return False
+        run_id = '' if self._loads is None else self._loads.run_id
         answer = await self._pool.ask(path, timeout_s=TIMEOUT_S)
         if answer is None or answer.status != 200:
             return False
+        if self._dialect.read_target_id(answer) != target_id:
+            return False
+        if self._loads is not None:
+            self._loads.observe(answer, run_id)
         notice = self._dialect.read_notice(answer)
-        is_leaving = notice is not None and notice.leaving
-        return (
-            not is_leaving
-            and self._dialect.read_target_id(answer) == target_id
-        )
+        return notice is None or not notice.leaving
--- a/src/eelgrasswalk/events.py
+++ b/src/eelgrasswalk/events.py
@@ -198,6 +198,12 @@
     'look at what the target sends; while its answers use up the memory for '
     'bodies, calls are refused',
 )
+LOAD_REPORT_IGNORED = Event(
+    4020,
+    logging.WARNING,
+    'target reports a load that cannot be right; such reports are ignored',
+    'look at the header Server-Load that the target sends',
+)
 QUARANTINE_REJECTED = Event(
     3016,
     logging.WARNING,
--- a/src/eelgrasswalk/filters/deliveries.py
+++ b/src/eelgrasswalk/filters/deliveries.py
@@ -83,6 +83,11 @@
         ends_at = self._loop.time() + call.remaining_s
         self._abandoned.append((ends_at, describe_call(call)))
 
+    def count_abandoned(self) -> int:
+        """Return how many calls may run though nobody waits for them."""
+        now = self._loop.time()
+        return sum(ends_at > now for ends_at, _ in self._abandoned)
+
     def list_calls(self) -> list[frames.Call]:
         """Return the calls that run, the oldest first."""
         return list(self._calls.values())
--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -28,6 +28,7 @@
 from . import deliveries
 from . import identity
 from . import isolation as call_isolation
+from . import load_observer
 
 MAX_ANSWER_BYTES = 33_554_432
 MIN_REMAINING_S = 0.002
@@ -79,6 +80,7 @@
 
     Attributes:
         isolation: Keeps deadly requests away from the target.
+        loads: What the target reports of its load.
         drain_s: As above; a change applies to the next drain.
         on_leaving: Called with the id of the target when it says in an answer
             that it is leaving.
@@ -124,6 +126,12 @@
         self._sent = decaying_rate.DecayingRate(SENT_SPAN_S)
         self._deliveries = deliveries.Deliveries(pool, self._handle_crash)
         self.isolation = isolate(self._deliveries)
+        self.loads = load_observer.LoadObserver(
+            dialect,
+            log,
+            count_calls=lambda: admitter.policy.in_flight,
+            count_abandoned=self._deliveries.count_abandoned,
+        )
         self._accepts_until = math.inf
         self._delivers_until = math.inf
 
@@ -146,6 +154,7 @@
         self._accepts_until = math.inf
         self._delivers_until = math.inf
         self._admitter.policy.resize(slots)
+        self.loads.set_target(target_id, slots, run_id=run_id)
 
     def start_draining(self) -> None:
         """Start to drain the target; no effect once calls are refused."""
@@ -412,6 +421,7 @@
         # An answer of an earlier run says nothing of this one.
         if notice is not None and run_id == self._run_id:
             self._apply_notice(notice)
+        self.loads.observe(outcome.response, run_id)
         classified = self._dialect.judge(outcome.response)
         if isinstance(classified, verdict.Answered):
             answer = classified.response
--- a/src/eelgrasswalk/metrics_page.py
+++ b/src/eelgrasswalk/metrics_page.py
@@ -64,6 +64,14 @@
             for reason, count in counts.items():
                 given_up.add_metric((target_id, reason), count)
         yield given_up
+        ignored = core.CounterMetricFamily(
+            'eelgrasswalk_load_reports_ignored',
+            'Load reports of the target that were ignored, by cause',
+            labels=('cause',),
+        )
+        for cause, count in self._log.ignored_loads.items():
+            ignored.add_metric((cause,), count)
+        yield ignored
         latencies = core.HistogramMetricFamily(
             'eelgrasswalk_call_seconds',
             'Seconds from arrival to outcome, by hop',
--- a/src/eelgrasswalk/platform/dialect.py
+++ b/src/eelgrasswalk/platform/dialect.py
@@ -11,6 +11,12 @@
 _MS_PER_S = 1000.0
 _MAX_DEADLINE_DIGITS = 12
 _RATE = re.compile(rb'\d{1,9}(\.\d{1,9})?')
+# At most 1,000,000 each; the length bounds the work for any header.
+_LOAD = re.compile(rb'(\d{1,7}),(\d{1,7}),(\d{1,7})(?:,(\d{1,7}))?')
+_MAX_LOAD_FIGURE = 1_000_000
+_PERCENT = 100
+_USUAL_SLOWDOWN = b'100'
+_MALFORMED_LOAD = ports.MalformedLoad()
 _ABSENT = deadline.NoTimeout()
 
 _NOT_RUN_STATUS = {
@@ -106,10 +112,7 @@
         self, response: verdict.Response
     ) -> ports.TargetNotice | None:
         """Return what a target's answer says of the target."""
-        if response.status == 421 or not message.is_valid_status(
-            response.status
-        ):
-            # Another target answers at the address, or one in trouble.
+        if not _is_from_target(response.status):
             return None
         headers = response.headers
         limit = message.find_header(headers, names.RATE_LIMIT)
@@ -124,6 +127,15 @@
             return None
         return ports.TargetNotice()
 
+    def read_load(
+        self, response: verdict.Response
+    ) -> ports.LoadReport | ports.MalformedLoad | None:
+        """Return the load that a target's answer reports; None for none."""
+        value = message.find_header(response.headers, names.LOAD)
+        if value is None or not _is_from_target(response.status):
+            return None
+        return _parse_load(value)
+
     def read_target_id(self, response: verdict.Response) -> str:
         """Return the id of the target that answered; empty if not told."""
         value = message.find_header(response.headers, names.ANSWERING_ID)
@@ -179,6 +191,25 @@
     return deadline.RequestedTimeout(int(value) / _MS_PER_S)
 
 
+def _is_from_target(status: int) -> bool:
+    """Return whether an answer with a status may speak for its target.
+
+    With 421 another target answers at the address; with an invalid status
+    nothing else of the answer can be relied on.
+    """
+    return status != 421 and message.is_valid_status(status)
+
+
+def _parse_load(value: bytes) -> ports.LoadReport | ports.MalformedLoad:
+    match = _LOAD.fullmatch(value)
+    if match is None:
+        return _MALFORMED_LOAD
+    running, waiting, slots, slowdown = map(int, match.groups(_USUAL_SLOWDOWN))
+    if max(running, waiting, slots, slowdown) > _MAX_LOAD_FIGURE:
+        return _MALFORMED_LOAD
+    return ports.LoadReport(running, waiting, slots, slowdown / _PERCENT)
+
+
 def _parse_rate(value: bytes) -> float | None:
     """Return a rate per second, or None if it is malformed."""
     if _RATE.fullmatch(value) is None:
--- a/src/eelgrasswalk/platform/names.py
+++ b/src/eelgrasswalk/platform/names.py
@@ -22,6 +22,9 @@
 RATE_LIMIT = b'server-limit'
 # Says with the value 1 that the target is leaving.
 LEAVING = b'server-leaving'
+# Requests that run and wait, slots, and optionally how long work takes on the
+# host, in percent of what it usually takes.
+LOAD = b'server-load'
 # Rises by one whenever the store comes back from a copy.
 STORE_ERA = b'store-era'
 # Seconds, with fractions.
--- a/src/eelgrasswalk/ports.py
+++ b/src/eelgrasswalk/ports.py
@@ -230,6 +230,29 @@
     leaving: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """The load that a target reports of itself in an answer.
+
+    Args:
+        running: Requests that it runs.
+        waiting: Requests that wait at it.
+        slots: Requests that it can run at a time.
+        slowdown: How long work takes on its host now, as a multiple of what
+            it usually takes.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowdown: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MalformedLoad:
+    """A report of a load that cannot be read."""
+
+
 class Dialect(typing.Protocol):
     """How callers and targets say what a call is and what became of it."""
 
@@ -287,6 +310,11 @@
             state.
         """
 
+    def read_load(
+        self, response: verdict.Response
+    ) -> LoadReport | MalformedLoad | None:
+        """Return the load that a target's answer reports; None for none."""
+
     def read_target_id(self, response: verdict.Response) -> str:
         """Return the id of the target that answered; empty if not told."""
 
--- a/src/eelgrasswalk/request_log.py
+++ b/src/eelgrasswalk/request_log.py
@@ -81,12 +81,14 @@
         calls: Calls by what they are counted by.
         latencies: Latencies by hop.
         given_up: Answers that were given up, by target and reason.
+        ignored_loads: Load reports that were ignored, by cause.
     """
 
     def __init__(self, budget: log_budget.LogBudget) -> None:
         self.calls: collections.Counter[CallKind] = collections.Counter()
         self.latencies: dict[str, Histogram] = {}
         self.given_up: dict[str, collections.Counter[str]] = {}
+        self.ignored_loads: collections.Counter[str] = collections.Counter()
         self._budget = budget
 
     def count_given_up(self, target_id: str, reason: verdict.Reason) -> None:
@@ -101,6 +103,10 @@
         if len(self.given_up) > MAX_TARGETS:
             del self.given_up[next(iter(self.given_up))]
 
+    def count_ignored_load(self, cause: str) -> None:
+        """Count a load report of the target that is ignored."""
+        self.ignored_loads[cause] += 1
+
     def record(
         self,
         event: events.Event,
--- a/src/eelgrasswalk/sidecar/node.py
+++ b/src/eelgrasswalk/sidecar/node.py
@@ -11,6 +11,7 @@
 from .. import metrics_page
 from .. import request_log
 from .. import verdict
+from ..filters import load_observer
 from ..policy import call_rules
 from ..transport import http_server
 from ..transport import message
@@ -383,9 +384,41 @@
                     self.call_path.dialler.count_links(),
                 ),
             }
+            gauges |= _read_load_gauges(self.call_path.gate.loads)
         return gauges
 
 
+def _read_load_gauges(
+    loads: load_observer.LoadObserver,
+) -> metrics_page.Gauges:
+    """Return what the target reports; nothing but its age once it is old."""
+    gauges: metrics_page.Gauges = {}
+    age_s = loads.measure_age()
+    if age_s is not None:
+        gauges['eelgrasswalk_target_report_age_seconds'] = (
+            'Seconds since the newest load report of the target',
+            age_s,
+        )
+    known = loads.find()
+    if known is not None:
+        report = known.report
+        gauges |= {
+            'eelgrasswalk_target_reported_running': (
+                'Calls that the target reports as running',
+                report.running,
+            ),
+            'eelgrasswalk_target_reported_waiting': (
+                'Calls that the target reports as waiting',
+                report.waiting,
+            ),
+            'eelgrasswalk_target_reported_slowdown': (
+                'Time that work takes on the host of the target, 1 as usual',
+                report.slowdown,
+            ),
+        }
+    return gauges
+
+
 def _list_changed(old: typing.Any, new: typing.Any) -> frozenset[str]:
     """Return the names of the fields whose values differ."""
     return frozenset(
--- a/src/eelgrasswalk/sidecar/wiring.py
+++ b/src/eelgrasswalk/sidecar/wiring.py
@@ -188,7 +188,7 @@
             target_lifecycle.TargetLifecycle(),
             control_plane.roster,
             target_gate,
-            _build_probe(control_plane, pool),
+            _build_probe(control_plane, pool, target_gate),
             clock=time.monotonic,
         ),
         reaper=reaper.Reaper(
@@ -208,7 +208,9 @@
 
 
 def _build_probe(
-    control_plane: wiring_control.ControlPlane, pool: http_client.TargetPool
+    control_plane: wiring_control.ControlPlane,
+    pool: http_client.TargetPool,
+    target_gate: gate.Gate,
 ) -> target_probe.TargetProbe:
     config = control_plane.config
     get_table = control_plane.rules.get_table
@@ -219,7 +221,10 @@
         return '' if service is None else service.health_path
 
     return target_probe.TargetProbe(
-        pool, control_plane.platform.dialect, get_path=get_path
+        pool,
+        control_plane.platform.dialect,
+        get_path=get_path,
+        loads=target_gate.loads,
     )
 
 
--- a/tests/controllers/test_target_probe.py
+++ b/tests/controllers/test_target_probe.py
@@ -13,13 +13,24 @@
 HEALTHY = verdict.Response(200, ((b'instance-id', b'i-1'),), b'')
 
 
+class FakeLoads:
+    def __init__(self) -> None:
+        self.run_id = 'i-1@1'
+        self.observed: list[tuple[verdict.Response, str]] = []
+
+    def observe(self, response: verdict.Response, run_id: str) -> None:
+        self.observed.append((response, run_id))
+
+
 class TargetProbeTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.answer = HEALTHY
+        self.handler = self.handle
         self.paths: list[str] = []
         self.path = '/health'
+        self.loads = FakeLoads()
         server = http_server.HttpServer(
-            self.handle, limits=http_server.Limits()
+            lambda request: self.handler(request), limits=http_server.Limits()
         )
         host, port = await server.start('127.0.0.1', 0)
         self.addAsyncCleanup(server.stop)
@@ -29,6 +40,7 @@
             pool,
             dialect.PlatformDialect(),
             get_path=lambda: self.path,
+            loads=self.loads,
         )
 
     async def handle(self, request: message.Request) -> verdict.Response:
@@ -55,6 +67,31 @@
         self.assertFalse(await self.ask(200, ((b'instance-id', b'i-2'),), b''))
         self.assertFalse(await self.ask(200, (), b''))
 
+    async def test_load_is_taken_from_the_answer_of_the_target(self) -> None:
+        headers = ((b'instance-id', b'i-1'), (b'server-load', b'1,0,4'))
+        self.assertTrue(await self.ask(200, headers, b''))
+        ((response, run_id),) = self.loads.observed
+        self.assertIn((b'server-load', b'1,0,4'), response.headers)
+        self.assertEqual('i-1@1', run_id)
+
+    async def test_answer_counts_for_the_run_that_was_asked(self) -> None:
+        """The target may be replaced while the answer is on its way."""
+        handle = self.handle
+
+        async def restart(request: message.Request) -> verdict.Response:
+            self.loads.run_id = 'i-1@2'
+            return await handle(request)
+
+        self.handler = restart
+        await self.ask()
+        ((_, run_id),) = self.loads.observed
+        self.assertEqual('i-1@1', run_id)
+
+    async def test_load_of_another_target_is_not_taken(self) -> None:
+        headers = ((b'instance-id', b'i-2'), (b'server-load', b'1,0,4'))
+        await self.ask(200, headers, b'')
+        self.assertEqual([], self.loads.observed)
+
     async def test_target_without_a_path_is_not_asked(self) -> None:
         self.path = ''
         self.assertFalse(await self.ask())
--- a/tests/filters/test_gate.py
+++ b/tests/filters/test_gate.py
@@ -6,6 +6,8 @@
 import unittest.mock
 
 from eelgrasswalk import clock
+from eelgrasswalk import events
+from eelgrasswalk import ports
 from eelgrasswalk import request_log
 from eelgrasswalk import verdict
 from eelgrasswalk.filters import admit
@@ -95,6 +97,15 @@
     return built
 
 
+def build_loaded(
+    load: bytes, *, target_id: bytes = b'i-1'
+) -> http_client.Received:
+    headers = ((b'instance-id', target_id), (b'server-load', load))
+    return http_client.Received(
+        verdict.Response(200, (*RESPONSE.headers, *headers), b'')
+    )
+
+
 class GateTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.shares = root_share.RootShares(
@@ -251,6 +262,110 @@
         await self.gate.run(build_call())
         self.assertEqual([], told)
 
+    async def test_answer_reports_the_load_of_the_target(self) -> None:
+        self.pool.send.return_value = build_loaded(b'1,2,4,150')
+        await self.gate.run(build_call())
+        known = self.gate.loads.find()
+        assert known is not None
+        self.assertEqual(ports.LoadReport(1, 2, 4, 1.5), known.report)
+
+    async def test_answer_without_a_load_is_no_flaw(self) -> None:
+        await self.gate.run(build_call())
+        self.assertIsNone(self.gate.loads.find())
+        self.assertEqual([], self.count_ignored())
+
+    async def test_load_that_cannot_be_right_is_counted(self) -> None:
+        """One line for each run of the target, however many answers."""
+        for load, cause in (
+            (b'bad', 'malformed'),
+            (b'5,0,4', 'over-slots'),
+            (b'4,5000,4', 'more-than-sent'),
+        ):
+            with self.subTest(cause):
+                self.pool.send.return_value = build_loaded(load)
+                self.find_log().reset_mock()
+                with self.assertLogs('eelgrasswalk') as logged:
+                    events.log(events.NODE_STARTED)
+                    for _ in range(3):
+                        await self.gate.run(build_call())
+                self.assertEqual([cause] * 3, self.count_ignored())
+                self.assertLessEqual(len(logged.records), 2)
+                self.assertIsNone(self.gate.loads.find())
+
+    async def test_load_of_another_target_is_not_taken(self) -> None:
+        self.pool.send.return_value = build_loaded(b'1,0,4', target_id=b'i-9')
+        await self.gate.run(build_call())
+        self.assertIsNone(self.gate.loads.find())
+
+    async def test_late_answer_of_an_earlier_run_reports_no_load(
+        self,
+    ) -> None:
+        async def restart(
+            *args: object, **options: object
+        ) -> http_client.Outcome:
+            self.gate.set_target('i-1', 4, run_id='i-1@2')
+            return build_loaded(b'1,0,4')
+
+        self.pool.send.side_effect = restart
+        await self.gate.run(build_call())
+        self.assertIsNone(self.gate.loads.find())
+
+    async def test_load_of_an_earlier_run_is_forgotten(self) -> None:
+        self.pool.send.return_value = build_loaded(b'1,0,4')
+        await self.gate.run(build_call())
+        self.gate.set_target('i-1', 4, run_id='i-1@1')
+        self.assertIsNotNone(self.gate.loads.find())
+        self.gate.set_target('i-1', 4, run_id='i-1@2')
+        self.assertIsNone(self.gate.loads.find())
+
+    async def test_load_is_old_after_a_suspension(self) -> None:
+        """The monotonic clock stands still while a host is suspended."""
+        self.pool.send.return_value = build_loaded(b'1,0,4')
+        now = clock.read_boot_time()
+        with unittest.mock.patch.object(
+            clock, 'read_boot_time', return_value=now
+        ) as read:
+            await self.gate.run(build_call())
+            self.assertIsNotNone(self.gate.loads.find())
+            read.return_value = now + 1.5
+            self.assertIsNone(self.gate.loads.find())
+            self.assertEqual(1.5, self.gate.loads.measure_age())
+
+    async def test_target_goes_on_with_calls_that_nobody_waits_for(
+        self,
+    ) -> None:
+        """It then runs more than the gate waits for, and says so rightly."""
+        self.gate.set_target('i-1', 100, run_id='i-1@1')
+        self.pool.send.return_value = http_client.Broken(
+            verdict.Reason.DEADLINE, 'late'
+        )
+        for _ in range(40):
+            await self.gate.run(build_call())
+        self.pool.send.return_value = build_loaded(b'41,0,100')
+        await self.gate.run(build_call())
+        self.assertIsNotNone(self.gate.loads.find())
+        self.assertEqual([], self.count_ignored())
+
+    async def test_invalid_answer_counts_as_a_failure_of_the_target(
+        self,
+    ) -> None:
+        self.pool.send.return_value = http_client.Broken(
+            verdict.Reason.ANSWER_INCOMPLETE, 'invalid status'
+        )
+        self.pool.is_refused.return_value = False
+        reply = await self.gate.run(build_call())
+        assert reply.feedback is not None
+        self.assertGreater(reply.feedback.failing, 0.0)
+
+    def find_log(self) -> unittest.mock.Mock:
+        log = self.gate._log
+        assert isinstance(log, unittest.mock.Mock)
+        return log
+
+    def count_ignored(self) -> list[str]:
+        calls = self.find_log().count_ignored_load.call_args_list
+        return [call.args[0] for call in calls]
+
     async def test_crash_names_the_calls_that_ran(self) -> None:
         broken = http_client.Broken(verdict.Reason.TARGET_LOST, 'closed')
         self.pool.send.return_value = broken
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -2,6 +2,9 @@
 
 import unittest
 
+import hypothesis
+import hypothesis.strategies
+
 from eelgrasswalk import ports
 from eelgrasswalk import verdict
 from eelgrasswalk.platform import dialect
@@ -159,6 +162,85 @@
                 self.assertIsNone(DIALECT.read_notice(answer), answer)
 
 
+class LoadTest(unittest.TestCase):
+    def read(
+        self, *values: bytes, status: int = 200
+    ) -> ports.LoadReport | ports.MalformedLoad | None:
+        headers = [(b'server-load', value) for value in values]
+        return DIALECT.read_load(build_answer(status, *headers))
+
+    def test_three_or_four_figures(self) -> None:
+        for value, report in (
+            (b'3,1,8', ports.LoadReport(3, 1, 8, 1.0)),
+            (b'3,1,8,250', ports.LoadReport(3, 1, 8, 2.5)),
+            (b'0,0,0,0', ports.LoadReport(0, 0, 0, 0.0)),
+            (b'1000000,1000000,1000000', ports.LoadReport(*[1_000_000] * 3)),
+        ):
+            with self.subTest(value):
+                self.assertEqual(report, self.read(value))
+
+    def test_absent_is_not_malformed(self) -> None:
+        self.assertIsNone(self.read())
+
+    def test_malformed(self) -> None:
+        for value in (
+            b'',
+            b',',
+            b'3',
+            b'3,1',
+            b'3,1,',
+            b',1,8',
+            b'3,1,8,',
+            b'3,1,8,100,1',
+            b'-3,1,8',
+            b'+3,1,8',
+            b'3.0,1,8',
+            b'3,1,8,1e2',
+            b'0x3,1,8',
+            b'1_0,1,8',
+            b'3;1;8',
+            b'nan,1,8',
+            b'3,1,8\n',
+            '٣,1,8'.encode(),
+            b'\xb3,1,8',
+            b'1000001,0,8',
+            b'0,0,8,1000001',
+            b'9' * 60_000 + b',0,8',
+            b'0,' * 30_000,
+        ):
+            with self.subTest(value[:20]):
+                self.assertEqual(ports.MalformedLoad(), self.read(value))
+
+    def test_any_bytes_are_read_or_malformed(self) -> None:
+        @hypothesis.settings(derandomize=True)
+        @hypothesis.given(
+            hypothesis.strategies.binary(max_size=40)
+            | hypothesis.strategies.lists(
+                hypothesis.strategies.integers(-2, 1_000_002), max_size=5
+            ).map(lambda figures: ','.join(map(str, figures)).encode())
+        )
+        def check(value: bytes) -> None:
+            report = self.read(value)
+            if isinstance(report, ports.LoadReport):
+                for figure in (report.running, report.waiting, report.slots):
+                    self.assertTrue(0 <= figure <= 1_000_000)
+                self.assertTrue(0.0 <= report.slowdown <= 10_000.0)
+            else:
+                self.assertEqual(ports.MalformedLoad(), report)
+
+        check()
+
+    def test_first_of_several_counts(self) -> None:
+        self.assertEqual(
+            ports.LoadReport(1, 0, 8), self.read(b'1,0,8', b'2,0,8')
+        )
+
+    def test_answers_that_do_not_speak_for_the_target(self) -> None:
+        for status in (421, *INVALID_STATUSES):
+            for value in (b'1,0,8', b'bad'):
+                self.assertIsNone(self.read(value, status=status))
+
+
 class JudgeTest(unittest.TestCase):
     def test_answer_with_an_invalid_status_proves_nothing(self) -> None:
         for status in INVALID_STATUSES:
--- a/tests/test_request_log.py
+++ b/tests/test_request_log.py
@@ -128,6 +128,15 @@
         )
         self.assertIn('eelgrasswalk_nodes 3.0', text)
 
+    def test_page_shows_load_reports_that_were_ignored(self) -> None:
+        for _ in range(2):
+            self.log.count_ignored_load('malformed')
+        page = metrics_page.MetricsPage(self.log, dict).render().decode()
+        self.assertIn(
+            'eelgrasswalk_load_reports_ignored_total{cause="malformed"} 2.0',
+            page,
+        )
+
 
 class HistogramTest(unittest.TestCase):
     def test_bounds_belong_to_their_buckets(self) -> None:
