Limit calls to targets that are or may be cold

A target that has just started crashes under a call rate that a warm one bears, and callers learn of it too late to hold back.

The gate counts starts in a sliding second where calls are sent, refuses the rest as not run, and asks the target whenever its coldness is only assumed. Entries and feedback tell callers, whose balancer prefers warm targets. Services without cold_per_s, and nodes without cold_overage, are not limited.

--- a/src/eelgrasswalk/controllers/check_ins.py
+++ b/src/eelgrasswalk/controllers/check_ins.py
@@ -12,6 +12,7 @@
 from ..policy import target_lifecycle
 from ..transport import message
 from . import roster as roster_keeper
+from . import target_probe
 
 # Other nodes stop to send calls once the store has a drain, so it is given
 # this long to take it; check-ins have to be acknowledged within a second.
@@ -42,12 +43,15 @@
     def start_draining(self) -> None:
         """Start to drain the target."""
 
+    def announce_cold(self, run_id: str, cold_s: float | None) -> None:
+        """Take how long a run of the target says that it remains cold."""
+
 
 class Probe(typing.Protocol):
     """Asks the target for its health."""
 
-    async def is_serving(self, target_id: str) -> bool:
-        """Return whether a target is there, healthy and not leaving."""
+    async def ask(self, target_id: str) -> target_probe.HealthReport | None:
+        """Return what the target responds; None without a response."""
 
 
 class CheckInKeeper:
@@ -79,6 +83,8 @@
         self._probe = probe
         self._clock = clock
         self._probing: asyncio.Task[None] | None = None
+        # What the gate's target was when it was set.
+        self._served: target_lifecycle.InstanceReport | None = None
 
     async def stop(self) -> None:
         """Stop to probe the target."""
@@ -100,6 +106,8 @@
             source = Source.CHECK_IN
             change = self._life.observe(_build_report(item), self._clock())
         self._handle_change(change, source)
+        if isinstance(item, ports.CheckIn):
+            self._announce_cold(item, change)
         if self._life.leaving_since is not None:
             # An answer of the target may have begun the drain before.
             is_written = await self._keeper.wait_written(ACK_WAIT_S)
@@ -111,6 +119,20 @@
                 )
         return self._form.acknowledge()
 
+    def _announce_cold(
+        self, item: ports.CheckIn, change: target_lifecycle.Change
+    ) -> None:
+        """Tell the gate of coldness, unless of another run or too old."""
+        served = self._served
+        if change is target_lifecycle.Change.STALE or served is None:
+            return
+        # The start of the run may not have been known when it was set.
+        is_served = item.target_id == served.target_id and (
+            item.born_ms == served.born_ms or not served.born_ms
+        )
+        if is_served:
+            self._gate.announce_cold(served.run_id, item.cold_s)
+
     def restore(self, entry: roster.Entry) -> None:
         """Go by what an earlier process of this node has said."""
         if self._life.report is not None or not entry.target_id:
@@ -157,7 +179,8 @@
             run_id = self._life.unconfirmed_run
             if report is None or not run_id:
                 return
-            if await self._probe.is_serving(report.target_id):
+            health = await self._probe.ask(report.target_id)
+            if health is not None and health.is_serving:
                 # Another run may have begun meanwhile; it is asked next.
                 change = self._life.confirm(run_id)
                 self._handle_change(change, Source.HEALTH_CHECK)
@@ -168,6 +191,7 @@
         report = self._life.report
         assert report is not None
         if self._life.is_ready:
+            self._served = report
             self._gate.set_target(
                 report.target_id, report.slots, run_id=report.run_id
             )
--- a/src/eelgrasswalk/controllers/directory.py
+++ b/src/eelgrasswalk/controllers/directory.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import math
 import time
 import typing
 
@@ -27,6 +28,7 @@
         config_version: Version in force there, as far as known.
         slots: Calls that its target runs at a time; 0 when not known.
         run_id: Id of the current run of its target; empty when not known.
+        cold_until: Monotonic time until which its target is cold, in seconds.
     """
 
     node_id: str
@@ -39,6 +41,7 @@
     config_version: int | None = None
     slots: int = 0
     run_id: str = ''
+    cold_until: float = -math.inf
 
 
 class Balancer(typing.Protocol):
@@ -105,4 +108,5 @@
         service=peer.service,
         slots=peer.slots,
         run_id=peer.run_id,
+        cold_until=peer.cold_until,
     )
--- a/src/eelgrasswalk/controllers/roster.py
+++ b/src/eelgrasswalk/controllers/roster.py
@@ -4,6 +4,8 @@
 import collections.abc
 import contextlib
 import dataclasses
+import math
+import time
 import typing
 
 from .. import events
@@ -46,6 +48,12 @@
         """Set all known nodes."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ColdUntil:
+    version: tuple[int, int]
+    until: float
+
+
 class RosterKeeper:
     """Keeps the roster of nodes, and this node's entry in the store.
 
@@ -59,6 +67,8 @@
 
     Attributes:
         on_change: Called when entries were added, changed or removed.
+        get_cold_s: Returns for how many seconds this node's target remains
+            cold, as its entry shall say.
         list_neighbours: Returns the nodes to which entries are relayed while
             the store cannot be written.
     """
@@ -80,6 +90,9 @@
             [], collections.abc.Sequence[str]
         ] = tuple
         self.on_change: typing.Callable[[], None] = _do_nothing
+        self.get_cold_s: typing.Callable[[], float] = _get_nothing
+        # When the targets are no longer cold, by the entries that said so.
+        self._cold_until: dict[str, _ColdUntil] = {}
         self._row_version = 0
         self._versions: dict[str, int] = {}
         self._written: roster.Entry | None = None
@@ -109,7 +122,10 @@
     def change(self, **fields: typing.Any) -> None:
         """Change this node's entry in the store and at its callers."""
         changed = dataclasses.replace(
-            self._own, **fields, revision=self._own.revision + 1
+            self._own,
+            **fields,
+            revision=self._own.revision + 1,
+            cold_s=self.get_cold_s(),
         )
         self._own = changed
         self.roster.update(changed)
@@ -245,11 +261,30 @@
             self.change(secluded=False)
 
     def _refresh(self) -> None:
+        entries = self.roster.list_entries()
+        self._track_cold(entries)
         self._upstreams.replace(
-            _build_peer(entry) for entry in self.roster.list_entries()
+            _build_peer(entry, self._cold_until.get(entry.node_id))
+            for entry in entries
         )
         self.on_change()
 
+    def _track_cold(
+        self, entries: collections.abc.Iterable[roster.Entry]
+    ) -> None:
+        """Note when coldness ends, counted from when an entry was read."""
+        known = self._cold_until
+        self._cold_until = {}
+        now = time.monotonic()
+        for entry in entries:
+            if not entry.cold_s:
+                continue
+            version = (entry.incarnation, entry.revision)
+            found = known.get(entry.node_id)
+            if found is None or found.version != version:
+                found = _ColdUntil(version, now + entry.cold_s)
+            self._cold_until[entry.node_id] = found
+
     def list_available(self) -> list[str]:
         """Return the nodes that are reachable and not stopping."""
         return [entry.node_id for entry in self._list_available_entries()]
@@ -351,7 +386,13 @@
     pass
 
 
-def _build_peer(entry: roster.Entry) -> directory.Peer:
+def _get_nothing() -> float:
+    return 0.0
+
+
+def _build_peer(
+    entry: roster.Entry, cold: _ColdUntil | None
+) -> directory.Peer:
     state = _UNUSABLE
     if entry.is_usable:
         state = directory.STATE_READY
@@ -364,4 +405,5 @@
         links=dialler.Address(entry.node_id, entry.host, entry.port),
         slots=entry.slots,
         run_id=entry.run_id,
+        cold_until=-math.inf if cold is None else cold.until,
     )
--- a/src/eelgrasswalk/controllers/roster_entries.py
+++ b/src/eelgrasswalk/controllers/roster_entries.py
@@ -11,8 +11,12 @@
 import msgspec
 
 from ..policy import roster
+from ..policy.capacity import cold_start
 
 Number: typing.TypeAlias = typing.Annotated[int, msgspec.Meta(ge=0, lt=2**62)]
+Seconds: typing.TypeAlias = typing.Annotated[
+    float, msgspec.Meta(ge=0.0, le=cold_start.MAX_COLD_S + 1.0)
+]
 Text: typing.TypeAlias = typing.Annotated[str, msgspec.Meta(max_length=200)]
 
 
@@ -32,6 +36,7 @@
     stopping: bool = False
     secluded: bool = False
     born_ms: Number = 0
+    cold_s: Seconds = 0.0
 
 
 _ENCODER = msgspec.json.Encoder()
@@ -40,7 +45,11 @@
 
 def encode_entry(entry: roster.Entry) -> bytes:
     """Encode an entry for the store and for messages."""
-    return _ENCODER.encode(dataclasses.asdict(entry))
+    fields = dataclasses.asdict(entry)
+    if not entry.cold_s:
+        # Most services have no cold targets.
+        del fields['cold_s']
+    return _ENCODER.encode(fields)
 
 
 def decode_entry(value: bytes) -> roster.Entry | None:
--- a/src/eelgrasswalk/controllers/target_probe.py
+++ b/src/eelgrasswalk/controllers/target_probe.py
@@ -1,5 +1,6 @@
 """Asks the target beside the node whether it serves."""
 
+import dataclasses
 import typing
 
 from .. import ports
@@ -9,6 +10,27 @@
 TIMEOUT_S = 0.5
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HealthReport:
+    """What a target says of itself in the response to a health check.
+
+    Args:
+        is_healthy: Whether it is healthy.
+        is_leaving: Whether it is leaving.
+        cold_s: Seconds for which it remains cold; 0 if it is not cold; None
+            if the value is malformed.
+    """
+
+    is_healthy: bool
+    is_leaving: bool = False
+    cold_s: float | None = 0.0
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether the target is healthy and not leaving."""
+        return self.is_healthy and not self.is_leaving
+
+
 class TargetProbe:
     """Sends health checks to the target.
 
@@ -30,21 +52,26 @@
         self._dialect = dialect
         self._get_path = get_path
 
-    async def is_serving(self, target_id: str) -> bool:
-        """Return whether a target is there, healthy and not leaving.
+    async def ask(self, target_id: str) -> HealthReport | None:
+        """Send a health check and return what the target responds.
 
         Args:
             target_id: Id of the target; another may serve at its address.
+
+        Returns:
+            The report; None without a response of this target.
         """
         path = self._get_path()
         if not path:
-            return False
+            return None
         answer = await self._pool.ask(path, timeout_s=TIMEOUT_S)
-        if answer is None or answer.status != 200:
-            return False
+        if answer is None:
+            return None
+        if self._dialect.read_target_id(answer) != target_id:
+            return None
         notice = self._dialect.read_notice(answer)
-        is_leaving = notice is not None and notice.leaving
-        return (
-            not is_leaving
-            and self._dialect.read_target_id(answer) == target_id
+        return HealthReport(
+            is_healthy=answer.status == 200,
+            is_leaving=notice is not None and notice.leaving,
+            cold_s=self._dialect.read_cold_s(answer),
         )
--- a/src/eelgrasswalk/events.py
+++ b/src/eelgrasswalk/events.py
@@ -198,6 +198,12 @@
     'look at what the target sends; while its answers use up the memory for '
     'bodies, calls are refused',
 )
+TARGET_COLD = Event(
+    4021,
+    logging.INFO,
+    'target is or may be cold; the rate of its calls is limited',
+)
+TARGET_WARM = Event(4022, logging.INFO, 'target is no longer taken for cold')
 QUARANTINE_REJECTED = Event(
     3016,
     logging.WARNING,
--- a/src/eelgrasswalk/filters/forward.py
+++ b/src/eelgrasswalk/filters/forward.py
@@ -171,7 +171,8 @@
         self, call: front.IncomingCall, reply: dialler.Reply
     ) -> None:
         feedback = reply.feedback
-        if feedback is None:
+        if feedback is None or feedback.cold_s:
+            # A cold target says nothing of the slots of the others.
             return
         is_retriable_overload = attempt_history.is_retriable_overload(
             reply.outcome
@@ -313,8 +314,10 @@
         outcome = None if reply is None else reply.outcome
         load: float | None = None
         failure_rate: float | None = None
+        cold_s: float | None = None
         if reply is not None and reply.feedback is not None:
             load = reply.feedback.load
+            cold_s = _read_cold_s(reply)
             failure_rate = reply.feedback.failing
             self._record_leaf(call, reply.feedback)
             self._record_notice(upstream, reply)
@@ -343,6 +346,7 @@
             latency_s=now - started_at,
             load=load,
             failure_rate=failure_rate,
+            cold_s=cold_s,
         )
 
     def _record_leaf(
@@ -415,6 +419,18 @@
         )
 
 
+def _read_cold_s(reply: dialler.Reply) -> float | None:
+    """Return how long the upstream's target remains cold; None if unknown.
+
+    The feedback of a refusal may be empty, so it never shows a warm target.
+    """
+    assert reply.feedback is not None
+    cold_s = reply.feedback.cold_s
+    if cold_s or isinstance(reply.outcome, verdict.Answered):
+        return cold_s
+    return None
+
+
 def _name_outcome(outcome: verdict.Verdict | None) -> str:
     if outcome is None:
         return 'cancelled'
--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -14,7 +14,6 @@
 from .. import ports
 from .. import request_log
 from .. import verdict
-from ..policy import decaying_rate
 from ..policy import root_share
 from ..policy import running_calls
 from ..policy import target_failures
@@ -25,9 +24,11 @@
 from ..transport import http_client
 from ..transport import message
 from . import admit
+from . import coldness
 from . import deliveries
 from . import identity
 from . import isolation as call_isolation
+from . import target_limit
 
 MAX_ANSWER_BYTES = 33_554_432
 MIN_REMAINING_S = 0.002
@@ -36,8 +37,6 @@
 ACCEPT_DRAIN_RATIO = 0.4
 # Fraction of the drain time after which queued calls are no longer delivered.
 DELIVER_DRAIN_RATIO = 0.8
-# Time over which the calls sent to the target are averaged, in seconds.
-SENT_SPAN_S = 4.0
 # Refused requests that are remembered; the oldest are forgotten.
 MAX_REFUSED = 4096
 # Digests in the log line of a crash; the last are of the newest calls.
@@ -78,6 +77,7 @@
             still reach the target.
 
     Attributes:
+        coldness: Whether the target is or may be cold.
         isolation: Keeps deadly requests away from the target.
         drain_s: As above; a change applies to the next drain.
         on_leaving: Called with the id of the target when it says in an answer
@@ -115,13 +115,11 @@
         self._is_stopping = False
         self._target_id = ''
         self._run_id = ''
-        self._calls_per_s: float | None = None
         self._refused: collections.OrderedDict[bytes, None] = (
             collections.OrderedDict()
         )
-        # Whether the target itself has said what it accepts.
-        self._has_notice = False
-        self._sent = decaying_rate.DecayingRate(SENT_SPAN_S)
+        self._limit = target_limit.TargetLimit(admitter)
+        self.coldness = coldness.Coldness(admitter)
         self._deliveries = deliveries.Deliveries(pool, self._handle_crash)
         self.isolation = isolate(self._deliveries)
         self._accepts_until = math.inf
@@ -139,13 +137,31 @@
             if self._run_id:
                 self._deliveries.handle_end(self._run_id)
             self._failures = target_failures.TargetFailures()
-            self._limit_rate(None)
-            self._has_notice = False
+            self._limit.reset()
+        is_known = run_id == self._run_id
         self._target_id = target_id
         self._run_id = run_id
         self._accepts_until = math.inf
         self._delivers_until = math.inf
         self._admitter.policy.resize(slots)
+        if not is_known:
+            self.coldness.set_target(target_id)
+
+    def announce_cold(self, run_id: str, cold_s: float | None) -> None:
+        """Take how long the target says that it remains cold.
+
+        Args:
+            run_id: Id of the run that says so; another run is ignored.
+            cold_s: Seconds; None for a malformed value.
+        """
+        if run_id == self._run_id:
+            self.coldness.announce(cold_s)
+
+    def assume_cold(
+        self, source: coldness.Source = coldness.Source.EVACUATION_LIFTED
+    ) -> None:
+        """Assume that the target is cold until a later health check."""
+        self.coldness.assume(source)
 
     def start_draining(self) -> None:
         """Start to drain the target; no effect once calls are refused."""
@@ -198,6 +214,7 @@
         self, call: frames.Call, started_at: float
     ) -> dialler.Reply:
         deadline = started_at + call.remaining_s
+        self.coldness.note_call()
         admitted = await self._admitter.admit(
             call.context,
             deadline=deadline,
@@ -222,12 +239,15 @@
         )
         run_id = self._run_id
         try:
-            outcome = await self._deliver(call, deadline, run_id)
+            outcome = await self._deliver(
+                call, deadline, run_id, admitted.call_id
+            )
             ok = _is_ok(outcome)
         finally:
             has_failed_call = self._running.end(request_id)
             self._admitter.finish(admitted.call_id, ok=ok)
-        self._failures.observe(outcome, has_failed_call=has_failed_call)
+        if not _is_withheld(outcome):
+            self._failures.observe(outcome, has_failed_call=has_failed_call)
         feedback = self._build_feedback(call.route, waited_s)
         if _is_crash(outcome):
             feedback = msgspec.structs.replace(feedback, ended_run=run_id)
@@ -251,7 +271,7 @@
     ) -> dict[str, typing.Any]:
         policy = self._admitter.policy
         feedback = reply.feedback
-        return {
+        fields = {
             'request': self._dialect.read_request_id(call.request.headers),
             'digest': identity.compute_digest(
                 call.request, call.context.account
@@ -267,13 +287,16 @@
             'running': policy.in_flight,
             'queued': policy.queued,
             'limit': policy.limit,
-            'calls_per_s': self._calls_per_s,
-            'sent_per_s': self._measure_sent(),
+            'calls_per_s': self._limit.calls_per_s,
+            'sent_per_s': self._limit.measure_sent(),
             'share': round(
                 self._shares.compute_share(call.route, time.monotonic()), 2
             ),
             'run_at': '' if feedback is None else feedback.run_at,
         }
+        if self.coldness.is_limited:
+            fields['cold_ms'] = round(self.coldness.compute_left() * 1000.0)
+        return fields
 
     def _check(self, call: frames.Call) -> verdict.NotRun | None:
         if call.remaining_s <= MIN_REMAINING_S:
@@ -300,7 +323,7 @@
         )
 
     async def _deliver(
-        self, call: frames.Call, deadline: float, run_id: str
+        self, call: frames.Call, deadline: float, run_id: str, call_id: int
     ) -> verdict.Verdict:
         # The drain time includes time for which the host is suspended.
         if clock.read_boot_time() >= self._delivers_until:
@@ -318,7 +341,7 @@
             ),
             body=call.request.body,
         )
-        self._sent.add(1.0, time.monotonic())
+        self._limit.count_sent()
         echo = self._dialect.find_echo(call.request.headers)
         self._deliveries.begin(call)
         try:
@@ -329,9 +352,13 @@
                 deadline=deadline,
                 # A copy of an earlier refusal would pass for the answer.
                 fresh=echo in self._refused,
+                # It may have waited for a connection, and the target may have
+                # become cold meanwhile.
+                may_send=lambda: self.coldness.confirm_start(call_id),
             )
             if await self._has_crashed(outcome, run_id):
                 self._deliveries.end(call)
+                self._assume_cold(run_id, coldness.Source.CRASH)
                 return verdict.MayHaveRun(verdict.Reason.TARGET_CRASHED)
         except TimeoutError:
             self._deliveries.end(call)
@@ -347,6 +374,7 @@
             self._deliveries.end(call)
         if isinstance(outcome, http_client.NotSent) and outcome.is_refusal:
             self._deliveries.handle_end(run_id)
+            self._assume_cold(run_id, coldness.Source.REFUSED_CONNECTION)
         classified = self._classify_outcome(outcome, run_id)
         if echo is not None and _is_refused_by_target(classified):
             self._remember_refused(echo)
@@ -381,6 +409,7 @@
         run_id: str,
         started: collections.abc.Sequence[deliveries.Started],
     ) -> None:
+        self._assume_cold(run_id, coldness.Source.CRASH)
         digests = [each.digest.hex() for each in started]
         is_leaving = self._accepts_until < math.inf
         events.log(
@@ -394,6 +423,11 @@
             # The end of a target that leaves has been announced.
             self.isolation.handle_crash(run_id, started)
 
+    def _assume_cold(self, run_id: str, source: coldness.Source) -> None:
+        # The target may start again under the same id.
+        if run_id == self._run_id:
+            self.coldness.assume(source)
+
     def _remember_refused(self, echo: bytes) -> None:
         self._refused[echo] = None
         if len(self._refused) > MAX_REFUSED:
@@ -403,6 +437,12 @@
         self, outcome: http_client.Outcome, run_id: str
     ) -> verdict.Verdict:
         if isinstance(outcome, http_client.NotSent):
+            if outcome.is_withheld:
+                return verdict.NotRun(
+                    verdict.Reason.OVERLOAD,
+                    retry_after_s=self.coldness.compute_wait(),
+                    retry_elsewhere=True,
+                )
             events.log(events.TARGET_UNREACHABLE, detail=outcome.detail)
             return _refuse(verdict.Reason.TARGET_UNREACHABLE)
         if isinstance(outcome, http_client.Broken):
@@ -423,43 +463,16 @@
     def _adopt_notice(self, call: frames.Call) -> None:
         """Go by what a caller's node knows until the target has answered."""
         notice = call.notice
-        if (
-            notice is not None
-            and not self._has_notice
-            and notice.run_id == self._run_id
-        ):
-            self._set_limit(notice.calls_per_s)
+        if notice is not None and notice.run_id == self._run_id:
+            self._limit.adopt(notice.calls_per_s, self._target_id)
 
     def _apply_notice(self, notice: ports.TargetNotice) -> None:
-        self._has_notice = True
-        self._set_limit(notice.calls_per_s)
+        self._limit.apply(notice.calls_per_s, self._target_id)
         if notice.leaving and self._accepts_until == math.inf:
             self.start_draining()
             events.log(events.TARGET_LEAVING, target=self._target_id)
             self.on_leaving(self._target_id)
 
-    def _set_limit(self, calls_per_s: float | None) -> None:
-        if calls_per_s == self._calls_per_s:
-            return
-        self._limit_rate(calls_per_s)
-        events.log(
-            events.TARGET_LIMIT_CHANGED,
-            target=self._target_id,
-            calls_per_s=calls_per_s,
-            is_confirmed=self._has_notice,
-            sent_per_s=self._measure_sent(),
-        )
-
-    def _limit_rate(self, calls_per_s: float | None) -> None:
-        self._calls_per_s = calls_per_s
-        policy = self._admitter.policy
-        self._admitter.carry_out(
-            policy.limit_rate(calls_per_s, time.monotonic())
-        )
-
-    def _measure_sent(self) -> float:
-        return round(self._sent.measure(time.monotonic()), 1)
-
     def _build_feedback(self, route: str, waited_s: float) -> frames.Feedback:
         policy = self._admitter.policy
         return frames.Feedback(
@@ -475,14 +488,16 @@
             makes_calls=self._running.makes_calls(route),
             retry_use=self._get_retry_use(),
             notice=self._build_notice(),
+            cold_s=self.coldness.compute_feedback(),
         )
 
     def _build_notice(self) -> frames.TargetNotice | None:
         is_leaving = self._accepts_until < math.inf
-        is_silent = self._calls_per_s is None and not is_leaving
+        calls_per_s = self._limit.calls_per_s
+        is_silent = calls_per_s is None and not is_leaving
         if is_silent or not self._run_id:
             return None
-        return frames.TargetNotice(self._run_id, self._calls_per_s, is_leaving)
+        return frames.TargetNotice(self._run_id, calls_per_s, is_leaving)
 
 
 def _ignore(target_id: str) -> None:
@@ -500,6 +515,14 @@
     )
 
 
+def _is_withheld(outcome: verdict.Verdict) -> bool:
+    """Return whether the gate itself refused a call that was admitted."""
+    return (
+        isinstance(outcome, verdict.NotRun)
+        and outcome.reason is verdict.Reason.OVERLOAD
+    )
+
+
 def _is_refused_by_target(outcome: verdict.Verdict) -> bool:
     return (
         isinstance(outcome, verdict.NotRun)
--- a/src/eelgrasswalk/metrics_page.py
+++ b/src/eelgrasswalk/metrics_page.py
@@ -19,15 +19,18 @@
     Args:
         log: Counts of calls.
         read_gauges: Returns text and value of each gauge by name.
+        read_counters: Returns the same of each further counter.
     """
 
     def __init__(
         self,
         log: request_log.RequestLog,
         read_gauges: typing.Callable[[], Gauges],
+        read_counters: typing.Callable[[], Gauges] = dict,
     ) -> None:
         self._log = log
         self._read_gauges = read_gauges
+        self._read_counters = read_counters
 
     def render(self) -> bytes:
         """Return the page."""
@@ -76,6 +79,8 @@
         yield latencies
         for name, (text, value) in self._read_gauges().items():
             yield core.GaugeMetricFamily(name, text, value)
+        for name, (text, value) in self._read_counters().items():
+            yield core.CounterMetricFamily(name, text, value)
 
 
 def _list_buckets(
--- a/src/eelgrasswalk/platform/check_ins.py
+++ b/src/eelgrasswalk/platform/check_ins.py
@@ -6,11 +6,13 @@
 
 from .. import ports
 from .. import verdict
+from ..policy.capacity import cold_start
 from ..transport import message
 from . import names
 
 _STATES = frozenset(('ready', 'draining'))
 _MAX_ID_BYTES = 200
+_MS_PER_S = 1000.0
 # Larger ones can't be told apart as floats.
 _MAX_NUMBER = 2**53
 _ACKNOWLEDGEMENT = verdict.Response(
@@ -66,9 +68,19 @@
         service=_take_text(fields['service']),
         slots=max(1, int(_take_number(fields['slots']))),
         draining=state == 'draining',
+        cold_s=_take_cold_s(fields.get('cold_left_ms', 0)),
     )
 
 
+def _take_cold_s(value: typing.Any) -> float | None:
+    """Return the seconds; None for a malformed value, which is ignored."""
+    try:
+        cold_s = _take_number(0 if value is None else value) / _MS_PER_S
+    except ValueError:
+        return None
+    return cold_s if cold_s <= cold_start.MAX_COLD_S else None
+
+
 def _take_number(value: typing.Any) -> float:
     if type(value) not in (int, float) or not 0 <= value < _MAX_NUMBER:
         raise ValueError(f'not a number from 0 to {_MAX_NUMBER}: {value!r}')
--- a/src/eelgrasswalk/platform/dialect.py
+++ b/src/eelgrasswalk/platform/dialect.py
@@ -5,12 +5,14 @@
 from .. import ports
 from .. import verdict
 from ..policy import deadline
+from ..policy.capacity import cold_start
 from ..transport import message
 from . import names
 
 _MS_PER_S = 1000.0
 _MAX_DEADLINE_DIGITS = 12
 _RATE = re.compile(rb'\d{1,9}(\.\d{1,9})?')
+_COLD_MS = re.compile(rb'\d{1,9}(\.\d{1,9})?')
 _ABSENT = deadline.NoTimeout()
 
 _NOT_RUN_STATUS = {
@@ -127,6 +129,23 @@
         value = message.find_header(response.headers, names.ANSWERING_ID)
         return '' if value is None else value.decode('latin-1')
 
+    def read_cold_s(self, response: verdict.Response) -> float | None:
+        """Return how long a target remains cold, as its health answer says.
+
+        Args:
+            response: The answer to a health check.
+
+        Returns:
+            Seconds; 0 if it is not cold; None if the value is malformed.
+        """
+        value = message.find_header(response.headers, names.COLD_REMAINING)
+        if value is None:
+            return 0.0
+        if _COLD_MS.fullmatch(value) is None:
+            return None
+        cold_s = float(value) / _MS_PER_S
+        return cold_s if cold_s <= cold_start.MAX_COLD_S else None
+
     def judge(self, response: verdict.Response) -> verdict.Verdict:
         """Return what a target's answer says of its call."""
         headers = response.headers
--- a/src/eelgrasswalk/platform/names.py
+++ b/src/eelgrasswalk/platform/names.py
@@ -20,6 +20,8 @@
 # Calls a second that the target takes from all hosts together, with
 # fractions; it holds for as long as the target's answers carry it.
 RATE_LIMIT = b'server-limit'
+# Milliseconds for which the target remains cold, in a health answer.
+COLD_REMAINING = b'cold-remaining'
 # Says with the value 1 that the target is leaving.
 LEAVING = b'server-leaving'
 # Rises by one whenever the store comes back from a copy.
--- a/src/eelgrasswalk/platform/operator_config.py
+++ b/src/eelgrasswalk/platform/operator_config.py
@@ -136,6 +136,8 @@
         name=str(fields['name']),
         connections=int(fields.get('max_connections') or 0),
         health_path=str(fields.get('health_path') or ''),
+        cold_per_s=max(0.0, _take_number(fields.get('cold_per_s') or 0.0)),
+        cold_start_s=max(0.0, _take_number(fields.get('cold_start_s') or 0.0)),
     )
 
 
--- a/src/eelgrasswalk/platform/process_settings.py
+++ b/src/eelgrasswalk/platform/process_settings.py
@@ -1,6 +1,7 @@
 """Reads the settings file that the platform gives each process."""
 
 import json
+import math
 import os
 import pathlib
 import typing
@@ -96,6 +97,9 @@
         value = fields.get(name)
         return otherwise if value is None else float(value)
 
+    cold_overage = None
+    if fields.get('cold_overage') is not None:
+        cold_overage = _take_amount(fields['cold_overage'])
     return sidecar_settings.Bounds(
         drain_s=seconds('drain_ms', default.drain_s),
         grace_s=number('grace_s', default.grace_s),
@@ -107,4 +111,13 @@
         quota_window_s=number('quota_window_s', default.quota_window_s),
         quota_overage=number('quota_overage', default.quota_overage),
         quota_slack=number('quota_slack', default.quota_slack),
+        cold_overage=cold_overage,
+        cold_slack=_take_amount(number('cold_slack', default.cold_slack)),
     )
+
+
+def _take_amount(value: typing.Any) -> float:
+    amount = float(value)
+    if not 0.0 <= amount < math.inf:
+        raise ValueError(f'not a finite amount of 0 or more: {value!r}')
+    return amount
--- a/src/eelgrasswalk/policy/call_rules.py
+++ b/src/eelgrasswalk/policy/call_rules.py
@@ -82,11 +82,16 @@
             together; 0 if not specified.
         health_path: Path at which an upstream tells whether it is healthy;
             empty if not specified.
+        cold_per_s: Calls per second that a cold upstream tolerates; 0 if the
+            service has no cold upstreams.
+        cold_start_s: Seconds for which an upstream is cold after it starts.
     """
 
     name: str
     connections: int
     health_path: str = ''
+    cold_per_s: float = 0.0
+    cold_start_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/eelgrasswalk/policy/capacity/slot_queue.py
+++ b/src/eelgrasswalk/policy/capacity/slot_queue.py
@@ -17,6 +17,10 @@
 
 A target in trouble may name the calls per second that it accepts. Calls then
 start no faster, in the same order.
+
+While the target is or may be cold, a call that would exceed its limit is
+refused at once, also if it is queued already, because warm targets respond
+sooner.
 """
 
 import dataclasses
@@ -27,6 +31,7 @@
 from .. import admission
 from .. import decaying_rate
 from .. import queue
+from . import cold_start
 from . import service_times
 from . import start_rate
 
@@ -99,10 +104,19 @@
     Args:
         settings: Limits of the queue and of the waiting time.
         slots: Calls that the target can run concurrently.
+        cold: Limits the starts while the target is cold; without a limit by
+            default.
     """
 
-    def __init__(self, settings: SlotSettings, *, slots: int) -> None:
+    def __init__(
+        self,
+        settings: SlotSettings,
+        *,
+        slots: int,
+        cold: cold_start.ColdStart | None = None,
+    ) -> None:
         self._settings = settings
+        self.cold = cold_start.ColdStart(None) if cold is None else cold
         self._times = service_times.ServiceTimes()
         self._running: dict[int, _Running] = {}
         self._waiting: dict[int, _Waiting] = {}
@@ -190,6 +204,8 @@
         """
         if self._draining:
             return [_refuse(candidate.call_id, verdict.Reason.LEAVING, 0.0)]
+        if not self.cold.may_start(now):
+            return [self._refuse_cold(candidate.call_id, now)]
         expected_s = self._times.estimate(candidate.route)
         if candidate.depth > 0 and candidate.may_wait:
             self._nested_work.add(expected_s, now)
@@ -227,15 +243,32 @@
             _, call_id = heapq.heappop(self._expiry)
             if self._remove_waiting(call_id) is not None:
                 actions.append(self._refuse_full(call_id, now))
-        while self._order and self._has_room(now):
+        while self._order and self._has_room(now) and self.cold.may_start(now):
             _, call_id = heapq.heappop(self._order)
             waiting = self._remove_waiting(call_id)
             if waiting is not None:
                 actions.append(
                     self._start(waiting.candidate, waiting.expected_s, now)
                 )
+        if self._waiting and not self.cold.may_start(now):
+            for call_id in list(self._waiting):
+                self._remove_waiting(call_id)
+                actions.append(self._refuse_cold(call_id, now))
         return actions
 
+    def confirm_start(self, call_id: int, now: float) -> bool:
+        """Return whether a started call may be sent, and count it.
+
+        Args:
+            call_id: Id of the call; it may have waited for a connection.
+            now: The time, in seconds.
+        """
+        running = self._running.get(call_id)
+        if running is not None and self.cold.move(running.started_at, now):
+            return True
+        self.cold.refused += 1
+        return False
+
     def next_event_at(self) -> float | None:
         """Return when to call expire next, or None if the queue is empty."""
         while self._expiry and self._expiry[0][1] not in self._waiting:
@@ -271,6 +304,8 @@
         self, candidate: Candidate, expected_s: float, now: float
     ) -> admission.Start:
         self._start_rate.take(now)
+        if self.cold.is_cold(now):
+            self.cold.take(now)
         self._running[candidate.call_id] = _Running(
             candidate.route, now, expected_s
         )
@@ -347,6 +382,12 @@
             self._expiry.clear()
         return waiting
 
+    def _refuse_cold(self, call_id: int, now: float) -> admission.Refuse:
+        self.cold.refused += 1
+        return _refuse(
+            call_id, verdict.Reason.OVERLOAD, self.cold.compute_wait(now)
+        )
+
     def _refuse_full(self, call_id: int, now: float) -> admission.Refuse:
         retry_s = min(
             self.estimate_backlog(now), self._settings.max_retry_after_s
--- a/src/eelgrasswalk/policy/placement/balance.py
+++ b/src/eelgrasswalk/policy/placement/balance.py
@@ -61,6 +61,8 @@
         slots: Number of calls that its target runs concurrently; 0 if
             unknown.
         run_id: Id of the current run of its target; empty if unknown.
+        cold_until: Monotonic time until which its target is cold, in
+            seconds. It changes while the upstream stays the same.
     """
 
     node_id: str
@@ -68,6 +70,7 @@
     service: str
     slots: int = 0
     run_id: str = ''
+    cold_until: float = dataclasses.field(default=-math.inf, compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/eelgrasswalk/policy/placement/spread.py
+++ b/src/eelgrasswalk/policy/placement/spread.py
@@ -7,6 +7,9 @@
 costs more but is never excluded, so that it is retried occasionally and a
 call always finds a target.
 
+A cold target crashes under a rate that warm ones bear, so cold ones are
+chosen only if there are no others.
+
 A call with a tight deadline goes to the upstream with the lowest expected
 latency in any data centre, since an idle but slow local one may answer too
 late.
@@ -101,6 +104,7 @@
     unreachable_count: int = 0
     unreachable_until: float = -math.inf
     leaving: bool = False
+    cold_until: float = -math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -143,6 +147,8 @@
         self._leaving_runs: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
+        # No upstream is cold after this time.
+        self._cold_until = -math.inf
 
     def replace(
         self,
@@ -209,6 +215,9 @@
             state for state in usable if state.unreachable_until <= now
         ]
         states = reachable or usable
+        if now < self._cold_until:
+            warm = [state for state in states if state.cold_until <= now]
+            states = warm or states
         rates = [
             self._estimate_failure_rate(state, now)
             for state in states
@@ -311,6 +320,7 @@
         latency_s: float,
         load: float | None,
         failure_rate: float | None,
+        cold_s: float | None = None,
     ) -> None:
         """Record the outcome of a call.
 
@@ -325,10 +335,14 @@
             failure_rate: Share of calls, 0 to 1, that fail through the
                 target's own fault as the upstream reported it; None without
                 a report.
+            cold_s: Seconds for which the upstream says that its target
+                remains cold, 0 if it is not; None without a report.
         """
         state = self._states.get(node_id)
         if state is None:
             return
+        if cold_s is not None:
+            self._set_cold(state, now + cold_s)
         state.in_flight = max(0, state.in_flight - 1)
         if outcome is balance.Outcome.CANCELLED:
             return
@@ -366,6 +380,21 @@
             duration_s, settings.max_unreachable_s
         )
 
+    def assume_cold(
+        self, node_ids: collections.abc.Iterable[str], until: float
+    ) -> None:
+        """Take the targets beside some nodes for cold.
+
+        Args:
+            node_ids: Ids of the nodes; unknown ones are ignored.
+            until: Monotonic time in seconds at which they are warm unless
+                their nodes say so before.
+        """
+        for node_id in node_ids:
+            state = self._states.get(node_id)
+            if state is not None:
+                self._set_cold(state, max(until, state.cold_until))
+
     def mark_leaving(self, node_id: str, run_id: str) -> None:
         """Send no more calls to a run of a target.
 
@@ -410,9 +439,17 @@
             is_local = upstream.data_centre == self._data_centre
             state = _State(upstream, added_at, is_local)
             self._states[upstream.node_id] = state
+            self._set_cold(state, upstream.cold_until)
+        elif state.upstream.cold_until != upstream.cold_until:
+            state.upstream = upstream
+            self._set_cold(state, upstream.cold_until)
         state.leaving = upstream.run_id in self._leaving_runs
         return state
 
+    def _set_cold(self, state: _State, until: float) -> None:
+        state.cold_until = until
+        self._cold_until = max(self._cold_until, until)
+
     def _compute_cost(
         self,
         state: _State,
--- a/src/eelgrasswalk/policy/roster.py
+++ b/src/eelgrasswalk/policy/roster.py
@@ -41,6 +41,8 @@
         secluded: Whether other nodes recently could not reach the node.
         born_ms: Start of the target's current run in Unix milliseconds; 0 if
             unknown.
+        cold_s: Seconds for which the target remains cold, counted from when
+            the entry is read; 0 if it is not cold.
     """
 
     node_id: str
@@ -56,6 +58,7 @@
     stopping: bool = False
     secluded: bool = False
     born_ms: int = 0
+    cold_s: float = 0.0
 
     @property
     def run_id(self) -> str:
--- a/src/eelgrasswalk/ports.py
+++ b/src/eelgrasswalk/ports.py
@@ -155,6 +155,9 @@
         service: The service that it serves.
         slots: Calls that it runs at a time.
         draining: Whether it is leaving.
+        cold_s: Seconds for which it remains cold, as it said when it sent
+            this; 0 if it did not say that it is cold; None if the value is
+            malformed.
     """
 
     target_id: str
@@ -163,6 +166,7 @@
     service: str
     slots: int
     draining: bool
+    cold_s: float | None = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -290,6 +294,16 @@
     def read_target_id(self, response: verdict.Response) -> str:
         """Return the id of the target that answered; empty if not told."""
 
+    def read_cold_s(self, response: verdict.Response) -> float | None:
+        """Return how long a target remains cold, as its health answer says.
+
+        Args:
+            response: The answer to a health check.
+
+        Returns:
+            Seconds; 0 if it is not cold; None if the value is malformed.
+        """
+
     def judge(self, response: verdict.Response) -> verdict.Verdict:
         """Return what a target's answer says of its call."""
 
--- a/src/eelgrasswalk/sidecar/node.py
+++ b/src/eelgrasswalk/sidecar/node.py
@@ -49,6 +49,8 @@
         'retry_slack',
         'quota_overage',
         'quota_slack',
+        'cold_overage',
+        'cold_slack',
     )
 )
 _NOT_READY = verdict.Response(503, (), b'')
@@ -120,7 +122,7 @@
             (self._admin, config.admin),
         )
         self._metrics = metrics_page.MetricsPage(
-            self._control_plane.log, self._read_gauges
+            self._control_plane.log, self._read_gauges, self._read_counters
         )
         self._join_task: asyncio.Task[None] | None = None
         self._call_path_started = asyncio.Event()
@@ -259,6 +261,8 @@
         if call_path is not None:
             await call_path.reaper.stop()
             await call_path.check_ins.stop()
+            await call_path.cold_target.stop()
+            call_path.gate.coldness.stop()
             await call_path.dialler.stop()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(LINK_CLOSE_TIMEOUT_S):
@@ -289,6 +293,7 @@
         service = table.services.get(self.config.service)
         if service is not None:
             self.call_path.pool.connections = max(1, service.connections)
+        wiring.apply_cold_settings(self._control_plane, self.call_path.gate)
 
     @property
     def is_ready(self) -> bool:
@@ -378,6 +383,10 @@
                     'Calls that the target may run at a time',
                     policy.limit,
                 ),
+                'eelgrasswalk_target_cold': (
+                    'Whether the target is or may be cold',
+                    self.call_path.gate.coldness.is_cold,
+                ),
                 'eelgrasswalk_links_dialled': (
                     'Links to other nodes that are open',
                     self.call_path.dialler.count_links(),
@@ -385,6 +394,21 @@
             }
         return gauges
 
+    def _read_counters(self) -> metrics_page.Gauges:
+        if self.call_path is None:
+            return {}
+        coldness = self.call_path.gate.coldness
+        return {
+            'eelgrasswalk_cold_refusals': (
+                'Calls refused because the target is or may be cold',
+                coldness.refused,
+            ),
+            'eelgrasswalk_cold_malformed': (
+                'Malformed values of coldness from the target',
+                coldness.malformed,
+            ),
+        }
+
 
 def _list_changed(old: typing.Any, new: typing.Any) -> frozenset[str]:
     """Return the names of the fields whose values differ."""
--- a/src/eelgrasswalk/sidecar/policy_settings.py
+++ b/src/eelgrasswalk/sidecar/policy_settings.py
@@ -1,8 +1,10 @@
 """Policy settings derived from the operators' bounds."""
 
 from ..policy import account_rates
+from ..policy import call_rules
 from ..policy import freshness
 from ..policy import retry_budget
+from ..policy.capacity import cold_start
 from . import settings
 
 # Ages at which a node requests the next confirmation of the rules, as
@@ -82,3 +84,27 @@
         tokens=bounds.quota_slack,
         window_s=bounds.quota_window_s,
     )
+
+
+def build_cold_settings(
+    bounds: settings.Bounds, service: call_rules.ServiceRule | None
+) -> cold_start.ColdSettings | None:
+    """Return the limits on the calls to cold targets of a service.
+
+    Args:
+        bounds: Limits that the operators require the whole system to keep.
+        service: The service; None if it is not known.
+
+    Returns:
+        The limits; None if there are none.
+    """
+    if service is None or not service.cold_per_s:
+        return None
+    if bounds.cold_overage is None:
+        return None
+    return cold_start.ColdSettings(
+        per_s=service.cold_per_s,
+        start_s=service.cold_start_s,
+        overage=bounds.cold_overage,
+        slack=bounds.cold_slack,
+    )
--- a/src/eelgrasswalk/sidecar/settings.py
+++ b/src/eelgrasswalk/sidecar/settings.py
@@ -27,6 +27,10 @@
             fraction of the rate.
         quota_slack: Calls in each window allowed beyond the rate and the
             overage.
+        cold_overage: Factor by which the rate that a cold target tolerates
+            may be exceeded; None for no limit on cold targets.
+        cold_slack: Calls to a cold target allowed beyond that in each
+            one-second window.
     """
 
     drain_s: float = 2.0
@@ -39,6 +43,8 @@
     quota_window_s: float = 5.0
     quota_overage: float = 0.1
     quota_slack: float = 20.0
+    cold_overage: float | None = None
+    cold_slack: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/eelgrasswalk/sidecar/wiring.py
+++ b/src/eelgrasswalk/sidecar/wiring.py
@@ -8,6 +8,7 @@
 from ..controllers import account_quota
 from ..controllers import account_quota_messages
 from ..controllers import check_ins
+from ..controllers import cold_target
 from ..controllers import control_router
 from ..controllers import directory
 from ..controllers import reaper
@@ -54,6 +55,7 @@
         dialler: Links that this node opens.
         acceptor: Links that other nodes open.
         check_ins: Handles check-ins of the target.
+        cold_target: Asks the target whether it is cold.
         reaper: Removes the entries of unreachable nodes.
         directory: Known nodes and the load balancer.
         call_retry_budget: Bounds the retries of this node.
@@ -67,6 +69,7 @@
     dialler: dialler.Dialler
     acceptor: acceptor.Acceptor
     check_ins: check_ins.CheckInKeeper
+    cold_target: cold_target.ColdTargetKeeper
     reaper: reaper.Reaper
     directory: directory.Directory[spread.LoadAwareBalancer]
     call_retry_budget: retry_budget.RetryBudget
@@ -105,6 +108,19 @@
             policy_settings.build_retry_bounds(bounds)
         )
         call_path.quotas.slack = policy_settings.build_quota_slack(bounds)
+        apply_cold_settings(control_plane, call_path.gate)
+
+
+def apply_cold_settings(
+    control_plane: wiring_control.ControlPlane, target_gate: gate.Gate
+) -> None:
+    """Apply the limits on the calls to cold targets of the service."""
+    config = control_plane.config
+    target_gate.coldness.change_settings(
+        policy_settings.build_cold_settings(
+            config.bounds, control_plane.find_service()
+        )
+    )
 
 
 def build_call_path(
@@ -162,6 +178,7 @@
         on_control=control_plane.router.receive,
     )
     quotas = _build_quotas(control_plane, link_dialler)
+    probe = _build_probe(control_plane, pool)
     forwarder = forward.Forwarder(
         transmitter=transmit.Transmitter(
             node_id=config.node_id,
@@ -188,9 +205,12 @@
             target_lifecycle.TargetLifecycle(),
             control_plane.roster,
             target_gate,
-            _build_probe(control_plane, pool),
+            probe,
             clock=time.monotonic,
         ),
+        cold_target=cold_target.ColdTargetKeeper(
+            target_gate.coldness, probe, control_plane.roster
+        ),
         reaper=reaper.Reaper(
             control_plane.roster,
             link_dialler,
@@ -204,18 +224,15 @@
     control_plane.quarantine.listener = target_gate.isolation
     target_gate.on_leaving = call_path.check_ins.note_leaving
     control_plane.router.links = call_path
+    apply_cold_settings(control_plane, target_gate)
     return call_path
 
 
 def _build_probe(
     control_plane: wiring_control.ControlPlane, pool: http_client.TargetPool
 ) -> target_probe.TargetProbe:
-    config = control_plane.config
-    get_table = control_plane.rules.get_table
-
     def get_path() -> str:
-        table = get_table()
-        service = None if table is None else table.services.get(config.service)
+        service = control_plane.find_service()
         return '' if service is None else service.health_path
 
     return target_probe.TargetProbe(
--- a/src/eelgrasswalk/sidecar/wiring_control.py
+++ b/src/eelgrasswalk/sidecar/wiring_control.py
@@ -15,6 +15,7 @@
 from ..controllers import relay
 from ..controllers import roster as roster_keeper
 from ..controllers import rules
+from ..policy import call_rules
 from ..policy import freshness
 from ..policy import quarantine
 from ..policy import roster
@@ -100,6 +101,13 @@
     bodies: budget.ByteBudget
     log: request_log.RequestLog
 
+    def find_service(self) -> call_rules.ServiceRule | None:
+        """Return the rule of this node's service; None if there is none."""
+        table = self.rules.get_table()
+        return (
+            None if table is None else table.services.get(self.config.service)
+        )
+
 
 def build_control_plane(
     config: settings.SidecarSettings,
--- a/src/eelgrasswalk/transport/client_connection.py
+++ b/src/eelgrasswalk/transport/client_connection.py
@@ -53,10 +53,12 @@
     Args:
         detail: One sentence.
         is_refusal: Whether the host refused the connection.
+        is_withheld: Whether the sender decided against it.
     """
 
     detail: str
     is_refusal: bool = False
+    is_withheld: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/eelgrasswalk/transport/frames.py
+++ b/src/eelgrasswalk/transport/frames.py
@@ -186,6 +186,8 @@
         run_at: Node at which a call that was refused may run; empty if any
             may run it.
         ended_run: Run of the target that ended under the call; empty if none.
+        cold_s: Seconds for which the target is taken for cold; 0 if it is
+            not.
     """
 
     importance: Count
@@ -200,6 +202,7 @@
     notice: TargetNotice | None = None
     run_at: str = ''
     ended_run: str = ''
+    cold_s: Number = 0.0
 
 
 SILENT_FEEDBACK = Feedback(
--- a/src/eelgrasswalk/transport/http_client.py
+++ b/src/eelgrasswalk/transport/http_client.py
@@ -64,6 +64,7 @@
         find_echo: typing.Callable[[Headers], bytes | None] | None = None,
         deadline: float = math.inf,
         fresh: bool = False,
+        may_send: typing.Callable[[], bool] | None = None,
     ) -> Outcome:
         """Send a request and wait for the whole answer.
 
@@ -78,6 +79,8 @@
             deadline: Loop time at which the wait ends; the connection is
                 closed then.
             fresh: Whether to use a connection that has carried no request.
+            may_send: Asked when a connection is free; the request is withheld
+                if it returns False.
 
         Raises:
             TimeoutError: The deadline passed before a connection was free.
@@ -90,6 +93,8 @@
         if isinstance(connection, NotSent):
             return connection
         try:
+            if may_send is not None and not may_send():
+                return NotSent('the request is withheld', is_withheld=True)
             outcome = await connection.exchange(
                 request, max_answer_bytes, find_echo, deadline
             )
--- a/tests/controllers/test_check_ins.py
+++ b/tests/controllers/test_check_ins.py
@@ -11,6 +11,7 @@
 from eelgrasswalk.controllers import check_ins
 from eelgrasswalk.controllers import roster as roster_keeper
 from eelgrasswalk.controllers import roster_entries
+from eelgrasswalk.controllers import target_probe
 from eelgrasswalk.policy import roster
 from eelgrasswalk.policy import target_lifecycle
 from eelgrasswalk.transport import message
@@ -40,6 +41,7 @@
 
     def __init__(self) -> None:
         self.told: list[str] = []
+        self.cold: list[tuple[str, float | None]] = []
 
     def set_target(self, target_id: str, slots: int, *, run_id: str) -> None:
         self.told.append(target_id)
@@ -47,6 +49,9 @@
     def start_draining(self) -> None:
         self.told.append('leave')
 
+    def announce_cold(self, run_id: str, cold_s: float | None) -> None:
+        self.cold.append((run_id, cold_s))
+
 
 class Probe:
     """Answers as the test wants, and keeps what was asked."""
@@ -55,9 +60,9 @@
         self.is_healthy = True
         self.asked: list[str] = []
 
-    async def is_serving(self, target_id: str) -> bool:
+    async def ask(self, target_id: str) -> target_probe.HealthReport | None:
         self.asked.append(target_id)
-        return self.is_healthy
+        return target_probe.HealthReport(is_healthy=self.is_healthy)
 
 
 class CheckInKeeperTest(unittest.IsolatedAsyncioTestCase):
@@ -219,3 +224,49 @@
         self.keeper.restore(leaving)
         await self.say(dataclasses.replace(BEAT, sequence=50))
         self.assertNotIn('i-1', self.gate.told)
+
+    async def test_coldness_that_a_check_in_reports_reaches_the_gate(
+        self,
+    ) -> None:
+        await self.say(dataclasses.replace(BEAT, cold_s=4.0))
+        await self.say(dataclasses.replace(BEAT, sequence=2, cold_s=None))
+        self.assertEqual(
+            [('i-1@1000', 4.0), ('i-1@1000', None)], self.gate.cold
+        )
+
+    async def test_late_check_in_of_the_run_announces_no_coldness(
+        self,
+    ) -> None:
+        """It would make a target that is warm by now cold again."""
+        await self.say(dataclasses.replace(BEAT, sequence=5))
+        self.gate.cold.clear()
+        await self.say(dataclasses.replace(BEAT, sequence=4, cold_s=9.0))
+        self.assertEqual([], self.gate.cold)
+
+    async def test_late_check_in_of_another_run_announces_no_coldness(
+        self,
+    ) -> None:
+        await self.say(dataclasses.replace(BEAT, born_ms=9000))
+        self.gate.cold.clear()
+        for target_id in ('i-1', 'i-0'):
+            await self.say(
+                dataclasses.replace(
+                    BEAT, target_id=target_id, sequence=99, cold_s=9.0
+                )
+            )
+        self.assertEqual([], self.gate.cold)
+
+    async def test_unconfirmed_run_announces_no_coldness_of_another(
+        self,
+    ) -> None:
+        self.probe.is_healthy = False
+        self.restore(roster.TargetState.READY)
+        await self.say(dataclasses.replace(BEAT, sequence=7, cold_s=9.0))
+        self.assertEqual([], self.gate.cold)
+
+    async def test_run_whose_start_was_unknown_announces_coldness(
+        self,
+    ) -> None:
+        await self.say(dataclasses.replace(BEAT, born_ms=0))
+        await self.say(dataclasses.replace(BEAT, sequence=2, cold_s=3.0))
+        self.assertEqual(('i-1@0', 3.0), self.gate.cold[-1])
--- a/tests/controllers/test_target_probe.py
+++ b/tests/controllers/test_target_probe.py
@@ -38,7 +38,8 @@
     async def ask(self, *answer: typing.Any) -> bool:
         if answer:
             self.answer = verdict.Response(*answer)
-        return await self.probe.is_serving('i-1')
+        report = await self.probe.ask('i-1')
+        return report is not None and report.is_serving
 
     async def test_healthy_target_serves(self) -> None:
         self.assertTrue(await self.ask())
@@ -55,6 +56,29 @@
         self.assertFalse(await self.ask(200, ((b'instance-id', b'i-2'),), b''))
         self.assertFalse(await self.ask(200, (), b''))
 
+    async def test_health_answer_tells_how_long_the_target_is_cold(
+        self,
+    ) -> None:
+        """A malformed value must count as unknown, not as warm."""
+        for value, cold_s in (
+            (b'2500', 2.5),
+            (b'0', 0.0),
+            (b'-1', None),
+            (b'soon', None),
+            (b'999999999', None),
+        ):
+            headers = ((b'instance-id', b'i-1'), (b'cold-remaining', value))
+            self.answer = verdict.Response(200, headers, b'')
+            with self.subTest(value):
+                report = await self.probe.ask('i-1')
+                assert report is not None
+                self.assertEqual(cold_s, report.cold_s)
+
+    async def test_other_target_reports_nothing(self) -> None:
+        headers = ((b'instance-id', b'i-2'), (b'cold-remaining', b'2500'))
+        self.answer = verdict.Response(200, headers, b'')
+        self.assertIsNone(await self.probe.ask('i-1'))
+
     async def test_target_without_a_path_is_not_asked(self) -> None:
         self.path = ''
         self.assertFalse(await self.ask())
--- a/tests/platform/test_check_ins.py
+++ b/tests/platform/test_check_ins.py
@@ -40,6 +40,7 @@
                 service='orders',
                 slots=125,
                 draining=False,
+                cold_s=1.5,
             ),
             decode(self.beat, BEAT),
         )
@@ -49,6 +50,21 @@
         assert isinstance(item, ports.CheckIn)
         self.assertTrue(item.draining)
 
+    def test_malformed_coldness_leaves_the_rest_of_a_check_in(self) -> None:
+        """A target whose check-ins are dropped would get no calls."""
+        for value in (-1, 'x', True, [], 1e12, 2**60, float('nan')):
+            with self.subTest(value):
+                item = decode(self.beat, {**BEAT, 'cold_left_ms': value})
+                assert isinstance(item, ports.CheckIn)
+                self.assertIsNone(item.cold_s)
+                self.assertEqual(125, item.slots)
+
+    def test_check_in_without_coldness(self) -> None:
+        for value in (None, 0):
+            item = decode(self.beat, {**BEAT, 'cold_left_ms': value})
+            assert isinstance(item, ports.CheckIn)
+            self.assertEqual(0.0, item.cold_s)
+
     def test_departure(self) -> None:
         target = '/-/rpc?call=instances.deregister&of=i-1'
         self.assertEqual(ports.Departure('i-1'), decode(target, {}))
