--- a/tests/controllers/test_check_ins.py
+++ b/tests/controllers/test_check_ins.py
@@ -228,8 +228,9 @@
     async def test_coldness_that_a_check_in_reports_reaches_the_gate(
         self,
     ) -> None:
-        await self.say(dataclasses.replace(BEAT, cold_s=4.0))
-        await self.say(dataclasses.replace(BEAT, sequence=2, cold_s=None))
+        await self.say(BEAT)
+        await self.say(dataclasses.replace(BEAT, sequence=2, cold_s=4.0))
+        await self.say(dataclasses.replace(BEAT, sequence=3, cold_s=None))
         self.assertEqual(
             [('i-1@1000', 4.0), ('i-1@1000', None)], self.gate.cold
         )
--- a/tests/controllers/test_roster.py
+++ b/tests/controllers/test_roster.py
@@ -78,6 +78,17 @@
         value = json.dumps({**fields, 'new': [1]}).encode()
         self.assertEqual(OTHER, roster_entries.decode_entry(value))
 
+    def test_entry_of_a_node_without_coldness(self) -> None:
+        """Nodes of an earlier release neither write nor know the field."""
+        fields = json.loads(roster_entries.encode_entry(OTHER))
+        self.assertNotIn('cold_s', fields)
+        cold = dataclasses.replace(OTHER, cold_s=7.5)
+        value = roster_entries.encode_entry(cold)
+        self.assertEqual(cold, roster_entries.decode_entry(value))
+        rest = {**json.loads(value)}
+        self.assertEqual(7.5, rest.pop('cold_s'))
+        self.assertEqual(fields, rest)
+
     def test_odd_entries_are_none(self) -> None:
         """They ended the task that follows the table, or each call."""
         fields = json.loads(roster_entries.encode_entry(OTHER))
@@ -344,3 +355,39 @@
         )
         self.assertEqual(['n1', 'n2'], self.keeper.list_available())
         self.assertEqual(['n1'], self.keeper.list_owners())
+
+
+class ColdEntriesTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.book = Book()
+        self.keeper = roster_keeper.RosterKeeper(
+            OWN, fake_store.FakeStore(), self.book, News()
+        )
+        self.now = 100.0
+        patcher = unittest.mock.patch.object(
+            roster_keeper,
+            'time',
+            unittest.mock.Mock(monotonic=lambda: self.now),
+        )
+        patcher.start()
+        self.addCleanup(patcher.stop)
+
+    def take(self, entry: roster.Entry, version: int) -> float:
+        rows = ports.Rows((build_row(entry, version),), version)
+        self.keeper.take_changes(rows, 0.0)
+        (peer,) = [each for each in self.book.peers if each.node_id == 'n2']
+        return peer.cold_until
+
+    def test_coldness_counts_from_when_the_entry_was_first_read(self) -> None:
+        """Each change of any entry would prolong it otherwise."""
+        cold = dataclasses.replace(OTHER, cold_s=8.0)
+        self.assertEqual(108.0, self.take(cold, 1))
+        self.now = 105.0
+        third = dataclasses.replace(OTHER, node_id='n3')
+        self.assertEqual(108.0, self.take(cold, 2))
+        self.keeper.receive('n3', roster_entries.encode_entry(third))
+        self.assertEqual(108.0, self.take(cold, 3))
+        later = dataclasses.replace(cold, revision=1, cold_s=2.0)
+        self.assertEqual(107.0, self.take(later, 4))
+        warm = dataclasses.replace(OTHER, revision=2)
+        self.assertEqual(-math.inf, self.take(warm, 5))
--- a/tests/filters/test_forward.py
+++ b/tests/filters/test_forward.py
@@ -61,10 +61,17 @@
 
 
 def build_reply(
-    outcome: verdict.Verdict, capacity_failure_ratio: float = 0.0
+    outcome: verdict.Verdict,
+    capacity_failure_ratio: float = 0.0,
+    cold_s: float = 0.0,
 ) -> dialler.Reply:
     feedback = frames.Feedback(
-        255, 1.0, 0.0, 0, capacity_failure_ratio=capacity_failure_ratio
+        255,
+        1.0,
+        0.0,
+        0,
+        capacity_failure_ratio=capacity_failure_ratio,
+        cold_s=cold_s,
     )
     return dialler.Reply(outcome, feedback)
 
--- a/tests/platform/test_operator_config.py
+++ b/tests/platform/test_operator_config.py
@@ -103,6 +103,23 @@
         self.assertEqual(15.0, self.rules.limits.idle_timeout_s)
         self.assertEqual(850, self.rules.services[0].connections)
 
+    def test_cold_targets(self) -> None:
+        for fields, expected in (
+            ({}, (0.0, 0.0)),
+            ({'cold_per_s': None, 'cold_start_s': 0}, (0.0, 0.0)),
+            ({'cold_per_s': -3, 'cold_start_s': -1}, (0.0, 0.0)),
+            ({'cold_per_s': 5.5, 'cold_start_s': 20}, (5.5, 20.0)),
+        ):
+            with self.subTest(fields):
+                clusters = [{'name': 'old', **fields}]
+                rules = operator_config.decode_rules(
+                    encode({**CONFIG, 'clusters': clusters})
+                )
+                service = rules.services[0]
+                self.assertEqual(
+                    expected, (service.cold_per_s, service.cold_start_s)
+                )
+
     def test_unreadable_configurations_are_told_as_such(self) -> None:
         for broken in (
             b'',
--- a/tests/platform/test_process_settings.py
+++ b/tests/platform/test_process_settings.py
@@ -41,6 +41,25 @@
         self.assertEqual(49.0, config.bounds.retry_slack)
         self.assertEqual(5.0, config.bounds.withdraw_s)
 
+    def test_bound_on_cold_targets(self) -> None:
+        config = process_settings.decode_settings(FIELDS)
+        self.assertIsNone(config.bounds.cold_overage)
+        bounds = {'cold_overage': 1.5, 'cold_slack': 8}
+        config = process_settings.decode_settings({**FIELDS, 'bounds': bounds})
+        self.assertEqual(1.5, config.bounds.cold_overage)
+        self.assertEqual(8.0, config.bounds.cold_slack)
+
+    def test_bound_on_cold_targets_that_is_no_amount(self) -> None:
+        """It would fail only when the first target is cold."""
+        for value in (-1, float('nan'), float('inf'), 'x'):
+            for name in ('cold_overage', 'cold_slack'):
+                with self.subTest(name, value=value):
+                    bounds = {name: value}
+                    with self.assertRaises(ValueError):
+                        process_settings.decode_settings(
+                            {**FIELDS, 'bounds': bounds}
+                        )
+
 
 class LoadSettingsTest(unittest.TestCase):
     def load(self, text: str) -> str:
--- a/tests/sidecar/test_reload.py
+++ b/tests/sidecar/test_reload.py
@@ -6,7 +6,9 @@
 
 from eelgrasswalk import address
 from eelgrasswalk import request_log
+from eelgrasswalk.policy import call_rules
 from eelgrasswalk.policy import log_budget
+from eelgrasswalk.policy.capacity import cold_start
 from eelgrasswalk.sidecar import node
 from eelgrasswalk.sidecar import settings
 from eelgrasswalk.sidecar import wiring_control
@@ -64,6 +66,19 @@
             self.node._control_plane.bodies.limit,
         )
 
+    def test_bound_on_cold_targets_applies_at_once(self) -> None:
+        service = call_rules.ServiceRule(
+            'front', 10, cold_per_s=5.5, cold_start_s=20.0
+        )
+        table = unittest.mock.Mock(services={'front': service})
+        self.node._control_plane.rules.table = table
+        result = self.reload(bounds={'cold_overage': 1.5, 'cold_slack': 8.0})
+        self.assertEqual((), result.restart_required)
+        change = self.call_path.gate.coldness.change_settings
+        change.assert_called_once_with(
+            cold_start.ColdSettings(5.5, 20.0, 1.5, 8.0)
+        )
+
     def test_shorter_key_withdrawal_time_shortens_confirmations(self) -> None:
         self.reload(bounds={'withdraw_s': 3.0})
         control_plane = self.node._control_plane
