Move outcomes and log lines of attempts out of the gate

What became of an attempt and how it is logged are modules of their own now; behaviour is unchanged.

--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -1,7 +1,6 @@
 """Admits and delivers calls at the upstream's node in eelgrasswalk-sidecar."""
 
 import asyncio
-import collections
 import collections.abc
 import math
 import time
@@ -24,9 +23,10 @@
 from ..transport import http_client
 from ..transport import message
 from . import admit
+from . import attempt_log
+from . import attempt_outcomes
 from . import coldness
 from . import deliveries
-from . import identity
 from . import isolation as call_isolation
 from . import target_limit
 
@@ -37,18 +37,6 @@
 ACCEPT_DRAIN_RATIO = 0.4
 # Fraction of the drain time after which queued calls are no longer delivered.
 DELIVER_DRAIN_RATIO = 0.8
-# Refused requests that are remembered; the oldest are forgotten.
-MAX_REFUSED = 4096
-# Digests in the log line of a crash; the last are of the newest calls.
-MAX_LOGGED_DIGESTS = 32
-# The connection has ended, as it does when the target crashes.
-_LOST_REASONS = frozenset(
-    (verdict.Reason.TARGET_LOST, verdict.Reason.ANSWER_INCOMPLETE)
-)
-# The target has sent more than is taken from it.
-_EXCESS_REASONS = frozenset(
-    (verdict.Reason.ANSWER_TOO_LARGE, verdict.Reason.MEMORY)
-)
 BuildIsolation: typing.TypeAlias = typing.Callable[
     [deliveries.Deliveries], call_isolation.Isolation
 ]
@@ -107,19 +95,25 @@
         self._shares = shares
         self._failures = target_failures.TargetFailures()
         self._get_retry_use = get_retry_use
-        self._log = log
-        self._service = service
         self.drain_s = drain_s
         self.on_leaving: typing.Callable[[str], None] = _ignore
         self._loop = asyncio.get_running_loop()
         self._is_stopping = False
         self._target_id = ''
         self._run_id = ''
-        self._refused: collections.OrderedDict[bytes, None] = (
-            collections.OrderedDict()
-        )
+        self._refused = attempt_outcomes.RefusedRequests()
         self._limit = target_limit.TargetLimit(admitter)
         self.coldness = coldness.Coldness(admitter)
+        self._log = attempt_log.AttemptLog(
+            dialect,
+            log,
+            service,
+            policy=admitter.policy,
+            limit=self._limit,
+            cold=self.coldness,
+            shares=shares,
+            bodies=bodies,
+        )
         self._deliveries = deliveries.Deliveries(pool, self._handle_crash)
         self.isolation = isolate(self._deliveries)
         self._accepts_until = math.inf
@@ -242,14 +236,14 @@
             outcome = await self._deliver(
                 call, deadline, run_id, admitted.call_id
             )
-            ok = _is_ok(outcome)
+            ok = attempt_outcomes.is_ok(outcome)
         finally:
             has_failed_call = self._running.end(request_id)
             self._admitter.finish(admitted.call_id, ok=ok)
-        if not _is_withheld(outcome):
+        if not attempt_outcomes.is_withheld(outcome):
             self._failures.observe(outcome, has_failed_call=has_failed_call)
         feedback = self._build_feedback(call.route, waited_s)
-        if _is_crash(outcome):
+        if attempt_outcomes.is_crash(outcome):
             feedback = msgspec.structs.replace(feedback, ended_run=run_id)
         return dialler.Reply(outcome, feedback)
 
@@ -257,56 +251,21 @@
         self, call: frames.Call, reply: dialler.Reply, started_at: float
     ) -> None:
         self._log.record(
-            events.ATTEMPT_ENDED,
-            reply.outcome,
-            hop='gate',
-            service=self._service,
-            account=call.context.account,
+            call,
+            reply,
+            target_id=self._target_id,
             latency_s=self._loop.time() - started_at,
-            describe=lambda: self._describe(call, reply),
         )
 
-    def _describe(
-        self, call: frames.Call, reply: dialler.Reply
-    ) -> dict[str, typing.Any]:
-        policy = self._admitter.policy
-        feedback = reply.feedback
-        fields = {
-            'request': self._dialect.read_request_id(call.request.headers),
-            'digest': identity.compute_digest(
-                call.request, call.context.account
-            ).hex(),
-            'route': call.route,
-            'target': self._target_id,
-            'left_ms': round(call.remaining_s * 1000.0),
-            'waited_ms': (
-                None
-                if feedback is None
-                else round(feedback.queue_delay_s * 1000.0, 1)
-            ),
-            'running': policy.in_flight,
-            'queued': policy.queued,
-            'limit': policy.limit,
-            'calls_per_s': self._limit.calls_per_s,
-            'sent_per_s': self._limit.measure_sent(),
-            'share': round(
-                self._shares.compute_share(call.route, time.monotonic()), 2
-            ),
-            'run_at': '' if feedback is None else feedback.run_at,
-        }
-        if self.coldness.is_limited:
-            fields['cold_ms'] = round(self.coldness.compute_left() * 1000.0)
-        return fields
-
     def _check(self, call: frames.Call) -> verdict.NotRun | None:
         if call.remaining_s <= MIN_REMAINING_S:
             return verdict.NotRun(verdict.Reason.DEADLINE)
         if not self._target_id:
-            return _refuse(verdict.Reason.TARGET_UNREACHABLE)
+            return attempt_outcomes.refuse(verdict.Reason.TARGET_UNREACHABLE)
         if self._is_stopping or clock.read_boot_time() >= self._accepts_until:
-            return _refuse(verdict.Reason.LEAVING)
+            return attempt_outcomes.refuse(verdict.Reason.LEAVING)
         if not self._bodies.admits_calls():
-            return _refuse(verdict.Reason.MEMORY)
+            return attempt_outcomes.refuse(verdict.Reason.MEMORY)
         return self._check_share(call)
 
     def _check_share(self, call: frames.Call) -> verdict.NotRun | None:
@@ -327,7 +286,7 @@
     ) -> verdict.Verdict:
         # The drain time includes time for which the host is suspended.
         if clock.read_boot_time() >= self._delivers_until:
-            return _refuse(verdict.Reason.LEAVING)
+            return attempt_outcomes.refuse(verdict.Reason.LEAVING)
         remaining_s = deadline - self._loop.time()
         if remaining_s <= MIN_REMAINING_S:
             return verdict.NotRun(verdict.Reason.DEADLINE)
@@ -368,41 +327,24 @@
             raise
         if isinstance(outcome, http_client.Broken):
             self._deliveries.abandon(call)
-            if outcome.reason in _EXCESS_REASONS:
-                self._report_given_up(call, outcome)
+            if attempt_outcomes.is_excess(outcome):
+                self._log.record_given_up(call, outcome, self._target_id)
         else:
             self._deliveries.end(call)
         if isinstance(outcome, http_client.NotSent) and outcome.is_refusal:
             self._deliveries.handle_end(run_id)
             self._assume_cold(run_id, coldness.Source.REFUSED_CONNECTION)
         classified = self._classify_outcome(outcome, run_id)
-        if echo is not None and _is_refused_by_target(classified):
-            self._remember_refused(echo)
+        self._refused.record(echo, classified)
         return classified
 
-    def _report_given_up(
-        self, call: frames.Call, outcome: http_client.Broken
-    ) -> None:
-        """Name the target whose answer was too large, and the request."""
-        events.log(
-            events.ANSWER_GIVEN_UP,
-            target=self._target_id,
-            request=self._dialect.read_request_id(call.request.headers),
-            reason=outcome.reason.value,
-            detail=outcome.detail,
-            body_bytes=self._bodies.used,
-        )
-        self._log.count_given_up(self._target_id, outcome.reason)
-
     async def _has_crashed(
         self, outcome: http_client.Outcome, run_id: str
     ) -> bool:
         """Return whether a call was lost because its target has ended."""
-        return (
-            isinstance(outcome, http_client.Broken)
-            and outcome.reason in _LOST_REASONS
-            and await self._deliveries.has_target_ended(run_id)
-        )
+        return attempt_outcomes.is_lost(
+            outcome
+        ) and await self._deliveries.has_target_ended(run_id)
 
     def _handle_crash(
         self,
@@ -410,15 +352,8 @@
         started: collections.abc.Sequence[deliveries.Started],
     ) -> None:
         self._assume_cold(run_id, coldness.Source.CRASH)
-        digests = [each.digest.hex() for each in started]
         is_leaving = self._accepts_until < math.inf
-        events.log(
-            events.TARGET_CRASHED,
-            target=run_id,
-            running=len(started),
-            digests=digests[-MAX_LOGGED_DIGESTS:],
-            is_leaving=is_leaving,
-        )
+        self._log.record_crash(run_id, started, is_leaving=is_leaving)
         if not is_leaving:
             # The end of a target that leaves has been announced.
             self.isolation.handle_crash(run_id, started)
@@ -428,23 +363,16 @@
         if run_id == self._run_id:
             self.coldness.assume(source)
 
-    def _remember_refused(self, echo: bytes) -> None:
-        self._refused[echo] = None
-        if len(self._refused) > MAX_REFUSED:
-            self._refused.popitem(last=False)
-
     def _classify_outcome(
         self, outcome: http_client.Outcome, run_id: str
     ) -> verdict.Verdict:
         if isinstance(outcome, http_client.NotSent):
             if outcome.is_withheld:
-                return verdict.NotRun(
-                    verdict.Reason.OVERLOAD,
-                    retry_after_s=self.coldness.compute_wait(),
-                    retry_elsewhere=True,
+                return attempt_outcomes.refuse(
+                    verdict.Reason.OVERLOAD, self.coldness.compute_wait()
                 )
             events.log(events.TARGET_UNREACHABLE, detail=outcome.detail)
-            return _refuse(verdict.Reason.TARGET_UNREACHABLE)
+            return attempt_outcomes.refuse(verdict.Reason.TARGET_UNREACHABLE)
         if isinstance(outcome, http_client.Broken):
             return verdict.MayHaveRun(outcome.reason, outcome.detail)
         notice = self._dialect.read_notice(outcome.response)
@@ -502,39 +430,3 @@
 
 def _ignore(target_id: str) -> None:
     """Ignore that the target is leaving."""
-
-
-def _refuse(reason: verdict.Reason) -> verdict.NotRun:
-    return verdict.NotRun(reason, retry_elsewhere=True)
-
-
-def _is_crash(outcome: verdict.Verdict) -> bool:
-    return (
-        isinstance(outcome, verdict.MayHaveRun)
-        and outcome.reason is verdict.Reason.TARGET_CRASHED
-    )
-
-
-def _is_withheld(outcome: verdict.Verdict) -> bool:
-    """Return whether the gate itself refused a call that was admitted."""
-    return (
-        isinstance(outcome, verdict.NotRun)
-        and outcome.reason is verdict.Reason.OVERLOAD
-    )
-
-
-def _is_refused_by_target(outcome: verdict.Verdict) -> bool:
-    return (
-        isinstance(outcome, verdict.NotRun)
-        and outcome.reason is verdict.Reason.TARGET_REFUSED
-    )
-
-
-def _is_ok(outcome: verdict.Verdict) -> bool:
-    """Return whether the target neither refused the call nor was lost."""
-    if isinstance(outcome, verdict.Answered):
-        return True
-    return outcome.reason in (
-        verdict.Reason.CALLER_GONE,
-        verdict.Reason.DEADLINE,
-    )
--- a/tests/filters/test_forward.py
+++ b/tests/filters/test_forward.py
@@ -144,6 +144,27 @@
         )
         self.assertEqual(POSSIBLE_RUN, await forwarder.send(build_call()))
 
+    async def test_target_that_refuses_as_it_is_cold_gets_no_next_call(
+        self,
+    ) -> None:
+        """Each call would cost a round trip until an entry is read."""
+        forwarder = self.build(
+            build_reply(OVERLOAD, cold_s=9.0), *[build_reply(ANSWER)] * 60
+        )
+        for _ in range(60):
+            await forwarder.send(build_call())
+        cold = self.transmitter.sent_to[0]
+        self.assertNotIn(cold, self.transmitter.sent_to[1:])
+
+    async def test_refusals_of_cold_targets_do_not_end_probing(self) -> None:
+        """They say nothing of free slots at the others."""
+        forwarder = self.build(*[build_reply(OVERLOAD, cold_s=9.0)] * 400)
+        for _ in range(80):
+            await forwarder.send(build_call())
+        self.transmitter.replies = [build_reply(ANSWER)]
+        await forwarder.send(build_call())
+        self.assertFalse(self.transmitter.may_wait[-1])
+
     async def test_refusal_by_all_keeps_its_reason(self) -> None:
         forwarder = self.build(*[build_reply(OVERLOAD)] * 4)
         outcome = await forwarder.send(build_call())
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -101,6 +101,24 @@
         self.assertIsInstance(await self.send(), http_client.Broken)
 
 
+class WithheldTest(ClientTestCase):
+    async def test_request_is_withheld_after_the_wait_for_a_connection(
+        self,
+    ) -> None:
+        """What allowed it may no longer hold; its connection is kept."""
+        withheld = await self.pool.send(
+            REQUEST, max_answer_bytes=BIG, may_send=lambda: False
+        )
+        assert isinstance(withheld, http_client.NotSent), withheld
+        self.assertTrue(withheld.is_withheld)
+        self.answers = [render(b'mine', b'right')]
+        sent = await self.pool.send(
+            REQUEST, max_answer_bytes=BIG, may_send=lambda: True
+        )
+        self.assertIsInstance(sent, http_client.Received)
+        self.assertEqual(1, self.connections)
+
+
 class RefusalTest(ClientTestCase):
     async def test_target_that_closed_a_connection_is_not_refused(
         self,
