--- a/src/eelgrasswalk/operations/explanation.py
+++ b/src/eelgrasswalk/operations/explanation.py
@@ -27,6 +27,7 @@
     'waited_ms',
     'share',
     'left_ms',
+    'cold_ms',
 )
 _ENTRY_INPUTS = (
     'rate',
