Let stand-in targets turn cold and answer without a valid status

Cause: docs/design/target-signals.md needs an outside world that is cold, evacuates data centres and answers with numbers that are no status. Change: the application's stand-in counts requests while it is cold, and reports its coldness and load; the store's stand-in has the operator's evacuations; the soak has checks for them.

--- a/src/eelgrasswalk/bench/soak_checks.py
+++ b/src/eelgrasswalk/bench/soak_checks.py
@@ -19,6 +19,12 @@
 # Tries of a request that has crashed three targets.
 DEADLY_CRASHES = 3
 DEADLY_TRIES = 3
+COLD_WINDOW_S = 1.0
+# An evacuation is in force this much later while the store is impaired.
+MAX_SKEW_S = 5.0
+# A call ends this soon after an answer without a valid status.
+END_S = 1.5
+VALID_STATUSES = range(100, 600)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,6 +43,10 @@
         target_id: Target that the answer came from; empty if unknown.
         calls_per_s: Limit that the answer named.
         leaving: Whether the answer said that the target is leaving.
+        is_ahead: Whether requests were sent ahead on its connection.
+        is_behind_close: Whether an answer before its own closed the
+            connection.
+        has_answer: Whether a whole answer came, with whatever status.
     """
 
     request_id: str
@@ -50,6 +60,9 @@
     target_id: str = ''
     calls_per_s: float | None = None
     leaving: bool = False
+    is_ahead: bool = False
+    is_behind_close: bool = False
+    has_answer: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,6 +76,11 @@
         at: When it arrived, in seconds.
         was_run: Whether the target ran it.
         path: Its path.
+        gate: Number of the node beside the target.
+        data_centre: Where the target is.
+        is_fenced: Whether it was meant for an earlier run of the target.
+        invalid_at: When it was answered without a valid status; infinite if
+            it was not.
     """
 
     request_id: str
@@ -71,6 +89,10 @@
     at: float
     was_run: bool
     path: str = ''
+    gate: int = 0
+    data_centre: str = ''
+    is_fenced: bool = False
+    invalid_at: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,7 +103,7 @@
         subject: Node number, target id, route or path.
         start: First second.
         end: Last second.
-        figure: Limit that holds.
+        figure: Limit that holds, or the time until it does.
     """
 
     subject: str
@@ -112,6 +134,11 @@
         crashes: Crashes of targets, by the path that caused them.
         departures: Targets that deregistered; the start is the
             acknowledgement.
+        cold: Targets that were cold, with the most requests in any second.
+        evacuations: Evacuated data centres; the start is the
+            acknowledgement, and the figure is the time until it binds.
+        stalls: Times in which the soak itself stood still, so that what
+            came meanwhile seems to have come at once.
     """
 
     calls: list[Call] = dataclasses.field(default_factory=list)
@@ -122,6 +149,9 @@
     store_faults: list[Span] = dataclasses.field(default_factory=list)
     crashes: list[Span] = dataclasses.field(default_factory=list)
     departures: list[Span] = dataclasses.field(default_factory=list)
+    cold: list[Span] = dataclasses.field(default_factory=list)
+    evacuations: list[Span] = dataclasses.field(default_factory=list)
+    stalls: list[Span] = dataclasses.field(default_factory=list)
 
 
 def check_all(record: Record) -> list[Violation]:
@@ -134,13 +164,20 @@
         *check_departures(record),
         *check_routes(record),
         *check_deadly(record),
+        *check_cold(record),
+        *check_evacuations(record),
+        *check_ahead(record),
+        *check_statuses(record),
     ]
 
 
 def check_answers(record: Record) -> list[Violation]:
     """Check that answers belong to their requests."""
     return [
-        Violation('mixed', f'{call.request_id} got the answer of another')
+        Violation(
+            'order' if call.is_ahead else 'mixed',
+            f'{call.request_id} got the answer of another',
+        )
         for call in record.calls
         if call.status == 200 and not call.is_own
     ]
@@ -284,6 +321,153 @@
     return found
 
 
+def check_cold(record: Record) -> list[Violation]:
+    """Check that in no second a cold target gets more than it may.
+
+    Neither a restart of a node nor an outage of the store excuses it.
+    """
+    found = []
+    for cold in record.cold:
+        times = sorted(
+            run.at
+            for run in record.runs
+            if run.target_id == cold.subject
+            and not run.is_fenced
+            and cold.start <= run.at < cold.end
+        )
+        for index, first in enumerate(times):
+            last = first + COLD_WINDOW_S
+            count = bisect.bisect_left(times, last) - index
+            if count > cold.figure and not any(
+                stall.start < last and stall.end > first
+                for stall in record.stalls
+            ):
+                found.append(
+                    Violation(
+                        'cold',
+                        f'{cold.subject} got {count} calls in '
+                        f'{COLD_WINDOW_S:.0f} s from {first:.2f}, '
+                        f'{cold.figure:.2f} allowed; cold from '
+                        f'{cold.start:.2f} to {cold.end:.2f}',
+                    )
+                )
+                break
+    return found
+
+
+def check_evacuations(record: Record) -> list[Violation]:
+    """Check that nothing reaches an evacuated data centre after the bound.
+
+    Both nodes have to prevent it: the one where the call entered, and the one
+    beside the target. It is excused where both were lately out of touch.
+    """
+    found = []
+    for evacuation in record.evacuations:
+        bound_from = evacuation.start + evacuation.figure + CLOCK_SLACK_S
+        if _has_fault(
+            record.store_faults,
+            'store',
+            evacuation.start - STABLE_S,
+            bound_from,
+        ):
+            bound_from += MAX_SKEW_S
+        found += [
+            Violation(
+                'evacuation',
+                f'{run.request_id} reached {run.target_id} in '
+                f'{evacuation.subject} at {run.at:.2f}, bound from '
+                f'{bound_from:.2f} to {evacuation.end:.2f}',
+            )
+            for run in record.runs
+            if run.data_centre == evacuation.subject
+            and bound_from < run.at < evacuation.end
+            and (
+                _has_caught_up(record, run.node, run.at)
+                or _has_caught_up(record, run.gate, run.at)
+            )
+        ]
+    return found
+
+
+def check_ahead(record: Record) -> list[Violation]:
+    """Check answers to requests that were sent ahead on a connection."""
+    begun = {run.request_id for run in record.runs}
+    found = []
+    for call in record.calls:
+        if not call.is_ahead:
+            continue
+        if call.status == 400:
+            found.append(
+                Violation('ahead', f'{call.request_id} was refused with 400')
+            )
+        if call.is_behind_close and call.request_id in begun:
+            found.append(
+                Violation(
+                    'ahead',
+                    f'{call.request_id} was forwarded behind an answer that '
+                    'closed the connection',
+                )
+            )
+    return found
+
+
+def check_statuses(record: Record) -> list[Violation]:
+    """Check answers of targets whose status is none.
+
+    None reaches a client, and an unsafe call ends soon as may have run.
+    """
+    found = [
+        Violation('status', f'{call.request_id} got {call.status:03d}')
+        for call in record.calls
+        if call.has_answer and call.status not in VALID_STATUSES
+    ]
+    invalid = {
+        run.request_id: run
+        for run in record.runs
+        if run.invalid_at < math.inf
+    }
+    for call in record.calls:
+        run = invalid.get(call.request_id)
+        if run is None or not call.unsafe:
+            continue
+        if any(
+            _has_fault(
+                record.node_faults,
+                str(node),
+                call.sent_at - STABLE_S,
+                call.ended_at,
+            )
+            for node in (run.node, run.gate)
+        ):
+            continue
+        late_s = call.ended_at - run.invalid_at
+        if late_s > END_S:
+            found.append(
+                Violation(
+                    'status',
+                    f'{call.request_id} ended {late_s:.2f} s after an answer '
+                    'without a valid status',
+                )
+            )
+        elif call.status != 502 and call.status in VALID_STATUSES:
+            found.append(
+                Violation(
+                    'status',
+                    f'{call.request_id} got {call.status}, not 502, after an '
+                    'answer without a valid status',
+                )
+            )
+    return found
+
+
+def _has_caught_up(record: Record, node: int, at: float) -> bool:
+    """Return whether a node has had time to learn what operators ask."""
+    begin = at - STABLE_S
+    if _has_fault(record.store_faults, 'store', begin - MAX_SKEW_S, at):
+        begin -= MAX_SKEW_S
+    return not _has_fault(record.node_faults, str(node), begin, at)
+
+
 def _names_limit(call: Call) -> bool:
     return call.calls_per_s is not None
 
--- a/src/eelgrasswalk/bench/soak_faults.py
+++ b/src/eelgrasswalk/bench/soak_faults.py
@@ -18,6 +18,13 @@
     'shed',
     'route',
 )
+# Kinds that need what docs/design/target-signals.md adds: targets that turn
+# cold, evacuated data centres, answers without a valid status, requests that
+# are sent ahead, and reports of load.
+SIGNALS = ('cold', 'evacuation', 'invalid-status', 'ahead', 'load')
+# The kinds that a soak draws unless it is told otherwise. Each is added once
+# the nodes keep its promise.
+SIGNALS_IN_FORCE: tuple[str, ...] = ()
 # Part of the time in which faults begin; the rest lets the nodes recover.
 ACTIVE_SHARE = 0.8
 SERIES_PROBABILITY = 0.3
@@ -30,7 +37,7 @@
 
     Args:
         at: When it begins, in seconds.
-        kind: One of KINDS.
+        kind: One of KINDS or SIGNALS, or one that is drawn apart.
         node: Number of the node or of its target.
         duration_s: How long it lasts.
         figure: Its strength, 0 to 1.
@@ -51,6 +58,46 @@
 NODE_ENDS_BELOW = 0.9
 
 
+# Bounds of the number of faults of each kind in a soak, of the share of the
+# time in which they begin, and of their durations.
+_SIGNAL_BOUNDS = {
+    'cold': ((4, 7), (0.0, ACTIVE_SHARE), (2.0, 4.0)),
+    # An evacuation has to last beyond its bound, and comes twice.
+    'evacuation': ((1, 1), (0.0, 0.15), (2.0, 3.0)),
+    'invalid-status': ((2, 3), (0.0, ACTIVE_SHARE), (2.0, 4.0)),
+    'ahead': ((2, 3), (0.0, ACTIVE_SHARE), (2.0, 4.0)),
+    'load': ((2, 3), (0.0, ACTIVE_SHARE), (2.0, 4.0)),
+}
+
+
+def draw_signals(
+    seed: int, *, nodes: int, seconds: float, kinds: tuple[str, ...]
+) -> list[Fault]:
+    """Return the faults of some kinds of SIGNALS, each from its own draw.
+
+    Args:
+        seed: Seed of the draw.
+        nodes: Number of nodes.
+        seconds: Length of the soak.
+        kinds: The kinds.
+    """
+    found = []
+    for kind in kinds:
+        source = random.Random(f'{kind} {seed}')
+        counts, (first, last), duration_s = _SIGNAL_BOUNDS[kind]
+        found += [
+            Fault(
+                at=0.5 + source.uniform(first, last) * seconds,
+                kind=kind,
+                node=source.randrange(nodes),
+                duration_s=source.uniform(*duration_s),
+                figure=source.random(),
+            )
+            for _ in range(source.randint(*counts))
+        ]
+    return found
+
+
 def draw_apart(seed: int, *, nodes: int, seconds: float) -> list[Fault]:
     """Return requests that crash targets, and targets that deregister.
 
--- a/src/eelgrasswalk/bench/soak_fleet.py
+++ b/src/eelgrasswalk/bench/soak_fleet.py
@@ -5,6 +5,7 @@
 import dataclasses
 import json
 import pathlib
+import random
 import signal
 import subprocess
 import time
@@ -15,8 +16,28 @@
 from . import mesh
 
 SERVICES = ('front', 'back')
-BOUNDS = {'grace_s': 6}
+DATA_CENTRES = ('dc-0', 'dc-1', 'dc-2')
+ZONES = {'dc-0': 'area-0', 'dc-1': 'area-0', 'dc-2': 'area-1'}
+# Requests per second that a cold target tolerates, and for how many seconds.
+COLD_PER_S = 5.5
+COLD_START_S = 3.0
+COLD_OVERAGE = 1.5
+COLD_SLACK = 8.0
+# A cold target crashes well above the bound.
+COLD_CRASH_CALLS = 2.0 * (COLD_PER_S * COLD_OVERAGE + COLD_SLACK)
+EVACUATE_S = 5.0
+BOUNDS = {
+    'grace_s': 6,
+    'cold_overage': COLD_OVERAGE,
+    'cold_slack': COLD_SLACK,
+    'evacuate_ms': int(EVACUATE_S * 1000.0),
+}
 CHECK_IN_INTERVAL_S = 0.5
+# Where targets turn cold, check-ins come as seldom as on the platform, and
+# some are late, so that they do not show what the target's health shows.
+COLD_CHECK_IN_INTERVAL_S = 1.5
+LATE_RATIO = 0.2
+MOST_LATE_S = 2.0
 STOP_TIMEOUT_S = 7.0
 START_TIMEOUT_S = 90.0
 WORK_S = 0.05
@@ -38,7 +59,10 @@
         ports: Callers, readiness, check-ins, links and metrics.
         settings: Path of its settings.
         log: Path of its standard output.
+        data_centre: Where it is.
         process: The process; None while there is none.
+        next_id: Id with which a crashed target begins again; empty for a new
+            one.
         is_busy: Whether a fault replaces its process just now.
     """
 
@@ -47,7 +71,9 @@
     ports: list[int]
     settings: pathlib.Path
     log: pathlib.Path
+    data_centre: str
     process: subprocess.Popen[bytes] | None = None
+    next_id: str = ''
     is_busy: bool = False
 
     def start(self) -> None:
@@ -76,13 +102,26 @@
     Args:
         folder: Where settings and logs are written.
         nodes: Number of nodes.
+        cold: Whether targets are cold after they start.
+        reports_load: Whether targets report their load.
     """
 
-    def __init__(self, folder: pathlib.Path, *, nodes: int) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        *,
+        nodes: int,
+        cold: bool = False,
+        reports_load: bool = False,
+    ) -> None:
         self.store = rows.RowsStandin()
         self.nodes: list[Node] = []
         self.config_version = 0
         self.routes: list[str] = []
+        self.evacuated: set[str] = set()
+        self._is_cold = cold
+        self._reports_load = reports_load
+        self._random = random.Random(0)
         self._folder = folder
         self._count = nodes
         self._beats: asyncio.Task[None] | None = None
@@ -124,8 +163,12 @@
 
     def publish(self) -> None:
         """Write the newest configuration to the store."""
+        options = {}
+        if self._is_cold:
+            options['cold_per_s'] = COLD_PER_S
+            options['cold_start_s'] = COLD_START_S
         config = json.loads(
-            deployment.build_config(self.config_version, SERVICES)
+            deployment.build_config(self.config_version, SERVICES, **options)
         )
         rules = config['listeners'][0]['rule_set']
         rules += [
@@ -142,38 +185,66 @@
         self.publish()
         return prefix
 
+    def set_evacuated(self, data_centre: str, evacuated: bool) -> None:
+        """Write or remove the row that asks for an evacuation."""
+        if evacuated:
+            self.evacuated.add(data_centre)
+            self.store.evacuate(data_centre)
+        else:
+            self.evacuated.discard(data_centre)
+            self.store.lift(data_centre)
+
+    def repair_evacuations(self) -> None:
+        """Write and remove what a restored store has lost or brought back."""
+        found = self.store.list_evacuated()
+        for data_centre in sorted(found ^ self.evacuated):
+            self.set_evacuated(data_centre, data_centre in self.evacuated)
+
     async def _build(self, index: int, store_port: int) -> Node:
         service = SERVICES[index % len(SERVICES)]
         target = app.AppStandin(f'i-{index}-0', service)
         target.behaviour.work_s = WORK_S
+        target.behaviour.reports_load = self._reports_load
+        if self._is_cold:
+            target.behaviour.cold_start_s = COLD_START_S
+            target.behaviour.cold_crash_calls = COLD_CRASH_CALLS
         await target.start()
         ports = mesh.find_sidecar_ports()
+        data_centre = DATA_CENTRES[index % len(DATA_CENTRES)]
         settings = self._folder / f'n{index}.json'
         deployment.write_settings(
             settings,
             node_id=f'n{index}',
             service=service,
-            data_centre=f'dc-{index % 3}',
+            data_centre=data_centre,
             ports=ports,
             target_port=target.port,
             store_port=store_port,
             bounds=BOUNDS,
+            zones=ZONES,
         )
         log = self._folder / f'n{index}.log'
-        return Node(index, target, ports, settings, log)
+        return Node(index, target, ports, settings, log, data_centre)
 
     async def _check_in(self) -> None:
-        while True:
-            await asyncio.gather(
-                *(self._check_in_one(node) for node in self.nodes)
-            )
-            await asyncio.sleep(CHECK_IN_INTERVAL_S)
+        interval_s = CHECK_IN_INTERVAL_S
+        if self._is_cold:
+            interval_s = COLD_CHECK_IN_INTERVAL_S
+        async with asyncio.TaskGroup() as group:
+            while True:
+                for node in self.nodes:
+                    group.create_task(self._check_in_one(node))
+                await asyncio.sleep(interval_s)
 
     async def _check_in_one(self, node: Node) -> None:
         # A target that leaves says so in its answers, or departs; it says no
         # more that it is ready.
-        if not (node.app.is_leaving or node.app.is_down):
-            await node.app.check_in(node.ports[2])
+        if node.app.is_leaving or node.app.is_down:
+            return
+        late_s = 0.0
+        if self._is_cold and self._random.random() < LATE_RATIO:
+            late_s = self._random.uniform(0.0, MOST_LATE_S)
+        await node.app.check_in(node.ports[2], late_s=late_s)
 
     async def revive_targets(self) -> None:
         """Start targets again that have crashed, some time later."""
@@ -182,7 +253,9 @@
             for node in self.nodes:
                 app = node.app
                 if app.is_down:
-                    await app.recover(build_next_id(app.target_id))
+                    target_id = node.next_id or build_next_id(app.target_id)
+                    node.next_id = ''
+                    await app.recover(target_id)
 
     async def _is_ready(self, node: Node) -> bool:
         with contextlib.suppress(OSError, EOFError):
--- a/src/eelgrasswalk/standins/deployment.py
+++ b/src/eelgrasswalk/standins/deployment.py
@@ -41,6 +41,11 @@
         'rate_per_s': options.get('rate', 0),
         'burst': options.get('burst', 0),
     }
+    cold = {
+        name: options[name]
+        for name in ('cold_per_s', 'cold_start_s')
+        if name in options
+    }
     config = {
         'version': version,
         'limits': {},
@@ -51,6 +56,7 @@
                 'name': service,
                 'max_connections': 100,
                 'health_path': '/health',
+                **cold,
             }
             for service in services
         ],
@@ -69,6 +75,7 @@
     store_port: int,
     bounds: typing.Mapping[str, typing.Any],
     bootstrap: bool = True,
+    zones: typing.Mapping[str, str] | None = None,
 ) -> None:
     """Write the settings file that the platform would give a node.
 
@@ -82,6 +89,7 @@
         store_port: Port of the store.
         bounds: What the operators hold the system to.
         bootstrap: Whether the mesh starts for the first time.
+        zones: Region of each data centre; None for no table.
     """
     callers, readiness, check_ins, *internal = ports
     path.write_text(
@@ -101,6 +109,7 @@
                 'app_addr': f'127.0.0.1:{target_port}',
                 'platform': {'address': f'127.0.0.1:{store_port}'},
                 'bounds': dict(bounds),
+                **({} if zones is None else {'zones': dict(zones)}),
             }
         )
     )
--- a/src/eelgrasswalk/standins/rows.py
+++ b/src/eelgrasswalk/standins/rows.py
@@ -19,6 +19,8 @@
 
 MOST_ROWS = 500
 MOST_ENTRIES = 100
+_OPERATOR_TABLE = 'op'
+_EVACUATION = 'evacuate/'
 _JSON = ((b'content-type', b'application/json'),)
 
 Fields: typing.TypeAlias = dict[str, typing.Any]
@@ -102,6 +104,22 @@
         """Remove a row as somebody else does."""
         return self._apply([((table, '', key), None)])
 
+    def evacuate(self, data_centre: str) -> int:
+        """Ask that nothing is sent to the targets of a data centre."""
+        return self.put(_OPERATOR_TABLE, _EVACUATION + data_centre, b'{}')
+
+    def lift(self, data_centre: str) -> int:
+        """Remove the row that asks for the evacuation of a data centre."""
+        return self.remove(_OPERATOR_TABLE, _EVACUATION + data_centre)
+
+    def list_evacuated(self) -> set[str]:
+        """Return the data centres that are to be evacuated."""
+        return {
+            key.removeprefix(_EVACUATION)
+            for table, _, key in self._rows
+            if table == _OPERATOR_TABLE and key.startswith(_EVACUATION)
+        }
+
     def read(self, table: str, key: str) -> bytes | None:
         """Return the value of a row, or None."""
         change = self._rows.get((table, '', key))
@@ -210,7 +228,7 @@
             return self._answer(412, {'rows': rows})
         if len(body['puts']) + len(body['removals']) > MOST_ENTRIES:
             return self._answer(400, {})
-        if any(item['table'] == 'op' for item in body['puts']):
+        if any(item['table'] == _OPERATOR_TABLE for item in body['puts']):
             return self._answer(403, {})
         changes: list[tuple[Place, str | None]] = [
             (_read_place(item), item['value']) for item in body['puts']
