Draw faults of the signals in the soak when they are asked for

Cause: the soak had checks of cold targets, evacuations, requests sent ahead and invalid statuses, but nothing that called for them.

--- a/src/eelgrasswalk/bench/soak.py
+++ b/src/eelgrasswalk/bench/soak.py
@@ -11,6 +11,7 @@
 import contextlib
 import dataclasses
 import itertools
+import math
 import pathlib
 import random
 import signal
@@ -28,6 +29,7 @@
 from . import soak_checks
 from . import soak_faults
 from . import soak_fleet
+from . import soak_signals
 
 CALLS_PER_S = 25.0
 CONNECTIONS = 6
@@ -74,6 +76,16 @@
             maxlen=COPIES
         )
         self._is_store_faulty = False
+        self._signals = soak_signals.Signals(
+            fleet,
+            self.record,
+            source,
+            soak_signals.Acts(
+                self._fail_store,
+                self._disturb_node,
+                lambda: self._is_store_faulty,
+            ),
+        )
 
     async def run(self, seconds: float) -> None:
         """Send calls and let the faults happen."""
@@ -81,6 +93,7 @@
         self._take_copy()
         async with asyncio.TaskGroup() as group:
             copying = group.create_task(self._copy())
+            stalls = group.create_task(self._signals.watch_stalls())
             reviving = group.create_task(self._fleet.revive_targets())
             clients = [
                 group.create_task(self._send_calls(node))
@@ -92,7 +105,7 @@
                 group.create_task(self._begin(fault))
             left_s = started_at + seconds - time.monotonic()
             await asyncio.sleep(max(0.0, left_s) + SETTLE_S)
-            for task in (copying, reviving, *clients):
+            for task in (copying, stalls, reviving, *clients):
                 task.cancel()
         self._collect_runs()
 
@@ -151,9 +164,10 @@
             ended_at=time.monotonic(),
             status=0,
             is_own=False,
+            has_answer=False,
         )
         if isinstance(outcome, http_client.Received):
-            call = _read_answer(call, outcome)
+            call = soak_signals.read_answer(call, outcome.response)
         self.record.calls.append(call)
 
     async def _send_deadly(self, fault: soak_faults.Fault) -> None:
@@ -189,7 +203,8 @@
                 for crash in node.app.crashes
             ]
             for arrival in node.app.arrivals:
-                self.record.runs.append(_build_run(arrival))
+                self.record.runs.append(_build_run(arrival, node))
+        self._signals.collect_cold()
 
     # The store
 
@@ -215,6 +230,7 @@
             store.restore(copies[int(fault.figure * len(copies))])
             self._copies.clear()
             self._fleet.publish()
+            self._signals.repair()
             self._take_copy()
         store.faults.silent = False
         store.faults.status = 0
@@ -227,7 +243,9 @@
 
     async def _begin(self, fault: soak_faults.Fault) -> None:
         node = self._fleet.nodes[fault.node]
-        if fault.kind.startswith('store'):
+        if fault.kind in soak_faults.SIGNALS:
+            await self._signals.begin(fault)
+        elif fault.kind.startswith('store'):
             await self._fail_store(fault)
         elif fault.kind == 'route':
             prefix = self._fleet.add_route()
@@ -274,6 +292,9 @@
         if target.target_id == target_id and not target.is_down:
             target.restart(soak_fleet.build_next_id(target_id))
 
+    async def _disturb_node(self, fault: soak_faults.Fault) -> None:
+        await self._disturb(self._fleet.nodes[fault.node], fault)
+
     async def _disturb(
         self, node: soak_fleet.Node, fault: soak_faults.Fault
     ) -> None:
@@ -329,22 +350,7 @@
             )
 
 
-def _read_answer(
-    call: soak_checks.Call, outcome: http_client.Received
-) -> soak_checks.Call:
-    response = outcome.response
-    notice = app.read_notice(response)
-    return dataclasses.replace(
-        call,
-        status=response.status,
-        is_own=response.body == f'answer to {call.request_id}'.encode(),
-        target_id=notice.target_id,
-        calls_per_s=notice.calls_per_s,
-        leaving=notice.leaving,
-    )
-
-
-def _build_run(arrival: app.Arrival) -> soak_checks.Run:
+def _build_run(arrival: app.Arrival, gate: soak_fleet.Node) -> soak_checks.Run:
     node, _, _ = arrival.request_id.partition('-')
     return soak_checks.Run(
         request_id=arrival.request_id,
@@ -353,6 +359,10 @@
         at=arrival.at,
         was_run=arrival.was_run,
         path=arrival.path,
+        gate=gate.index,
+        data_centre=gate.data_centre,
+        is_fenced=arrival.is_fenced,
+        invalid_at=gate.app.invalid_answers.get(arrival.request_id, math.inf),
     )
 
 
@@ -364,6 +374,7 @@
     folder: pathlib.Path,
     calls_per_s: float = CALLS_PER_S,
     faults_per_s: float = FAULTS_PER_S,
+    signals: tuple[str, ...] = soak_faults.SIGNALS_IN_FORCE,
 ) -> tuple[soak_checks.Record, list[soak_faults.Fault]]:
     """Run one soak and return what was seen, and what happened.
 
@@ -374,13 +385,22 @@
         folder: Where settings and logs are written.
         calls_per_s: Mean number of calls per second at each node.
         faults_per_s: Mean number of faults per second.
+        signals: Which of soak_faults.SIGNALS happen as well.
     """
     faults = soak_faults.draw_faults(
         seed, nodes=nodes, seconds=seconds, per_s=faults_per_s
     )
     faults += soak_faults.draw_apart(seed, nodes=nodes, seconds=seconds)
+    faults += soak_faults.draw_signals(
+        seed, nodes=nodes, seconds=seconds, kinds=signals
+    )
     faults.sort(key=lambda fault: fault.at)
-    fleet = soak_fleet.Fleet(folder, nodes=nodes)
+    fleet = soak_fleet.Fleet(
+        folder,
+        nodes=nodes,
+        cold='cold' in signals,
+        reports_load='load' in signals,
+    )
     try:
         await fleet.start()
         soak = Soak(
@@ -404,6 +424,14 @@
 )
 @click.option('--seconds', type=float, default=None, help='Of each seed.')
 @click.option('--quick', is_flag=True, help='Run for a shorter time.')
+@click.option(
+    '--signal',
+    'signals',
+    multiple=True,
+    type=click.Choice(soak_faults.SIGNALS),
+    default=soak_faults.SIGNALS_IN_FORCE,
+    help='Further kind of faults; may be given several times.',
+)
 @click.option('--json', 'as_json', is_flag=True, help='Print one line.')
 def command(
     seed: int,
@@ -412,6 +440,7 @@
     calls: float,
     seconds: float | None,
     quick: bool,
+    signals: tuple[str, ...],
     as_json: bool,
 ) -> None:
     """Soak nodes on the platform in faults and check every promise."""
@@ -429,6 +458,7 @@
                     seconds=length_s,
                     folder=pathlib.Path(folder),
                     calls_per_s=calls,
+                    signals=signals,
                 )
             )
         found = soak_checks.check_all(record)
--- a/src/eelgrasswalk/bench/soak_checks.py
+++ b/src/eelgrasswalk/bench/soak_checks.py
@@ -422,9 +422,7 @@
         if call.has_answer and call.status not in VALID_STATUSES
     ]
     invalid = {
-        run.request_id: run
-        for run in record.runs
-        if run.invalid_at < math.inf
+        run.request_id: run for run in record.runs if run.invalid_at < math.inf
     }
     for call in record.calls:
         run = invalid.get(call.request_id)
--- a/src/eelgrasswalk/bench/soak_fleet.py
+++ b/src/eelgrasswalk/bench/soak_fleet.py
@@ -119,7 +119,7 @@
         self.config_version = 0
         self.routes: list[str] = []
         self.evacuated: set[str] = set()
-        self._is_cold = cold
+        self.is_cold = cold
         self._reports_load = reports_load
         self._random = random.Random(0)
         self._folder = folder
@@ -164,7 +164,7 @@
     def publish(self) -> None:
         """Write the newest configuration to the store."""
         options = {}
-        if self._is_cold:
+        if self.is_cold:
             options['cold_per_s'] = COLD_PER_S
             options['cold_start_s'] = COLD_START_S
         config = json.loads(
@@ -205,7 +205,7 @@
         target = app.AppStandin(f'i-{index}-0', service)
         target.behaviour.work_s = WORK_S
         target.behaviour.reports_load = self._reports_load
-        if self._is_cold:
+        if self.is_cold:
             target.behaviour.cold_start_s = COLD_START_S
             target.behaviour.cold_crash_calls = COLD_CRASH_CALLS
         await target.start()
@@ -228,7 +228,7 @@
 
     async def _check_in(self) -> None:
         interval_s = CHECK_IN_INTERVAL_S
-        if self._is_cold:
+        if self.is_cold:
             interval_s = COLD_CHECK_IN_INTERVAL_S
         async with asyncio.TaskGroup() as group:
             while True:
@@ -242,7 +242,7 @@
         if node.app.is_leaving or node.app.is_down:
             return
         late_s = 0.0
-        if self._is_cold and self._random.random() < LATE_RATIO:
+        if self.is_cold and self._random.random() < LATE_RATIO:
             late_s = self._random.uniform(0.0, MOST_LATE_S)
         await node.app.check_in(node.ports[2], late_s=late_s)
 
--- a/src/eelgrasswalk/standins/app.py
+++ b/src/eelgrasswalk/standins/app.py
@@ -409,9 +409,7 @@
             headers.append((b'cold-remaining', b'%d' % left_ms))
             if not isinstance(status, PaddedStatus):
                 self.coldness.note_reported(now)
-        return verdict.Response(
-            status, (*headers, *self._render_load()), b''
-        )
+        return verdict.Response(status, (*headers, *self._render_load()), b'')
 
 
 def _read_clock() -> float:
