--- a/src/eelgrasswalk/bench/soak.py
+++ b/src/eelgrasswalk/bench/soak.py
@@ -91,6 +91,7 @@
         """Send calls and let the faults happen."""
         started_at = time.monotonic()
         self._take_copy()
+        signals: list[asyncio.Task[None]] = []
         async with asyncio.TaskGroup() as group:
             copying = group.create_task(self._copy())
             stalls = group.create_task(self._signals.watch_stalls())
@@ -102,9 +103,13 @@
             for fault in self._faults:
                 pause_s = started_at + fault.at - time.monotonic()
                 await asyncio.sleep(max(0.0, pause_s))
-                group.create_task(self._begin(fault))
+                task = group.create_task(self._begin(fault))
+                if fault.kind in soak_faults.SIGNALS:
+                    signals.append(task)
             left_s = started_at + seconds - time.monotonic()
             await asyncio.sleep(max(0.0, left_s) + SETTLE_S)
+            # An evacuation that is late still needs calls to be checked.
+            await asyncio.gather(*signals)
             for task in (copying, stalls, reviving, *clients):
                 task.cancel()
         self._collect_runs()
--- a/src/eelgrasswalk/bench/soak_signals.py
+++ b/src/eelgrasswalk/bench/soak_signals.py
@@ -161,7 +161,6 @@
         data_centres = [self._fleet.nodes[fault.node].data_centre]
         if fault.figure > 0.9:
             data_centres = list(soak_fleet.DATA_CENTRES)
-        hold_s = soak_fleet.EVACUATE_S + fault.duration_s
         has_outage = 0.3 < fault.figure < 0.75
         has_end = fault.figure > 0.5
         async with asyncio.TaskGroup() as group:
@@ -171,15 +170,14 @@
                 if fault.figure < 0.4:
                     outage = dataclasses.replace(fault, kind='store-restored')
                 group.create_task(self._acts.fail_store(outage))
-                hold_s += soak_checks.MAX_SKEW_S
             if has_end:
                 end = dataclasses.replace(fault, kind='kill')
                 group.create_task(self._acts.disturb(end))
-            await asyncio.sleep(hold_s)
+            await self._hold(fault.duration_s)
             await self._lift(data_centres)
             await asyncio.sleep(LIFTED_S)
             await self._evacuate(data_centres)
-            await asyncio.sleep(soak_fleet.EVACUATE_S + fault.duration_s)
+            await self._hold(fault.duration_s)
             await self._lift(data_centres)
 
     async def _evacuate(
@@ -190,6 +188,15 @@
             self._fleet.set_evacuated(data_centre, True)
             self._note_begin(data_centre)
 
+    async def _hold(self, seconds: float) -> None:
+        """Let an evacuation last beyond its bound."""
+        begin = time.monotonic() - soak_checks.STABLE_S
+        await asyncio.sleep(soak_fleet.EVACUATE_S)
+        faults = self._record.store_faults
+        if self._acts.is_store_faulty() or (faults and faults[-1].end > begin):
+            await asyncio.sleep(soak_checks.MAX_SKEW_S)
+        await asyncio.sleep(soak_checks.CLOCK_SLACK_S + seconds)
+
     async def _lift(self, data_centres: collections.abc.Iterable[str]) -> None:
         for data_centre in data_centres:
             await self._wait_for_store()
--- a/src/eelgrasswalk/standins/serving.py
+++ b/src/eelgrasswalk/standins/serving.py
@@ -45,6 +45,7 @@
         headers: Further headers.
         cut_after: Bytes of the body after which the connection is closed,
             or None to send it whole.
+        resets: Whether the connection is reset in place of an answer.
     """
 
     status: int = 200
@@ -52,6 +53,7 @@
     content_type: bytes = b'application/json'
     headers: tuple[tuple[bytes, bytes], ...] = ()
     cut_after: int | None = None
+    resets: bool = False
 
 
 Pending: typing.TypeAlias = collections.abc.Coroutine[
@@ -77,7 +79,7 @@
     """Return the bytes of a reply, shortened when it is to be cut."""
     line = _STATUS_LINES.get(reply.status)
     if line is None:
-        line = b'HTTP/1.1 %d Unknown\r\n' % reply.status
+        line = b'HTTP/1.1 %03d Unknown\r\n' % reply.status
     parts = [
         line,
         b'content-type: ',
@@ -179,6 +181,9 @@
     def _send(self, reply: Reply) -> None:
         if self._transport is None:
             return
+        if reply.resets:
+            self._transport.abort()
+            return
         self._transport.write(encode_reply(reply))
         if reply.cut_after is not None:
             self._close()
--- a/src/eelgrasswalk/standins/target.py
+++ b/src/eelgrasswalk/standins/target.py
@@ -3,6 +3,9 @@
 A request is steered by its query: `bytes` (length of the answer), `ms`
 (service time), `status`, and any number of `child` paths that the target
 calls through its node, in order, while it holds its slot.
+
+Its switches are read and set at /_standin/behave; a POST to /_standin/cold
+with `{"seconds": 2.5}` makes it cold at any time.
 """
 
 import asyncio
@@ -16,6 +19,7 @@
 import urllib.parse
 
 from . import calling
+from . import coldness
 from . import serving
 
 CONTEXT_HEADER = b'eelgrasswalk-context'
@@ -24,7 +28,10 @@
 KEY_HEADERS = frozenset((b'x-api-key', b'authorization', b'api-key'))
 LEDGER_LIMIT = 1_000_000
 _PREFIX = b'/_standin/'
+# Numbers that are no status, in the order in which they are sent.
+INVALID_STATUSES = (999, 99, 600, 0)
 _REFUSAL = serving.make_json_reply({'error': 'refused'}, 503)
+_RESET = serving.Reply(resets=True)
 
 
 @dataclasses.dataclass(slots=True)
@@ -75,8 +82,16 @@
         load_stuck: Whether the reported load stays what it was.
         load_lag_s: Seconds that the reported load lags behind.
         healthy: What its health endpoint claims.
-        cold_start_s: Seconds after the start in which it is slower.
-        cold_factor: Factor on service times during the cold start.
+        cold_start_s: Seconds after each start in which it is cold.
+        cold_factor: Factor on service times while it is cold.
+        cold_crash_calls: Requests within a second above which it crashes
+            while it is cold; None for never.
+        crash_s: Seconds for which it resets all connections after a crash.
+        slowdown: How long work takes in percent of the usual time, as its
+            answers report it; None for answers without a report of load.
+        load_text: The report in place of the true one; None for the true one.
+        invalid_ratio: Share of answers, those on its health included, whose
+            status is none.
         ledger: Whether it keeps a ledger.
         secrets: API keys that are looked for in all header values.
     """
@@ -98,6 +113,11 @@
     healthy: bool = True
     cold_start_s: float = 0.0
     cold_factor: float = 4.0
+    cold_crash_calls: int | None = None
+    crash_s: float = 1.0
+    slowdown: int | None = None
+    load_text: str | None = None
+    invalid_ratio: float = 0.0
     ledger: bool = True
     secrets: tuple[str, ...] = ()
 
@@ -146,7 +166,11 @@
         )
         self._stuck_load = 0
         self._callers: dict[str, calling.Caller] = {}
-        self._started = time.monotonic()
+        self._coldness = coldness.Coldness()
+        self._run_number = 0
+        self._down_until = -math.inf
+        self._invalid_sent = 0
+        self._turn_cold(behaviour.cold_start_s)
 
     def handle(
         self, request: serving.Request
@@ -155,12 +179,34 @@
         path = request.target.partition(b'?')[0]
         if path.startswith(_PREFIX):
             return self._control(request, path)
+        now = time.monotonic()
+        if now < self._down_until:
+            return _RESET
         if path == b'/health':
             return self._report_health()
         if path == b'/load':
             return self._report_load()
+        if self._is_overrun(now):
+            return self._crash(now)
         return self._admit(request)
 
+    def _turn_cold(self, seconds: float) -> None:
+        self._coldness.begin(
+            self.name, time.monotonic(), seconds, reported=True
+        )
+
+    def _is_overrun(self, now: float) -> bool:
+        most = self._behaviour.cold_crash_calls
+        return self._coldness.count(now) > (math.inf if most is None else most)
+
+    def _crash(self, now: float) -> serving.Reply:
+        """End this run without a word; the next one begins cold."""
+        self._run_number += 1
+        self._down_until = now + self._behaviour.crash_s
+        self._coldness.end(now)
+        self._turn_cold(self._behaviour.crash_s + self._behaviour.cold_start_s)
+        return _RESET
+
     def _admit(
         self, request: serving.Request
     ) -> serving.Reply | serving.Pending:
@@ -180,9 +226,12 @@
         if self._is_refused():
             return _REFUSAL
         await self._take_slot()
+        run_number = self._run_number
         entry = self._record(request)
         try:
             failed = await self._work(request, work)
+            if run_number != self._run_number:
+                return _RESET
             if failed is not None:
                 entry.status = failed.status
                 return failed
@@ -233,11 +282,37 @@
         entry.status = work.status
         if self._occurs(behaviour.fail_ratio):
             entry.status = 500
+        if self._occurs(behaviour.invalid_ratio):
+            entry.status = self._next_invalid_status()
         body = self._make_body(entry, work.answer_bytes)
         cut_after = None
         if self._occurs(behaviour.drop_ratio):
             cut_after = len(body) // 2
-        return serving.Reply(entry.status, body, cut_after=cut_after)
+        return serving.Reply(
+            entry.status,
+            body,
+            headers=self._render_load(),
+            cut_after=cut_after,
+        )
+
+    def _next_invalid_status(self) -> int:
+        self._invalid_sent += 1
+        return INVALID_STATUSES[(self._invalid_sent - 1) % 4]
+
+    def _render_load(self) -> tuple[tuple[bytes, bytes], ...]:
+        behaviour = self._behaviour
+        if behaviour.load_text is not None:
+            return ((b'server-load', behaviour.load_text.encode()),)
+        if behaviour.slowdown is None:
+            return ()
+        load = self._read_load()
+        figures = (
+            min(load, behaviour.slots),
+            max(0, load - behaviour.slots),
+            behaviour.slots,
+            behaviour.slowdown,
+        )
+        return ((b'server-load', b'%d,%d,%d,%d' % figures),)
 
     def _make_body(self, entry: Entry, length: int) -> bytes:
         body = b'{"target":"%s","request":"%s","booking":"%s","pad":"' % (
@@ -304,7 +379,7 @@
     def _draw_service_time(self, service_ms: float) -> float:
         behaviour = self._behaviour
         seconds = service_ms / 1000 * behaviour.slow
-        if time.monotonic() - self._started < behaviour.cold_start_s:
+        if self._coldness.get_left_s(time.monotonic()) > 0.0:
             seconds *= behaviour.cold_factor
         varied = seconds * behaviour.jitter
         if varied > 0:
@@ -324,18 +399,21 @@
             self._load_history.append((now, self._count_load()))
 
     def _report_load(self) -> serving.Reply:
-        behaviour = self._behaviour
-        load = self._count_load()
-        if behaviour.load_claimed is not None:
-            load = behaviour.load_claimed
-        elif behaviour.load_stuck:
-            load = self._stuck_load
-        elif behaviour.load_lag_s > 0:
-            load = self._find_lagging_load()
         return serving.make_json_reply(
-            {'in_flight': load, 'slots': behaviour.slots}
+            {'in_flight': self._read_load(), 'slots': self._behaviour.slots}
         )
 
+    def _read_load(self) -> int:
+        """Return the load as it is reported, which may be false."""
+        behaviour = self._behaviour
+        if behaviour.load_claimed is not None:
+            return behaviour.load_claimed
+        if behaviour.load_stuck:
+            return self._stuck_load
+        if behaviour.load_lag_s > 0:
+            return self._find_lagging_load()
+        return self._count_load()
+
     def _find_lagging_load(self) -> int:
         moment = time.monotonic() - self._behaviour.load_lag_s
         load = 0
@@ -346,9 +424,16 @@
         return load
 
     def _report_health(self) -> serving.Reply:
-        if self._behaviour.healthy:
-            return serving.make_json_reply({'healthy': True})
-        return serving.make_json_reply({'healthy': False}, 503)
+        healthy = self._behaviour.healthy
+        status = 200 if healthy else 503
+        if self._occurs(self._behaviour.invalid_ratio):
+            status = self._next_invalid_status()
+        headers = self._render_load()
+        left_ms = self._coldness.get_left_ms(time.monotonic())
+        if left_ms:
+            headers = (*headers, (b'cold-remaining', b'%d' % left_ms))
+        reply = serving.make_json_reply({'healthy': healthy}, status)
+        return dataclasses.replace(reply, headers=headers)
 
     def _control(self, request: serving.Request, path: bytes) -> serving.Reply:
         name = path.removeprefix(_PREFIX)
@@ -356,6 +441,9 @@
             return self._answer_ledger(request)
         if name == b'behave' and request.method == 'POST':
             return self._change(json.loads(request.body))
+        if name == b'cold' and request.method == 'POST':
+            self._turn_cold(float(json.loads(request.body)['seconds']))
+            return serving.make_json_reply({})
         if name == b'behave':
             return serving.make_json_reply(dataclasses.asdict(self._behaviour))
         return serving.make_json_reply({'error': 'no such switch'}, 404)
--- a/tests/standins/test_target.py
+++ b/tests/standins/test_target.py
@@ -130,3 +130,57 @@
         replies = await asyncio.gather(*calls)
         statuses = sorted(reply.status for reply in replies)
         self.assertEqual([200, 200, 503, 503], statuses)
+
+    async def cool(self, caller: calling.Caller, seconds: float) -> None:
+        body = json.dumps({'seconds': seconds}).encode()
+        await caller.call('POST', '/_standin/cold', body=body)
+
+    async def test_reports_how_long_it_remains_cold(self) -> None:
+        """A node that is told nothing sends a cold target too much."""
+        caller = await self.start(cold_start_s=60.0)
+        headers = dict((await caller.call('GET', '/health')).headers)
+        self.assertLessEqual(int(headers[b'cold-remaining']), 60_000)
+        self.assertGreater(int(headers[b'cold-remaining']), 0)
+
+    async def test_turns_cold_again_on_command(self) -> None:
+        caller = await self.start()
+        reply = await caller.call('GET', '/health')
+        self.assertNotIn(b'cold-remaining', dict(reply.headers))
+        await self.cool(caller, 60.0)
+        reply = await caller.call('GET', '/health')
+        self.assertIn(b'cold-remaining', dict(reply.headers))
+
+    async def test_crashes_when_cold_above_its_limit(self) -> None:
+        caller = await self.start(
+            cold_start_s=600.0, cold_factor=1.0, cold_crash_calls=3
+        )
+        for _ in range(3):
+            self.assertEqual(200, (await caller.call('GET', '/x')).status)
+        with self.assertRaises(calling.CallError):
+            await caller.call('GET', '/x')
+        with self.assertRaises(calling.CallError):
+            await caller.call('GET', '/health')
+
+    async def test_takes_any_number_of_requests_when_warm(self) -> None:
+        caller = await self.start(cold_crash_calls=3)
+        for _ in range(20):
+            self.assertEqual(200, (await caller.call('GET', '/x')).status)
+
+    async def test_reports_its_load_with_four_figures(self) -> None:
+        caller = await self.start(slots=7, slowdown=140, load_claimed=9)
+        for path in ('/x', '/health'):
+            headers = dict((await caller.call('GET', path)).headers)
+            self.assertEqual(b'7,2,7,140', headers[b'server-load'])
+        await self.behave(caller, load_text='-1,x')
+        headers = dict((await caller.call('GET', '/x')).headers)
+        self.assertEqual(b'-1,x', headers[b'server-load'])
+
+    async def test_answers_with_numbers_that_are_no_status(self) -> None:
+        caller = await self.start(invalid_ratio=1.0)
+        statuses = [(await caller.call('GET', '/x')).status for _ in range(4)]
+        self.assertEqual([999, 99, 600, 0], statuses)
+
+    def test_writes_three_digits_of_a_status(self) -> None:
+        for status, line in ((0, b'HTTP/1.1 000 '), (99, b'HTTP/1.1 099 ')):
+            data = serving.encode_reply(serving.Reply(status))
+            self.assertTrue(data.startswith(line), data)
