--- a/src/eelgrasswalk/bench/soak.py
+++ b/src/eelgrasswalk/bench/soak.py
@@ -3,7 +3,8 @@
 Real processes are stopped, killed, frozen and told to reload, while the store
 fails or comes back from a copy, targets name limits, leave or refuse calls,
 some requests crash their targets, and routes are added. Clients use their open
-connections until the process is gone.
+connections until the process is gone. Further kinds of faults are named by
+soak_faults.SIGNALS.
 """
 
 import asyncio
