Run safe requests of one connection at the same time

Requests sent on a connection before the first was answered ran one after the other, and more than 16 of them got a 400.

Requests that may overlap are started at once, at most 64 at a time, and answered in the order sent (transport/response_order.py, without I/O). The paced feed alone pauses reading, for small parts and for want of room. Parsing moved to transport/request_reader.py and the head of responses to transport/response_head.py. The time limit of a call counts from its receipt.

--- a/src/eelgrasswalk/bench/cost_worker.py
+++ b/src/eelgrasswalk/bench/cost_worker.py
@@ -24,7 +24,15 @@
 
 # Stages by part of the path of a source file; the first that fits counts.
 STAGES = (
-    ('http server', ('transport/server_connection', 'transport/problem')),
+    (
+        'http server',
+        (
+            'transport/server_connection',
+            'transport/request_reader',
+            'transport/response_',
+            'transport/problem',
+        ),
+    ),
     ('target', ('transport/http_client', 'transport/client_connection')),
     ('dialect', ('platform/dialect', 'transport/message')),
     ('links', ('transport/', 'msgspec')),
--- a/src/eelgrasswalk/filters/dispatch.py
+++ b/src/eelgrasswalk/filters/dispatch.py
@@ -145,7 +145,10 @@
 
     def _strip(self, request: message.Request) -> message.Request:
         headers = message.strip_headers(request.headers, remove=self._removed)
-        stripped = msgspec.structs.replace(request, headers=headers)
+        # Other hosts have other clocks.
+        stripped = msgspec.structs.replace(
+            request, headers=headers, received_at=None
+        )
         if len(request.body) > budget.UNCOUNTED_BYTES:
             budget.keep_alive(stripped, request)
         return stripped
--- a/src/eelgrasswalk/filters/front.py
+++ b/src/eelgrasswalk/filters/front.py
@@ -160,8 +160,21 @@
         self._service_choice = call_rules.WeightedRoundRobin()
         self._loop = asyncio.get_running_loop()
 
+    def may_overlap(self, request: message.Request) -> bool:
+        """Tell whether a call may run at the same time as others.
+
+        Calls of routes that may safely run twice may. The rules may change
+        before the call is accepted, which then follows the new ones.
+        """
+        table = self._get_table()
+        if table is None:
+            return False
+        head = self._dialect.read_head(request.headers)
+        route = table.find_route(head.hostname, request.path)
+        return route is not None and route.idempotent
+
     async def handle(self, request: message.Request) -> verdict.Response:
-        """Answer one call."""
+        """Answer one call; its time limit counts from its receipt."""
         try:
             outcome = await self._run(request)
         except Exception as error:
@@ -172,8 +185,10 @@
         return self._dialect.render(outcome)
 
     async def _run(self, request: message.Request) -> verdict.Verdict:
-        arrived_at = self._loop.time()
-        call = await self._accept(request)
+        arrived_at = request.received_at
+        if arrived_at is None:
+            arrived_at = self._loop.time()
+        call = await self._accept(request, arrived_at)
         if isinstance(call, Refusal):
             self._record_refusal(request, call, arrived_at)
             return call.outcome
@@ -251,10 +266,9 @@
         }
 
     async def _accept(
-        self, request: message.Request
+        self, request: message.Request, arrived_at: float
     ) -> IncomingCall | Refusal:
         """Check a request and return the call to forward, or a refusal."""
-        now = self._loop.time()
         table = self._get_table()
         if table is None:
             return Refusal(self._refuse_stale())
@@ -275,12 +289,16 @@
         call_timeout_s = route.timeout_s
         if isinstance(timeout, deadline.RequestedTimeout):
             call_timeout_s = min(call_timeout_s, timeout.seconds)
+        expires_at = arrived_at + min(call_timeout_s, MAX_TIMEOUT_S)
+        if self._loop.time() >= expires_at:
+            # It waited behind others of its connection.
+            return Refusal(verdict.NotRun(verdict.Reason.DEADLINE))
         if account is not None:
             refused = await self._quotas.admit(account, int(route.importance))
             if refused is not None:
                 return self._refuse_over_rate(account, route, refused)
         return self._build_incoming_call(
-            request, head.request_id, route, account, now, call_timeout_s
+            request, head.request_id, route, account, arrived_at, expires_at
         )
 
     def _build_incoming_call(
@@ -289,8 +307,8 @@
         request_id: str,
         route: call_rules.RouteRule,
         account: call_rules.AccountRule | None,
-        now: float,
-        call_timeout_s: float,
+        arrived_at: float,
+        expires_at: float,
     ) -> IncomingCall:
         name = '' if account is None else account.name
         importance = route.importance
@@ -307,14 +325,14 @@
         return IncomingCall(
             request=forwarded,
             request_id=request_id,
-            arrived_at=now,
+            arrived_at=arrived_at,
             route=route,
             service=self._service_choice.choose(route, self._random.random()),
             account=name,
             priority=running_calls.Priority(
                 int(importance), int(route.importance)
             ),
-            deadline=now + min(call_timeout_s, MAX_TIMEOUT_S),
+            deadline=expires_at,
             root_hash=self._find_root_hash(request_id),
             parent_id=self._dialect.find_parent_id(request_id),
         )
--- a/src/eelgrasswalk/sidecar/node.py
+++ b/src/eelgrasswalk/sidecar/node.py
@@ -103,6 +103,7 @@
             self._handle_call,
             limits=http_server.Limits(headers=MAX_HEADERS),
             bodies=self._control_plane.bodies,
+            may_overlap=self._may_overlap,
         )
         self._readiness = http_server.HttpServer(
             self._handle_readiness, limits=_CONTROL_LIMITS
@@ -310,6 +311,11 @@
             )
         return await self.call_path.front.handle(request)
 
+    def _may_overlap(self, request: message.Request) -> bool:
+        return self.call_path is not None and self.call_path.front.may_overlap(
+            request
+        )
+
     async def _handle_readiness(
         self, request: message.Request
     ) -> verdict.Response:
--- a/src/eelgrasswalk/transport/http_server.py
+++ b/src/eelgrasswalk/transport/http_server.py
@@ -4,7 +4,9 @@
 
 from .. import verdict
 from . import budget
+from . import message
 from . import pacing
+from . import response_order
 from . import server_connection
 
 SWEEP_INTERVAL_S = 1.0
@@ -20,6 +22,8 @@
         handler: Answers each request.
         limits: What is accepted.
         bodies: Budget for bodies of requests; None for no bound.
+        may_overlap: Tells whether a request may run at the same time as
+            others of its connection. By default none may.
     """
 
     def __init__(
@@ -28,8 +32,10 @@
         *,
         limits: Limits,
         bodies: budget.ByteBudget | None = None,
+        may_overlap: response_order.MayOverlap | None = None,
     ) -> None:
         self.handler = handler
+        self.may_overlap = may_overlap or _never_overlap
         self.bodies = bodies
         self.turns = pacing.Turns()
         self.limits = limits
@@ -60,22 +66,23 @@
         self.leaving = True
 
     async def drain(self) -> None:
-        """Wait until every request that has arrived is answered.
+        """Wait until every request that has been started is answered.
 
-        New connections are not accepted, and requests that are still being
-        received are refused once they are whole.
+        New connections are not accepted. Requests that wait behind others of
+        their connection are not run; it closes before them. Requests that are
+        still being received are refused once they are whole.
         """
         self.announce()
         self.draining = True
         if self._server is not None:
             self._server.close()
-        tasks = []
+        finished = []
         for connection in list(self.connections):
-            task = connection.finish_up()
-            if task is not None:
-                tasks.append(task)
-        if tasks:
-            await asyncio.wait(tasks)
+            future = connection.finish_up()
+            if future is not None:
+                finished.append(future)
+        if finished:
+            await asyncio.wait(finished)
 
     def end_running(self, answer: verdict.Response) -> None:
         """Give every request that still runs an answer, and close.
@@ -103,3 +110,7 @@
         loop = asyncio.get_running_loop()
         self.check_timeouts(loop.time())
         self._sweeper = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+
+
+def _never_overlap(request: message.Request) -> bool:
+    return False
--- a/src/eelgrasswalk/transport/message.py
+++ b/src/eelgrasswalk/transport/message.py
@@ -20,6 +20,8 @@
 MAX_SMALL_PARTS = 65_536
 MIN_PART_BYTES = 64
 
+_SAFE_METHODS = frozenset(('GET', 'HEAD'))
+
 HOP_BY_HOP = frozenset(
     {
         b'connection',
@@ -44,12 +46,15 @@
         target: Path with query, as received.
         headers: Name and value pairs, names in lower case.
         body: The whole body.
+        received_at: Loop time at which a listener had read it whole; None
+            for a request that is sent, as other hosts have other clocks.
     """
 
     method: str
     target: str
     headers: Headers
     body: bytes
+    received_at: float | None = None
 
     @property
     def path(self) -> str:
@@ -57,6 +62,11 @@
         return self.target.partition('?')[0]
 
 
+def has_safe_method(request: Request) -> bool:
+    """Tell whether a request only reads, by its method."""
+    return request.method in _SAFE_METHODS
+
+
 def describe_excess(
     received: int, body_length: int, *, parts: int, head_bytes: int
 ) -> str:
--- a/src/eelgrasswalk/transport/pacing.py
+++ b/src/eelgrasswalk/transport/pacing.py
@@ -63,7 +63,13 @@
     """Feeds what one connection has received to its parser.
 
     Bytes in large parts are fed as they arrive. Once there are too many small
-    parts, the connection reads no more, and the rest is fed in turns.
+    parts, the connection reads no more, and the rest is fed in turns. Nothing
+    is fed or read while its owner has no room for more; a step that has begun
+    is fed whole.
+
+    It alone pauses and resumes reading, so that the two reasons to pause do
+    not undo each other. A paused transport notices neither the end of the
+    connection nor its loss.
 
     Args:
         turns: Shared with other connections.
@@ -73,19 +79,27 @@
 
     Attributes:
         parts: Counts the calls of the parser; increased by its callbacks.
+        is_blocked: Whether the owner has no room for more.
     """
 
     def __init__(
         self, turns: Turns, feed: Feed, memory: budget.ByteBudget | None
     ) -> None:
         self.parts = 0
+        self.is_blocked = False
         self._turns = turns
         self._feed = feed
         self._memory = memory
         self._step = STEP_BYTES
         self._held: collections.deque[memoryview] = collections.deque()
         self._reserved = 0
-        self._transport: asyncio.Transport | None = None
+        self._paused: asyncio.Transport | None = None
+        self._has_turn = False
+
+    @property
+    def is_paused(self) -> bool:
+        """Whether reading is paused."""
+        return self._paused is not None
 
     def receive(self, data: bytes, transport: asyncio.Transport) -> bool:
         """Feed received bytes, now or in later turns.
@@ -106,47 +120,86 @@
             if not self._memory.try_reserve(len(rest)):
                 return False
             self._reserved += len(rest)
-        if not self._held:
-            self._transport = transport
-            transport.pause_reading()
-            self._turns.add(self._take_turn)
         self._held.append(rest)
+        self._pause(transport)
+        if not self.is_blocked:
+            self._add_turn()
         return True
 
+    def block(self, transport: asyncio.Transport) -> None:
+        """Feed and read nothing until there is room again.
+
+        Args:
+            transport: Is paused.
+        """
+        self.is_blocked = True
+        self._pause(transport)
+
+    def unblock(self) -> None:
+        """Feed what waits in the next turns, then read on."""
+        self.is_blocked = False
+        if self._held:
+            self._add_turn()
+        else:
+            self._resume()
+
+    def _pause(self, transport: asyncio.Transport) -> None:
+        if self._paused is None:
+            self._paused = transport
+            transport.pause_reading()
+
+    def _resume(self) -> None:
+        transport = self._paused
+        if transport is not None:
+            self._paused = None
+            transport.resume_reading()
+
+    def _add_turn(self) -> None:
+        if not self._has_turn:
+            self._has_turn = True
+            self._turns.add(self._take_turn)
+
     def flush(self) -> None:
         """Feed what waits at once, as the connection has ended."""
         while self._held:
             self._feed(self._held.popleft())
         self.drop()
 
+    def skip(self) -> None:
+        """Drop what waits, and read on."""
+        self._release()
+        self.unblock()
+
     def drop(self) -> None:
-        """Drop what waits."""
+        """Drop what waits; reading stays paused if it is."""
+        self._release()
+        self._paused = None
+
+    def _release(self) -> None:
         self._held.clear()
-        self._transport = None
         if self._memory is not None and self._reserved:
             self._memory.release(self._reserved)
         self._reserved = 0
 
     def _take_turn(self) -> bool:
-        transport = self._transport
-        if not self._held or transport is None:
-            return False
-        rest = self._feed_some(self._held.popleft())
-        if self._transport is None:
-            # The connection was closed while it was fed.
-            return False
-        if rest:
-            self._held.appendleft(rest)
-        if self._held:
+        if self._held and not self.is_blocked:
+            rest = self._feed_some(self._held.popleft())
+            # Nothing waits any more if feeding has closed the connection.
+            if rest and self._paused is not None:
+                self._held.appendleft(rest)
+        if self._held and not self.is_blocked:
             return True
-        self.drop()
-        transport.resume_reading()
+        self._has_turn = False
+        if not self._held:
+            self._release()
+            if not self.is_blocked:
+                self._resume()
         return False
 
     def _feed_some(self, rest: memoryview) -> memoryview:
         """Feed bytes until there were too many parts; return the others."""
         last = self.parts + MAX_PARTS_PER_TURN
-        while rest and self.parts < last:
+        while rest and self.parts < last and not self.is_blocked:
             before = self.parts
             self._feed(rest[: self._step])
             rest = rest[self._step :]
--- a/src/eelgrasswalk/transport/server_connection.py
+++ b/src/eelgrasswalk/transport/server_connection.py
@@ -1,77 +1,36 @@
-"""One HTTP connection of a caller: requests in turn, within limits."""
+"""One HTTP connection of a caller: its requests, answered in order."""
 
 import asyncio
-import collections
-import dataclasses
-import http
+import select
 import typing
 
-import httptools
-
 from .. import verdict
-from . import body_buffer
-from . import budget
 from . import message
-from . import pacing
 from . import problem
+from . import request_reader
+from . import response_head
+from . import response_order
 
-MAX_HEADER_BYTES = 32_768
-MAX_HEADERS = 128
-MAX_PIPELINED_REQUESTS = 16
-REQUEST_TIMEOUT_S = 30.0
-IDLE_TIMEOUT_S = 75.0
 PART_BYTES = 131_072
 LINGER_S = 2.0
 # Most that is still read of a request after its refusal was written.
 LINGER_BYTES = 8_388_608
 
-_STATUS_LINES = {
-    status.value: f'HTTP/1.1 {status.value} {status.phrase}\r\n'.encode()
-    for status in http.HTTPStatus
-}
-_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
-
-
-class Handler(typing.Protocol):
-    """Turns a request into an answer."""
+Handler = request_reader.Handler
+Limits = request_reader.Limits
 
-    async def __call__(self, request: message.Request) -> verdict.Response:
-        """Answer one request; cancelled when its caller has gone."""
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Limits:
-    """What the listener accepts.
-
-    Args:
-        body_bytes: Longest body of a request.
-        header_bytes: Longest request line and headers together.
-        headers: Most headers in a request.
-        request_timeout_s: Seconds in which a request must arrive whole.
-        idle_timeout_s: Seconds a connection may stay without a request.
-    """
-
-    body_bytes: int = 8_388_608
-    header_bytes: int = MAX_HEADER_BYTES
-    headers: int = MAX_HEADERS
-    request_timeout_s: float = REQUEST_TIMEOUT_S
-    idle_timeout_s: float = IDLE_TIMEOUT_S
-
-
-class Server(typing.Protocol):
+class Server(request_reader.Server, typing.Protocol):
     """The listener that a connection belongs to."""
 
-    handler: Handler
-    limits: Limits
-    bodies: budget.ByteBudget | None
-    turns: pacing.Turns
-    leaving: bool
-    draining: bool
     connections: set['ServerConnection']
 
 
-class ServerConnection(asyncio.Protocol):
-    """Reads requests and writes their answers, one after the other.
+class ServerConnection(request_reader.RequestReader, asyncio.Protocol):
+    """Reads requests, runs them, and writes their answers in order.
+
+    Each started request has one task. The task whose answer is the next to
+    be written also writes those behind it that are known by then.
 
     Args:
         server: The listener that accepted it.
@@ -81,35 +40,21 @@
     def __init__(
         self, server: Server, loop: asyncio.AbstractEventLoop
     ) -> None:
-        self._server = server
-        self._loop = loop
+        super().__init__(server, loop)
+        self._server: Server = server
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
-        self._waiting: collections.deque[tuple[message.Request, bool]] = (
-            collections.deque()
-        )
-        self._task: asyncio.Task[None] | None = None
-        self._last_activity = loop.time()
-        self._began_at = self._last_activity
-        self._receiving = False
-        self._is_answering = False
-        self._closing = False
-        self._received = 0
-        self._in_headers = True
-        self._body = body_buffer.BodyBuffer(server.bodies)
-        self._paced = pacing.PacedFeed(
-            server.turns, self._parse, server.bodies
-        )
+        self._order = response_order.ResponseOrder(server.may_overlap)
+        # Tasks of the started requests whose handlers run.
+        self._tasks: dict[response_order.Exchange, asyncio.Task[None]] = {}
+        self._is_writing = False
+        # The caller may have sent more than was read.
+        self._has_pipelined = False
+        self._is_closed = False
+        self._last_activity = self._began_at
+        self._blocked_at = 0.0
         self._writable: asyncio.Future[None] | None = None
         self._linger: asyncio.TimerHandle | None = None
-        self._reset_request()
-
-    def _reset_request(self) -> None:
-        self._target = b''
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._body.drop()
-        self._body_length = 0
-        self._parts = 0
+        self._finished: asyncio.Future[None] | None = None
 
     # asyncio.Protocol
 
@@ -118,17 +63,18 @@
         self._server.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._closing = True
+        self._is_sealed = True
         self._transport = None
-        self._waiting.clear()
+        self._order.stop()
         self._server.connections.discard(self)
         self._body.drop()
         self._paced.drop()
         self.resume_writing()
         if self._linger is not None:
             self._linger.cancel()
-        if self._task is not None:
-            self._task.cancel()
+        for task in self._tasks.values():
+            task.cancel()
+        self._note_finished()
 
     def pause_writing(self) -> None:
         self._writable = self._loop.create_future()
@@ -145,131 +91,101 @@
         ):
             self._reject(problem.describe_memory_full())
 
-    def _parse(self, data: memoryview) -> None:
-        self._received += len(data)
-        if self._closing:
-            self._discard()
+    # request_reader.RequestReader
+
+    def _accept(
+        self, request: message.Request, *, keep_alive: bool, length: int
+    ) -> None:
+        exchange = response_order.Exchange(
+            request, keep_alive=keep_alive, length=length
+        )
+        if self._order.add(exchange):
+            self._start(exchange)
             return
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserCallbackError as error:
-            cause = error.__context__
-            if isinstance(cause, _Rejected):
-                self._reject(cause.answer)
-            else:
-                raise
-        except httptools.HttpParserError:
-            self._reject(
-                problem.describe_bad_request('request is not valid HTTP/1.1')
-            )
-        else:
-            self._check_framing()
+        self._has_pipelined = True
+        self._start_waiting()
+        if self._order.must_pause and self._transport is not None:
+            self._block()
 
-    # httptools callbacks
+    def _reject(self, response: verdict.Response) -> None:
+        if self._is_sealed:
+            return
+        self._is_sealed = True
+        self._receiving = False
+        self._body.drop()
+        refused = response_order.Exchange(
+            None, keep_alive=False, response=response
+        )
+        if self._order.add(refused) and self._transport is not None:
+            self._write_whole(refused)
 
-    def on_message_begin(self) -> None:
-        self._reset_request()
-        self._receiving = True
-        self._began_at = self._loop.time()
+    def _invite_body(self) -> None:
+        if self._order.is_empty and self._transport is not None:
+            self._transport.write(response_head.CONTINUE)
 
-    def on_url(self, url: bytes) -> None:
-        self._target += url
+    def _discard(self) -> None:
+        """Close when a caller that is answered sends on and on."""
+        if self._linger is not None and self._received > LINGER_BYTES:
+            self.close()
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self._paced.parts += 1
-        if not self._in_headers:
-            # A trailer; what it says came too late to be relied on.
-            return
-        self._headers.append((name.lower(), value))
-        if len(self._headers) > self._server.limits.headers:
-            raise _Rejected(problem.describe_headers_too_large())
-
-    def on_headers_complete(self) -> None:
-        self._in_headers = False
-        if self._parser.should_upgrade():
-            raise _Rejected(
-                problem.describe_bad_request('protocol upgrade not offered')
-            )
-        fields = dict(self._headers)
-        length = fields.get(b'content-length')
-        if length is not None and (
-            int(length) > self._server.limits.body_bytes
-        ):
-            raise _Rejected(
-                problem.describe_body_too_large(self._server.limits.body_bytes)
-            )
-        expect = fields.get(b'expect')
-        if expect is None:
-            return
-        if expect.lower() != b'100-continue':
-            raise _Rejected(problem.describe_expectation_failed())
-        if self._task is None and self._transport is not None:
-            self._transport.write(_CONTINUE)
-
-    def on_body(self, body: bytes) -> None:
-        self._paced.parts += 1
-        self._parts += 1
-        self._body_length += len(body)
-        if self._body_length > self._server.limits.body_bytes:
-            raise _Rejected(
-                problem.describe_body_too_large(self._server.limits.body_bytes)
-            )
-        if not self._body.append(body):
-            raise _Rejected(problem.describe_memory_full())
-
-    def _build_request(self) -> message.Request:
-        return self._body.take(
-            lambda body: message.Request(
-                method=self._parser.get_method().decode('ascii'),
-                target=self._target.decode('latin-1'),
-                headers=tuple(self._headers),
-                body=body,
-            )
-        )
+    def _block(self) -> None:
+        """Read no more until there is room for further requests."""
+        if not self._paced.is_blocked:
+            assert self._transport is not None
+            self._blocked_at = self._loop.time()
+            self._paced.block(self._transport)
 
-    def on_message_complete(self) -> None:
-        self._receiving = False
-        request = self._build_request()
-        keep_alive = self._parser.should_keep_alive()
-        self._in_headers = True
-        self._received = 0
-        if len(self._waiting) >= MAX_PIPELINED_REQUESTS:
-            raise _Rejected(
-                problem.describe_bad_request('too many pipelined requests')
-            )
-        self._waiting.append((request, keep_alive))
-        if self._task is None:
-            self._start_next()
+    def _unblock(self) -> None:
+        """Read on; the time without reading is not the caller's."""
+        if self._receiving:
+            self._began_at += self._loop.time() - self._blocked_at
+        self._paced.unblock()
 
     # Life of a request
 
-    def _start_next(self) -> None:
-        request, keep_alive = self._waiting.popleft()
-        self._task = self._loop.create_task(self._run(request, keep_alive))
+    def _start(self, exchange: response_order.Exchange) -> None:
+        if exchange.response is None:
+            self._tasks[exchange] = self._loop.create_task(self._run(exchange))
 
-    async def _run(self, request: message.Request, keep_alive: bool) -> None:
+    def _start_waiting(self) -> None:
+        """Start the requests that may run now."""
+        while (exchange := self._order.start_next()) is not None:
+            self._start(exchange)
+
+    async def _run(self, exchange: response_order.Exchange) -> None:
         try:
             if self._server.draining:
                 # There may be no time left to finish it.
-                answer = problem.describe_leaving()
+                response = problem.describe_leaving()
             else:
-                answer = await self._server.handler(request)
+                assert exchange.request is not None
+                response = await self._server.handler(exchange.request)
         except asyncio.CancelledError:
             if self._transport is None:
                 return
             raise
         except Exception as error:
-            answer = problem.describe_internal_error(error)
-        keep = keep_alive and not self._server.leaving
-        if self._transport is not None:
-            head = request.method == 'HEAD'
-            self._is_answering = True
-            self._write_answer(answer, head=head, keep=keep)
-            if len(answer.body) > PART_BYTES and not head:
-                await self._write_parts(answer.body)
-        self._task = None
-        self._is_answering = False
-        self._finish(keep)
+            response = problem.describe_internal_error(error)
+        if self._tasks.pop(exchange, None) is None or self._transport is None:
+            return
+        if self._order.respond(exchange, response):
+            await self._write_answers(exchange)
+
+    async def _write_answers(
+        self, exchange: response_order.Exchange | None
+    ) -> None:
+        """Write the answer whose turn it is, and those ready behind it."""
+        self._is_writing = True
+        while exchange is not None:
+            if self._writable is not None:
+                await self._writable
+            if self._transport is None or self._is_closed:
+                return
+            rest = self._write_head(exchange)
+            if rest:
+                await self._write_parts(rest)
+            exchange = self._end_exchange(exchange)
+        self._is_writing = False
 
     async def _write_parts(self, body: bytes) -> None:
         """Write a long body in parts, as fast as the caller reads it."""
@@ -277,134 +193,191 @@
         for start in range(0, len(body), PART_BYTES):
             if self._writable is not None:
                 await self._writable
-            if self._transport is None:
+            if self._transport is None or self._is_closed:
                 return
             self._transport.write(view[start : start + PART_BYTES])
             self._last_activity = self._loop.time()
             # Other connections have their turn between two parts.
             await asyncio.sleep(0)
 
-    def _finish(self, keep: bool) -> None:
-        if self._transport is None:
-            return
-        self._last_activity = self._loop.time()
-        if not keep:
-            self._closing = True
-            self._transport.close()
-        elif self._waiting:
-            self._start_next()
+    def _write_whole(
+        self, exchange: response_order.Exchange
+    ) -> response_order.Exchange | None:
+        """Write an answer at once, although the caller may read slowly.
 
-    def _write_answer(
-        self, answer: verdict.Response, *, head: bool, keep: bool
-    ) -> None:
-        assert self._transport is not None
-        parts = [
-            _STATUS_LINES.get(answer.status)
-            or f'HTTP/1.1 {answer.status} Unknown\r\n'.encode()
-        ]
-        parts += [
-            b'%b: %b\r\n' % pair
-            for pair in answer.headers
-            if head or pair[0] != b'content-length'
-        ]
-        if not head and answer.status not in (204, 304):
-            parts.append(b'content-length: %d\r\n' % len(answer.body))
-        if not keep:
-            parts.append(b'connection: close\r\n')
-        parts.append(b'\r\n')
-        if not head and len(answer.body) <= PART_BYTES:
-            parts.append(answer.body)
-        self._transport.write(b''.join(parts))
-
-    def _reject(self, answer: verdict.Response) -> None:
-        self._closing = True
-        if self._transport is None:
-            return
-        if self._task is None:
-            self._write_rejection(answer)
-            return
-        self._waiting.clear()
-        self._task.add_done_callback(lambda _: self._write_rejection(answer))
+        Returns:
+            The next one if it is ready.
+        """
+        rest = self._write_head(exchange)
+        if rest and self._transport is not None:
+            self._transport.write(rest)
+        return self._end_exchange(exchange)
+
+    def _write_head(self, exchange: response_order.Exchange) -> bytes:
+        """Write the head of an answer, with its body unless that is long.
 
-    def _write_rejection(self, answer: verdict.Response) -> None:
-        """Answer, then discard what the caller still sends.
+        Returns:
+            The body if it is still to be written.
+        """
+        response = exchange.response
+        assert response is not None and self._transport is not None
+        if self._server.leaving:
+            self._order.stop()
+        if self._order.is_stopped and self._order.is_last(exchange):
+            exchange.keep_alive = False
+        head = response_head.render_head(
+            response,
+            is_head=exchange.is_head,
+            keep_alive=exchange.keep_alive,
+        )
+        if exchange.is_head:
+            self._transport.write(head)
+            return b''
+        if len(response.body) > PART_BYTES:
+            self._transport.write(head)
+            return response.body
+        self._transport.write(head + response.body)
+        return b''
+
+    def _end_exchange(
+        self, exchange: response_order.Exchange
+    ) -> response_order.Exchange | None:
+        """Go on after an answer was written.
+
+        Returns:
+            The next one if it is ready.
+        """
+        has_more = self._order.end_first()
+        if self._transport is None or self._is_closed:
+            return None
+        self._last_activity = self._loop.time()
+        # A stop may have begun while a long answer was written.
+        is_last = self._order.is_stopped and not has_more
+        if is_last or not exchange.keep_alive:
+            self._end(must_linger=exchange.is_refusal)
+            return None
+        if not has_more:
+            return None
+        self._start_waiting()
+        if self._paced.is_blocked and not self._order.must_pause:
+            self._unblock()
+        return self._order.find_ready()
+
+    def _end(self, *, must_linger: bool) -> None:
+        """Close after the last answer.
 
         Closing with bytes unread would reset the connection, and the caller
-        might never see the answer.
+        might never see the answers. What it still sends is discarded.
         """
-        if self._transport is None:
+        assert self._transport is not None
+        self._order.stop()
+        self._is_sealed = True
+        if not (
+            must_linger
+            or self._has_pipelined
+            or self._receiving
+            or self._paced.is_paused
+        ):
+            self.close()
             return
         self._receiving = False
         self._body.drop()
-        self._write_answer(answer, head=False, keep=False)
         self._transport.write_eof()
         self._received = 0
-        self._linger = self._loop.call_later(LINGER_S, self._transport.close)
+        self._linger = self._loop.call_later(LINGER_S, self._end_lingering)
+        self._paced.skip()
 
-    def _discard(self) -> None:
-        """Close when a caller whose request was refused sends on and on."""
-        if self._linger is not None and self._received > LINGER_BYTES:
+    def _end_lingering(self) -> None:
+        if self._writable is None:
             self.close()
-
-    def _check_framing(self) -> None:
-        """Refuse a request with too much beside its body."""
-        limit = self._server.limits.header_bytes
-        if self._in_headers:
-            if self._received > limit:
-                self._reject(problem.describe_headers_too_large())
-            return
-        # The head counts as well, up to its own limit.
-        if message.describe_excess(
-            self._received,
-            self._body_length,
-            parts=self._parts,
-            head_bytes=2 * limit,
-        ):
-            self._reject(
-                problem.describe_bad_request('the body has too much framing')
-            )
+        else:
+            # The sweep ends a connection whose caller reads nothing.
+            self._linger = self._loop.call_later(LINGER_S, self._end_lingering)
 
     # Closing
 
     def check_timeouts(self, now: float) -> None:
         """Close a connection that has been idle or slow for too long."""
-        idle = now - self._last_activity
-        limits = self._server.limits
         if self._transport is None:
             return
+        idle = now - self._last_activity
+        limits = self._server.limits
         if self._writable is not None and idle > limits.request_timeout_s:
             self._transport.abort()
-        if self._task is not None:
+        if self._paced.is_paused and _has_caller_left(self._transport):
+            self.close()
+        if self._paced.is_blocked:
             return
         # Counted from the first byte: one that trickles in is as slow.
         if self._receiving and now - self._began_at > limits.request_timeout_s:
             self._reject(problem.describe_request_timeout())
-        elif not self._receiving and idle > limits.idle_timeout_s:
+        elif (
+            not self._receiving
+            and self._order.is_empty
+            and idle > limits.idle_timeout_s
+        ):
             self._transport.close()
 
-    def finish_up(self) -> asyncio.Task[None] | None:
-        """Return the task of the running request; close when there is none."""
-        if self._task is None and not self._receiving:
+    def finish_up(self) -> asyncio.Future[None] | None:
+        """Start no further request, and close when nothing is started.
+
+        Returns:
+            A future that is done when every started request is answered;
+            None if there is none.
+        """
+        is_receiving = self._receiving and self._order.is_empty
+        if is_receiving or self._transport is None:
+            return None
+        if self._linger is None and self._order.is_empty:
             self.close()
-        return self._task
+            return None
+        self._order.stop()
+        if self._finished is None:
+            self._finished = self._loop.create_future()
+        return self._finished
 
     def end_running(self, answer: verdict.Response) -> None:
-        """Answer the running request in place of its handler, and close."""
-        if self._task is None or self._is_answering:
+        """Answer the running requests in place of their handlers, and close.
+
+        Args:
+            answer: The answer, which must be true of all of them.
+        """
+        running = self._order.list_running()
+        if not running or self._transport is None:
             return
-        self._task.cancel()
-        if self._transport is not None:
-            self._write_answer(answer, head=False, keep=False)
-        self.close()
+        self._order.stop()
+        for exchange in running:
+            self._tasks.pop(exchange).cancel()
+            self._order.respond(exchange, answer)
+        if self._is_writing:
+            return
+        first = self._order.find_ready()
+        while first is not None:
+            first = self._write_whole(first)
 
     def close(self) -> None:
         """Close the connection once what was written has been sent."""
-        self._closing = True
+        self._is_sealed = True
+        self._is_closed = True
+        self._order.stop()
         if self._transport is not None:
             self._transport.close()
+        self._note_finished()
+
+    def _note_finished(self) -> None:
+        if self._finished is not None and not self._finished.done():
+            self._finished.set_result(None)
 
 
-class _Rejected(Exception):
-    def __init__(self, answer: verdict.Response) -> None:
-        super().__init__(answer.status)
-        self.answer = answer
+def _has_caller_left(transport: asyncio.Transport) -> bool:
+    """Tell whether the caller has closed a connection that is not read.
+
+    A paused transport does not notice it. Bytes that were not read do not
+    hide it, except those that the caller's host could not send yet.
+    """
+    connected = transport.get_extra_info('socket')
+    if connected is None:
+        return False
+    poll = select.poll()
+    poll.register(connected.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
--- a/src/eelgrasswalk/wiring.py
+++ b/src/eelgrasswalk/wiring.py
@@ -41,6 +41,7 @@
 from .transport import http_client
 from .transport import http_server
 from .transport import link
+from .transport import message
 
 RETAINED_ANSWER_SHARE = 0.25
 
@@ -254,6 +255,8 @@
             headers=limits.headers,
         ),
         bodies=shared.bodies,
+        # By method alone: the route is known only after the checks.
+        may_overlap=message.has_safe_method,
     )
 
 
