--- a/tests/transport/fakes.py
+++ b/tests/transport/fakes.py
@@ -11,6 +11,17 @@
         super().__init__()
         self.written = bytearray()
         self.closed = False
+        self.is_reading = True
+        self.pauses = 0
+
+    def pause_reading(self) -> None:
+        assert self.is_reading, 'reading was paused twice'
+        self.is_reading = False
+        self.pauses += 1
+
+    def resume_reading(self) -> None:
+        assert not self.is_reading, 'reading was resumed twice'
+        self.is_reading = True
 
     def write(self, data: typing.Any) -> None:
         self.written += data
@@ -32,5 +43,7 @@
     ) -> None:
         pass
 
-    def get_extra_info(self, name: str, default: typing.Any = None) -> None:
+    def get_extra_info(
+        self, name: str, default: typing.Any = None
+    ) -> typing.Any:
         return default
--- a/tests/transport/test_pacing.py
+++ b/tests/transport/test_pacing.py
@@ -91,6 +91,57 @@
                 self.assertIn(ahead, (0, 1))
         await self.wait_fed(other)
 
+    async def test_nothing_is_fed_without_room(self) -> None:
+        """Neither what is held nor the end of its turn resumes reading."""
+        connection = self.connect()
+        connection.receive(SMALL_PARTS)
+        connection.paced.block(connection.transport)
+        steps = len(connection.steps)
+        connection.paced.receive(b'the end', connection.transport)
+        # Others have their turns.
+        other = self.connect()
+        other.receive(SMALL_PARTS)
+        await self.wait_fed(other)
+        self.assertEqual(steps, len(connection.steps))
+        self.assertTrue(connection.is_paused)
+        connection.transport.pause_reading.assert_called_once()
+        connection.paced.unblock()
+        self.assertTrue(connection.is_paused)
+        await self.wait_fed(connection)
+        self.assertEqual(SMALL_PARTS + b'the end', connection.fed)
+
+    async def test_room_before_the_next_turn_adds_no_other_turn(self) -> None:
+        connection, other = self.connect(), self.connect()
+        connection.receive(SMALL_PARTS)
+        for _ in range(10):
+            connection.paced.block(connection.transport)
+            connection.paced.unblock()
+        other.receive(SMALL_PARTS)
+        async with asyncio.timeout(10):
+            while connection.is_paused:
+                await asyncio.sleep(0)
+                ahead = len(connection.steps) - len(other.steps)
+                self.assertIn(ahead, (0, 1))
+        await self.wait_fed(other)
+
+    async def test_reading_resumes_without_anything_held(self) -> None:
+        connection = self.connect()
+        connection.paced.block(connection.transport)
+        self.assertTrue(connection.is_paused)
+        connection.paced.unblock()
+        self.assertFalse(connection.is_paused)
+        connection.transport.resume_reading.assert_called_once()
+
+    async def test_rest_of_a_closed_connection_is_skipped(self) -> None:
+        memory = budget.ByteBudget(1_000_000)
+        connection = self.connect(memory=memory)
+        connection.receive(SMALL_PARTS)
+        connection.paced.block(connection.transport)
+        connection.paced.skip()
+        self.assertFalse(connection.is_paused)
+        self.assertEqual(0, memory.used)
+        self.assertEqual(1, len(connection.steps))
+
     async def test_rest_is_fed_when_the_connection_has_ended(self) -> None:
         connection = self.connect()
         connection.receive(SMALL_PARTS)
--- a/tests/transport/test_response_order.py
+++ b/tests/transport/test_response_order.py
@@ -105,7 +105,9 @@
     def test_unsafe_requests_run_alone(self) -> None:
         """Every mix of five requests, ended in every possible order."""
         for mix in itertools.product((str.lower, str.upper), repeat=5):
-            names = [case(name) for case, name in zip(mix, 'abcde')]
+            names = [
+                case(name) for case, name in zip(mix, 'abcde', strict=True)
+            ]
             for ends in itertools.permutations(range(5)):
                 replay = Replay()
                 for name in names:
