Stop looking at a private field in the test of callers that leave

The test read the one task of a connection, which is now one for each request. It reads the number of requests in progress instead, which covers all of them. The paced feed has a test of the step at which room ends.

--- a/src/eelgrasswalk/transport/server_connection.py
+++ b/src/eelgrasswalk/transport/server_connection.py
@@ -56,6 +56,11 @@
         self._linger: asyncio.TimerHandle | None = None
         self._finished: asyncio.Future[None] | None = None
 
+    @property
+    def in_progress(self) -> int:
+        """Number of requests that are started and not answered yet."""
+        return self._order.in_progress
+
     # asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -305,7 +310,9 @@
         if self._writable is not None and idle > limits.request_timeout_s:
             self._transport.abort()
         if self._paced.is_paused and _has_caller_left(self._transport):
+            # As when the transport sees the end itself.
             self.close()
+            return
         if self._paced.is_blocked:
             return
         # Counted from the first byte: one that trickles in is as slow.
--- a/tests/integration/test_sidecar_path.py
+++ b/tests/integration/test_sidecar_path.py
@@ -134,7 +134,7 @@
 
         async def is_freed() -> bool:
             return not any(
-                connection._task is not None
+                connection.in_progress > 0
                 for node in (one, other)
                 for connection in node.app._server.connections
             )
--- a/tests/transport/test_pacing.py
+++ b/tests/transport/test_pacing.py
@@ -110,6 +110,18 @@
         await self.wait_fed(connection)
         self.assertEqual(SMALL_PARTS + b'the end', connection.fed)
 
+    async def test_one_step_is_fed_after_there_is_no_room(self) -> None:
+        """What was read at once may be many times as long."""
+        connection = self.connect(has_small_parts=False)
+
+        def feed(data: memoryview) -> None:
+            connection.feed(data)
+            connection.paced.block(connection.transport)
+
+        with unittest.mock.patch.object(connection.paced, '_feed', feed):
+            connection.receive(b'x' * 262_144)
+        self.assertEqual([pacing.STEP_BYTES], connection.steps)
+
     async def test_room_before_the_next_turn_adds_no_other_turn(self) -> None:
         connection, other = self.connect(), self.connect()
         connection.receive(SMALL_PARTS)
--- a/tests/transport/test_pipelining.py
+++ b/tests/transport/test_pipelining.py
@@ -503,7 +503,8 @@
         started = self.handler.running
         for name in started:
             self.handler.answer(name, b'<' + bytes(100_000) + b'>')
-        answers = await reader.read()
+        async with asyncio.timeout(WAIT_S):
+            answers = await reader.read()
         self.assertEqual(len(started), answers.count(b'HTTP/1.1 200 '))
         self.assertEqual(1, answers.count(b'connection: close'))
         self.assertEqual(started, self.handler.started)
