Test pipelined calls through real node processes

Six safe calls sent on one connection reach the target before any of them is answered, an unsafe one behind them waits, and all are answered in order.

--- a/tests/integration/test_sidecar_path.py
+++ b/tests/integration/test_sidecar_path.py
@@ -10,6 +10,8 @@
 import typing
 import unittest
 
+from eelgrasswalk.standins import deployment
+from eelgrasswalk.transport import message
 from tests.integration import sidecars
 
 
@@ -42,6 +44,41 @@
         self.assertNotIn(b'authorization', headers)
         self.assertLessEqual(int(headers[b'request-deadline']), 3000)
 
+    async def test_safe_calls_of_one_connection_run_at_the_same_time(
+        self,
+    ) -> None:
+        """All run before one is answered, and an unsafe one waits."""
+        await self.start_all()
+        front, back = self.nodes[:2]
+        back.app.arrivals.clear()
+        back.app.behaviour.silent = True
+        _, writer = await asyncio.open_connection('127.0.0.1', front.ports[0])
+        self.addCleanup(writer.close)
+        writer.write(_build_pipeline('p'))
+
+        async def have_arrived() -> bool:
+            return len(back.app.arrivals) >= 6
+
+        await self.wait_for(have_arrived)
+        self.assertEqual(
+            [f'p{number}' for number in range(6)],
+            sorted(arrival.request_id for arrival in back.app.arrivals),
+        )
+
+    async def test_calls_of_one_connection_are_answered_in_order(self) -> None:
+        await self.start_all()
+        front = self.nodes[0]
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', front.ports[0]
+        )
+        self.addCleanup(writer.close)
+        writer.write(_build_pipeline('q'))
+        for number in range(7):
+            head = await reader.readuntil(b'\r\n\r\n')
+            self.assertTrue(head.startswith(b'HTTP/1.1 200 '), head)
+            answer = f'answer to q{number}'.encode()
+            self.assertEqual(answer, await reader.readexactly(len(answer)))
+
     async def test_refusals_before_the_target(self) -> None:
         await self.start_all()
         front, back = self.nodes
@@ -482,3 +519,21 @@
         )
         self.assertEqual(2, ended.returncode)
         self.assertIn(b'EELGRASSWALK_NODE_FILE', ended.stdout)
+
+
+def _build_pipeline(name: str) -> bytes:
+    """Return six safe calls and an unsafe one, as they are sent at once."""
+    calls = [('GET', '/back/safe/')] * 6 + [('POST', '/back/unsafe/')]
+    return b''.join(
+        _render(
+            deployment.build_call(method, path, request_id=f'{name}{number}')
+        )
+        for number, (method, path) in enumerate(calls)
+    )
+
+
+def _render(request: message.Request) -> bytes:
+    lines = [f'{request.method} {request.target} HTTP/1.1'.encode()]
+    lines += [b': '.join(pair) for pair in request.headers]
+    lines += [b'content-length: 0', b'', b'']
+    return b'\r\n'.join(lines)
