Keep calls of a withdrawn route to its homes

Cause: CallHomes looks up the route of a call again by its host name and prefix. When the route has been withdrawn since the call arrived, the lookup finds the route with the next shorter prefix, if there is one, and the retry goes by that route's regions, often all of them.

Change: a found route counts only if it has the same prefix. Otherwise the call stays limited as it was when it arrived, as the comment says.

--- a/src/eelgrasswalk/filters/call_homes.py
+++ b/src/eelgrasswalk/filters/call_homes.py
@@ -34,7 +34,10 @@
             return None
         # A route or an account that has been withdrawn meanwhile stays
         # limited as it was when the call arrived.
-        route = table.find_route(route.hostname, route.prefix) or route
+        found = table.find_route(route.hostname, route.prefix)
+        # In place of a withdrawn route, one with a shorter prefix may match.
+        if found is not None and found.prefix == route.prefix:
+            route = found
         account = table.accounts.get(call.account)
         return self._homes.find_allowed(
             route.regions,
