Choose the node of a suspect among the homes of its call

Cause: after a crash, a suspect may run only at the node that its digest selects among all nodes of the service. If that node is outside the data centres in which the call may run, every allowed node refuses the call and directs it there, and the caller does not follow. Since only an answer clears a suspect, an innocent request could be refused for as long as its crash is remembered (an hour).

Evidence: without the new condition in Isolation._find_home, the test finds that a node directs the suspect to a node of another data centre than the only allowed one.

Change: the history of a call names the data centres in which it may run, and the node is chosen among these. Calls without homes carry no more than before, and earlier releases ignore the field.

--- a/src/eelgrasswalk/filters/attempt_history.py
+++ b/src/eelgrasswalk/filters/attempt_history.py
@@ -1,5 +1,6 @@
 """Attempts made so far for one call."""
 
+import collections.abc
 import dataclasses
 
 from .. import verdict
@@ -51,6 +52,7 @@
             these nodes only.
         evacuated: Data centres whose nodes refused the call because of an
             evacuation.
+        homes: Data centres in which the call may run; None for all.
     """
 
     attempts: int = 0
@@ -61,6 +63,7 @@
     unreachable: set[str] = dataclasses.field(default_factory=set)
     reached: set[str] = dataclasses.field(default_factory=set)
     evacuated: set[str] = dataclasses.field(default_factory=set)
+    homes: collections.abc.Set[str] | None = None
 
     def record_evacuated(self, node_id: str, data_centre: str) -> None:
         """Record a refusal because of an evacuation.
--- a/src/eelgrasswalk/filters/forward.py
+++ b/src/eelgrasswalk/filters/forward.py
@@ -141,7 +141,7 @@
         failure: verdict.Failure = verdict.NotRun(verdict.Reason.NO_UPSTREAM)
         capacity_failure_ratio = 0.0
         while True:
-            homes = self._find_homes(call)
+            homes = history.homes = self._find_homes(call)
             upstream = self._choose(call, history, homes)
             if upstream is None:
                 return self._give_up(failure), capacity_failure_ratio
@@ -464,11 +464,14 @@
 def _build_history(
     call: front.IncomingCall, history: attempt_history.AttemptHistory
 ) -> frames.CallHistory | None:
-    if not (call.ended_runs or history.unreachable):
+    if not (call.ended_runs or history.unreachable or history.homes):
         return None
+    # Sorted, so that all callers leave out the same ones of too many.
+    homes = sorted(history.homes or ())
     return frames.CallHistory(
         ended_runs=call.ended_runs[: frames.MAX_NAMES],
         unreachable=tuple(history.unreachable)[: frames.MAX_NAMES],
+        data_centres=tuple(homes[: frames.MAX_NAMES]),
     )
 
 
--- a/src/eelgrasswalk/filters/isolation.py
+++ b/src/eelgrasswalk/filters/isolation.py
@@ -40,10 +40,12 @@
     Args:
         node_id: Id of the node.
         run_id: Id of the current run of its target.
+        data_centre: Data centre of the node.
     """
 
     node_id: str
     run_id: str
+    data_centre: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,6 +109,7 @@
 
 Decision: typing.TypeAlias = Pass | Refused
 _FREE = Pass()
+_NO_HISTORY = frames.CallHistory()
 
 
 class Isolation:
@@ -278,8 +281,7 @@
             return _refuse_confined()
         if not self._is_held(digest):
             return Pass(digest)
-        unreachable = call.history.unreachable if call.history else ()
-        home = self._find_home(digest, unreachable)
+        home = self._find_home(digest, call.history or _NO_HISTORY)
         return None if home == self._node_id else _direct(home)
 
     def _find_confinement(self, digest: bytes) -> quarantine.Standing:
@@ -303,9 +305,7 @@
             or self._find_confinement(digest) is quarantine.Standing.TRIAL
         )
 
-    def _find_home(
-        self, digest: bytes, unreachable: collections.abc.Container[str]
-    ) -> str:
+    def _find_home(self, digest: bytes, history: frames.CallHistory) -> str:
         """Return the node at which a suspect may run; empty if none may.
 
         A run that has begun can't be undone: closing its connection does not
@@ -316,7 +316,11 @@
             upstream.node_id
             for upstream in self._list_upstreams()
             if self._ended.get(upstream.node_id) != upstream.run_id
-            and upstream.node_id not in unreachable
+            and upstream.node_id not in history.unreachable
+            and (
+                not history.data_centres
+                or upstream.data_centre in history.data_centres
+            )
         ]
         running_at = self._running_at.get(digest)
         if running_at in found:
@@ -489,7 +493,7 @@
             if self._is_refused(ticket.digest):
                 self._release(ticket, _refuse_confined())
                 continue
-            home = self._find_home(ticket.digest, ())
+            home = self._find_home(ticket.digest, _NO_HISTORY)
             self._release(ticket, _direct(home))
 
     def _release(
--- a/src/eelgrasswalk/sidecar/wiring.py
+++ b/src/eelgrasswalk/sidecar/wiring.py
@@ -299,7 +299,7 @@
         confined=control_plane.confined,
         running=running,
         list_upstreams=lambda: (
-            isolation.Upstream(entry.node_id, entry.run_id)
+            isolation.Upstream(entry.node_id, entry.run_id, entry.data_centre)
             for entry in control_plane.roster.roster.list_entries()
             if entry.service == config.service
             and entry.is_usable
--- a/src/eelgrasswalk/transport/frames.py
+++ b/src/eelgrasswalk/transport/frames.py
@@ -123,10 +123,12 @@
         ended_runs: Runs of targets that ended while they ran the call.
         unreachable: Nodes that could not be reached, or whose targets took no
             call.
+        data_centres: Data centres in which the call may run; empty for all.
     """
 
     ended_runs: Names = ()
     unreachable: Names = ()
+    data_centres: Names = ()
 
 
 class Call(msgspec.Struct, frozen=True, array_like=True, gc=False, tag=4):
--- a/tests/filters/test_forward_places.py
+++ b/tests/filters/test_forward_places.py
@@ -229,6 +229,20 @@
         )
         await self.expect_zones(self.build_call(), 'ab')
 
+    async def test_nodes_are_told_where_a_suspect_may_run(self) -> None:
+        """They would direct it to a data centre that it can't go to."""
+        self.build(ANSWER, route=NORTH)
+        await self.forwarder.send(self.build_call())
+        (history,) = self.transmitter.histories
+        assert history is not None
+        self.assertEqual(('a', 'b'), history.data_centres)
+
+    async def test_calls_without_homes_carry_no_history(self) -> None:
+        """Deployments without homes must not pay for them."""
+        self.build(ANSWER)
+        await self.forwarder.send(self.build_call())
+        self.assertEqual([None], self.transmitter.histories)
+
     async def test_retry_goes_by_homes_that_came_meanwhile(self) -> None:
         """A call may wait for seconds at its first target."""
         self.build(*[OVERLOAD] * 8)
--- a/tests/filters/test_isolation.py
+++ b/tests/filters/test_isolation.py
@@ -47,7 +47,8 @@
 
     def list_upstreams(self) -> collections.abc.Iterator[isolation.Upstream]:
         for node_id, run_id in self.runs.items():
-            yield isolation.Upstream(node_id, run_id)
+            # Each node has a data centre of its own.
+            yield isolation.Upstream(node_id, run_id, f'dc-{node_id[-1]}')
 
     def list_others(self, node_id: str) -> list[isolation.Isolation]:
         return [
@@ -185,6 +186,24 @@
         self.assertEqual(1, len(homes))
         self.assertNotIn('node-a', homes)
 
+    async def test_suspect_runs_in_a_data_centre_that_its_call_allows(
+        self,
+    ) -> None:
+        """Otherwise it could be refused until its crash is forgotten."""
+        await self.crash_first(DEADLY, '/a')
+        home = await self.find_home(DEADLY)
+        other = next(node for node in self.nodes[1:] if node is not home)
+        allowed = (f'dc-{other.node_id[-1]}',)
+        for node in self.nodes:
+            decision = await node.isolation.enter(
+                self.build_call(DEADLY, data_centres=allowed), wait_s=0.0
+            )
+            if node is other:
+                self.assertIsInstance(decision, isolation.Pass)
+            else:
+                assert isinstance(decision, isolation.Refused)
+                self.assertEqual(other.node_id, decision.run_at)
+
     async def test_second_crash_under_a_lone_suspect_is_its_fault(
         self,
     ) -> None:
