Do not poll the store for a quiet table after a restart

Cause: a full read now sets changed_at to the store's version, also for tables whose rows are kept, as rows may have been removed. The relay compares the versions of the parent's updates with it, so a parent that read a quiet table earlier passes for late, and the node polls the store every 2 s until the parent's next answer. For the table of quarantined requests that takes up to 20 s, also in deployments without evacuations.

Change: the relay compares with seen_at, which goes by the newest row after a full read, as changed_at did before. What children are told is unchanged.

--- a/src/eelgrasswalk/controllers/feed.py
+++ b/src/eelgrasswalk/controllers/feed.py
@@ -80,6 +80,9 @@
         changed_at: Version of the last change, or a later one; 0 before any.
             After a full read it is the version of that read, as rows may
             have been removed until then.
+        seen_at: The same, but a full read of a table whose rows are kept
+            counts only with its newest row: the store's version also grows
+            with other tables, so that a peer may be up to date and behind it.
         on_advance: Called with newly received changes.
         on_restored: Called when the store has come back from a copy.
         store_clock: Estimate of the store's clock from its answers.
@@ -119,6 +122,7 @@
         self._read_at = 0
         self._confirmed_s = 0.0
         self.changed_at = 0
+        self.seen_at = 0
         self._catching_up: asyncio.Task[bool] | None = None
         self._resumed = asyncio.Event()
         self.on_advance: typing.Callable[[Advance], None] = _ignore
@@ -329,6 +333,7 @@
         self._kept.clear()
         # Rows may have been removed until now.
         self.changed_at = rows.version
+        self.seen_at = 0 if self._keeps_rows else rows.version
         self._keep(rows)
         self._follower.take_all(rows, true_at)
         self.filled.set()
@@ -340,6 +345,7 @@
         self._confirmed_s = max(self._confirmed_s, rows.store_s)
         versions = [row.version for row in rows.rows]
         self.changed_at = max([self.changed_at, *versions])
+        self.seen_at = max([self.seen_at, *versions])
         if self._keeps_rows:
             self._kept |= {row.key: row for row in rows.rows}
 
--- a/src/eelgrasswalk/controllers/relay.py
+++ b/src/eelgrasswalk/controllers/relay.py
@@ -186,7 +186,7 @@
             following = self._feeds.get(update.table)
             if following is not None:
                 # Its newest version grows with every table of the store.
-                if update.version >= following.changed_at:
+                if update.version >= following.seen_at:
                     self._updated_at[update.table] = self._loop.time()
                 following.apply_peer_update(_build_advance(update))
 
--- a/tests/controllers/test_relay.py
+++ b/tests/controllers/test_relay.py
@@ -327,6 +327,33 @@
         await fake_store.settle()
         self.assertEqual(0, self.fleet.store.calls)
 
+    async def test_node_that_read_a_quiet_table_later_does_not_ask_for_it(
+        self,
+    ) -> None:
+        """The store's version has grown with other tables since.
+
+        The parent learns of that only with its next answer, up to 20 s later;
+        the node would poll the store every 2 s until then.
+        """
+        self.fleet.store.put(OTHER_TABLE, 'row', b'a')
+        changed_at = self.fleet.store.version
+        for _ in range(3):
+            self.fleet.store.put(TABLE, 'row', b'b')
+        node = Node(self.fleet, self.find_leaf())
+        each = node.feeds[OTHER_TABLE]
+        await each.start()
+        self.addAsyncCleanup(each.stop)
+        await each.filled.wait()
+        header = relay.TableUpdate(OTHER_TABLE, 0, changed_at, 0.0)
+        now = asyncio.get_running_loop().time()
+        with unittest.mock.patch.object(
+            asyncio.get_running_loop(), 'time', return_value=now + 1.5
+        ):
+            node.relay.receive('n0', relay.encode_updates([header]))
+        with unittest.mock.patch.object(each, 'catch_up') as catch_up:
+            node.relay.check_update_times(now + 2.5)
+        catch_up.assert_not_called()
+
     async def test_table_that_was_read_from_an_empty_store_is_told_of(
         self,
     ) -> None:
