--- a/src/eelgrasswalk/sidecar/policy_settings.py
+++ b/src/eelgrasswalk/sidecar/policy_settings.py
@@ -93,15 +93,23 @@
 
     Args:
         bounds: Limits that the operators require the whole system to keep.
-        service: The service; None if it is not known.
+        service: The service; None while it is not known, as in a node that
+            has started and could not read the rules yet.
 
     Returns:
         The limits; None if there are none.
     """
-    if service is None or not service.cold_per_s:
-        return None
     if bounds.cold_overage is None:
         return None
+    if service is None:
+        return cold_start.ColdSettings(
+            per_s=0.0,
+            start_s=cold_start.MAX_COLD_S,
+            overage=bounds.cold_overage,
+            slack=bounds.cold_slack,
+        )
+    if not service.cold_per_s:
+        return None
     return cold_start.ColdSettings(
         per_s=service.cold_per_s,
         start_s=service.cold_start_s,
--- a/tests/sidecar/test_policy_settings.py
+++ b/tests/sidecar/test_policy_settings.py
@@ -2,7 +2,9 @@
 
 import unittest
 
+from eelgrasswalk.policy import call_rules
 from eelgrasswalk.sidecar import policy_settings
+from eelgrasswalk.sidecar import settings
 
 
 class RefreshPolicyTest(unittest.TestCase):
@@ -36,3 +38,24 @@
             self.assertLess(
                 policy.peer_refresh_age_s, policy.relay_refresh_age_s
             )
+
+
+class ColdSettingsTest(unittest.TestCase):
+    def test_limit_holds_before_the_rules_are_read(self) -> None:
+        """A node restarts beside a cold target, and the rules cannot be read.
+
+        Without a limit, calls that other nodes send would crash the target.
+        """
+        bounds = settings.Bounds(cold_overage=1.5, cold_slack=8.0)
+        limits = policy_settings.build_cold_settings(bounds, None)
+        assert limits is not None
+        self.assertEqual(1, limits.limit)
+
+    def test_no_limit_without_the_bound_or_without_cold_targets(self) -> None:
+        service = call_rules.ServiceRule('front', 10, cold_per_s=5.5)
+        bounds = settings.Bounds()
+        self.assertIsNone(policy_settings.build_cold_settings(bounds, None))
+        self.assertIsNone(policy_settings.build_cold_settings(bounds, service))
+        bounds = settings.Bounds(cold_overage=1.5, cold_slack=8.0)
+        service = call_rules.ServiceRule('front', 10)
+        self.assertIsNone(policy_settings.build_cold_settings(bounds, service))
