Free the bodies of a lost connection at once

The order of responses holds the requests and responses of a connection until they have ended, and those of a lost connection never end.

The requests and responses are now dropped when the connection is lost. The new test fails without this, for a running request as well as for an answer that is being written.

--- a/src/eelgrasswalk/transport/response_order.py
+++ b/src/eelgrasswalk/transport/response_order.py
@@ -203,6 +203,17 @@
         self._waiting.clear()
         self._waiting_bytes = 0
 
+    def abandon(self) -> None:
+        """Drop all requests and responses; nothing is written any more.
+
+        The memory of their bodies is free then without the garbage
+        collector.
+        """
+        self.stop()
+        for exchange in self._started:
+            exchange.request = None
+            exchange.response = None
+
 
 def _count_bytes(response: verdict.Response) -> int:
     return len(response.body) + sum(
--- a/src/eelgrasswalk/transport/server_connection.py
+++ b/src/eelgrasswalk/transport/server_connection.py
@@ -70,7 +70,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._is_sealed = True
         self._transport = None
-        self._order.stop()
+        self._order.abandon()
         self._server.connections.discard(self)
         self._body.drop()
         self._paced.drop()
--- a/tests/transport/test_pipelining.py
+++ b/tests/transport/test_pipelining.py
@@ -1,6 +1,7 @@
 """Tests of several requests at a time on one connection."""
 
 import asyncio
+import gc
 import socket
 import typing
 import unittest
@@ -54,6 +55,14 @@
         text = f'<{name}>'.encode() if body is None else body
         self._answers[name].set_result(verdict.Response(200, (), text))
 
+    def give(self, name: str, response: verdict.Response) -> None:
+        self._answers[name].set_result(response)
+
+    def forget(self) -> None:
+        """Hold none of the requests and answers."""
+        self.requests.clear()
+        self._answers.clear()
+
     def fail(self, name: str) -> None:
         self._answers[name].set_exception(ValueError(name))
 
@@ -398,6 +407,39 @@
         self.assertEqual(list('abc'), self.handler.started)
         self.assertEqual(0, self.memory.used)
 
+    async def test_lost_connection_frees_bodies_without_the_collector(
+        self,
+    ) -> None:
+        """They filled the memory budget until the next full collection."""
+        gc.disable()
+        self.addCleanup(gc.enable)
+        body = bytes(2 * budget.UNCOUNTED_BYTES)
+        large = 3 * server_connection.PART_BYTES
+        for is_answered in (False, True):
+            server = http_server.HttpServer(
+                self.handler.handle,
+                limits=http_server.Limits(),
+                bodies=self.memory,
+            )
+            connection = server.build_protocol()
+            connection.connection_made(fakes.FakeTransport())
+            connection.data_received(post('a', body) + post('b', body))
+            await settle()
+            connection.pause_writing()
+            if is_answered:
+                answer = verdict.Response(200, (), bytes(large))
+                self.memory.reserve_anyway(large)
+                self.memory.hold(answer, large)
+                self.handler.give('a', answer)
+                del answer
+                await settle()
+            self.assertGreater(self.memory.used, 2 * len(body))
+            connection.connection_lost(None)
+            await settle()
+            self.handler.forget()
+            with self.subTest(is_answered=is_answered):
+                self.assertEqual(0, self.memory.used)
+
     async def test_caller_that_leaves_while_reading_is_paused_is_noticed(
         self,
     ) -> None:
