End a lingering caller that sends without reading

Discarded bytes counted as activity, so a caller that sends a byte every 20 s and reads nothing kept the connection, its timer and its unsent answers for as long as it liked (until 8 MiB were sent).

Bytes that arrive while the connection lingers no longer count as activity. The new test fails without this.

--- a/src/eelgrasswalk/transport/server_connection.py
+++ b/src/eelgrasswalk/transport/server_connection.py
@@ -90,7 +90,9 @@
         self._writable = None
 
     def data_received(self, data: bytes) -> None:
-        self._last_activity = self._loop.time()
+        if self._linger is None:
+            # What is only discarded does not put off the end.
+            self._last_activity = self._loop.time()
         if self._transport is not None and not self._paced.receive(
             data, self._transport
         ):
--- a/tests/transport/test_pipelining.py
+++ b/tests/transport/test_pipelining.py
@@ -490,6 +490,22 @@
             await self.answer('half')
         self.assertIn(b' 408 ', self.transport.written)
 
+    async def test_caller_that_sends_on_without_reading_is_ended(self) -> None:
+        """What is discarded after the last answer kept it open for good."""
+        loop = asyncio.get_running_loop()
+        loop.set_debug(False)
+        now = loop.time()
+        with unittest.mock.patch.object(loop, 'time', lambda: now):
+            self.connection.pause_writing()
+            await self.send(b'nonsense\r\n\r\n')
+            for _ in range(2):
+                self.server.check_timeouts(now)
+                self.assertFalse(self.transport.closed)
+                now += LIMITS.request_timeout_s / 2 + 1.0
+                await self.send(b'x')
+            self.server.check_timeouts(now)
+        self.assertTrue(self.transport.closed)
+
     async def test_request_tells_when_it_was_received(self) -> None:
         loop = asyncio.get_running_loop()
         loop.set_debug(False)
