Keep the answer of a request that closes from being reset

A connection lingers after its last answer if the caller sent more than was read, as closing with bytes unread resets it and the caller may lose answers that it has not read. Bytes behind a request that itself closes the connection are dropped before they are requests, so they were not noticed: a caller that sent a request with "connection: close", further requests behind it, and read late got ECONNRESET instead of an answer of 300,000 bytes.

Dropped bytes now make the connection linger, too. A caller that sends nothing behind such a request still sees the connection close at once.

--- a/src/eelgrasswalk/transport/request_reader.py
+++ b/src/eelgrasswalk/transport/request_reader.py
@@ -135,7 +135,9 @@
                 raise
         except httptools.HttpParserError:
             # What follows a request that closes the connection is not read.
-            if not self._is_sealed:
+            if self._is_sealed:
+                self._discard()
+            else:
                 self._reject(
                     problem.describe_bad_request(
                         'request is not valid HTTP/1.1'
