--- a/src/eelgrasswalk/transport/server_connection.py
+++ b/src/eelgrasswalk/transport/server_connection.py
@@ -70,7 +70,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._is_sealed = True
         self._transport = None
-        self._order.stop()
+        self._order.abandon()
         self._server.connections.discard(self)
         self._body.drop()
         self._paced.drop()
@@ -90,7 +90,9 @@
         self._writable = None
 
     def data_received(self, data: bytes) -> None:
-        self._last_activity = self._loop.time()
+        if self._linger is None:
+            # What is only discarded does not put off the end.
+            self._last_activity = self._loop.time()
         if self._transport is not None and not self._paced.receive(
             data, self._transport
         ):
@@ -130,7 +132,9 @@
 
     def _discard(self) -> None:
         """Close when a caller that is answered sends on and on."""
-        if self._linger is not None and self._received > LINGER_BYTES:
+        if self._linger is None:
+            self._has_pipelined = True
+        elif self._received > LINGER_BYTES:
             self.close()
 
     def _block(self) -> None:
--- a/tests/transport/test_pipelining.py
+++ b/tests/transport/test_pipelining.py
@@ -1,6 +1,7 @@
 """Tests of several requests at a time on one connection."""
 
 import asyncio
+import gc
 import socket
 import typing
 import unittest
@@ -54,6 +55,14 @@
         text = f'<{name}>'.encode() if body is None else body
         self._answers[name].set_result(verdict.Response(200, (), text))
 
+    def give(self, name: str, response: verdict.Response) -> None:
+        self._answers[name].set_result(response)
+
+    def forget(self) -> None:
+        """Hold none of the requests and answers."""
+        self.requests.clear()
+        self._answers.clear()
+
     def fail(self, name: str) -> None:
         self._answers[name].set_exception(ValueError(name))
 
@@ -285,6 +294,34 @@
         await self.send(get('e'))
         self.assertEqual(['a', 'b'], self.handler.started)
 
+    async def test_answer_of_a_request_that_closes_is_not_reset(self) -> None:
+        """What the caller sends behind it reset the connection.
+
+        The answer was lost then if the caller had not read it yet.
+        """
+        for pieces in (
+            (get('a', 'connection: close') + get('b'),),
+            (get('a', 'connection: close'), get('b')),
+        ):
+            with self.subTest(pieces=len(pieces)):
+                transport = fakes.FakeTransport()
+                connection = self.server.build_protocol()
+                connection.connection_made(transport)
+                for piece in pieces:
+                    connection.data_received(piece)
+                await settle()
+                await self.answer('a')
+                self.assertFalse(transport.closed)
+                connection.data_received(bytes(1000))
+                self.assertFalse(transport.closed)
+                connection.connection_lost(None)
+        self.assertEqual(['a', 'a'], self.handler.started)
+
+    async def test_request_that_closes_alone_closes_at_once(self) -> None:
+        await self.send(get('a', 'connection: close'))
+        await self.answer('a')
+        self.assertTrue(self.transport.closed)
+
     async def test_requests_behind_an_unsafe_one_that_closes_are_not_run(
         self,
     ) -> None:
@@ -398,6 +435,39 @@
         self.assertEqual(list('abc'), self.handler.started)
         self.assertEqual(0, self.memory.used)
 
+    async def test_lost_connection_frees_bodies_without_the_collector(
+        self,
+    ) -> None:
+        """They filled the memory budget until the next full collection."""
+        gc.disable()
+        self.addCleanup(gc.enable)
+        body = bytes(2 * budget.UNCOUNTED_BYTES)
+        large = 3 * server_connection.PART_BYTES
+        for is_answered in (False, True):
+            server = http_server.HttpServer(
+                self.handler.handle,
+                limits=http_server.Limits(),
+                bodies=self.memory,
+            )
+            connection = server.build_protocol()
+            connection.connection_made(fakes.FakeTransport())
+            connection.data_received(post('a', body) + post('b', body))
+            await settle()
+            connection.pause_writing()
+            if is_answered:
+                answer = verdict.Response(200, (), bytes(large))
+                self.memory.reserve_anyway(large)
+                self.memory.hold(answer, large)
+                self.handler.give('a', answer)
+                del answer
+                await settle()
+            self.assertGreater(self.memory.used, 2 * len(body))
+            connection.connection_lost(None)
+            await settle()
+            self.handler.forget()
+            with self.subTest(is_answered=is_answered):
+                self.assertEqual(0, self.memory.used)
+
     async def test_caller_that_leaves_while_reading_is_paused_is_noticed(
         self,
     ) -> None:
@@ -448,6 +518,22 @@
             await self.answer('half')
         self.assertIn(b' 408 ', self.transport.written)
 
+    async def test_caller_that_sends_on_without_reading_is_ended(self) -> None:
+        """What is discarded after the last answer kept it open for good."""
+        loop = asyncio.get_running_loop()
+        loop.set_debug(False)
+        now = loop.time()
+        with unittest.mock.patch.object(loop, 'time', lambda: now):
+            self.connection.pause_writing()
+            await self.send(b'nonsense\r\n\r\n')
+            for _ in range(2):
+                self.server.check_timeouts(now)
+                self.assertFalse(self.transport.closed)
+                now += LIMITS.request_timeout_s / 2 + 1.0
+                await self.send(b'x')
+            self.server.check_timeouts(now)
+        self.assertTrue(self.transport.closed)
+
     async def test_request_tells_when_it_was_received(self) -> None:
         loop = asyncio.get_running_loop()
         loop.set_debug(False)
