--- a/src/eelgrasswalk/transport/request_reader.py
+++ b/src/eelgrasswalk/transport/request_reader.py
@@ -134,18 +134,19 @@
             else:
                 raise
         except httptools.HttpParserError:
-            # What follows a request that closes the connection is not read.
-            if self._is_sealed:
-                self._discard()
-            else:
-                self._reject(
-                    problem.describe_bad_request(
-                        'request is not valid HTTP/1.1'
-                    )
-                )
+            self._handle_invalid()
         else:
             self._check_framing()
 
+    def _handle_invalid(self) -> None:
+        # What follows a request that closes the connection is not read.
+        if self._is_sealed:
+            self._discard()
+            return
+        self._reject(
+            problem.describe_bad_request('request is not valid HTTP/1.1')
+        )
+
     # httptools callbacks
 
     def on_message_begin(self) -> None:
