Describe a balancer's candidates and quotas without changing them

Operators will ask nodes where a request would go. The balancer, the homes, the token buckets and the queue gain methods that read and change nothing.

--- a/src/eelgrasswalk/controllers/account_quota.py
+++ b/src/eelgrasswalk/controllers/account_quota.py
@@ -25,6 +25,25 @@
 FALLBACK_S = 0.25
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaView:
+    """What a node can tell of an account's rate without taking a token.
+
+    Args:
+        rate: Calls per second in force; 0 for no limit.
+        burst: Calls that may arrive at once.
+        owner: Node that grants the account's tokens; None if unknown.
+        tokens: Tokens at this node; None if this node cannot tell.
+        detail: Why it cannot tell; empty if it can.
+    """
+
+    rate: float
+    burst: float
+    owner: str | None
+    tokens: float | None
+    detail: str
+
+
 class SendControl(typing.Protocol):
     """Sends a controller's message to a node."""
 
@@ -198,6 +217,36 @@
             'owner_is_silent': is_silent,
         }
 
+    def read(self, account: call_rules.AccountRule) -> QuotaView:
+        """Return what is known of an account's rate; nothing is changed."""
+        if account.rate <= 0.0:
+            return QuotaView(0.0, account.burst, None, None, 'no limit')
+        now = self._clock()
+        limit = self._lower.find_limit(
+            account.name,
+            account_rates.RateLimit(account.rate, account.burst),
+            now,
+        )
+        owner = self._owners.get(account.name)
+        if owner is None:
+            owner = account_rates.choose_owner(
+                account.name, self._list_owners()
+            )
+        tokens: float | None = None
+        detail = ''
+        requests = self._requests.get(account.name)
+        if owner is None or owner == self._node_id:
+            tokens = self._owned.peek(
+                account.name, now, rate=limit.rate, burst=limit.burst
+            )
+            if tokens is None:
+                detail = 'this node has granted no token of the account yet'
+        elif requests is not None and now < requests.fallback_until:
+            detail = f'{owner} grants the tokens and did not answer lately'
+        else:
+            detail = f'{owner} grants the tokens; ask that node'
+        return QuotaView(limit.rate, limit.burst, owner, tokens, detail)
+
     def _find_owner(self, account: str) -> str | None:
         owner = self._owners.get(account)
         if owner is None:
--- a/src/eelgrasswalk/policy/account_rates.py
+++ b/src/eelgrasswalk/policy/account_rates.py
@@ -217,6 +217,24 @@
             rate *= HANDOVER_SHARE
         return bucket.take(wanted, now, rate=rate, depth=max(1.0, burst))
 
+    def peek(
+        self, account: str, now: float, *, rate: float, burst: float
+    ) -> float | None:
+        """Return the tokens of an account; None if none was granted yet.
+
+        Args:
+            account: Name of the account.
+            now: Current time, in seconds.
+            rate: The account's rate, in tokens per second.
+            burst: The account's burst, in tokens.
+        """
+        bucket = self._buckets.get(account)
+        if bucket is None:
+            return None
+        if now < self._handover_until:
+            rate *= HANDOVER_SHARE
+        return bucket.peek(now, rate=rate, depth=max(1.0, burst))
+
     def keep_only(
         self,
         accounts: collections.abc.Container[str],
--- a/src/eelgrasswalk/policy/capacity/slot_queue.py
+++ b/src/eelgrasswalk/policy/capacity/slot_queue.py
@@ -168,6 +168,10 @@
         )
         return max(slot_wait_s, rate_wait_s)
 
+    def estimate_service(self, route: str) -> float:
+        """Return the expected service time in seconds; 0 if unknown."""
+        return self._times.estimate(route)
+
     def resize(self, slots: int) -> None:
         """Change the number of slots."""
         self._limit = max(1, round(slots * self._settings.max_utilization))
--- a/src/eelgrasswalk/policy/placement/homes.py
+++ b/src/eelgrasswalk/policy/placement/homes.py
@@ -42,13 +42,26 @@
             return None
         found = self._kept.get((route, account))
         if found is None:
-            found = frozenset(
-                data_centre
-                for data_centre, region in self._regions.items()
-                if (not route or region in route)
-                and (not account or region in account)
-            )
+            found = self._compute_allowed(route, account)
             if len(self._kept) >= MAX_KEPT:
                 self._kept.clear()
             self._kept[route, account] = found
         return found
+
+    def read_allowed(
+        self, route: frozenset[str], account: frozenset[str]
+    ) -> frozenset[str] | None:
+        """Return the same as find_allowed; the result is not kept."""
+        if not route and not account:
+            return None
+        return self._compute_allowed(route, account)
+
+    def _compute_allowed(
+        self, route: frozenset[str], account: frozenset[str]
+    ) -> frozenset[str]:
+        return frozenset(
+            data_centre
+            for data_centre, region in self._regions.items()
+            if (not route or region in route)
+            and (not account or region in account)
+        )
--- a/src/eelgrasswalk/policy/token_bucket.py
+++ b/src/eelgrasswalk/policy/token_bucket.py
@@ -70,6 +70,17 @@
         """When it was used last, in seconds."""
         return self._filled_at
 
+    def peek(self, now: float, *, rate: float, depth: float) -> float:
+        """Return the tokens that there are; none is taken.
+
+        Args:
+            now: Current time, in seconds.
+            rate: Refill rate, in tokens per second.
+            depth: Maximum number of tokens in the bucket.
+        """
+        elapsed = max(0.0, now - self._filled_at)
+        return min(depth, self._tokens + elapsed * rate)
+
     def take(
         self,
         wanted: collections.abc.Sequence[int],
@@ -89,9 +100,8 @@
         Returns:
             The tokens taken, and when to try again.
         """
-        elapsed = max(0.0, now - self._filled_at)
+        self._tokens = self.peek(now, rate=rate, depth=depth)
         self._filled_at = now
-        self._tokens = min(depth, self._tokens + elapsed * rate)
         max_reserve = MAX_RESERVE_SHARE * max(0.0, depth - 1.0)
         reserve = 0.0
         granted = 0
