--- a/src/eelgrasswalk/cli/operator.py
+++ b/src/eelgrasswalk/cli/operator.py
@@ -9,6 +9,7 @@
 from . import files
 from . import keys
 from . import nodes
+from . import placement
 from . import progress
 from . import quarantine
 from . import terminal
@@ -85,6 +86,7 @@
     progress,
     nodes,
     explaining,
+    placement,
     quarantine,
     evacuations,
 ):
--- a/src/eelgrasswalk/cli/terminal.py
+++ b/src/eelgrasswalk/cli/terminal.py
@@ -40,6 +40,11 @@
     NODE_UNREACHABLE = 8
     AUDIT_BROKEN = 9
     DIFFERENT = 10
+    ROUTE_UNKNOWN = 11
+    KEY_UNKNOWN = 12
+    KEY_MISSING = 13
+    NODE_TOO_OLD = 14
+    NODE_NOT_READY = 15
 
 
 class Output(enum.Enum):
--- a/src/eelgrasswalk/operations/fleet.py
+++ b/src/eelgrasswalk/operations/fleet.py
@@ -152,6 +152,25 @@
         except Exception:
             return Unreachable(address, 'the answer is no node status')
 
+    async def fetch(
+        self,
+        address: str,
+        path: str,
+        *,
+        params: collections.abc.Mapping[str, str],
+        headers: collections.abc.Mapping[str, str],
+    ) -> httpx.Response | Unreachable:
+        """Send a GET to a node and return its answer, whatever its status."""
+        try:
+            return await self._client.get(
+                format_url(address) + path,
+                params=params,
+                headers=headers,
+                timeout=REQUEST_TIMEOUT_S,
+            )
+        except (httpx.HTTPError, httpx.InvalidURL) as error:
+            return Unreachable(address, str(error) or type(error).__name__)
+
     async def drain(self, member: Member) -> Draining | Unreachable:
         """Tell one node to drain."""
         if not member.admin:
--- a/src/eelgrasswalk/sidecar/node.py
+++ b/src/eelgrasswalk/sidecar/node.py
@@ -15,6 +15,7 @@
 from ..policy import call_rules
 from ..transport import http_server
 from ..transport import message
+from . import placement
 from . import settings
 from . import wiring
 from . import wiring_control
@@ -347,6 +348,11 @@
     async def _handle_admin(
         self, request: message.Request
     ) -> verdict.Response:
+        if request.path == placement.PATH:
+            page = placement.PlacementPage(
+                self._control_plane, self.call_path, stopping=self.stopping
+            )
+            return page.answer(request)
         if request.path != METRICS_PATH:
             return _NOT_FOUND
         return verdict.Response(200, _METRICS_HEADERS, self._metrics.render())
