--- a/src/eelgrasswalk/cli/placement.py
+++ b/src/eelgrasswalk/cli/placement.py
@@ -205,14 +205,27 @@
     yield f'  quarantine: {_format_quarantine(data["quarantine"])}'
     own = data['own_target']
     if own is not None:
-        names = ('running', 'queued', 'limit', 'load', 'service_s')
+        names: tuple[str, ...] = (
+            'running',
+            'queued',
+            'limit',
+            'load',
+            'service_s',
+        )
         names += ('cold_left_s', 'slowdown')
         figures = (f'{name} {_format_figure(own[name])}' for name in names)
         yield f'  own target: {", ".join(figures)}'
     if data['candidates']:
         yield ''
         rows = [_format_candidate(item) for item in data['candidates']]
-        head = ('NODE', 'DATA CENTRE', 'COST', 'LOAD', 'REPORTED', 'IN FLIGHT')
+        head: tuple[str, ...] = (
+            'NODE',
+            'DATA CENTRE',
+            'COST',
+            'LOAD',
+            'REPORTED',
+            'IN FLIGHT',
+        )
         head += ('LATENCY', 'FAILURES', 'COLD', 'UNREACHABLE', 'LEFT OUT')
         for line in nodes.format_table([head, *rows]):
             yield f'  {line}'
--- a/src/eelgrasswalk/policy/placement/explanation.py
+++ b/src/eelgrasswalk/policy/placement/explanation.py
@@ -342,9 +342,11 @@
         key=lambda node: node.node_id,
     )
     by_rule: dict[str, int] = {}
-    for item in (*described.candidates, *known.absent):
-        if item.exclusion is not None:
-            rule = item.exclusion.value
+    exclusions = [item.exclusion for item in described.candidates]
+    exclusions += [node.exclusion for node in known.absent]
+    for exclusion in exclusions:
+        if exclusion is not None:
+            rule = exclusion.value
             by_rule[rule] = by_rule.get(rule, 0) + 1
     eligible = sum(item.exclusion is None for item in described.candidates)
     total = len(described.candidates) + len(known.absent)
