Describe only the listed candidates, and import explanations when asked

Moves the description of a balancer's upstreams out of spread.py into a module of its own. Ranks by cheap tuples, and describes in full only the candidates that are listed.

Node processes import the modules of explanations at the first question.

--- a/src/eelgrasswalk/policy/placement/candidates.py
+++ b/src/eelgrasswalk/policy/placement/candidates.py
@@ -82,7 +82,14 @@
     """The upstreams of a service, and how they are compared.
 
     Args:
-        candidates: Those that calls may go to, best first, then the others.
+        candidates: The listed ones: those that calls may go to, best first,
+            then the others.
+        node_ids: Ids of the nodes of all upstreams, listed or not.
+        local: Number of local upstreams that calls may go to.
+        preferred: How many of these are used without a comparison with
+            remote ones.
+        remote: Number of remote upstreams that calls may go to.
+        excluded: Number of upstreams that each rule leaves out.
         local_max_cost: Cost up to which a local upstream is used without a
             comparison with remote ones.
         remote_cost_factor: Cost factor of remote upstreams.
@@ -91,6 +98,11 @@
     """
 
     candidates: tuple[Candidate, ...]
+    node_ids: frozenset[str]
+    local: int
+    preferred: int
+    remote: int
+    excluded: dict[Exclusion, int]
     local_max_cost: float
     remote_cost_factor: float
     mean_latency_s: Figure
--- a/src/eelgrasswalk/policy/placement/explanation.py
+++ b/src/eelgrasswalk/policy/placement/explanation.py
@@ -4,6 +4,7 @@
 of a route's calls is used up.
 """
 
+import collections
 import collections.abc
 import dataclasses
 import enum
@@ -240,7 +241,8 @@
     omitted_services: int
 
 
-Describe: typing.TypeAlias = typing.Callable[[str], ServiceKnowledge]
+# Takes a service and the maximum number of candidates to list.
+Describe: typing.TypeAlias = typing.Callable[[str, int], ServiceKnowledge]
 
 
 def find_admission(
@@ -292,7 +294,8 @@
         rate: Whether the account is near its rate.
         homes: Data centres in which it may run; None for all.
         evacuated: Evacuated data centres.
-        describe: Returns what the node knows of a service.
+        describe: Returns what the node knows of a service, with at most a
+            given number of candidates.
     """
     route, account = admission.route, admission.account
     importance = route.importance
@@ -301,6 +304,7 @@
     total = sum(share.weight for share in route.shares)
     ranked = sorted(route.shares, key=lambda share: -share.weight)
     listed = ranked[:MAX_SERVICES]
+    max_candidates = MAX_CANDIDATES // len(listed)
     return Explanation(
         node_id=node_id,
         data_centre=data_centre,
@@ -318,8 +322,8 @@
             _place(
                 share.service,
                 share.weight / total if total else 0.0,
-                describe(share.service),
-                max_candidates=MAX_CANDIDATES // len(listed),
+                describe(share.service, max_candidates),
+                max_candidates=max_candidates,
             )
             for share in listed
         ),
@@ -341,42 +345,34 @@
         known.absent,
         key=lambda node: node.node_id,
     )
-    by_rule: dict[str, int] = {}
-    exclusions = [item.exclusion for item in described.candidates]
-    exclusions += [node.exclusion for node in known.absent]
-    for exclusion in exclusions:
-        if exclusion is not None:
-            rule = exclusion.value
-            by_rule[rule] = by_rule.get(rule, 0) + 1
-    eligible = sum(item.exclusion is None for item in described.candidates)
-    total = len(described.candidates) + len(known.absent)
+    by_rule = collections.Counter(node.exclusion for node in known.absent)
+    by_rule.update(described.excluded)
+    total = len(described.node_ids) + len(known.absent)
     return ServicePlacement(
         service=service,
         share=share,
         expected_cost_s=described.mean_latency_s,
-        eligible=eligible,
+        eligible=described.local + described.remote,
         compared=_explain_comparison(described),
         candidates=listed,
         absent=tuple(absent),
         omitted=total - len(listed) - len(absent),
-        omitted_by_rule=by_rule,
+        omitted_by_rule={rule.value: n for rule, n in by_rule.items()},
         quarantine=known.quarantine,
         own_target=known.own_target,
     )
 
 
 def _explain_comparison(described: candidates.Description) -> str:
-    eligible = [c for c in described.candidates if c.exclusion is None]
-    local = [c for c in eligible if c.is_local]
-    remote = len(eligible) - len(local)
-    if not eligible:
+    local, remote = described.local, described.remote
+    if not local and not remote:
         return 'No candidate is left; the request would be refused as not run.'
     if not local:
         return f'No local candidate is left; {_compare(remote, "remote")}.'
-    text = _compare(len(local), 'local').capitalize()
+    text = _compare(local, 'local').capitalize()
     if not remote:
         return f'{text}; there is no remote candidate.'
-    costly = sum(not c.is_preferred for c in local)
+    costly = local - described.preferred
     if not costly:
         return (
             f'{text}; remote ones are not considered, as all local ones cost '
--- a/src/eelgrasswalk/policy/placement/spread.py
+++ b/src/eelgrasswalk/policy/placement/spread.py
@@ -21,7 +21,6 @@
 import math
 
 from . import balance
-from . import candidates
 
 # Runs of targets that are remembered as leaving; the oldest are forgotten.
 MAX_LEAVING_RUNS = 1024
@@ -537,129 +536,27 @@
         ratio = min(ratio, self._settings.max_latency_factor)
         state.latency_ratio += ewma_weight * (ratio - state.latency_ratio)
 
-    def describe_candidates(
-        self,
-        service: str,
-        now: float,
-        *,
-        data_centres: collections.abc.Set[str] | None = None,
-        route: str = '',
-    ) -> candidates.Description:
-        """Describe the upstreams of a service; nothing is changed.
-
-        Args:
-            service: The service.
-            now: Monotonic time in seconds.
-            data_centres: Data centres that a call may go to; None for all.
-            route: Name of the route whose mean latency is described.
-        """
-        states = self._services.get(service, [])
-        excluded = self._find_exclusions(states, now, data_centres)
-        eligible = [state for state in states if id(state) not in excluded]
+    def read(
+        self, service: str, route: str
+    ) -> tuple[list[_State], LoadAwareSettings, float | None]:
+        """Return upstreams, settings and mean latency; don't change them."""
+        mean_s = self._route_latency_s.get((service, route))
+        return self._services.get(service, []), self._settings, mean_s
+
+    def measure(
+        self, states: list[_State], eligible: list[_State], now: float
+    ) -> list[tuple[float, float, bool]]:
+        """Return costs and loads, and which upstreams fail too many calls."""
         rates = [self._estimate_failure_rate(state, now) for state in eligible]
-        failure_rates = _FailureRates(sum(rates), len(eligible))
-        described = [
-            self._describe(state, failure_rates, excluded.get(id(state)), now)
+        failure_rates = _FailureRates(sum(rates), len(rates))
+        return [
+            (
+                self._compute_cost(state, failure_rates, now),
+                self._estimate_load(state, now),
+                self._has_excess_failures(state, failure_rates, now),
+            )
             for state in states
         ]
-        described.sort(key=self._rank_described)
-        return candidates.Description(
-            tuple(described),
-            local_max_cost=self._settings.local_max_cost,
-            remote_cost_factor=self._settings.remote_cost_factor,
-            mean_latency_s=candidates.Figure(
-                self._route_latency_s.get((service, route))
-            ),
-        )
-
-    def _find_exclusions(
-        self,
-        states: list[_State],
-        now: float,
-        data_centres: collections.abc.Set[str] | None,
-    ) -> dict[int, candidates.Exclusion]:
-        """Return the rule that excludes each state, by its identity.
-
-        It follows the rules of `choose` for a call that was not tried yet.
-        """
-        excluded: dict[int, candidates.Exclusion] = {}
-        remaining: list[_State] = []
-        for state in states:
-            if state.leaving:
-                excluded[id(state)] = candidates.Exclusion.LEAVING
-            elif not _is_in(
-                state.upstream.data_centre, data_centres, frozenset()
-            ):
-                excluded[id(state)] = candidates.Exclusion.OUTSIDE_HOMES
-            else:
-                remaining.append(state)
-        reachable = [s for s in remaining if s.unreachable_until <= now]
-        if reachable:
-            for state in remaining:
-                if state.unreachable_until > now:
-                    excluded[id(state)] = candidates.Exclusion.UNREACHABLE
-            remaining = reachable
-        if any(state.cold_until <= now for state in remaining):
-            for state in remaining:
-                if state.cold_until > now:
-                    excluded[id(state)] = candidates.Exclusion.COLD
-        return excluded
-
-    def _describe(
-        self,
-        state: _State,
-        failure_rates: _FailureRates,
-        exclusion: candidates.Exclusion | None,
-        now: float,
-    ) -> candidates.Candidate:
-        cost = self._compute_cost(state, failure_rates, now)
-        report_age_s = None
-        load = None
-        if state.reported_at > -math.inf:
-            report_age_s = max(0.0, now - state.reported_at)
-            load = state.load
-        failure_age_s = None
-        if state.failure_rate or state.failure_reported_at:
-            failure_age_s = max(0.0, now - state.failure_reported_at)
-        return candidates.Candidate(
-            node_id=state.upstream.node_id,
-            data_centre=state.upstream.data_centre,
-            is_local=state.is_local,
-            cost=cost,
-            is_preferred=state.is_local
-            and cost <= self._settings.local_max_cost
-            and not self._has_excess_failures(state, failure_rates, now),
-            slots=state.upstream.slots,
-            load=candidates.Figure(load, report_age_s),
-            estimated_load=candidates.Figure(
-                self._estimate_load(state, now), report_age_s
-            ),
-            in_flight=candidates.Figure(state.in_flight, 0.0),
-            sent_since_report=candidates.Figure(state.sent_since_report, 0.0),
-            latency_ratio=candidates.Figure(state.latency_ratio),
-            failure_rate=candidates.Figure(
-                None if failure_age_s is None else state.failure_rate,
-                failure_age_s,
-            ),
-            cold_left_s=candidates.Figure(max(0.0, state.cold_until - now)),
-            unreachable_left_s=candidates.Figure(
-                max(0.0, state.unreachable_until - now)
-            ),
-            is_stalled=state.in_flight > 0
-            and now - state.last_progress_at > self._settings.stall_s,
-            exclusion=exclusion,
-        )
-
-    def _rank_described(
-        self, candidate: candidates.Candidate
-    ) -> tuple[bool, bool, float, str]:
-        factor = self._settings.remote_cost_factor
-        return (
-            candidate.exclusion is not None,
-            not candidate.is_preferred,
-            candidate.cost * (1.0 if candidate.is_local else factor),
-            candidate.node_id,
-        )
 
 
 def _is_in(
--- a/src/eelgrasswalk/sidecar/node.py
+++ b/src/eelgrasswalk/sidecar/node.py
@@ -15,7 +15,6 @@
 from ..policy import call_rules
 from ..transport import http_server
 from ..transport import message
-from . import placement
 from . import settings
 from . import wiring
 from . import wiring_control
@@ -41,6 +40,7 @@
 # The same for the rules, which tell whether the data centre is evacuated.
 RULES_WAIT_S = 1.0
 METRICS_PATH = '/metrics'
+PLACEMENT_PATH = '/placement'
 # Settings that can change while the node runs. The others are addresses, the
 # identity of the node, or lengths of windows that have already begun.
 _RELOADABLE = frozenset(('memory_bytes', 'regions'))
@@ -348,7 +348,10 @@
     async def _handle_admin(
         self, request: message.Request
     ) -> verdict.Response:
-        if request.path == placement.PATH:
+        if request.path == PLACEMENT_PATH:
+            # Imported here, as most nodes are never asked.
+            from . import placement
+
             page = placement.PlacementPage(
                 self._control_plane, self.call_path, stopping=self.stopping
             )
--- a/src/eelgrasswalk/sidecar/placement.py
+++ b/src/eelgrasswalk/sidecar/placement.py
@@ -13,12 +13,12 @@
 from ..policy import call_rules
 from ..policy import quarantine
 from ..policy.placement import candidates
+from ..policy.placement import description
 from ..policy.placement import explanation
 from ..transport import message
 from . import wiring
 from . import wiring_control
 
-PATH = '/placement'
 MAX_FIELDS = 8
 # Format of the answer, by which clients recognise it.
 FORMAT = 1
@@ -130,8 +130,8 @@
             rate=_read_rate(call_path, account),
             homes=homes,
             evacuated=control_plane.evacuations.evacuated,
-            describe=lambda service: self._describe(
-                call_path, service, route, homes, question, name
+            describe=lambda service, max_listed: self._describe(
+                call_path, service, route, homes, question, name, max_listed
             ),
         )
 
@@ -172,9 +172,15 @@
         homes: frozenset[str] | None,
         question: Question,
         account: str,
+        max_listed: int,
     ) -> explanation.ServiceKnowledge:
-        described = call_path.directory.balancer.describe_candidates(
-            service, time.monotonic(), data_centres=homes, route=route.name
+        described = description.describe(
+            call_path.directory.balancer,
+            service,
+            time.monotonic(),
+            max_listed=max_listed,
+            data_centres=homes,
+            route=route.name,
         )
         is_own = service == self._control_plane.config.service
         own_target = None
@@ -194,7 +200,6 @@
     def _list_absent(
         self, service: str, described: candidates.Description
     ) -> list[explanation.Absent]:
-        known = {item.node_id for item in described.candidates}
         evacuated = self._control_plane.evacuations.evacuated
         return [
             explanation.Absent(
@@ -206,7 +211,8 @@
                 'stopping' if entry.stopping else entry.state.value,
             )
             for entry in self._control_plane.roster.roster.list_entries()
-            if entry.service == service and entry.node_id not in known
+            if entry.service == service
+            and entry.node_id not in described.node_ids
         ]
 
     def _describe_own_target(
--- a/tests/policy/placement/test_explanation.py
+++ b/tests/policy/placement/test_explanation.py
@@ -8,6 +8,7 @@
 from eelgrasswalk.policy import call_rules
 from eelgrasswalk.policy.placement import balance
 from eelgrasswalk.policy.placement import candidates
+from eelgrasswalk.policy.placement import description
 from eelgrasswalk.policy.placement import explanation
 from eelgrasswalk.policy.placement import spread
 
@@ -67,8 +68,10 @@
         rate=None,
         homes=None,
         evacuated=frozenset(),
-        describe=lambda service: explanation.ServiceKnowledge(
-            balancer.describe_candidates(service, 10.0),
+        describe=lambda service, max_listed: explanation.ServiceKnowledge(
+            description.describe(
+                balancer, service, 10.0, max_listed=max_listed
+            ),
             absent if service == 'leaf' else (),
             explanation.Quarantine(False),
         ),
@@ -108,7 +111,9 @@
         balancer.mark_unreachable('n2', 9.9)
         balancer.assume_cold(['n3'], 12.0)
         before = read_state(balancer)
-        balancer.describe_candidates('leaf', 10.0, route='pages')
+        description.describe(
+            balancer, 'leaf', 10.0, max_listed=32, route='pages'
+        )
         self.assertEqual(before, read_state(balancer))
 
     def test_exclusions_are_those_of_the_choice(self) -> None:
@@ -125,8 +130,8 @@
                     balancer.mark_unreachable(f'n{number}', 9.8)
                 elif fault == 2:
                     balancer.assume_cold([f'n{number}'], 12.0)
-            described = balancer.describe_candidates(
-                'leaf', 10.0, data_centres=homes
+            described = description.describe(
+                balancer, 'leaf', 10.0, max_listed=32, data_centres=homes
             )
             eligible = {
                 item.node_id
@@ -159,7 +164,9 @@
             load=0.5,
             failure_rate=0.25,
         )
-        described = balancer.describe_candidates('leaf', 10.0, route='pages')
+        described = description.describe(
+            balancer, 'leaf', 10.0, max_listed=32, route='pages'
+        )
         found = {item.node_id: item for item in described.candidates}
         self.assertEqual(candidates.Figure(0.5, 3.0), found['n0'].load)
         self.assertEqual(
