Test that questions about placement change nothing

Compares tokens, owners, shares of a split route, balancer and homes before and after questions, and tests each reading method by itself.

--- a/tests/controllers/test_account_quota.py
+++ b/tests/controllers/test_account_quota.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import collections.abc
+import copy
 import dataclasses
+import pickle
 import random
 import unittest
 import unittest.mock
@@ -101,6 +103,23 @@
         return outcomes.count(None)
 
 
+def read_state(node: account_quota.AccountQuota) -> object:
+    """Return a copy of everything that a node keeps of the accounts."""
+    owned = vars(node)['_owned']
+    buckets = {
+        name: pickle.dumps(bucket)
+        for name, bucket in vars(owned)['_buckets'].items()
+    }
+    kept = ('_owners', '_node_ids', '_is_listed')
+    return (
+        buckets,
+        copy.deepcopy({name: vars(node)[name] for name in kept}),
+        set(vars(node)['_requests']),
+        copy.deepcopy(vars(vars(node)['_lower'])),
+        copy.deepcopy(vars(vars(node)['_fallback'])),
+    )
+
+
 class AccountQuotaTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         # Only an owner that the test has silenced may miss its time.
@@ -121,6 +140,35 @@
         self.assertEqual([(7, 50.0)], relays[self.mesh.owner].heard)
         self.assertEqual([(7, 51.0)], relays[asker].heard)
 
+    async def test_reading_changes_nothing(self) -> None:
+        """A question must take no token, choose no owner and send nothing."""
+        owner = self.mesh.nodes[self.mesh.owner]
+        asker = self.mesh.nodes[self.mesh.others[0]]
+        before = [read_state(node) for node in (owner, asker)]
+        self.assertIsNone(owner.read(LAKE).tokens)
+        view = asker.read(LAKE)
+        self.assertEqual((self.mesh.owner, None), (view.owner, view.tokens))
+        self.assertIn('ask that node', view.detail)
+        await asyncio.sleep(0)
+        self.assertEqual(before, [read_state(node) for node in (owner, asker)])
+        relay = self.mesh.relays[self.mesh.owner]
+        self.assertEqual([], relay.heard)
+
+    async def test_reading_tells_the_tokens_that_are_left(self) -> None:
+        owner = self.mesh.nodes[self.mesh.owner]
+        await self.mesh.count_admitted(self.mesh.owner, 5)
+        before = read_state(owner)
+        first = account_rates.compute_initial_tokens(
+            LAKE.rate, burst=LAKE.burst, slack=SLACK
+        )
+        view = owner.read(LAKE)
+        assert view.tokens is not None
+        self.assertAlmostEqual(first - 5, view.tokens)
+        self.assertEqual(('', LAKE.rate), (view.detail, view.rate))
+        self.assertEqual(before, read_state(owner))
+        unlimited = dataclasses.replace(LAKE, rate=0.0)
+        self.assertEqual('no limit', owner.read(unlimited).detail)
+
     async def test_all_nodes_share_one_bucket(self) -> None:
         admitted = 0
         for node_id in NODES:
--- a/tests/policy/placement/test_explanation.py
+++ b/tests/policy/placement/test_explanation.py
@@ -152,6 +152,36 @@
                     chosen.add(found.node_id)
             self.assertEqual(eligible, chosen)
 
+    def test_limited_list_is_the_head_of_the_full_one(self) -> None:
+        """Describing only the listed ones must not change which these are."""
+        balancer = build_balancer(40)
+        for number in range(0, 40, 3):
+            for _ in range(number):
+                balancer.start(f'n{number}', 9.9)
+        balancer.mark_unreachable('n4', 9.9)
+        balancer.mark_leaving('n8', 'run8')
+        full = description.describe(balancer, 'leaf', 10.0, max_listed=40)
+        short = description.describe(balancer, 'leaf', 10.0, max_listed=7)
+        self.assertEqual(full.candidates[:7], short.candidates)
+        self.assertEqual(40, len(short.node_ids))
+        eligible = [c for c in full.candidates if c.exclusion is None]
+        self.assertEqual(
+            (
+                sum(c.is_local for c in eligible),
+                sum(c.is_preferred for c in eligible),
+                sum(not c.is_local for c in eligible),
+            ),
+            (short.local, short.preferred, short.remote),
+        )
+        exclusion = candidates.Exclusion
+        self.assertEqual(
+            {exclusion.LEAVING: 1, exclusion.UNREACHABLE: 1}, short.excluded
+        )
+        self.assertEqual(
+            [c.exclusion is not None for c in full.candidates],
+            [False] * 38 + [True] * 2,
+        )
+
     def test_ages(self) -> None:
         balancer = build_balancer(2)
         balancer.start('n0', 6.0)
--- a/tests/policy/placement/test_homes.py
+++ b/tests/policy/placement/test_homes.py
@@ -1,5 +1,6 @@
 """Tests of the data centres in which requests may run."""
 
+import copy
 import unittest
 
 from eelgrasswalk.policy.placement import homes
@@ -35,6 +36,18 @@
             NONE, self.homes.find_allowed(frozenset(('east',)), NONE)
         )
 
+    def test_reading_keeps_no_result(self) -> None:
+        """Questions must not push the results of calls out of the cache."""
+        limits = (NONE, NORTH, SOUTH, NORTH | SOUTH, frozenset(('east',)))
+        for route in limits:
+            for account in limits:
+                before = copy.deepcopy(vars(self.homes))
+                found = self.homes.read_allowed(route, account)
+                self.assertEqual(before, vars(self.homes))
+                self.assertEqual(
+                    self.homes.find_allowed(route, account), found
+                )
+
     def test_changed_table_counts_at_once(self) -> None:
         """Results are kept; they must not outlast the table."""
         self.homes.find_allowed(SOUTH, NONE)
--- a/tests/policy/test_account_rates.py
+++ b/tests/policy/test_account_rates.py
@@ -32,6 +32,50 @@
         self.assertIsNone(account_rates.choose_owner('lake', []))
 
 
+class PeekTest(unittest.TestCase):
+    def peek(
+        self, owned: account_rates.OwnedAccounts, now: float
+    ) -> float | None:
+        return owned.peek('lake', now, rate=50.0, burst=50.0)
+
+    def grant(
+        self, owned: account_rates.OwnedAccounts, wanted: int, now: float
+    ) -> int:
+        return owned.grant(
+            'lake', [wanted], now, rate=50.0, burst=50.0, slack=SLACK
+        ).tokens
+
+    def test_peeking_makes_no_bucket(self) -> None:
+        """A bucket that a question makes would start to refill too early."""
+        asked = account_rates.OwnedAccounts(0.0)
+        other = account_rates.OwnedAccounts(0.0)
+        self.assertIsNone(self.peek(asked, 1.0))
+        self.assertIsNone(self.peek(asked, 2.0))
+        self.assertEqual(
+            self.grant(other, 100, 3.0), self.grant(asked, 100, 3.0)
+        )
+
+    def test_peeking_tells_what_is_left(self) -> None:
+        owned = account_rates.OwnedAccounts(0.0)
+        self.grant(owned, 100, 0.0)
+        self.assertEqual(self.peek(owned, 0.5), self.peek(owned, 0.5))
+        left = self.peek(owned, 0.5)
+        assert left is not None
+        self.assertEqual(int(left), self.grant(owned, 100, 0.5))
+
+    def test_handover_slows_the_refill(self) -> None:
+        """The figure must follow the lower rate after a change of owners."""
+        usual = account_rates.OwnedAccounts(-60.0)
+        joined = account_rates.OwnedAccounts(-60.0)
+        joined.change_owners(lambda account: True, 0.0, has_joined=True)
+        for owned in (usual, joined):
+            self.grant(owned, 100, 0.0)
+        usual_left = self.peek(usual, 0.2)
+        joined_left = self.peek(joined, 0.2)
+        assert usual_left is not None and joined_left is not None
+        self.assertLess(joined_left, usual_left)
+
+
 class OwnedAccountsTest(unittest.TestCase):
     def test_new_owner_starts_with_a_small_fill(self) -> None:
         owned = account_rates.OwnedAccounts(0.0)
--- a/tests/policy/test_token_bucket.py
+++ b/tests/policy/test_token_bucket.py
@@ -27,6 +27,20 @@
     return bool(bucket.take(wanted, now, rate=rate, depth=depth).tokens)
 
 
+class PeekTest(unittest.TestCase):
+    def test_peeking_takes_nothing(self) -> None:
+        """Guards against a question that costs an account tokens or refill."""
+        bucket = token_bucket.TokenBucket(2.0, 0.0)
+        for _ in range(3):
+            self.assertEqual(4.0, bucket.peek(1.0, rate=2.0, depth=10.0))
+        self.assertEqual(0.0, bucket.used_at)
+        self.assertEqual(3.0, bucket.peek(9.0, rate=2.0, depth=3.0))
+        # The smaller depth of the question above must not cut the tokens.
+        self.assertEqual(4.0, bucket.peek(1.0, rate=2.0, depth=10.0))
+        # A clock that is behind neither adds nor removes tokens.
+        self.assertEqual(2.0, bucket.peek(-5.0, rate=2.0, depth=10.0))
+
+
 class OverloadedAccountTest(unittest.TestCase):
     """An account of 100 calls a second sends bookings and views."""
 
