--- a/src/eelgrasswalk/policy/placement/spread.py
+++ b/src/eelgrasswalk/policy/placement/spread.py
@@ -536,6 +536,28 @@
         ratio = min(ratio, self._settings.max_latency_factor)
         state.latency_ratio += ewma_weight * (ratio - state.latency_ratio)
 
+    def read(
+        self, service: str, route: str
+    ) -> tuple[list[_State], LoadAwareSettings, float | None]:
+        """Return upstreams, settings and mean latency; don't change them."""
+        mean_s = self._route_latency_s.get((service, route))
+        return self._services.get(service, []), self._settings, mean_s
+
+    def measure(
+        self, states: list[_State], eligible: list[_State], now: float
+    ) -> list[tuple[float, float, bool]]:
+        """Return costs and loads, and which upstreams fail too many calls."""
+        rates = [self._estimate_failure_rate(state, now) for state in eligible]
+        failure_rates = _FailureRates(sum(rates), len(rates))
+        return [
+            (
+                self._compute_cost(state, failure_rates, now),
+                self._estimate_load(state, now),
+                self._has_excess_failures(state, failure_rates, now),
+            )
+            for state in states
+        ]
+
 
 def _is_in(
     data_centre: str,
--- a/src/eelgrasswalk/sidecar/node.py
+++ b/src/eelgrasswalk/sidecar/node.py
@@ -40,6 +40,7 @@
 # The same for the rules, which tell whether the data centre is evacuated.
 RULES_WAIT_S = 1.0
 METRICS_PATH = '/metrics'
+PLACEMENT_PATH = '/placement'
 # Settings that can change while the node runs. The others are addresses, the
 # identity of the node, or lengths of windows that have already begun.
 _RELOADABLE = frozenset(('memory_bytes', 'regions'))
@@ -347,6 +348,14 @@
     async def _handle_admin(
         self, request: message.Request
     ) -> verdict.Response:
+        if request.path == PLACEMENT_PATH:
+            # Imported here, as most nodes are never asked.
+            from . import placement
+
+            page = placement.PlacementPage(
+                self._control_plane, self.call_path, stopping=self.stopping
+            )
+            return page.answer(request)
         if request.path != METRICS_PATH:
             return _NOT_FOUND
         return verdict.Response(200, _METRICS_HEADERS, self._metrics.render())
