Keep the answer of a request that closes from being reset

A connection lingers after its last answer if the caller sent more than was read, as closing with bytes unread resets it and the caller may lose answers that it has not read. Bytes behind a request that itself closes the connection are dropped before they are requests, so they were not noticed: a caller that sent a request with "connection: close", further requests behind it, and read late got ECONNRESET instead of an answer of 300,000 bytes.

Dropped bytes now make the connection linger, too. A caller that sends nothing behind such a request still sees the connection close at once. The new test of the reset fails without this.

--- a/src/eelgrasswalk/transport/request_reader.py
+++ b/src/eelgrasswalk/transport/request_reader.py
@@ -122,8 +122,7 @@
 
     def _parse(self, data: memoryview) -> None:
         self._received += len(data)
-        if self._is_sealed:
-            self._discard()
+        if self._drop_if_sealed():
             return
         try:
             self._parser.feed_data(data)
@@ -135,7 +134,7 @@
                 raise
         except httptools.HttpParserError:
             # What follows a request that closes the connection is not read.
-            if not self._is_sealed:
+            if not self._drop_if_sealed():
                 self._reject(
                     problem.describe_bad_request(
                         'request is not valid HTTP/1.1'
@@ -144,6 +143,16 @@
         else:
             self._check_framing()
 
+    def _drop_if_sealed(self) -> bool:
+        """Drop received bytes if they are no request to read.
+
+        Returns:
+            Whether they were dropped.
+        """
+        if self._is_sealed:
+            self._discard()
+        return self._is_sealed
+
     # httptools callbacks
 
     def on_message_begin(self) -> None:
--- a/src/eelgrasswalk/transport/server_connection.py
+++ b/src/eelgrasswalk/transport/server_connection.py
@@ -132,7 +132,9 @@
 
     def _discard(self) -> None:
         """Close when a caller that is answered sends on and on."""
-        if self._linger is not None and self._received > LINGER_BYTES:
+        if self._linger is None:
+            self._has_pipelined = True
+        elif self._received > LINGER_BYTES:
             self.close()
 
     def _block(self) -> None:
--- a/tests/transport/test_pipelining.py
+++ b/tests/transport/test_pipelining.py
@@ -294,6 +294,34 @@
         await self.send(get('e'))
         self.assertEqual(['a', 'b'], self.handler.started)
 
+    async def test_answer_of_a_request_that_closes_is_not_reset(self) -> None:
+        """What the caller sends behind it reset the connection.
+
+        The answer was lost then if the caller had not read it yet.
+        """
+        for pieces in (
+            (get('a', 'connection: close') + get('b'),),
+            (get('a', 'connection: close'), get('b')),
+        ):
+            with self.subTest(pieces=len(pieces)):
+                transport = fakes.FakeTransport()
+                connection = self.server.build_protocol()
+                connection.connection_made(transport)
+                for piece in pieces:
+                    connection.data_received(piece)
+                await settle()
+                await self.answer('a')
+                self.assertFalse(transport.closed)
+                connection.data_received(bytes(1000))
+                self.assertFalse(transport.closed)
+                connection.connection_lost(None)
+        self.assertEqual(['a', 'a'], self.handler.started)
+
+    async def test_request_that_closes_alone_closes_at_once(self) -> None:
+        await self.send(get('a', 'connection: close'))
+        await self.answer('a')
+        self.assertTrue(self.transport.closed)
+
     async def test_requests_behind_an_unsafe_one_that_closes_are_not_run(
         self,
     ) -> None:
