Report the expected wait and service time to callers

Callers learn the speed of a target from the few calls that they send to it themselves. The gate sees all calls, so its feedback now has the expected wait (wait_s) and the expected service time of the route (service_s). Service times are learned at the usual speed of the host and multiplied by its present slowdown. Both are sent only where the target states a slowdown; a target that states none is served as before. The fields come last and have defaults, so that nodes of an earlier release read the message.

--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -33,6 +33,8 @@
 
 MAX_ANSWER_BYTES = 33_554_432
 MIN_REMAINING_S = 0.002
+# Longest wait that is reported to callers; a target may accept no call at all.
+MAX_REPORTED_WAIT_S = 600.0
 # Fraction of the drain time for which calls are still accepted, as peers may
 # have sent them before they learned of the drain.
 ACCEPT_DRAIN_RATIO = 0.4
@@ -236,6 +238,7 @@
             )
         deadline = started_at + call.remaining_s
         self.coldness.note_call()
+        self._update_slowdown()
         admitted = await self._admitter.admit(
             call.context,
             deadline=deadline,
@@ -418,6 +421,7 @@
         if notice is not None and run_id == self._run_id:
             self._apply_notice(notice)
         self.loads.observe(outcome.response, run_id)
+        self._update_slowdown()
         classified = self._dialect.judge(outcome.response)
         if isinstance(classified, verdict.Answered):
             answer = classified.response
@@ -442,12 +446,16 @@
 
     def _build_feedback(self, route: str, waited_s: float) -> frames.Feedback:
         policy = self._admitter.policy
+        now = time.monotonic()
+        service_s: float | None = None
+        if self._update_slowdown():
+            service_s = policy.estimate_service(route)
         return frames.Feedback(
             importance=frames.SILENT_FEEDBACK.importance,
             fraction=1.0,
             queue_delay_s=waited_s,
             unspent=0,
-            load=policy.compute_load(time.monotonic()),
+            load=policy.compute_load(now),
             capacity_failure_ratio=self._shares.get_capacity_failure_ratio(
                 route
             ),
@@ -456,8 +464,20 @@
             retry_use=self._get_retry_use(),
             notice=self._build_notice(),
             cold_s=self.coldness.compute_feedback(),
+            wait_s=(
+                0.0
+                if service_s is None
+                else min(policy.estimate_start(now), MAX_REPORTED_WAIT_S)
+            ),
+            service_s=service_s or 0.0,
         )
 
+    def _update_slowdown(self) -> bool:
+        """Tell the queue the slowdown; return whether the target states it."""
+        slowdown = self.loads.find_slowdown()
+        self._admitter.policy.slowdown = 1.0 if slowdown is None else slowdown
+        return slowdown is not None
+
     def _build_notice(self) -> frames.TargetNotice | None:
         is_leaving = self._accepts_until < math.inf
         calls_per_s = self._limit.calls_per_s
--- a/src/eelgrasswalk/filters/load_observer.py
+++ b/src/eelgrasswalk/filters/load_observer.py
@@ -90,6 +90,13 @@
         """Return what is known; None when nothing new enough is."""
         return self._reports.find(clock.read_boot_time())
 
+    def find_slowdown(self) -> float | None:
+        """Return the host's slowdown; None if the target states none."""
+        if not self._reports.is_reporting:
+            return None
+        known = self.find()
+        return None if known is None else known.compute_slowdown()
+
     def _is_from_another(self, response: verdict.Response) -> bool:
         target_id = self._dialect.read_target_id(response)
         return target_id not in ('', self._target_id)
--- a/src/eelgrasswalk/platform/dialect.py
+++ b/src/eelgrasswalk/platform/dialect.py
@@ -226,7 +226,13 @@
     running, waiting, slots, slowdown = map(int, match.groups(_USUAL_SLOWDOWN))
     if max(running, waiting, slots, slowdown) > _MAX_LOAD_FIGURE:
         return _MALFORMED_LOAD
-    return ports.LoadReport(running, waiting, slots, slowdown / _PERCENT)
+    return ports.LoadReport(
+        running,
+        waiting,
+        slots,
+        slowdown / _PERCENT,
+        has_slowdown=match.group(4) is not None,
+    )
 
 
 def _parse_rate(value: bytes) -> float | None:
--- a/src/eelgrasswalk/policy/capacity/load_reports.py
+++ b/src/eelgrasswalk/policy/capacity/load_reports.py
@@ -72,6 +72,13 @@
     trust: float
     slowdown_trust: float
 
+    def compute_slowdown(self) -> float | None:
+        """Return the slowdown weighted by its trust; None if not stated."""
+        if not self.report.has_slowdown:
+            return None
+        excess = self.report.slowdown - USUAL_SLOWDOWN
+        return USUAL_SLOWDOWN + excess * self.slowdown_trust
+
 
 class LoadReports:
     """Keeps the newest credible report of one run of a target.
@@ -177,4 +184,5 @@
         waiting=report.waiting + max(0, report.running - slots),
         slots=slots,
         slowdown=slowdown,
+        has_slowdown=report.has_slowdown,
     )
--- a/src/eelgrasswalk/policy/capacity/service_times.py
+++ b/src/eelgrasswalk/policy/capacity/service_times.py
@@ -1,4 +1,8 @@
-"""Mean service times of a target by route."""
+"""Mean service times of a target by route.
+
+The host of a target may be slower for moments. Times are kept as they would
+be at its usual speed, so that such a moment does not distort the means.
+"""
 
 # The mean covers about the last ten calls.
 EWMA_WEIGHT = 0.1
@@ -10,15 +14,25 @@
     """Exponentially weighted mean service times by route.
 
     Attributes:
-        mean_s: Mean over all routes in seconds; 0 if unknown.
+        mean_s: Mean over all routes in seconds at the usual speed; 0 if
+            unknown.
     """
 
     def __init__(self) -> None:
         self._by_route: dict[str, float] = {}
         self.mean_s = 0.0
 
-    def observe(self, route: str, service_s: float) -> None:
-        """Record the service time of one call, in seconds."""
+    def observe(
+        self, route: str, service_s: float, *, slowdown: float = 1.0
+    ) -> None:
+        """Record the service time of one call.
+
+        Args:
+            route: Name of its route.
+            service_s: Seconds from start to end.
+            slowdown: Slowdown of the host meanwhile; 1.0 is the usual speed.
+        """
+        service_s /= slowdown
         known = self._by_route.get(route)
         if known is None:
             if len(self._by_route) >= MAX_ROUTES:
@@ -29,5 +43,9 @@
         self.mean_s += EWMA_WEIGHT * (service_s - self.mean_s)
 
     def estimate(self, route: str) -> float:
-        """Return the expected service time in seconds; 0 if unknown."""
+        """Return the expected seconds at the usual speed; 0 if unknown."""
         return self._by_route.get(route, self.mean_s)
+
+    def find(self, route: str) -> float | None:
+        """Return the same for a route that has been observed, else None."""
+        return self._by_route.get(route)
--- a/src/eelgrasswalk/policy/capacity/slot_queue.py
+++ b/src/eelgrasswalk/policy/capacity/slot_queue.py
@@ -93,6 +93,16 @@
     route: str
     started_at: float
     expected_s: float
+    slowdown: float
+
+    def estimate_left(self, now: float) -> float:
+        """Return the expected seconds until the call ends.
+
+        A call that has exceeded its expected time is likely a long one, so
+        that time is expected once more.
+        """
+        left_s = self.started_at + self.expected_s - now
+        return left_s if left_s > 0.0 else self.expected_s
 
 
 class SlotQueue:
@@ -106,6 +116,11 @@
         slots: Calls that the target can run concurrently.
         cold: Limits the starts while the target is cold; without a limit by
             default.
+
+    Attributes:
+        cold: As above.
+        slowdown: Present slowdown of the target's host; 1.0 is the usual
+            speed, and remains for a target that states none.
     """
 
     def __init__(
@@ -117,6 +132,7 @@
     ) -> None:
         self._settings = settings
         self.cold = cold_start.ColdStart(None) if cold is None else cold
+        self.slowdown = 1.0
         self._times = service_times.ServiceTimes()
         self._running: dict[int, _Running] = {}
         self._waiting: dict[int, _Waiting] = {}
@@ -168,6 +184,34 @@
         )
         return max(slot_wait_s, rate_wait_s)
 
+    def estimate_start(self, now: float) -> float:
+        """Return the expected seconds until a call offered now starts.
+
+        Unlike the backlog, it depends on how long each running call is still
+        expected to run.
+        """
+        rate_wait_s = self._start_rate.compute_wait(
+            now, ahead=len(self._waiting)
+        )
+        if len(self._running) < self._limit:
+            return rate_wait_s
+        left_s = sum(
+            running.estimate_left(now) for running in self._running.values()
+        )
+        next_free_s = left_s / len(self._running)
+        slot_wait_s = (self._waiting_s + next_free_s) / self._limit
+        return max(slot_wait_s, rate_wait_s)
+
+    def estimate_service(self, route: str) -> float | None:
+        """Return the expected seconds of service; None if unknown.
+
+        Args:
+            route: Name of the route; it is known once a call of it has been
+                answered.
+        """
+        usual_s = self._times.find(route)
+        return None if usual_s is None else usual_s * self.slowdown
+
     def resize(self, slots: int) -> None:
         """Change the number of slots."""
         self._limit = max(1, round(slots * self._settings.max_utilization))
@@ -206,7 +250,7 @@
             return [_refuse(candidate.call_id, verdict.Reason.LEAVING, 0.0)]
         if not self.cold.may_start(now):
             return [self._refuse_cold(candidate.call_id, now)]
-        expected_s = self._times.estimate(candidate.route)
+        expected_s = self._times.estimate(candidate.route) * self.slowdown
         if candidate.depth > 0 and candidate.may_wait:
             self._nested_work.add(expected_s, now)
         min_remaining_s = self._settings.min_time_ratio * expected_s
@@ -227,7 +271,11 @@
         if running is None:
             return []
         if ok:
-            self._times.observe(running.route, now - running.started_at)
+            self._times.observe(
+                running.route,
+                now - running.started_at,
+                slowdown=(running.slowdown + self.slowdown) / 2.0,
+            )
         return self.expire(now) if self._waiting else []
 
     def cancel(self, call_id: int, now: float) -> list[admission.Action]:
@@ -314,7 +362,7 @@
         if self.cold.is_cold(now):
             self.cold.take(now)
         self._running[candidate.call_id] = _Running(
-            candidate.route, now, expected_s
+            candidate.route, now, expected_s, self.slowdown
         )
         return admission.Start(candidate.call_id)
 
--- a/src/eelgrasswalk/ports.py
+++ b/src/eelgrasswalk/ports.py
@@ -250,12 +250,15 @@
         slots: Requests that it can run at a time.
         slowdown: How long work takes on its host now, as a multiple of what
             it usually takes.
+        has_slowdown: Whether the target stated the slowdown; without it, the
+            usual one is assumed.
     """
 
     running: int
     waiting: int
     slots: int
     slowdown: float = 1.0
+    has_slowdown: bool = dataclasses.field(default=False, compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/eelgrasswalk/transport/frames.py
+++ b/src/eelgrasswalk/transport/frames.py
@@ -188,6 +188,10 @@
         ended_run: Run of the target that ended under the call; empty if none.
         cold_s: Seconds for which the target is taken for cold; 0 if it is
             not.
+        wait_s: Expected seconds until a call offered now would start.
+        service_s: Expected seconds of service for a call of this route, at
+            the present slowdown of the host; 0 if the target states no
+            slowdown, in which case wait_s says nothing either.
     """
 
     importance: Count
@@ -203,6 +207,8 @@
     run_at: str = ''
     ended_run: str = ''
     cold_s: Number = 0.0
+    wait_s: Number = 0.0
+    service_s: Number = 0.0
 
 
 SILENT_FEEDBACK = Feedback(
--- a/tests/filters/test_gate.py
+++ b/tests/filters/test_gate.py
@@ -269,6 +269,27 @@
         assert known is not None
         self.assertEqual(ports.LoadReport(1, 2, 4, 1.5), known.report)
 
+    async def test_feedback_tells_times_only_with_a_slowdown(self) -> None:
+        """Callers must choose as before where targets state no slowdown."""
+        for load, is_told in (
+            (b'1,0,4', False),
+            (b'1,0,4,100', True),
+            (b'1,0,4,250', True),
+        ):
+            with self.subTest(load):
+                self.pool.send.return_value = build_loaded(load)
+                reply = await self.gate.run(build_call())
+                assert reply.feedback is not None
+                self.assertEqual(is_told, reply.feedback.service_s > 0.0)
+                self.assertEqual(0.0, reply.feedback.wait_s)
+
+    async def test_feedback_of_a_target_without_load_tells_no_times(
+        self,
+    ) -> None:
+        reply = await self.gate.run(build_call())
+        assert reply.feedback is not None
+        self.assertEqual(0.0, reply.feedback.service_s)
+
     async def test_answer_without_a_load_is_no_flaw(self) -> None:
         await self.gate.run(build_call())
         self.assertIsNone(self.gate.loads.find())
--- a/tests/policy/capacity/test_load_reports.py
+++ b/tests/policy/capacity/test_load_reports.py
@@ -49,6 +49,26 @@
         self.assertEqual(ports.LoadReport(5, 2, SLOTS, 2.5), known.report)
         self.assertEqual(1.0, known.trust)
 
+    def test_slowdown_counts_less_with_age(self) -> None:
+        """An old slowdown must not distort what is expected now."""
+        stated = ports.LoadReport(3, 0, SLOTS, 3.0, has_slowdown=True)
+        self.reports.record(stated, 0.0, expect(3))
+        slowdowns = [
+            self.find(now).compute_slowdown() for now in (0.0, 0.25, 0.5)
+        ]
+        self.assertEqual([3.0, 2.5, 2.0], slowdowns)
+
+    def test_slowdown_is_unknown_unless_stated(self) -> None:
+        self.record(3, 0, SLOTS)
+        self.assertIsNone(self.find(0.0).compute_slowdown())
+
+    def test_bounded_report_still_states_its_slowdown(self) -> None:
+        stated = ports.LoadReport(3, 0, 2 * SLOTS, 50.0, has_slowdown=True)
+        self.reports.record(stated, 0.0, expect(3))
+        self.assertEqual(
+            load_reports.MAX_SLOWDOWN, self.find(0.0).compute_slowdown()
+        )
+
     def test_trust_ends_with_age(self) -> None:
         self.record(3, 0, SLOTS)
         trusts = [self.find(tenths / 10).trust for tenths in range(10)]
--- a/tests/policy/capacity/test_slot_queue.py
+++ b/tests/policy/capacity/test_slot_queue.py
@@ -193,6 +193,35 @@
         # By their deadlines alone, 48 could wait.
         self.assertLess(queue.queued, 40)
 
+    def test_slow_moment_of_the_host_does_not_distort_the_mean(self) -> None:
+        queue = build_busy(slots=1, service_s=0.1)
+        queue.finish(2000, 0.1, ok=True)
+        queue.slowdown = 2.5
+        for call_id in range(40):
+            queue.offer(build_candidate(call_id), 0.1)
+            queue.finish(call_id, 0.35, ok=True)
+        self.assertAlmostEqual(0.25, queue.estimate_service('browse') or 0.0)
+        queue.slowdown = 1.0
+        self.assertAlmostEqual(0.1, queue.estimate_service('browse') or 0.0)
+
+    def test_start_is_expected_when_running_calls_end(self) -> None:
+        queue = build_busy(slots=1, service_s=0.1)
+        self.assertAlmostEqual(0.1, queue.estimate_start(0.0))
+        self.assertAlmostEqual(0.04, queue.estimate_start(0.06))
+        queue.offer(build_candidate(1), 0.06)
+        self.assertAlmostEqual(0.14, queue.estimate_start(0.06))
+        # The running call is a long one.
+        self.assertAlmostEqual(0.2, queue.estimate_start(0.11))
+
+    def test_start_is_expected_at_once_with_a_free_slot(self) -> None:
+        queue = build_busy(slots=2)
+        queue.finish(2000, 0.1, ok=True)
+        self.assertEqual(0.0, queue.estimate_start(0.1))
+
+    def test_service_of_a_route_without_calls_is_unknown(self) -> None:
+        """The mean over other routes would pass for a fast target."""
+        self.assertIsNone(build_busy().estimate_service('other'))
+
     def test_cancelled_call_leaves_the_queue(self) -> None:
         queue = build_busy()
         queue.offer(build_candidate(1), 0.0)
--- a/tests/transport/test_codec.py
+++ b/tests/transport/test_codec.py
@@ -17,6 +17,8 @@
 FEEDBACK = frames.Feedback(
     importance=1, fraction=0.5, queue_delay_s=0.25, unspent=2
 )
+# The fields that feedback had before it told of expected times.
+EARLIER_FEEDBACK_FIELDS = 13
 CALL = frames.Call(
     attempt=ATTEMPT,
     route='stock',
@@ -83,6 +85,19 @@
 
 
 class CodecTest(unittest.TestCase):
+    def test_feedback_without_expected_times_is_read(self) -> None:
+        """A node of an earlier release sends fewer fields."""
+        fields = msgspec.to_builtins(FEEDBACK)[:EARLIER_FEEDBACK_FIELDS]
+        found = msgspec.convert(fields, frames.Feedback)
+        self.assertEqual(FEEDBACK, found)
+
+    def test_expected_times_come_after_all_earlier_fields(self) -> None:
+        """A node of an earlier release ignores fields that it lacks."""
+        names = frames.Feedback.__struct_fields__
+        self.assertEqual(
+            ('wait_s', 'service_s'), names[EARLIER_FEEDBACK_FIELDS:]
+        )
+
     def test_messages_survive_the_wire(self) -> None:
         for item in MESSAGES:
             with self.subTest(type(item).__name__):
