Compare upstreams by expected finish time

The balancer compared load times its own average of the latency, which learns slowly as each caller sees few calls of each target. Where both candidates have reports of wait and service time no older than a second, it now compares the reported wait, less the time since, plus the calls sent since, plus the service time. Otherwise the choice is as before. The service time is kept as a multiple of the mean of its route, so that reports of calls of different routes compare and memory does not grow with routes times upstreams.

The state of upstreams and their costs move to upstream_cost.

--- a/src/eelgrasswalk/filters/forward.py
+++ b/src/eelgrasswalk/filters/forward.py
@@ -16,6 +16,7 @@
 from ..policy.capacity import service_times
 from ..policy.capacity import target_notices
 from ..policy.placement import balance
+from ..policy.placement import finish_time
 from ..policy.placement import probing
 from ..policy.placement import spread
 from ..transport import attempt_ids
@@ -337,9 +338,11 @@
         load: float | None = None
         failure_rate: float | None = None
         cold_s: float | None = None
+        times: finish_time.Times | None = None
         if reply is not None and reply.feedback is not None:
             load = reply.feedback.load
             cold_s = _read_cold_s(reply)
+            times = _read_times(reply.feedback)
             failure_rate = reply.feedback.failing
             self._record_leaf(call, reply.feedback)
             self._record_notice(upstream, reply)
@@ -354,6 +357,7 @@
                 outcome=_name_outcome(outcome),
                 latency_s=now - started_at,
                 load=load,
+                times=times,
             )
         )
         self._balancer.finish(
@@ -369,6 +373,7 @@
             load=load,
             failure_rate=failure_rate,
             cold_s=cold_s,
+            times=times,
         )
 
     def _record_leaf(
@@ -453,6 +458,12 @@
     return None
 
 
+def _read_times(feedback: frames.Feedback) -> finish_time.Times | None:
+    if not feedback.service_s:
+        return None
+    return finish_time.Times(feedback.wait_s, feedback.service_s)
+
+
 def _name_outcome(outcome: verdict.Verdict | None) -> str:
     if outcome is None:
         return 'cancelled'
--- a/src/eelgrasswalk/filters/front.py
+++ b/src/eelgrasswalk/filters/front.py
@@ -16,6 +16,7 @@
 from ..policy import quota
 from ..policy import root_hash
 from ..policy import running_calls
+from ..policy.placement import finish_time
 from ..transport import message
 from . import identity
 
@@ -34,12 +35,15 @@
         outcome: Status of the answer, or the reason why there is none.
         latency_s: Seconds from start to end.
         load: Load that the upstream reported; None if it reported none.
+        times: What the upstream expects of another call; None if it does not
+            tell.
     """
 
     node_id: str
     outcome: str
     latency_s: float
     load: float | None
+    times: finish_time.Times | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -248,13 +252,7 @@
                 'importance': call.priority.importance,
                 'left_ms': round((call.deadline - now) * 1000.0),
                 'attempts': [
-                    {
-                        'node': attempt.node_id,
-                        'outcome': attempt.outcome,
-                        'ms': round(attempt.latency_s * 1000.0, 1),
-                        'load': attempt.load,
-                    }
-                    for attempt in call.attempts
+                    _describe_attempt(attempt) for attempt in call.attempts
                 ],
                 **self._describe_rules(),
             },
@@ -395,3 +393,16 @@
         return verdict.NotRun(
             verdict.Reason.NO_CONFIGURATION, retry_after_s=delay_s
         )
+
+
+def _describe_attempt(attempt: Attempt) -> dict[str, typing.Any]:
+    fields: dict[str, typing.Any] = {
+        'node': attempt.node_id,
+        'outcome': attempt.outcome,
+        'ms': round(attempt.latency_s * 1000.0, 1),
+        'load': attempt.load,
+    }
+    if attempt.times is not None:
+        fields['wait_ms'] = round(attempt.times.wait_s * 1000.0, 1)
+        fields['service_ms'] = round(attempt.times.service_s * 1000.0, 1)
+    return fields
--- a/src/eelgrasswalk/policy/placement/spread.py
+++ b/src/eelgrasswalk/policy/placement/spread.py
@@ -1,11 +1,12 @@
 """Load-aware selection of upstreams.
 
 Picks the cheaper of two randomly chosen upstreams by the load that they
-report. It copes with upstreams that differ in speed, that have just started,
-that stop responding or that fail part of their calls, and with many callers
-that choose at the same time from slightly outdated reports. A bad upstream
-costs more but is never excluded, so that it is retried occasionally and a
-call always finds a target.
+report, or by the expected finish time where both report that. It copes with
+upstreams that differ in speed, that have just started, that stop responding
+or that fail part of their calls, and with many callers that choose at the
+same time from slightly outdated reports. A bad upstream costs more but is
+never excluded, so that it is retried occasionally and a call always finds a
+target.
 
 A cold target crashes under a rate that warm ones bear, so cold ones are
 chosen only if there are no others.
@@ -17,113 +18,17 @@
 
 import collections
 import collections.abc
-import dataclasses
 import math
 
 from . import balance
+from . import finish_time
+from . import upstream_cost
 
 # Runs of targets that are remembered as leaving; the oldest are forgotten.
 MAX_LEAVING_RUNS = 1024
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LoadAwareSettings:
-    """Settings of the load-aware balancer.
-
-    Costs are in loads: 1.0 is an upstream whose slots are all in use.
-
-    Args:
-        idle_load_cost: Cost of an idle upstream; keeps latency alone from
-            deciding between idle upstreams.
-        ewma_weight: Weight of the newest call in moving averages.
-        failure_cost_factor: Cost factor of an upstream that always fails
-            while the others never do.
-        max_latency_factor: Upper bound on the cost factor of a slow
-            upstream.
-        slow_start_cost_factor: Cost factor of an upstream that has just
-            joined.
-        slow_start_s: Seconds for which that factor applies.
-        stall_s: Seconds without a response, with calls outstanding, after
-            which an upstream is avoided.
-        unreachable_s: Seconds for which an unreachable upstream is avoided
-            at first; doubles with each consecutive failure to reach it.
-        max_unreachable_s: Upper bound on that time in seconds.
-        load_decay_s: Time constant in seconds with which a reported load
-            loses weight.
-        failure_decay_s: Time constant in seconds with which a failure rate
-            decays, so that an upstream that gets no calls is retried.
-        local_max_cost: Cost up to which an upstream in the local data
-            centre is used without comparing it with remote ones.
-        tolerated_failure_excess: Failure rate above the mean of the others
-            up to which such a local upstream is used; needed because an
-            idle upstream costs little even if it fails.
-        remote_cost_factor: Cost factor of an upstream in another data
-            centre.
-        tight_deadline_ratio: A deadline is tight if the remaining time is
-            below this multiple of the expected latency; one call in fifty
-            takes four times the expected latency.
-        tight_deadline_idle_cost: Replaces idle_load_cost for calls with a
-            tight deadline; at 1.0, latency decides until the slots are
-            full.
-        tight_deadline_max_load: Load up to which an upstream is chosen for
-            its latency; above it, all nodes would add load to it at once.
-    """
-
-    idle_load_cost: float = 0.25
-    ewma_weight: float = 0.1
-    failure_cost_factor: float = 8.0
-    max_latency_factor: float = 8.0
-    slow_start_cost_factor: float = 2.0
-    slow_start_s: float = 3.0
-    stall_s: float = 0.4
-    unreachable_s: float = 0.5
-    max_unreachable_s: float = 4.0
-    load_decay_s: float = 1.0
-    failure_decay_s: float = 10.0
-    local_max_cost: float = 1.2
-    tolerated_failure_excess: float = 0.1
-    remote_cost_factor: float = 1.4
-    tight_deadline_ratio: float = 4.0
-    tight_deadline_idle_cost: float = 1.0
-    tight_deadline_max_load: float = 0.7
-
-
-@dataclasses.dataclass(slots=True)
-class _State:
-    upstream: balance.Upstream
-    added_at: float
-    is_local: bool
-    in_flight: int = 0
-    load: float = 0.0
-    reported_at: float = -math.inf
-    sent_since_report: int = 0
-    latency_ratio: float = 1.0
-    failure_rate: float = 0.0
-    failure_reported_at: float = 0.0
-    last_progress_at: float = -math.inf
-    unreachable_count: int = 0
-    unreachable_until: float = -math.inf
-    leaving: bool = False
-    cold_until: float = -math.inf
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _FailureRates:
-    """Failure rates of the upstreams that a call can go to.
-
-    Args:
-        total: Sum of their failure rates, each from 0 to 1.
-        count: Number of these upstreams.
-    """
-
-    total: float
-    count: int
-
-    def compute_excess(self, rate: float) -> float:
-        """Return how far a rate is above the mean rate of the others."""
-        if self.count < 2:
-            return 0.0
-        return rate - (self.total - rate) / (self.count - 1)
+LoadAwareSettings = upstream_cost.LoadAwareSettings
 
 
 class LoadAwareBalancer:
@@ -140,9 +45,11 @@
         self, settings: LoadAwareSettings, *, data_centre: str
     ) -> None:
         self._settings = settings
+        self._costs = upstream_cost.CostModel(settings)
         self._data_centre = data_centre
-        self._services: dict[str, list[_State]] = {}
-        self._states: dict[str, _State] = {}
+        self._services: dict[str, list[upstream_cost.State]] = {}
+        self._states: dict[str, upstream_cost.State] = {}
+        self._route_means = finish_time.RouteMeans()
         self._route_latency_s: dict[tuple[str, str], float] = {}
         self._leaving_runs: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
@@ -244,13 +151,17 @@
             warm = [state for state in states if state.cold_until <= now]
             states = warm or states
         rates = [
-            self._estimate_failure_rate(state, now)
+            self._costs.estimate_failure_rate(state, now)
             for state in states
             if state.failure_rate
         ]
-        failure_rates = _FailureRates(sum(rates), len(states))
+        failure_rates = upstream_cost.FailureRates(sum(rates), len(states))
         chosen = self._choose_local_first(
-            states, random_pair, failure_rates, now
+            states,
+            random_pair,
+            failure_rates,
+            now,
+            self._route_means.find(service, route),
         )
         if chosen is None:
             return None
@@ -260,17 +171,19 @@
 
     def _choose_local_first(
         self,
-        states: list[_State],
+        states: list[upstream_cost.State],
         random_pair: tuple[float, float],
-        failure_rates: _FailureRates,
+        failure_rates: upstream_cost.FailureRates,
         now: float,
-    ) -> _State | None:
+        mean_s: float | None,
+    ) -> upstream_cost.State | None:
         """Prefer a local upstream unless a remote one costs less."""
         local = [state for state in states if state.is_local]
-        best = self._choose_of_two(local, random_pair, failure_rates, now)
-        cost = math.inf
+        best = self._choose_of_two(
+            local, random_pair, failure_rates, now, mean_s
+        )
         if best is not None:
-            cost = self._compute_cost(best, failure_rates, now)
+            cost = self._costs.compute_cost(best, failure_rates, now)
             has_excess_failures = self._has_excess_failures(
                 best, failure_rates, now
             )
@@ -280,40 +193,50 @@
             ):
                 return best
         remote = [state for state in states if not state.is_local]
-        other = self._choose_of_two(remote, random_pair, failure_rates, now)
-        if other is None:
-            return best
+        other = self._choose_of_two(
+            remote, random_pair, failure_rates, now, mean_s
+        )
+        if other is None or best is None:
+            return other or best
+        cost, remote_cost = self._costs.compute_costs(
+            (best, other), failure_rates, now, mean_s
+        )
         remote_cost_factor = self._settings.remote_cost_factor
-        remote_cost = self._compute_cost(other, failure_rates, now)
         return other if remote_cost * remote_cost_factor < cost else best
 
     def _choose_fastest(
-        self, states: list[_State], failure_rates: _FailureRates, now: float
-    ) -> _State | None:
+        self,
+        states: list[upstream_cost.State],
+        failure_rates: upstream_cost.FailureRates,
+        now: float,
+    ) -> upstream_cost.State | None:
         """Return the upstream with the lowest latency, unless it is loaded."""
         tight_deadline_idle_cost = self._settings.tight_deadline_idle_cost
         fastest = min(
             states,
-            key=lambda state: self._compute_cost(
+            key=lambda state: self._costs.compute_cost(
                 state, failure_rates, now, tight_deadline_idle_cost
             ),
         )
         has_room = (
-            self._estimate_load(fastest, now)
+            self._costs.estimate_load(fastest, now)
             < self._settings.tight_deadline_max_load
         )
         return fastest if has_room else None
 
     def _has_excess_failures(
-        self, state: _State, failure_rates: _FailureRates, now: float
+        self,
+        state: upstream_cost.State,
+        failure_rates: upstream_cost.FailureRates,
+        now: float,
     ) -> bool:
         excess = failure_rates.compute_excess(
-            self._estimate_failure_rate(state, now)
+            self._costs.estimate_failure_rate(state, now)
         )
         return excess > self._settings.tolerated_failure_excess
 
     def _has_tight_deadline(
-        self, state: _State, route: str, remaining_s: float
+        self, state: upstream_cost.State, route: str, remaining_s: float
     ) -> bool:
         mean_s = self._route_latency_s.get((state.upstream.service, route))
         if mean_s is None:
@@ -346,6 +269,7 @@
         load: float | None,
         failure_rate: float | None,
         cold_s: float | None = None,
+        times: finish_time.Times | None = None,
     ) -> None:
         """Record the outcome of a call.
 
@@ -362,6 +286,8 @@
                 a report.
             cold_s: Seconds for which the upstream says that its target
                 remains cold, 0 if it is not; None without a report.
+            times: What the upstream expects of another call of the route;
+                None if it does not tell.
         """
         state = self._states.get(node_id)
         if state is None:
@@ -375,6 +301,7 @@
             state.load = load
             state.reported_at = now
             state.sent_since_report = 0
+            state.report = self._build_report(state, route, times, now)
         if failure_rate is not None:
             state.failure_rate = failure_rate
             state.failure_reported_at = now
@@ -439,11 +366,12 @@
 
     def _choose_of_two(
         self,
-        states: list[_State],
+        states: list[upstream_cost.State],
         random_pair: tuple[float, float],
-        failure_rates: _FailureRates,
+        failure_rates: upstream_cost.FailureRates,
         now: float,
-    ) -> _State | None:
+        mean_s: float | None,
+    ) -> upstream_cost.State | None:
         """Return the cheaper of two randomly chosen upstreams."""
         if len(states) < 2:
             return states[0] if states else None
@@ -451,18 +379,17 @@
         second = int(random_pair[1] * (len(states) - 1))
         if second >= first:
             second += 1
-        return min(
-            (states[first], states[second]),
-            key=lambda state: self._compute_cost(state, failure_rates, now),
-        )
+        pair = (states[first], states[second])
+        costs = self._costs.compute_costs(pair, failure_rates, now, mean_s)
+        return pair[0] if costs[0] <= costs[1] else pair[1]
 
     def _keep_state(
         self, upstream: balance.Upstream, added_at: float
-    ) -> _State:
+    ) -> upstream_cost.State:
         state = self._states.get(upstream.node_id)
         if state is None or state.upstream != upstream:
             is_local = upstream.data_centre == self._data_centre
-            state = _State(upstream, added_at, is_local)
+            state = upstream_cost.State(upstream, added_at, is_local)
             self._states[upstream.node_id] = state
             self._set_cold(state, upstream.cold_until)
         elif state.upstream.cold_until != upstream.cold_until:
@@ -471,56 +398,30 @@
         state.leaving = upstream.run_id in self._leaving_runs
         return state
 
-    def _set_cold(self, state: _State, until: float) -> None:
+    def _set_cold(self, state: upstream_cost.State, until: float) -> None:
         state.cold_until = until
         self._cold_until = max(self._cold_until, until)
 
-    def _compute_cost(
+    def _build_report(
         self,
-        state: _State,
-        failure_rates: _FailureRates,
+        state: upstream_cost.State,
+        route: str,
+        times: finish_time.Times | None,
         now: float,
-        idle_load_cost: float | None = None,
-    ) -> float:
-        settings = self._settings
-        if idle_load_cost is None:
-            idle_load_cost = settings.idle_load_cost
-        load = self._estimate_load(state, now)
-        cost = (idle_load_cost + load) * state.latency_ratio
-        failures = self._estimate_failure_rate(state, now)
-        excess = max(0.0, failure_rates.compute_excess(failures))
-        cost *= 1.0 + (settings.failure_cost_factor - 1.0) * excess
-        if now - state.added_at < settings.slow_start_s:
-            cost *= settings.slow_start_cost_factor
-        is_stalled = (
-            state.in_flight > 0
-            and now - state.last_progress_at > settings.stall_s
-        )
-        return cost * settings.max_latency_factor if is_stalled else cost
+    ) -> finish_time.Report:
+        if times is None:
+            return finish_time.NO_REPORT
+        service = state.upstream.service
+        return self._route_means.record(service, route, times, now)
 
-    def _estimate_load(self, state: _State, now: float) -> float:
-        age_s = max(0.0, now - state.reported_at)
-        report_weight = math.exp(-age_s / self._settings.load_decay_s)
-        slots = max(1, state.upstream.slots)
-        load = state.load * report_weight + state.sent_since_report / slots
-        return max(load, state.in_flight / slots)
-
-    def _count_failure(self, state: _State, now: float) -> None:
+    def _count_failure(self, state: upstream_cost.State, now: float) -> None:
         """Count a failed call for which the upstream reported no rate."""
-        rate = self._estimate_failure_rate(state, now)
+        rate = self._costs.estimate_failure_rate(state, now)
         state.failure_rate = rate + self._settings.ewma_weight * (1.0 - rate)
         state.failure_reported_at = now
 
-    def _estimate_failure_rate(self, state: _State, now: float) -> float:
-        if not state.failure_rate:
-            return 0.0
-        age_s = max(0.0, now - state.failure_reported_at)
-        return state.failure_rate * math.exp(
-            -age_s / self._settings.failure_decay_s
-        )
-
     def _record_latency(
-        self, state: _State, route: str, latency_s: float
+        self, state: upstream_cost.State, route: str, latency_s: float
     ) -> None:
         """Compare a latency with the mean of its route over all upstreams."""
         ewma_weight = self._settings.ewma_weight
--- a/tests/filters/test_forward.py
+++ b/tests/filters/test_forward.py
@@ -4,6 +4,8 @@
 import random
 import unittest
 
+import msgspec
+
 from eelgrasswalk import verdict
 from eelgrasswalk.controllers import directory
 from eelgrasswalk.document import model
@@ -15,6 +17,7 @@
 from eelgrasswalk.policy import root_share
 from eelgrasswalk.policy import running_calls
 from eelgrasswalk.policy.placement import balance
+from eelgrasswalk.policy.placement import finish_time
 from eelgrasswalk.policy.placement import spread
 from eelgrasswalk.transport import budget
 from eelgrasswalk.transport import dialler
@@ -34,10 +37,15 @@
 
 
 class FakeTransmitter(transmit.Transmitter):
-    """Transmitter that returns the given replies in order."""
+    """Transmitter that returns the given replies in order.
+
+    Attributes:
+        replies_by_node: Replies of some nodes, instead of those.
+    """
 
     def __init__(self, *replies: dialler.Reply) -> None:
         self.replies = list(replies)
+        self.replies_by_node: dict[str, dialler.Reply] = {}
         self.sent_to: list[str] = []
         self.may_wait: list[bool] = []
         self.contexts: list[frames.Context] = []
@@ -57,7 +65,8 @@
         self.contexts.append(call.context)
         self.notices.append(call.notice)
         self.histories.append(call.history)
-        return self.replies.pop(0)
+        reply = self.replies_by_node.get(node_id)
+        return self.replies.pop(0) if reply is None else reply
 
 
 def build_reply(
@@ -144,6 +153,29 @@
         )
         self.assertEqual(POSSIBLE_RUN, await forwarder.send(build_call()))
 
+    async def test_reported_times_decide_and_are_kept_for_the_log(
+        self,
+    ) -> None:
+        """Feedback that the balancer never sees would place nothing."""
+        feedback = frames.Feedback(255, 1.0, 0.0, 0, load=0.5)
+        quick, slow = (
+            dialler.Reply(
+                ANSWER,
+                msgspec.structs.replace(
+                    feedback, wait_s=0.01, service_s=service_s
+                ),
+            )
+            for service_s in (0.1, 1.0)
+        )
+        forwarder = self.build(*[quick] * 200)
+        self.transmitter.replies_by_node['n1'] = slow
+        call = build_call()
+        for _ in range(60):
+            call = build_call()
+            await forwarder.send(call)
+        self.assertNotIn('n1', self.transmitter.sent_to[-30:])
+        self.assertEqual(finish_time.Times(0.01, 0.1), call.attempts[-1].times)
+
     async def test_target_that_refuses_as_it_is_cold_gets_no_next_call(
         self,
     ) -> None:
