--- a/src/eelgrasswalk/policy/placement/finish_time.py
+++ b/src/eelgrasswalk/policy/placement/finish_time.py
@@ -12,6 +12,11 @@
 MAX_REPORT_AGE_S = 1.0
 # The mean of a route covers about this many reports of all upstreams.
 MEAN_REPORTS = 40
+# Part of the service time that counts at an idle target; the rest grows with
+# the load. Without the load, callers whose reports are a little old fill the
+# fastest targets, and calls that find no free slot there are sent again: in
+# the replay the median rose by 3 to 12% on uneven targets.
+IDLE_SERVICE_RATIO = 0.5
 # Bounds the memory, as configuration changes add and remove routes.
 MAX_ROUTES = 4096
 
@@ -49,19 +54,29 @@
         return now - self.reported_at <= MAX_REPORT_AGE_S
 
     def estimate(
-        self, mean_s: float, now: float, *, sent: int, slots: int
+        self,
+        mean_s: float,
+        now: float,
+        *,
+        sent: int,
+        slots: int,
+        load: float,
     ) -> float:
-        """Return the seconds until a call sent now would end.
+        """Return the cost of a call sent now, in seconds until its end.
 
         Args:
             mean_s: Mean service time of its route over all upstreams.
             now: Monotonic time in seconds.
             sent: Calls that this node has sent since the report.
             slots: Calls that the target runs concurrently.
+            load: Estimated load of the target; the service time counts in
+                full at 1.0, where all slots are in use.
         """
         service_s = mean_s * self.slowness
         wait_s = max(0.0, self.wait_s - max(0.0, now - self.reported_at))
-        return wait_s + sent * service_s / max(1, slots) + service_s
+        wait_s += sent * service_s / max(1, slots)
+        load_ratio = (1.0 - IDLE_SERVICE_RATIO) * load
+        return wait_s + service_s * (IDLE_SERVICE_RATIO + load_ratio)
 
 
 NO_REPORT = Report()
--- a/src/eelgrasswalk/policy/placement/upstream_cost.py
+++ b/src/eelgrasswalk/policy/placement/upstream_cost.py
@@ -151,6 +151,7 @@
                     now,
                     sent=state.sent_since_report,
                     slots=state.upstream.slots,
+                    load=self.estimate_load(state, now),
                 ),
                 state,
                 failure_rates,
--- a/tests/policy/placement/test_finish_time.py
+++ b/tests/policy/placement/test_finish_time.py
@@ -14,9 +14,11 @@
 
 
 class ReportTest(unittest.TestCase):
-    def estimate(self, *, now: float = NOW, sent: int = 0) -> float:
+    def estimate(
+        self, *, now: float = NOW, sent: int = 0, load: float = 1.0
+    ) -> float:
         report = finish_time.Report(0.3, 1.5, NOW)
-        return report.estimate(0.1, now, sent=sent, slots=2)
+        return report.estimate(0.1, now, sent=sent, slots=2, load=load)
 
     def test_call_ends_after_its_wait_and_its_service(self) -> None:
         self.assertAlmostEqual(0.45, self.estimate())
@@ -31,6 +33,12 @@
     def test_calls_since_the_report_wait_before_it(self) -> None:
         self.assertAlmostEqual(0.45 + 3 * 0.075, self.estimate(sent=3))
 
+    def test_target_with_free_slots_costs_less(self) -> None:
+        """Otherwise all callers fill the fastest target at once."""
+        costs = [self.estimate(load=load) for load in (0.0, 0.5, 1.0)]
+        self.assertEqual(sorted(costs), costs)
+        self.assertLess(costs[0], costs[-1])
+
     def test_report_is_used_for_a_second(self) -> None:
         report = finish_time.Report(0.0, 1.0, NOW)
         self.assertTrue(report.is_new(NOW + 1.0))
@@ -163,6 +171,7 @@
         """One report must not draw all calls until the next one."""
         self.report('n0', (0.0, 0.1))
         self.report('n1', (0.0, 0.105))
+        self.assertEqual({'n0'}, self.choose())
         for _ in range(2):
             self.spread.start('n0', NOW)
         self.assertEqual({'n1'}, self.choose())
