--- a/src/eelgrasswalk/sidecar/node.py
+++ b/src/eelgrasswalk/sidecar/node.py
@@ -409,7 +409,13 @@
                     self.call_path.dialler.count_links(),
                 ),
             }
-            gauges |= _read_load_gauges(self.call_path.gate.loads)
+            loads = self.call_path.gate.loads
+            gauges |= _read_load_gauges(loads)
+            if loads.find_slowdown() is not None:
+                gauges['eelgrasswalk_target_expected_wait_seconds'] = (
+                    'Time until a call offered now is expected to start',
+                    policy.estimate_start(time.monotonic()),
+                )
         return gauges
 
     def _read_counters(self) -> metrics_page.Gauges:
--- a/tests/integration/test_load_reports.py
+++ b/tests/integration/test_load_reports.py
@@ -43,6 +43,7 @@
             '\neelgrasswalk_target_reported_running 1.0\n',
             '\neelgrasswalk_target_reported_waiting 2.0\n',
             '\neelgrasswalk_target_reported_slowdown 1.5\n',
+            '\neelgrasswalk_target_expected_wait_seconds 0.0\n',
         )
 
         async def is_shown() -> bool:
@@ -52,6 +53,11 @@
 
         await self.wait_for(is_shown)
 
+    async def test_no_wait_is_shown_without_a_slowdown(self) -> None:
+        """It would suggest that calls are placed by it."""
+        page = await self.read_metrics(b'1,2,4')
+        self.assertNotIn('expected_wait_seconds', page)
+
     async def test_metrics_count_malformed_reports(self) -> None:
         page = await self.read_metrics(b'many')
         self.assertIn(
