--- a/src/eelgrasswalk/cli/placement.py
+++ b/src/eelgrasswalk/cli/placement.py
@@ -226,7 +226,8 @@
             'REPORTED',
             'IN FLIGHT',
         )
-        head += ('LATENCY', 'FAILURES', 'COLD', 'UNREACHABLE', 'LEFT OUT')
+        head += ('LATENCY', 'WAIT', 'SLOWNESS', 'FAILURES', 'COLD')
+        head += ('UNREACHABLE', 'LEFT OUT')
         for line in nodes.format_table([head, *rows]):
             yield f'  {line}'
     for item in data['absent']:
@@ -262,6 +263,8 @@
                 'load',
                 'in_flight',
                 'latency_ratio',
+                'wait_s',
+                'slowness',
                 'failure_rate',
                 'cold_left_s',
                 'unreachable_left_s',
--- a/src/eelgrasswalk/policy/placement/candidates.py
+++ b/src/eelgrasswalk/policy/placement/candidates.py
@@ -49,6 +49,9 @@
         estimated_load: That load after decay, with the calls sent since.
         in_flight: Calls of the asked node that it has not answered.
         sent_since_report: Calls sent to it since it reported its load.
+        wait_s: Time until a call starts there, as it last reported.
+        slowness: Its reported service time as a multiple of the mean of all
+            upstreams.
         latency_ratio: Its latency relative to the mean of all upstreams.
         failure_rate: Share of calls, 0 to 1, that it last reported as failed.
         cold_left_s: Seconds for which its target is taken for cold.
@@ -69,6 +72,8 @@
     estimated_load: Figure
     in_flight: Figure
     sent_since_report: Figure
+    wait_s: Figure
+    slowness: Figure
     latency_ratio: Figure
     failure_rate: Figure
     cold_left_s: Figure
--- a/src/eelgrasswalk/policy/placement/description.py
+++ b/src/eelgrasswalk/policy/placement/description.py
@@ -4,42 +4,10 @@
 import collections.abc
 import heapq
 import math
-import typing
 
-from . import balance
 from . import candidates
 from . import spread
-
-
-class State(typing.Protocol):
-    """What the balancer keeps of an upstream, to be read only."""
-
-    @property
-    def upstream(self) -> balance.Upstream: ...
-    @property
-    def is_local(self) -> bool: ...
-    @property
-    def in_flight(self) -> int: ...
-    @property
-    def load(self) -> float: ...
-    @property
-    def reported_at(self) -> float: ...
-    @property
-    def sent_since_report(self) -> int: ...
-    @property
-    def latency_ratio(self) -> float: ...
-    @property
-    def failure_rate(self) -> float: ...
-    @property
-    def failure_reported_at(self) -> float: ...
-    @property
-    def last_progress_at(self) -> float: ...
-    @property
-    def unreachable_until(self) -> float: ...
-    @property
-    def leaving(self) -> bool: ...
-    @property
-    def cold_until(self) -> float: ...
+from . import upstream_cost
 
 
 def describe(
@@ -115,7 +83,7 @@
 
 
 def _find_exclusions(
-    states: collections.abc.Sequence[State],
+    states: collections.abc.Sequence[upstream_cost.State],
     now: float,
     data_centres: collections.abc.Set[str] | None,
 ) -> list[candidates.Exclusion | None]:
@@ -150,7 +118,7 @@
 
 
 def _describe_one(
-    state: State,
+    state: upstream_cost.State,
     cost_and_load: tuple[float, float],
     exclusion: candidates.Exclusion | None,
     now: float,
@@ -164,6 +132,10 @@
     if state.reported_at > -math.inf:
         report_age_s = max(0.0, now - state.reported_at)
         load = state.load
+    report = state.report
+    times_age_s = None
+    if report.reported_at > -math.inf:
+        times_age_s = max(0.0, now - report.reported_at)
     failure_age_s = None
     if state.failure_rate or state.failure_reported_at:
         failure_age_s = max(0.0, now - state.failure_reported_at)
@@ -178,6 +150,12 @@
         estimated_load=candidates.Figure(estimated_load, report_age_s),
         in_flight=candidates.Figure(state.in_flight, 0.0),
         sent_since_report=candidates.Figure(state.sent_since_report, 0.0),
+        wait_s=candidates.Figure(
+            None if times_age_s is None else report.wait_s, times_age_s
+        ),
+        slowness=candidates.Figure(
+            None if times_age_s is None else report.slowness, times_age_s
+        ),
         latency_ratio=candidates.Figure(state.latency_ratio),
         failure_rate=candidates.Figure(
             None if failure_age_s is None else state.failure_rate,
--- a/src/eelgrasswalk/policy/placement/explanation.py
+++ b/src/eelgrasswalk/policy/placement/explanation.py
@@ -13,6 +13,7 @@
 
 from .. import call_rules
 from . import candidates
+from . import finish_time
 
 # Candidates that an answer lists in all; a split route shares them out.
 MAX_CANDIDATES = 32
@@ -392,5 +393,7 @@
         return f'the only {place} candidate is taken'
     return (
         f'{COMPARED} of {count} {place} candidates are drawn at random and '
-        'the one with the lower cost is taken'
+        'the one with the lower cost is taken, or the one with the earlier '
+        'expected finish if both have reported their times within '
+        f'{finish_time.MAX_REPORT_AGE_S:g} s'
     )
--- a/tests/policy/placement/test_explanation.py
+++ b/tests/policy/placement/test_explanation.py
@@ -53,7 +53,11 @@
 
 
 def read_state(balancer: spread.LoadAwareBalancer) -> object:
-    return copy.deepcopy(vars(balancer))
+    state = dict(vars(balancer))
+    # Parts that are compared by identity are replaced by what they hold.
+    state['_costs'] = vars(state['_costs'])
+    state['_route_means'] = vars(state['_route_means'])
+    return copy.deepcopy(state)
 
 
 def explain(
--- a/tests/sidecar/test_placement.py
+++ b/tests/sidecar/test_placement.py
@@ -139,7 +139,13 @@
     def read_state(self) -> object:
         owned = vars(self.quotas)['_owned']
         return (
-            copy.deepcopy(vars(self.balancer)),
+            copy.deepcopy(
+                vars(self.balancer)
+                | {
+                    '_costs': vars(vars(self.balancer)['_costs']),
+                    '_route_means': vars(vars(self.balancer)['_route_means']),
+                }
+            ),
             copy.deepcopy(vars(self.homes)),
             copy.deepcopy(vars(self.choice)),
             {
