Free the slot of a call that is started as its caller leaves

A call that waits may be started between the cancellation of its task and the moment the task runs again. Its future is cancelled by then, so nobody learned of the start, and the slot stayed taken for the life of the process. A crowd whose connections were closed at once left a target of 8 slots with 8 running calls, and every later request was refused as overload. The test shows it with one slot; it fails without the change.

--- a/src/eelgrasswalk/filters/admit.py
+++ b/src/eelgrasswalk/filters/admit.py
@@ -181,6 +181,9 @@
             else:
                 now = self._clock()
                 self._apply_actions(self.policy.cancel(call_id, now))
+                # The call may have been started since its caller left, before
+                # this task ran again; otherwise this is without effect.
+                self.finish(call_id, ok=False)
             raise
         return self._build_result(action)
 
