Bound what clients make a node hold, and close the costliest connections

Clients that send unfinished heads and bodies, requests of many header lines, or read answers slowly filled the memory of a node; connections had no bound. One account per process now counts connections, heads with a cost for each line, requests and unread answers, beside the budget of bodies. When it is full, policy/client_load.py chooses what to close: what holds most for longest. After that, new connections and requests are refused.

--- a/src/eelgrasswalk/events.py
+++ b/src/eelgrasswalk/events.py
@@ -51,6 +51,13 @@
     'settings cannot be used; the old ones hold',
     'mend the field that the record names',
 )
+CLIENTS_SHED = Event(
+    1007,
+    logging.WARNING,
+    'clients hold too much; connections were closed or refused',
+    'look for clients that send unfinished requests or read slowly; if they '
+    'are wanted, raise limits.memory_mb or limits.max_fds',
+)
 DRAIN_TIMED_OUT = Event(
     1004,
     logging.WARNING,
--- a/src/eelgrasswalk/platform/process_settings.py
+++ b/src/eelgrasswalk/platform/process_settings.py
@@ -4,6 +4,7 @@
 import math
 import os
 import pathlib
+import resource
 import typing
 
 from .. import address
@@ -12,6 +13,8 @@
 FILE_VARIABLE = 'EELGRASSWALK_NODE_FILE'
 _MS_PER_S = 1000.0
 _MEMORY_MB = 256
+# Stands for no limit; the memory bounds the connections then.
+_UNLIMITED_FDS = 1_048_576
 
 
 class BadSettingsError(Exception):
@@ -80,12 +83,19 @@
         store=address.parse_address(fields['platform']['address']),
         memory_bytes=int(limits.get('memory_mb') or _MEMORY_MB) * 1_000_000,
         bounds=_decode_bounds(bounds),
+        max_fds=int(limits.get('max_fds') or _find_max_fds()),
         bootstrap=fields.get('bootstrap') is True,
         region=str(fields.get('region') or ''),
         regions=_decode_zones(fields.get('zones')),
     )
 
 
+def _find_max_fds() -> int:
+    """Return how many descriptors the system lets the process open."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return _UNLIMITED_FDS if limit == resource.RLIM_INFINITY else limit
+
+
 def _decode_zones(value: typing.Any) -> dict[str, str]:
     """Return the region of each zone."""
     if value is None:
--- a/src/eelgrasswalk/sidecar/node.py
+++ b/src/eelgrasswalk/sidecar/node.py
@@ -39,10 +39,13 @@
 QUARANTINE_WAIT_S = 1.0
 # The same for the rules, which tell whether the data centre is evacuated.
 RULES_WAIT_S = 1.0
+# Connections of the platform, the target and operators that are accepted
+# although callers use up the descriptors for clients.
+SPARE_CONNECTIONS = 32
 METRICS_PATH = '/metrics'
 # Settings that can change while the node runs. The others are addresses, the
 # identity of the node, or lengths of windows that have already begun.
-_RELOADABLE = frozenset(('memory_bytes', 'regions'))
+_RELOADABLE = frozenset(('max_fds', 'memory_bytes', 'regions'))
 _RELOADABLE_BOUNDS = frozenset(
     (
         'drain_s',
@@ -109,16 +112,11 @@
             limits=http_server.Limits(headers=MAX_HEADERS),
             bodies=self._control_plane.bodies,
             may_overlap=self._may_overlap,
+            account=self._control_plane.clients,
         )
-        self._readiness = http_server.HttpServer(
-            self._handle_readiness, limits=_CONTROL_LIMITS
-        )
-        self._check_ins = http_server.HttpServer(
-            self._handle_check_in, limits=_CONTROL_LIMITS
-        )
-        self._admin = http_server.HttpServer(
-            self._handle_admin, limits=_CONTROL_LIMITS
-        )
+        self._readiness = self._build_listener(self._handle_readiness)
+        self._check_ins = self._build_listener(self._handle_check_in)
+        self._admin = self._build_listener(self._handle_admin)
         self._listeners = (
             (self._readiness, config.readiness),
             (self._check_ins, config.check_ins),
@@ -131,6 +129,16 @@
         self._join_task: asyncio.Task[None] | None = None
         self._call_path_started = asyncio.Event()
 
+    def _build_listener(
+        self, handler: http_server.Handler
+    ) -> http_server.HttpServer:
+        return http_server.HttpServer(
+            handler,
+            limits=_CONTROL_LIMITS,
+            account=self._control_plane.clients,
+            spare_connections=SPARE_CONNECTIONS,
+        )
+
     async def start(self) -> None:
         """Start the listeners, then follow the rules and the other nodes.
 
@@ -373,6 +381,14 @@
                 'Bytes of bodies held',
                 control_plane.bodies.used,
             ),
+            'eelgrasswalk_client_bytes': (
+                'Bytes that clients make the node hold',
+                control_plane.clients.used,
+            ),
+            'eelgrasswalk_client_connections': (
+                'Connections of clients that are open',
+                control_plane.clients.connections,
+            ),
             'eelgrasswalk_quarantined_requests': (
                 'Requests that are refused as they crash their targets',
                 sum(
@@ -413,10 +429,25 @@
         return gauges
 
     def _read_counters(self) -> metrics_page.Gauges:
+        clients = self._control_plane.clients
+        counters: metrics_page.Gauges = {
+            'eelgrasswalk_client_connections_shed': (
+                'Connections closed for what they made the node hold',
+                clients.shed,
+            ),
+            'eelgrasswalk_client_connections_refused': (
+                'New connections refused as clients held too much',
+                clients.refused,
+            ),
+            'eelgrasswalk_client_requests_refused': (
+                'Requests refused as clients held too much',
+                clients.refused_requests,
+            ),
+        }
         if self.call_path is None:
-            return {}
+            return counters
         coldness = self.call_path.gate.coldness
-        return {
+        return counters | {
             'eelgrasswalk_cold_refusals': (
                 'Calls refused because the target is or may be cold',
                 coldness.refused,
--- a/src/eelgrasswalk/sidecar/settings.py
+++ b/src/eelgrasswalk/sidecar/settings.py
@@ -5,6 +5,9 @@
 
 from .. import address
 
+# Descriptors without a setting; the usual limit of a process.
+MAX_FDS = 1_024
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Bounds:
@@ -69,6 +72,7 @@
         store: Address of the platform's row store.
         memory_bytes: Memory limit of the process, in bytes.
         bounds: Limits that the operators require the whole system to keep.
+        max_fds: Descriptors that the process may have open.
         bootstrap: Whether the whole mesh starts for the first time.
         region: Region of the node, for the log; empty when not told.
         regions: Region of each data centre.
@@ -87,6 +91,7 @@
     store: address.Address
     memory_bytes: int
     bounds: Bounds
+    max_fds: int = MAX_FDS
     bootstrap: bool = False
     region: str = ''
     regions: dict[str, str] = dataclasses.field(default_factory=dict)
--- a/src/eelgrasswalk/sidecar/wiring.py
+++ b/src/eelgrasswalk/sidecar/wiring.py
@@ -103,6 +103,9 @@
     control_plane.bodies.limit = int(
         control_plane.config.memory_bytes * wiring_control.BODY_MEMORY_SHARE
     )
+    control_plane.clients.bounds = wiring_control.build_client_bounds(
+        control_plane.config
+    )
     control_plane.homes.set_regions(control_plane.config.regions)
     if call_path is not None:
         call_path.gate.drain_s = bounds.drain_s
--- a/src/eelgrasswalk/sidecar/wiring_control.py
+++ b/src/eelgrasswalk/sidecar/wiring_control.py
@@ -17,12 +17,14 @@
 from ..controllers import roster as roster_keeper
 from ..controllers import rules
 from ..policy import call_rules
+from ..policy import client_load
 from ..policy import freshness
 from ..policy import quarantine
 from ..policy import roster
 from ..policy.placement import homes
 from ..policy.placement import spread
 from ..transport import budget
+from ..transport import client_account
 from . import policy_settings
 from . import settings
 
@@ -42,6 +44,14 @@
 # because the store's feed may hide a change for 1 s and its answer takes time.
 FRESHNESS_MARGIN_S = 1.25
 BODY_MEMORY_SHARE = 0.3
+# What clients may make the process hold beside the bodies above. A crowd that
+# reads slowly took twice as much in resident memory as is counted.
+CLIENT_MEMORY_SHARE = 0.2
+# Descriptors that the platform reserves for files, and the part of the others
+# that clients may use; the rest is for targets, links and the store.
+FILE_DESCRIPTORS = 200
+CLIENT_DESCRIPTOR_SHARE = 0.75
+MIN_CLIENT_CONNECTIONS = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,6 +97,7 @@
         relay: Relays changes of the tables between nodes.
         router: Dispatches control messages by topic.
         bodies: Memory budget for request and answer bodies.
+        clients: Account of what clients make the process hold.
         log: Logs and counts outcomes of calls.
     """
 
@@ -109,6 +120,7 @@
     relay: relay.Relay
     router: control_router.ControlRouter
     bodies: budget.ByteBudget
+    clients: client_account.ClientAccount
     log: request_log.RequestLog
 
     def find_service(self) -> call_rules.ServiceRule | None:
@@ -220,6 +232,7 @@
         settle_s=STARTUP_SETTLE_S,
         gather_s=PLACEMENT_DELAY_S,
     )
+    bodies = budget.ByteBudget(int(config.memory_bytes * BODY_MEMORY_SHARE))
     router.register(relay.TOPIC, node_relay.receive)
     router.register(relay.TOPIC_ASK, node_relay.receive_ask)
     node_roster.list_neighbours = node_relay.list_neighbours
@@ -253,11 +266,27 @@
         quarantine_feed=quarantine_feed,
         relay=node_relay,
         router=router,
-        bodies=budget.ByteBudget(int(config.memory_bytes * BODY_MEMORY_SHARE)),
+        bodies=bodies,
+        clients=client_account.ClientAccount(
+            build_client_bounds(config), bodies
+        ),
         log=log,
     )
 
 
+def build_client_bounds(
+    config: settings.SidecarSettings,
+) -> client_load.Bounds:
+    """Return what clients may make the process hold."""
+    descriptors = config.max_fds - FILE_DESCRIPTORS
+    return client_load.Bounds(
+        held_bytes=int(config.memory_bytes * CLIENT_MEMORY_SHARE),
+        connections=max(
+            MIN_CLIENT_CONNECTIONS, int(descriptors * CLIENT_DESCRIPTOR_SHARE)
+        ),
+    )
+
+
 def _build_entry(config: settings.SidecarSettings) -> roster.Entry:
     return roster.Entry(
         node_id=config.node_id,
--- a/src/eelgrasswalk/transport/http_server.py
+++ b/src/eelgrasswalk/transport/http_server.py
@@ -4,6 +4,7 @@
 
 from .. import verdict
 from . import budget
+from . import client_account
 from . import message
 from . import pacing
 from . import response_order
@@ -24,6 +25,9 @@
         bodies: Budget for bodies of requests; None for no bound.
         may_overlap: Tells whether a request may run at the same time as
             others of its connection. By default none may.
+        account: Counts what clients hold; None for no bound.
+        spare_connections: Connections beyond the limit of the account that
+            this listener may have.
     """
 
     def __init__(
@@ -33,10 +37,14 @@
         limits: Limits,
         bodies: budget.ByteBudget | None = None,
         may_overlap: response_order.MayOverlap | None = None,
+        account: client_account.ClientAccount | None = None,
+        spare_connections: int = 0,
     ) -> None:
         self.handler = handler
         self.may_overlap = may_overlap or _never_overlap
         self.bodies = bodies
+        self.account = account
+        self.spare_connections = spare_connections
         self.turns = pacing.Turns()
         self.limits = limits
         self.leaving = False
--- a/src/eelgrasswalk/transport/pacing.py
+++ b/src/eelgrasswalk/transport/pacing.py
@@ -80,6 +80,8 @@
     Attributes:
         parts: Counts the calls of the parser; increased by its callbacks.
         is_blocked: Whether the owner has no room for more.
+        is_discarding: Whether the owner drops what it is fed, which takes no
+            time, so that nothing has to wait.
     """
 
     def __init__(
@@ -87,6 +89,7 @@
     ) -> None:
         self.parts = 0
         self.is_blocked = False
+        self.is_discarding = False
         self._turns = turns
         self._feed = feed
         self._memory = memory
@@ -96,6 +99,11 @@
         self._paused: asyncio.Transport | None = None
         self._has_turn = False
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that wait, as far as they are counted."""
+        return self._reserved
+
     @property
     def is_paused(self) -> bool:
         """Whether reading is paused."""
@@ -175,6 +183,15 @@
         self._release()
         self._paused = None
 
+    def close(self) -> None:
+        """Drop what waits and the owner, as the connection has ended.
+
+        Otherwise the two would refer to each other, and take memory until the
+        garbage collector runs.
+        """
+        self.drop()
+        self._feed = _ignore
+
     def _release(self) -> None:
         self._held.clear()
         if self._memory is not None and self._reserved:
@@ -199,10 +216,18 @@
     def _feed_some(self, rest: memoryview) -> memoryview:
         """Feed bytes until there were too many parts; return the others."""
         last = self.parts + MAX_PARTS_PER_TURN
-        while rest and self.parts < last and not self.is_blocked:
+        while (
+            rest
+            and (self.parts < last or self.is_discarding)
+            and not self.is_blocked
+        ):
             before = self.parts
             self._feed(rest[: self._step])
             rest = rest[self._step :]
             is_small = self.parts - before >= MANY_PARTS
             self._step = SMALL_STEP_BYTES if is_small else STEP_BYTES
         return rest
+
+
+def _ignore(data: memoryview) -> None:
+    """Take bytes that come after the end of a connection."""
--- a/src/eelgrasswalk/transport/request_reader.py
+++ b/src/eelgrasswalk/transport/request_reader.py
@@ -8,8 +8,10 @@
 import httptools
 
 from .. import verdict
+from ..policy import client_load
 from . import body_buffer
 from . import budget
+from . import client_account
 from . import message
 from . import pacing
 from . import problem
@@ -54,6 +56,7 @@
     may_overlap: response_order.MayOverlap
     limits: Limits
     bodies: budget.ByteBudget | None
+    account: client_account.ClientAccount | None
     turns: pacing.Turns
     leaving: bool
     draining: bool
@@ -72,7 +75,11 @@
     ) -> None:
         self._server = server
         self._loop = loop
-        self._parser = httptools.HttpRequestParser(self)
+        # None once nothing is read any more: it holds the head that it was
+        # reading, and refers to the connection.
+        self._parser: httptools.HttpRequestParser | None = (
+            httptools.HttpRequestParser(self)
+        )
         self._paced = pacing.PacedFeed(
             server.turns, self._parse, server.bodies
         )
@@ -96,7 +103,12 @@
 
     @abc.abstractmethod
     def _accept(
-        self, request: message.Request, *, keep_alive: bool, length: int
+        self,
+        request: message.Request,
+        *,
+        keep_alive: bool,
+        length: int,
+        cost: int,
     ) -> None:
         """Take a whole request.
 
@@ -104,6 +116,7 @@
             request: The request.
             keep_alive: Whether more requests may follow.
             length: Number of bytes received of it.
+            cost: Bytes of memory that it takes.
         """
 
     @abc.abstractmethod
@@ -122,7 +135,7 @@
 
     def _parse(self, data: memoryview) -> None:
         self._received += len(data)
-        if self._is_sealed:
+        if self._is_sealed or self._parser is None:
             self._discard()
             return
         try:
@@ -130,6 +143,10 @@
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
             if isinstance(cause, _Rejected):
+                # The traceback leads to this frame, which refers to the cause:
+                # the two would keep the received bytes until the garbage
+                # collector runs.
+                cause.__traceback__ = None
                 self._reject(cause.response)
             else:
                 raise
@@ -143,6 +160,30 @@
                 )
         else:
             self._check_framing()
+        self._drop_if_sealed()
+
+    def _drop_if_sealed(self) -> None:
+        if self._is_sealed:
+            self._paced.is_discarding = True
+            self._drop_head()
+
+    def _drop_head(self) -> None:
+        """Drop what was read of a head; no more is read."""
+        self._parser = None
+        self._target = b''
+        self._headers = []
+
+    @property
+    def _unfinished_bytes(self) -> int:
+        """Bytes of memory that an unfinished request takes."""
+        if self._is_sealed:
+            return self._paced.held_bytes
+        return (
+            client_load.compute_head_cost(
+                max(0, self._received - self._body_length), len(self._headers)
+            )
+            + self._paced.held_bytes
+        )
 
     # httptools callbacks
 
@@ -165,6 +206,7 @@
 
     def on_headers_complete(self) -> None:
         self._in_headers = False
+        assert self._parser is not None
         if self._parser.should_upgrade():
             raise _Rejected(
                 problem.describe_bad_request('protocol upgrade not offered')
@@ -192,14 +234,23 @@
             raise _Rejected(
                 problem.describe_body_too_large(self._server.limits.body_bytes)
             )
-        if not self._body.append(body):
+        if not self._body.append(body) and not self._append_again(body):
             raise _Rejected(problem.describe_memory_full())
 
+    def _append_again(self, body: bytes) -> bool:
+        """Take a part of a body once other clients' bodies were given up."""
+        if self._server.account is None:
+            return False
+        self._server.account.relieve_bodies()
+        return not self._is_sealed and self._body.append(body)
+
     def _build_request(self) -> message.Request:
+        assert self._parser is not None
+        method = self._parser.get_method().decode('ascii')
         received_at = self._loop.time()
         return self._body.take(
             lambda body: message.Request(
-                method=self._parser.get_method().decode('ascii'),
+                method=method,
                 target=self._target.decode('latin-1'),
                 headers=tuple(self._headers),
                 body=body,
@@ -209,13 +260,23 @@
 
     def on_message_complete(self) -> None:
         self._receiving = False
+        assert self._parser is not None
+        cost = client_load.REQUEST_BYTES + client_load.compute_head_cost(
+            max(0, self._received - self._body_length), len(self._headers)
+        )
+        account = self._server.account
+        if account is not None and not account.admits(cost):
+            raise _Rejected(problem.describe_memory_full())
+        if self._body_length <= budget.UNCOUNTED_BYTES:
+            cost += self._body_length
         request = self._build_request()
         keep_alive = self._parser.should_keep_alive()
         self._is_sealed = not keep_alive
         self._in_headers = True
         length = self._received
         self._received = 0
-        self._accept(request, keep_alive=keep_alive, length=length)
+        self._headers = []
+        self._accept(request, keep_alive=keep_alive, length=length, cost=cost)
 
     def _check_framing(self) -> None:
         """Refuse a request with too much beside its body."""
--- a/src/eelgrasswalk/transport/response_order.py
+++ b/src/eelgrasswalk/transport/response_order.py
@@ -8,6 +8,7 @@
 import typing
 
 from .. import verdict
+from . import budget
 from . import message
 
 # Requests of one connection that may run or await their turn at a time.
@@ -29,6 +30,7 @@
         request: The request; None when it could not be read.
         keep_alive: Whether the connection may be used after it.
         length: Number of bytes of the request.
+        cost: Bytes of memory that the request takes.
         response: The response if no handler has to be asked.
 
     Attributes:
@@ -39,6 +41,8 @@
     """
 
     __slots__ = (
+        'body_bytes',
+        'cost',
         'held_bytes',
         'is_head',
         'is_refusal',
@@ -55,16 +59,19 @@
         *,
         keep_alive: bool,
         length: int = 0,
+        cost: int = 0,
         response: verdict.Response | None = None,
     ) -> None:
         self.request = request
         self.keep_alive = keep_alive
         self.length = length
+        self.cost = cost
         self.response = response
         self.is_head = request is not None and request.method == 'HEAD'
         self.is_refusal = request is None
         self.overlaps: bool | None = None
         self.held_bytes = 0
+        self.body_bytes = 0
 
 
 class ResponseOrder:
@@ -79,11 +86,16 @@
             others. It is asked only when there are others.
 
     Attributes:
+        cost: Bytes of memory that all requests and responses take, without
+            bodies that the budget of bodies counts.
+        body_bytes: Bytes of responses' bodies that it counts.
         held_bytes: Bytes of responses that await their turn.
         is_stopped: Whether no exchange is started any more.
     """
 
     def __init__(self, may_overlap: MayOverlap) -> None:
+        self.cost = 0
+        self.body_bytes = 0
         self.held_bytes = 0
         self.is_stopped = False
         self._may_overlap = may_overlap
@@ -119,6 +131,7 @@
         """
         if self.is_stopped:
             return False
+        self.cost += exchange.cost
         if not self._started:
             self._started.append(exchange)
             return True
@@ -165,10 +178,17 @@
         if exchange.overlaps is not None:
             # Otherwise the next request may still ask whether it overlaps.
             exchange.request = None
+        size = _count_bytes(response)
+        if len(response.body) > budget.UNCOUNTED_BYTES:
+            exchange.body_bytes = len(response.body)
+            self.body_bytes += exchange.body_bytes
+        added = size - exchange.body_bytes
+        exchange.cost += added
+        self.cost += added
         if exchange is self._started[0]:
             return True
-        exchange.held_bytes = _count_bytes(response)
-        self.held_bytes += exchange.held_bytes
+        exchange.held_bytes = size
+        self.held_bytes += size
         return False
 
     def find_ready(self) -> Exchange | None:
@@ -184,6 +204,8 @@
             Whether there are others.
         """
         exchange = self._started.popleft()
+        self.cost -= exchange.cost
+        self.body_bytes -= exchange.body_bytes
         self.held_bytes -= exchange.held_bytes
         return bool(self._started or self._waiting)
 
@@ -200,6 +222,7 @@
     def stop(self) -> None:
         """Drop the exchanges that wait, and start none any more."""
         self.is_stopped = True
+        self.cost -= sum(each.cost for each in self._waiting)
         self._waiting.clear()
         self._waiting_bytes = 0
 
--- a/src/eelgrasswalk/transport/server_connection.py
+++ b/src/eelgrasswalk/transport/server_connection.py
@@ -5,6 +5,7 @@
 import typing
 
 from .. import verdict
+from ..policy import client_load
 from . import message
 from . import problem
 from . import request_reader
@@ -15,6 +16,9 @@
 LINGER_S = 2.0
 # Most that is still read of a request after its refusal was written.
 LINGER_BYTES = 8_388_608
+# A connection with a running request is closed for what it holds only when
+# its caller has read nothing of an earlier answer for so long.
+MIN_BLOCKED_S = 1.0
 
 Handler = request_reader.Handler
 Limits = request_reader.Limits
@@ -24,6 +28,7 @@
     """The listener that a connection belongs to."""
 
     connections: set['ServerConnection']
+    spare_connections: int
 
 
 class ServerConnection(request_reader.RequestReader, asyncio.Protocol):
@@ -52,6 +57,8 @@
         self._is_closed = False
         self._last_activity = self._began_at
         self._blocked_at = 0.0
+        self._answer_began_at = self._began_at
+        self._account = server.account
         self._writable: asyncio.Future[None] | None = None
         self._linger: asyncio.TimerHandle | None = None
         self._finished: asyncio.Future[None] | None = None
@@ -65,6 +72,11 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = typing.cast(asyncio.Transport, transport)
+        if self._account is not None and not self._account.open(
+            self, spare=self._server.spare_connections
+        ):
+            self.shed()
+            return
         self._server.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -73,7 +85,10 @@
         self._order.stop()
         self._server.connections.discard(self)
         self._body.drop()
-        self._paced.drop()
+        self._paced.close()
+        self._drop_head()
+        if self._account is not None:
+            self._account.close(self)
         self.resume_writing()
         if self._linger is not None:
             self._linger.cancel()
@@ -95,14 +110,70 @@
             data, self._transport
         ):
             self._reject(problem.describe_memory_full())
+        self._update_account()
+
+    # client_account.Holder
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that it holds, without those of bodies in the budget."""
+        held = client_load.CONNECTION_BYTES + self._unfinished_bytes
+        held += self._order.cost
+        if self._transport is not None:
+            held += self._transport.get_write_buffer_size()
+        return held
+
+    @property
+    def held_body_bytes(self) -> int:
+        """Bytes that it holds of bodies in the budget."""
+        return len(self._body) + self._order.body_bytes
+
+    def measure_age(self, now: float) -> float | None:
+        """Return for how long the present message has been under way.
+
+        Returns:
+            Seconds; None while a request runs, unless the caller does not
+            read the answer before it.
+        """
+        if self._transport is None or self._is_closed:
+            return None
+        if self._tasks and (
+            self._writable is None or now - self._last_activity < MIN_BLOCKED_S
+        ):
+            return None
+        if self._writable is not None:
+            return now - self._answer_began_at
+        if self._receiving:
+            return now - self._began_at
+        return now - self._last_activity
+
+    def shed(self) -> None:
+        """Close at once and hold nothing any more."""
+        self._is_sealed = True
+        self._is_closed = True
+        self._receiving = False
+        self._body.drop()
+        self._headers = []
+        self._order.stop()
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _update_account(self) -> None:
+        if self._account is not None:
+            self._account.charge(self, self.held_bytes)
 
     # request_reader.RequestReader
 
     def _accept(
-        self, request: message.Request, *, keep_alive: bool, length: int
+        self,
+        request: message.Request,
+        *,
+        keep_alive: bool,
+        length: int,
+        cost: int,
     ) -> None:
         exchange = response_order.Exchange(
-            request, keep_alive=keep_alive, length=length
+            request, keep_alive=keep_alive, length=length, cost=cost
         )
         if self._order.add(exchange):
             self._start(exchange)
@@ -154,7 +225,14 @@
 
     def _start_waiting(self) -> None:
         """Start the requests that may run now."""
-        while (exchange := self._order.start_next()) is not None:
+        while (
+            self._order.in_progress == 0
+            or self._account is None
+            or not self._account.is_full
+        ):
+            exchange = self._order.start_next()
+            if exchange is None:
+                return
             self._start(exchange)
 
     async def _run(self, exchange: response_order.Exchange) -> None:
@@ -175,6 +253,8 @@
             return
         if self._order.respond(exchange, response):
             await self._write_answers(exchange)
+        else:
+            self._update_account()
 
     async def _write_answers(
         self, exchange: response_order.Exchange | None
@@ -188,6 +268,7 @@
                 return
             rest = self._write_head(exchange)
             if rest:
+                self._update_account()
                 await self._write_parts(rest)
             exchange = self._end_exchange(exchange)
         self._is_writing = False
@@ -225,6 +306,7 @@
             The body if it is still to be written.
         """
         response = exchange.response
+        self._answer_began_at = self._loop.time()
         assert response is not None and self._transport is not None
         if self._server.leaving:
             self._order.stop()
@@ -253,6 +335,7 @@
             The next one if it is ready.
         """
         has_more = self._order.end_first()
+        self._update_account()
         if self._transport is None or self._is_closed:
             return None
         self._last_activity = self._loop.time()
--- a/tests/platform/test_process_settings.py
+++ b/tests/platform/test_process_settings.py
@@ -42,6 +42,17 @@
         self.assertEqual(49.0, config.bounds.retry_slack)
         self.assertEqual(5.0, config.bounds.withdraw_s)
 
+    def test_descriptors(self) -> None:
+        config = process_settings.decode_settings(
+            {**FIELDS, 'limits': {'max_fds': 700}}
+        )
+        self.assertEqual(700, config.max_fds)
+        with unittest.mock.patch.object(
+            process_settings.resource, 'getrlimit', return_value=(512, 4096)
+        ):
+            config = process_settings.decode_settings(FIELDS)
+        self.assertEqual(512, config.max_fds)
+
     def test_bound_on_cold_targets(self) -> None:
         config = process_settings.decode_settings(FIELDS)
         self.assertIsNone(config.bounds.cold_overage)
--- a/tests/sidecar/test_reload.py
+++ b/tests/sidecar/test_reload.py
@@ -77,6 +77,14 @@
             self.node._control_plane.bodies.limit,
         )
 
+    def test_bounds_on_clients_apply_at_once(self) -> None:
+        result = self.reload(bounds={}, memory_bytes=50_000_000, max_fds=1_200)
+        self.assertEqual(('max_fds', 'memory_bytes'), result.applied)
+        bounds = self.node._control_plane.clients.bounds
+        self.assertEqual(10_000_000, bounds.held_bytes)
+        # 200 are for files, and a quarter of the others for the node itself.
+        self.assertEqual(750, bounds.connections)
+
     def test_bound_on_cold_targets_applies_at_once(self) -> None:
         service = call_rules.ServiceRule(
             'front', 10, cold_per_s=5.5, cold_start_s=20.0
