Count what a connection holds with less work

Each request took 6 us more than before the account, most of it for a look-up of the connection and for properties. The connection keeps what it has counted itself now, and asks the account only when it holds more than before or a request is large.

--- a/src/eelgrasswalk/transport/client_account.py
+++ b/src/eelgrasswalk/transport/client_account.py
@@ -17,7 +17,14 @@
 
 
 class Holder(typing.Protocol):
-    """A connection in the account."""
+    """A connection in the account.
+
+    Attributes:
+        charged: Bytes of it that the account has counted; the connection adds
+            to both when it holds more or less than before.
+    """
+
+    charged: int
 
     @property
     def held_bytes(self) -> int:
@@ -41,7 +48,7 @@
 class ClientAccount:
     """Counts what clients make a process hold, and closes connections.
 
-    Each connection tells what it holds when that has changed. Connections are
+    Each connection counts what it holds when that has changed. Connections are
     compared only when a limit is exceeded. Bodies, as far as the budget of
     bodies counts them, are compared by themselves.
 
@@ -67,8 +74,8 @@
         self.refused = 0
         self.refused_requests = 0
         self._bodies = bodies
-        # What each connection has told that it holds.
-        self._charges: dict[Holder, int] = {}
+        # A dictionary keeps the order of arrival.
+        self._holders: dict[Holder, None] = {}
         self._scan_after = 0.0
         self._body_scan_after = 0.0
         self._room_scan_after = 0.0
@@ -77,14 +84,14 @@
     @property
     def connections(self) -> int:
         """Number of open connections."""
-        return len(self._charges)
+        return len(self._holders)
 
     @property
     def is_full(self) -> bool:
         """Whether clients hold all that is allowed."""
         return (
             self.used > self.bounds.held_bytes
-            and len(self._charges) >= client_load.MIN_CROWD
+            and len(self._holders) >= client_load.MIN_CROWD
         )
 
     def open(self, holder: Holder, *, spare: int) -> bool:
@@ -98,39 +105,39 @@
             Whether there is room for it.
         """
         excess = client_load.compute_excess(
-            len(self._charges) + 1, self.bounds.connections
+            len(self._holders) + 1, self.bounds.connections
         )
         if excess:
             self._close_some(excess_connections=excess)
         # The platform and the target still reach the node when it is full.
-        if len(self._charges) >= self.bounds.connections + spare or (
+        if len(self._holders) >= self.bounds.connections + spare or (
             self.is_full and not spare
         ):
             self.refused += 1
             self._log()
             return False
-        self._charges[holder] = 0
-        self.charge(holder, holder.held_bytes)
+        self._holders[holder] = None
+        holder.charged = holder.held_bytes
+        self.used += holder.charged
+        self.relieve()
         return True
 
-    def charge(self, holder: Holder, held: int) -> None:
-        """Note what a connection holds now.
+    def relieve(self) -> None:
+        """Close connections as far as a limit is exceeded.
 
-        Args:
-            holder: The connection; without effect when it is not counted.
-            held: Bytes that it holds.
+        A connection asks for it when it holds more than before.
         """
-        before = self._charges.get(holder)
-        if before is None or before == held:
-            return
-        self._charges[holder] = held
-        self.used += held - before
-        if held > before:
-            self._relieve()
+        if self.used > self.bounds.held_bytes:
+            self._close_some()
+        if self._bodies.used > self._bodies.limit * budget.ADMIT_SHARE:
+            self.relieve_bodies()
 
     def close(self, holder: Holder) -> None:
         """Forget a connection."""
-        self.used -= self._charges.pop(holder, 0)
+        if holder in self._holders:
+            del self._holders[holder]
+            self.used -= holder.charged
+            holder.charged = 0
 
     def admits(self, cost: int) -> bool:
         """Tell whether a whole request may be held, and count it if not.
@@ -177,7 +184,7 @@
         return client_load.admits_request(
             cost,
             used=self.used,
-            connections=len(self._charges),
+            connections=len(self._holders),
             bounds=self.bounds,
         )
 
@@ -195,12 +202,6 @@
                 client_load.choose_closed(holdings, excess_bytes=excess)
             )
 
-    def _relieve(self) -> None:
-        if self.used > self.bounds.held_bytes:
-            self._close_some()
-        if self._bodies.used > self._bodies.limit * budget.ADMIT_SHARE:
-            self.relieve_bodies()
-
     def _close_some(
         self, *, excess_bytes: int = 0, excess_connections: int = 0
     ) -> None:
@@ -213,7 +214,7 @@
         now = asyncio.get_running_loop().time()
         if (
             now < self._scan_after
-            or len(self._charges) < client_load.MIN_CROWD
+            or len(self._holders) < client_load.MIN_CROWD
         ):
             return
         self._refresh()
@@ -221,7 +222,7 @@
             excess_bytes,
             client_load.compute_excess(self.used, self.bounds.held_bytes),
         )
-        before = self.used, len(self._charges)
+        before = self.used, len(self._holders)
         self._close_chosen(
             client_load.choose_closed(
                 self._list_holdings(now, bodies_only=False),
@@ -231,21 +232,22 @@
         )
         if (
             before[0] - self.used < excess_bytes
-            or before[1] - len(self._charges) < excess_connections
+            or before[1] - len(self._holders) < excess_connections
         ):
             self._scan_after = now + SCAN_INTERVAL_S
 
     def _refresh(self) -> None:
         """Count again: callers read answers without any notice of it."""
-        for holder in self._charges:
-            self._charges[holder] = holder.held_bytes
-        self.used = sum(self._charges.values())
+        self.used = 0
+        for holder in self._holders:
+            holder.charged = holder.held_bytes
+            self.used += holder.charged
 
     def _list_holdings(
         self, now: float, *, bodies_only: bool
     ) -> list[client_load.Holding[Holder]]:
         holdings = []
-        for holder in self._charges:
+        for holder in self._holders:
             held = holder.held_body_bytes if bodies_only else holder.held_bytes
             age_s = holder.measure_age(now) if held else None
             if age_s is not None:
@@ -269,7 +271,7 @@
             events.CLIENTS_SHED,
             held_bytes=self.used,
             held_limit=self.bounds.held_bytes,
-            connections=len(self._charges),
+            connections=len(self._holders),
             connections_limit=self.bounds.connections,
             shed=self.shed,
             refused=self.refused,
--- a/src/eelgrasswalk/transport/pacing.py
+++ b/src/eelgrasswalk/transport/pacing.py
@@ -80,6 +80,7 @@
     Attributes:
         parts: Counts the calls of the parser; increased by its callbacks.
         is_blocked: Whether the owner has no room for more.
+        reserved: Bytes that wait, as far as they are counted.
         is_discarding: Whether the owner drops what it is fed, which takes no
             time, so that nothing has to wait.
     """
@@ -95,15 +96,10 @@
         self._memory = memory
         self._step = STEP_BYTES
         self._held: collections.deque[memoryview] = collections.deque()
-        self._reserved = 0
+        self.reserved = 0
         self._paused: asyncio.Transport | None = None
         self._has_turn = False
 
-    @property
-    def held_bytes(self) -> int:
-        """Bytes that wait, as far as they are counted."""
-        return self._reserved
-
     @property
     def is_paused(self) -> bool:
         """Whether reading is paused."""
@@ -127,7 +123,7 @@
         if self._memory is not None:
             if not self._memory.try_reserve(len(rest)):
                 return False
-            self._reserved += len(rest)
+            self.reserved += len(rest)
         self._held.append(rest)
         self._pause(transport)
         if not self.is_blocked:
@@ -194,9 +190,9 @@
 
     def _release(self) -> None:
         self._held.clear()
-        if self._memory is not None and self._reserved:
-            self._memory.release(self._reserved)
-        self._reserved = 0
+        if self._memory is not None and self.reserved:
+            self._memory.release(self.reserved)
+        self.reserved = 0
 
     def _take_turn(self) -> bool:
         if self._held and not self.is_blocked:
--- a/src/eelgrasswalk/transport/request_reader.py
+++ b/src/eelgrasswalk/transport/request_reader.py
@@ -173,18 +173,6 @@
         self._target = b''
         self._headers = []
 
-    @property
-    def _unfinished_bytes(self) -> int:
-        """Bytes of memory that an unfinished request takes."""
-        if self._is_sealed:
-            return self._paced.held_bytes
-        return (
-            client_load.compute_head_cost(
-                max(0, self._received - self._body_length), len(self._headers)
-            )
-            + self._paced.held_bytes
-        )
-
     # httptools callbacks
 
     def on_message_begin(self) -> None:
@@ -261,11 +249,20 @@
     def on_message_complete(self) -> None:
         self._receiving = False
         assert self._parser is not None
+        # The bytes behind a request that came with it were counted as well.
         cost = client_load.REQUEST_BYTES + client_load.compute_head_cost(
             max(0, self._received - self._body_length), len(self._headers)
         )
         account = self._server.account
-        if account is not None and not account.admits(cost):
+        if (
+            account is not None
+            # Most requests are small, and there is room for them.
+            and (
+                cost > client_load.LARGE_REQUEST_BYTES
+                or account.used + cost > account.bounds.held_bytes
+            )
+            and not account.admits(cost)
+        ):
             raise _Rejected(problem.describe_memory_full())
         if self._body_length <= budget.UNCOUNTED_BYTES:
             cost += self._body_length
--- a/src/eelgrasswalk/transport/server_connection.py
+++ b/src/eelgrasswalk/transport/server_connection.py
@@ -59,6 +59,7 @@
         self._blocked_at = 0.0
         self._answer_began_at = self._began_at
         self._account = server.account
+        self.charged = 0
         self._writable: asyncio.Future[None] | None = None
         self._linger: asyncio.TimerHandle | None = None
         self._finished: asyncio.Future[None] | None = None
@@ -117,8 +118,15 @@
     @property
     def held_bytes(self) -> int:
         """Bytes that it holds, without those of bodies in the budget."""
-        held = client_load.CONNECTION_BYTES + self._unfinished_bytes
-        held += self._order.cost
+        held = (
+            client_load.CONNECTION_BYTES
+            + self._order.cost
+            + self._paced.reserved
+        )
+        if self._received and not self._is_sealed:
+            held += client_load.compute_head_cost(
+                max(0, self._received - self._body_length), len(self._headers)
+            )
         if self._transport is not None:
             held += self._transport.get_write_buffer_size()
         return held
@@ -159,8 +167,16 @@
             self._transport.abort()
 
     def _update_account(self) -> None:
-        if self._account is not None:
-            self._account.charge(self, self.held_bytes)
+        account = self._account
+        # Without effect once the account has closed the connection.
+        if account is None or not self.charged:
+            return
+        held = self.held_bytes
+        change = held - self.charged
+        self.charged = held
+        account.used += change
+        if change > 0:
+            account.relieve()
 
     # request_reader.RequestReader
 
