Close no connection when counting again makes room

Cause: the count of held bytes is too high while callers have read answers without notice. A request that found no room by that count had connections closed for the size of its head, although counting again showed room. Evidence: a unit test, in which a connection is closed without the change. Change: look for room again after counting, before any connection is closed.

--- a/src/eelgrasswalk/transport/client_account.py
+++ b/src/eelgrasswalk/transport/client_account.py
@@ -162,6 +162,8 @@
         if now < self._room_scan_after:
             return
         self._refresh()
+        if self._has_room(cost):
+            return
         holdings = [
             each
             for each in self._list_holdings(now, bodies_only=False)
--- a/tests/transport/test_client_account.py
+++ b/tests/transport/test_client_account.py
@@ -184,3 +184,35 @@
                 for _ in range(10):
                     await asyncio.sleep(0)
                 self.assertIsNone(reference())
+
+
+class FakeHolder:
+    def __init__(self, held_bytes: int) -> None:
+        self.charged = 0
+        self.held_bytes = held_bytes
+        self.held_body_bytes = 0
+        self.is_shed = False
+
+    def measure_age(self, now: float) -> float | None:
+        return 1.0
+
+    def shed(self) -> None:
+        self.is_shed = True
+
+
+class StaleCountTest(unittest.IsolatedAsyncioTestCase):
+    async def test_nothing_is_closed_if_counting_again_makes_room(
+        self,
+    ) -> None:
+        # Callers read answers without notice, so the count may be too high.
+        account = client_account.ClientAccount(
+            BOUNDS, budget.ByteBudget(10_000_000)
+        )
+        holders = [FakeHolder(38_000) for _ in range(10)]
+        for holder in holders:
+            account.open(holder, spare=0)
+        for holder in holders:
+            holder.held_bytes = 10_000
+        self.assertTrue(account.admits(30_000))
+        self.assertEqual(0, sum(holder.is_shed for holder in holders))
+        self.assertEqual(0, account.shed)
