End connections whose callers never read their last answer

Cause: a transport that is closed waits until the rest of what was written has been read. With a short rest, no timeout applied; such a connection was not compared with others either, so that a crowd of them took all connections that clients may have, and every new caller was refused. Evidence: two unit tests that fail without the change. Change: the timeout for unread answers applies after closing, too, and the account may close such connections.

--- a/src/eelgrasswalk/transport/server_connection.py
+++ b/src/eelgrasswalk/transport/server_connection.py
@@ -145,7 +145,7 @@
             Seconds; None while a request runs, unless the caller does not
             read the answer before it.
         """
-        if self._transport is None or self._is_closed:
+        if self._transport is None:
             return None
         if self._tasks and (
             self._writable is None or now - self._last_activity < MIN_BLOCKED_S
@@ -410,7 +410,9 @@
             return
         idle = now - self._last_activity
         limits = self._server.limits
-        if self._writable is not None and idle > limits.request_timeout_s:
+        # A transport that is closed waits until its caller has read the rest.
+        is_unread = self._writable is not None or self._is_closed
+        if is_unread and idle > limits.request_timeout_s:
             self._transport.abort()
         if self._paced.is_paused and _has_caller_left(self._transport):
             # As when the transport sees the end itself.
--- a/tests/transport/test_client_account.py
+++ b/tests/transport/test_client_account.py
@@ -5,6 +5,7 @@
 import dataclasses
 import gc
 import unittest
+import unittest.mock
 import weakref
 
 from eelgrasswalk import verdict
@@ -13,6 +14,7 @@
 from eelgrasswalk.transport import client_account
 from eelgrasswalk.transport import http_server
 from eelgrasswalk.transport import message
+from eelgrasswalk.transport import server_connection
 
 BOUNDS = client_load.Bounds(held_bytes=400_000, connections=40)
 BODY_BYTES = 20_000
@@ -216,3 +218,35 @@
         self.assertTrue(account.admits(30_000))
         self.assertEqual(0, sum(holder.is_shed for holder in holders))
         self.assertEqual(0, account.shed)
+
+
+class UnreadLastAnswerTest(AccountTestCase):
+    """A caller that never reads its last answer must not stay for good.
+
+    The transport closes only once the answer was sent, and does not tell of a
+    short rest.
+    """
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.transport = unittest.mock.Mock(spec=asyncio.Transport)
+        self.transport.get_write_buffer_size.return_value = 50_000
+        self.transport.get_extra_info.return_value = None
+        self.connection = server_connection.ServerConnection(
+            self.server, asyncio.get_running_loop()
+        )
+        self.connection.connection_made(self.transport)
+        self.addCleanup(self.connection.connection_lost, None)
+        self.connection.close()
+
+    async def test_it_may_be_closed_for_what_it_holds(self) -> None:
+        now = asyncio.get_running_loop().time()
+        self.assertIsNotNone(self.connection.measure_age(now))
+
+    async def test_it_is_closed_after_a_time(self) -> None:
+        now = asyncio.get_running_loop().time()
+        limit_s = self.server.limits.request_timeout_s
+        self.connection.check_timeouts(now + limit_s / 2.0)
+        self.transport.abort.assert_not_called()
+        self.connection.check_timeouts(now + limit_s + 1.0)
+        self.transport.abort.assert_called_once_with()
