Keep connections whose callers read long answers

Cause: when bodies filled half of their budget, connections were closed by the size of their bodies alone, from eight connections on. A caller that read a long answer steadily was the first, though its request had run. Evidence: a unit test in which such a caller lost its answer of 30 MB after 4.6 MB, beside eight callers that had sent one byte of a body each. Change: an answer counts in this comparison only if no part of it was written for a second. The budget bounds the memory of the others, as before.

--- a/src/eelgrasswalk/transport/client_account.py
+++ b/src/eelgrasswalk/transport/client_account.py
@@ -32,7 +32,7 @@
 
     @property
     def held_body_bytes(self) -> int:
-        """Bytes that it holds of bodies in the budget."""
+        """Bytes of bodies in the budget for which it may be closed."""
 
     def measure_age(self, now: float) -> float | None:
         """Return for how long its present message has been under way.
--- a/src/eelgrasswalk/transport/server_connection.py
+++ b/src/eelgrasswalk/transport/server_connection.py
@@ -17,7 +17,8 @@
 # Most that is still read of a request after its refusal was written.
 LINGER_BYTES = 8_388_608
 # A connection with a running request is closed for what it holds only when
-# its caller has read nothing of an earlier answer for so long.
+# its caller has read nothing of an earlier answer for so long, and one with a
+# long answer for the size of that only when no part of it was written since.
 MIN_BLOCKED_S = 1.0
 
 Handler = request_reader.Handler
@@ -58,6 +59,7 @@
         self._last_activity = self._began_at
         self._blocked_at = 0.0
         self._answer_began_at = self._began_at
+        self._written_at = self._began_at
         self._account = server.account
         self.charged = 0
         self._writable: asyncio.Future[None] | None = None
@@ -135,8 +137,15 @@
 
     @property
     def held_body_bytes(self) -> int:
-        """Bytes that it holds of bodies in the budget."""
-        return len(self._body) + self._order.body_bytes
+        """Bytes that it holds of bodies in the budget.
+
+        Answers that the caller is reading are left out: their requests have
+        run, and the budget bounds them.
+        """
+        held = len(self._body)
+        if self._loop.time() - self._written_at >= MIN_BLOCKED_S:
+            held += self._order.body_bytes
+        return held
 
     def measure_age(self, now: float) -> float | None:
         """Return for how long the present message has been under way.
@@ -302,7 +311,7 @@
             if self._transport is None or self._is_closed:
                 return
             self._transport.write(view[start : start + PART_BYTES])
-            self._last_activity = self._loop.time()
+            self._last_activity = self._written_at = self._loop.time()
             # Other connections have their turn between two parts.
             await asyncio.sleep(0)
 
@@ -326,7 +335,7 @@
             The body if it is still to be written.
         """
         response = exchange.response
-        self._answer_began_at = self._loop.time()
+        self._answer_began_at = self._written_at = self._loop.time()
         assert response is not None and self._transport is not None
         if self._server.leaving:
             self._order.stop()
--- a/tests/transport/test_client_account.py
+++ b/tests/transport/test_client_account.py
@@ -20,6 +20,7 @@
 BODY_BYTES = 20_000
 LINES = b''.join(b'h%d:\r\n' % each for each in range(200))
 HALF = b'POST /slow HTTP/1.1\r\ncontent-length: 60000\r\n\r\n'
+EXPECT = b'\r\nexpect: 100-continue\r\n\r\n'
 
 
 class AccountTestCase(unittest.IsolatedAsyncioTestCase):
@@ -250,3 +251,57 @@
         self.transport.abort.assert_not_called()
         self.connection.check_timeouts(now + limit_s + 1.0)
         self.transport.abort.assert_called_once_with()
+
+
+class LongAnswerTest(AccountTestCase):
+    """A few callers beside one that reads a long answer are no crowd.
+
+    Its request has run, so closing loses an answer that can't be had again.
+    """
+
+    LENGTH = 30_000_000
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.bodies.limit = 40_000_000
+        # Each change is to be followed by a comparison.
+        patch = unittest.mock.patch.object(
+            client_account, 'SCAN_INTERVAL_S', 0.0
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    async def handle(self, request: message.Request) -> verdict.Response:
+        response = verdict.Response(200, (), bytes(self.LENGTH))
+        self.bodies.reserve_anyway(self.LENGTH)
+        self.bodies.hold(response, self.LENGTH)
+        return response
+
+    async def begin(self) -> asyncio.StreamReader:
+        """Ask for a long answer, and begin bodies on other connections."""
+        reader = await self.send(b'POST /long HTTP/1.1\r\n\r\n')
+        await reader.readuntil(b'\r\n\r\n')
+        for _ in range(client_load.MIN_CROWD):
+            other = await self.send(HALF.replace(b'\r\n\r\n', EXPECT) + b'x')
+            await other.readuntil(b'\r\n\r\n')
+        return reader
+
+    async def test_caller_that_reads_is_not_closed(self) -> None:
+        # A busy machine may delay the caller.
+        with unittest.mock.patch.object(
+            server_connection, 'MIN_BLOCKED_S', 60.0
+        ):
+            reader = await self.begin()
+            await reader.readexactly(self.LENGTH)
+        self.assertEqual(0, self.account.shed)
+
+    async def test_caller_that_reads_nothing_is_closed(self) -> None:
+        with unittest.mock.patch.object(
+            server_connection, 'MIN_BLOCKED_S', 0.0
+        ):
+            reader = await self.begin()
+            with self.assertRaises(
+                (asyncio.IncompleteReadError, ConnectionError)
+            ):
+                await reader.readexactly(self.LENGTH)
+        self.assertEqual(1, self.account.shed)
