--- a/tests/transport/test_client_account.py
+++ b/tests/transport/test_client_account.py
@@ -5,6 +5,7 @@
 import dataclasses
 import gc
 import unittest
+import unittest.mock
 import weakref
 
 from eelgrasswalk import verdict
@@ -13,11 +14,13 @@
 from eelgrasswalk.transport import client_account
 from eelgrasswalk.transport import http_server
 from eelgrasswalk.transport import message
+from eelgrasswalk.transport import server_connection
 
 BOUNDS = client_load.Bounds(held_bytes=400_000, connections=40)
 BODY_BYTES = 20_000
 LINES = b''.join(b'h%d:\r\n' % each for each in range(200))
 HALF = b'POST /slow HTTP/1.1\r\ncontent-length: 60000\r\n\r\n'
+EXPECT = b'\r\nexpect: 100-continue\r\n\r\n'
 
 
 class AccountTestCase(unittest.IsolatedAsyncioTestCase):
@@ -184,3 +187,121 @@
                 for _ in range(10):
                     await asyncio.sleep(0)
                 self.assertIsNone(reference())
+
+
+class FakeHolder:
+    def __init__(self, held_bytes: int) -> None:
+        self.charged = 0
+        self.held_bytes = held_bytes
+        self.held_body_bytes = 0
+        self.is_shed = False
+
+    def measure_age(self, now: float) -> float | None:
+        return 1.0
+
+    def shed(self) -> None:
+        self.is_shed = True
+
+
+class StaleCountTest(unittest.IsolatedAsyncioTestCase):
+    async def test_nothing_is_closed_if_counting_again_makes_room(
+        self,
+    ) -> None:
+        # Callers read answers without notice, so the count may be too high.
+        account = client_account.ClientAccount(
+            BOUNDS, budget.ByteBudget(10_000_000)
+        )
+        holders = [FakeHolder(38_000) for _ in range(10)]
+        for holder in holders:
+            account.open(holder, spare=0)
+        for holder in holders:
+            holder.held_bytes = 10_000
+        self.assertTrue(account.admits(30_000))
+        self.assertEqual(0, sum(holder.is_shed for holder in holders))
+        self.assertEqual(0, account.shed)
+
+
+class UnreadLastAnswerTest(AccountTestCase):
+    """A caller that never reads its last answer must not stay for good.
+
+    The transport closes only once the answer was sent, and does not tell of a
+    short rest.
+    """
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.transport = unittest.mock.Mock(spec=asyncio.Transport)
+        self.transport.get_write_buffer_size.return_value = 50_000
+        self.transport.get_extra_info.return_value = None
+        self.connection = server_connection.ServerConnection(
+            self.server, asyncio.get_running_loop()
+        )
+        self.connection.connection_made(self.transport)
+        self.addCleanup(self.connection.connection_lost, None)
+        self.connection.close()
+
+    async def test_it_may_be_closed_for_what_it_holds(self) -> None:
+        now = asyncio.get_running_loop().time()
+        self.assertIsNotNone(self.connection.measure_age(now))
+
+    async def test_it_is_closed_after_a_time(self) -> None:
+        now = asyncio.get_running_loop().time()
+        limit_s = self.server.limits.request_timeout_s
+        self.connection.check_timeouts(now + limit_s / 2.0)
+        self.transport.abort.assert_not_called()
+        self.connection.check_timeouts(now + limit_s + 1.0)
+        self.transport.abort.assert_called_once_with()
+
+
+class LongAnswerTest(AccountTestCase):
+    """A few callers beside one that reads a long answer are no crowd.
+
+    Its request has run, so closing loses an answer that can't be had again.
+    """
+
+    LENGTH = 30_000_000
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.bodies.limit = 40_000_000
+        # Each change is to be followed by a comparison.
+        patch = unittest.mock.patch.object(
+            client_account, 'SCAN_INTERVAL_S', 0.0
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    async def handle(self, request: message.Request) -> verdict.Response:
+        response = verdict.Response(200, (), bytes(self.LENGTH))
+        self.bodies.reserve_anyway(self.LENGTH)
+        self.bodies.hold(response, self.LENGTH)
+        return response
+
+    async def begin(self) -> asyncio.StreamReader:
+        """Ask for a long answer, and begin bodies on other connections."""
+        reader = await self.send(b'POST /long HTTP/1.1\r\n\r\n')
+        await reader.readuntil(b'\r\n\r\n')
+        for _ in range(client_load.MIN_CROWD):
+            other = await self.send(HALF.replace(b'\r\n\r\n', EXPECT) + b'x')
+            await other.readuntil(b'\r\n\r\n')
+        return reader
+
+    async def test_caller_that_reads_is_not_closed(self) -> None:
+        # A busy machine may delay the caller.
+        with unittest.mock.patch.object(
+            server_connection, 'MIN_BLOCKED_S', 60.0
+        ):
+            reader = await self.begin()
+            await reader.readexactly(self.LENGTH)
+        self.assertEqual(0, self.account.shed)
+
+    async def test_caller_that_reads_nothing_is_closed(self) -> None:
+        with unittest.mock.patch.object(
+            server_connection, 'MIN_BLOCKED_S', 0.0
+        ):
+            reader = await self.begin()
+            with self.assertRaises(
+                (asyncio.IncompleteReadError, ConnectionError)
+            ):
+                await reader.readexactly(self.LENGTH)
+        self.assertEqual(1, self.account.shed)
