--- a/src/eelgrasswalk/sidecar/node.py
+++ b/src/eelgrasswalk/sidecar/node.py
@@ -6,15 +6,14 @@
 import time
 import typing
 
-from .. import clock
 from .. import events
 from .. import metrics_page
 from .. import request_log
 from .. import verdict
-from ..filters import load_observer
 from ..policy import call_rules
 from ..transport import http_server
 from ..transport import message
+from . import gauges
 from . import settings
 from . import wiring
 from . import wiring_control
@@ -125,7 +124,9 @@
             (self._admin, config.admin),
         )
         self._metrics = metrics_page.MetricsPage(
-            self._control_plane.log, self._read_gauges, self._read_counters
+            self._control_plane.log,
+            lambda: gauges.read_gauges(self._control_plane, self.call_path),
+            lambda: gauges.read_counters(self._control_plane, self.call_path),
         )
         self._join_task: asyncio.Task[None] | None = None
         self._call_path_started = asyncio.Event()
@@ -368,142 +369,6 @@
             return _NOT_FOUND
         return verdict.Response(200, _METRICS_HEADERS, self._metrics.render())
 
-    def _read_gauges(self) -> metrics_page.Gauges:
-        control_plane = self._control_plane
-        gauges: metrics_page.Gauges = {
-            'eelgrasswalk_rules_age_seconds': (
-                'Seconds since the rules were the newest for certain',
-                control_plane.fresh.get_age(clock.read_boot_time()),
-            ),
-            'eelgrasswalk_nodes': (
-                'Nodes that this node knows',
-                len(control_plane.roster.roster),
-            ),
-            'eelgrasswalk_usable_targets': (
-                'Targets that calls may be sent to',
-                sum(
-                    entry.is_usable
-                    for entry in control_plane.roster.roster.list_entries()
-                ),
-            ),
-            'eelgrasswalk_body_bytes': (
-                'Bytes of bodies held',
-                control_plane.bodies.used,
-            ),
-            'eelgrasswalk_client_bytes': (
-                'Bytes that clients make the node hold',
-                control_plane.clients.used,
-            ),
-            'eelgrasswalk_client_connections': (
-                'Connections of clients that are open',
-                control_plane.clients.connections,
-            ),
-            'eelgrasswalk_quarantined_requests': (
-                'Requests that are refused as they crash their targets',
-                sum(
-                    not record.lifted
-                    for record in control_plane.confined.list_records()
-                ),
-            ),
-        }
-        gauges['eelgrasswalk_evacuated_data_centres'] = (
-            'Data centres that calls are not sent to',
-            len(control_plane.evacuations.evacuated),
-        )
-        if self.call_path is not None:
-            policy = self.call_path.admitter.policy
-            gauges |= {
-                'eelgrasswalk_target_running': (
-                    'Calls that the target runs',
-                    policy.in_flight,
-                ),
-                'eelgrasswalk_target_queued': (
-                    'Calls that wait for the target',
-                    policy.queued,
-                ),
-                'eelgrasswalk_target_limit': (
-                    'Calls that the target may run at a time',
-                    policy.limit,
-                ),
-                'eelgrasswalk_target_cold': (
-                    'Whether the target is or may be cold',
-                    self.call_path.gate.coldness.is_cold,
-                ),
-                'eelgrasswalk_links_dialled': (
-                    'Links to other nodes that are open',
-                    self.call_path.dialler.count_links(),
-                ),
-            }
-            loads = self.call_path.gate.loads
-            gauges |= _read_load_gauges(loads)
-            if loads.find_slowdown() is not None:
-                gauges['eelgrasswalk_target_expected_wait_seconds'] = (
-                    'Time until a call offered now is expected to start',
-                    policy.estimate_start(time.monotonic()),
-                )
-        return gauges
-
-    def _read_counters(self) -> metrics_page.Gauges:
-        clients = self._control_plane.clients
-        counters: metrics_page.Gauges = {
-            'eelgrasswalk_client_connections_shed': (
-                'Connections closed for what they made the node hold',
-                clients.shed,
-            ),
-            'eelgrasswalk_client_connections_refused': (
-                'New connections refused as clients held too much',
-                clients.refused,
-            ),
-            'eelgrasswalk_client_requests_refused': (
-                'Requests refused as clients held too much',
-                clients.refused_requests,
-            ),
-        }
-        if self.call_path is None:
-            return counters
-        coldness = self.call_path.gate.coldness
-        return counters | {
-            'eelgrasswalk_cold_refusals': (
-                'Calls refused because the target is or may be cold',
-                coldness.refused,
-            ),
-            'eelgrasswalk_cold_malformed': (
-                'Malformed values of coldness from the target',
-                coldness.malformed,
-            ),
-        }
-
-
-def _read_load_gauges(
-    loads: load_observer.LoadObserver,
-) -> metrics_page.Gauges:
-    """Return what the target reports; nothing but its age once it is old."""
-    gauges: metrics_page.Gauges = {}
-    age_s = loads.measure_age()
-    if age_s is not None:
-        gauges['eelgrasswalk_target_report_age_seconds'] = (
-            'Seconds since the newest load report of the target',
-            age_s,
-        )
-    known = loads.find()
-    if known is not None:
-        report = known.report
-        gauges |= {
-            'eelgrasswalk_target_reported_running': (
-                'Calls that the target reports as running',
-                report.running,
-            ),
-            'eelgrasswalk_target_reported_waiting': (
-                'Calls that the target reports as waiting',
-                report.waiting,
-            ),
-            'eelgrasswalk_target_reported_slowdown': (
-                'Time that work takes on the host of the target, 1 as usual',
-                report.slowdown,
-            ),
-        }
-    return gauges
-
 
 def _list_changed(old: typing.Any, new: typing.Any) -> frozenset[str]:
     """Return the names of the fields whose values differ."""
