Close a few callers that read long answers slowly beside a crowd

Cause: three answers fill the budget of bodies, and fewer than eight connections that hold bodies were never closed, while calls are refused; a caller that reads a little each second also counted as reading. Change: an answer counts against its connection unless it is read at 1 MB/s on average after 0.25 s, and two or more such callers are closed when there are eight connections or more. A single one is served, as before.

--- a/src/eelgrasswalk/transport/client_account.py
+++ b/src/eelgrasswalk/transport/client_account.py
@@ -26,6 +26,10 @@
 
     charged: int
 
+    @property
+    def is_reading_slowly(self) -> bool:
+        """Whether its caller reads a long answer slowly."""
+
     @property
     def held_bytes(self) -> int:
         """Bytes that it holds, without those of bodies in the budget."""
@@ -199,11 +203,26 @@
         holdings = self._list_holdings(now, bodies_only=True)
         limit = int(self._bodies.limit * UNFINISHED_BODY_SHARE)
         excess = sum(each.held_bytes for each in holdings) - limit
-        if excess > 0 and len(holdings) >= client_load.MIN_CROWD:
+        if excess > 0 and self._are_crowd(holdings):
             self._close_chosen(
                 client_load.choose_closed(holdings, excess_bytes=excess)
             )
 
+    def _are_crowd(
+        self, holdings: collections.abc.Sequence[client_load.Holding[Holder]]
+    ) -> bool:
+        """Tell whether connections that hold bodies are closed for it.
+
+        A few callers that read long answers slowly fill the budget as well;
+        the requests of all other connections are refused meanwhile.
+        """
+        if len(holdings) >= client_load.MIN_CROWD:
+            return True
+        return (
+            len(self._holders) >= client_load.MIN_CROWD
+            and sum(each.key.is_reading_slowly for each in holdings) > 1
+        )
+
     def _close_some(
         self, *, excess_bytes: int = 0, excess_connections: int = 0
     ) -> None:
--- a/src/eelgrasswalk/transport/server_connection.py
+++ b/src/eelgrasswalk/transport/server_connection.py
@@ -17,9 +17,14 @@
 # Most that is still read of a request after its refusal was written.
 LINGER_BYTES = 8_388_608
 # A connection with a running request is closed for what it holds only when
-# its caller has read nothing of an earlier answer for so long, and one with a
-# long answer for the size of that only when no part of it was written since.
+# its caller has read nothing of an earlier answer for so long.
 MIN_BLOCKED_S = 1.0
+# A long answer counts against its connection unless its caller reads at least
+# this fast. The budget of bodies bounds a few answers that are read slowly as
+# well, but calls are refused for as long as they fill it.
+MIN_READ_BYTES_S = 1_000_000
+# Time in which a caller begins to read.
+READ_GRACE_S = 0.25
 
 Handler = request_reader.Handler
 Limits = request_reader.Limits
@@ -59,7 +64,7 @@
         self._last_activity = self._began_at
         self._blocked_at = 0.0
         self._answer_began_at = self._began_at
-        self._written_at = self._began_at
+        self._written = 0
         self._account = server.account
         self.charged = 0
         self._writable: asyncio.Future[None] | None = None
@@ -119,6 +124,15 @@
 
     # client_account.Holder
 
+    @property
+    def is_reading_slowly(self) -> bool:
+        """Whether its caller reads a long answer slowly."""
+        reading_s = self._loop.time() - self._answer_began_at - READ_GRACE_S
+        return (
+            self._order.body_bytes > 0
+            and self._written < reading_s * MIN_READ_BYTES_S
+        )
+
     @property
     def held_bytes(self) -> int:
         """Bytes that it holds, without those of bodies in the budget."""
@@ -139,11 +153,11 @@
     def held_body_bytes(self) -> int:
         """Bytes that it holds of bodies in the budget.
 
-        Answers that the caller is reading are left out: their requests have
-        run, and the budget bounds them.
+        Answers that the caller reads fast are left out: their requests have
+        run, and they are gone soon.
         """
         held = len(self._body)
-        if self._loop.time() - self._written_at >= MIN_BLOCKED_S:
+        if self.is_reading_slowly:
             held += self._order.body_bytes
         return held
 
@@ -311,7 +325,8 @@
             if self._transport is None or self._is_closed:
                 return
             self._transport.write(view[start : start + PART_BYTES])
-            self._last_activity = self._written_at = self._loop.time()
+            self._written += PART_BYTES
+            self._last_activity = self._loop.time()
             # Other connections have their turn between two parts.
             await asyncio.sleep(0)
 
@@ -335,7 +350,8 @@
             The body if it is still to be written.
         """
         response = exchange.response
-        self._answer_began_at = self._written_at = self._loop.time()
+        self._answer_began_at = self._loop.time()
+        self._written = 0
         assert response is not None and self._transport is not None
         if self._server.leaving:
             self._order.stop()
--- a/tests/transport/test_client_account.py
+++ b/tests/transport/test_client_account.py
@@ -289,15 +289,15 @@
     async def test_caller_that_reads_is_not_closed(self) -> None:
         # A busy machine may delay the caller.
         with unittest.mock.patch.object(
-            server_connection, 'MIN_BLOCKED_S', 60.0
+            server_connection, 'READ_GRACE_S', 60.0
         ):
             reader = await self.begin()
             await reader.readexactly(self.LENGTH)
         self.assertEqual(0, self.account.shed)
 
     async def test_caller_that_reads_nothing_is_closed(self) -> None:
-        with unittest.mock.patch.object(
-            server_connection, 'MIN_BLOCKED_S', 0.0
+        with unittest.mock.patch.multiple(
+            server_connection, READ_GRACE_S=0.0, MIN_READ_BYTES_S=10**12
         ):
             reader = await self.begin()
             with self.assertRaises(
@@ -305,3 +305,15 @@
             ):
                 await reader.readexactly(self.LENGTH)
         self.assertEqual(1, self.account.shed)
+
+    async def test_idle_connections_beside_it_are_no_crowd(self) -> None:
+        """A single slow caller is served when there is no crowd."""
+        with unittest.mock.patch.multiple(
+            server_connection, READ_GRACE_S=0.0, MIN_READ_BYTES_S=10**12
+        ):
+            reader = await self.send(b'POST /long HTTP/1.1\r\n\r\n')
+            await reader.readuntil(b'\r\n\r\n')
+            for _ in range(client_load.MIN_CROWD):
+                await self.send(b'')
+            await reader.readexactly(self.LENGTH)
+        self.assertEqual(0, self.account.shed)
