--- a/src/eelgrasswalk/events.py
+++ b/src/eelgrasswalk/events.py
@@ -209,7 +209,7 @@
     4020,
     logging.WARNING,
     'target reports a load that cannot be right; such reports are ignored',
-    'look at the header Server-Load that the target sends',
+    'look at the load that the target reports in its answers',
 )
 TARGET_COLD = Event(
     4021,
--- a/tests/policy/test_account_rates.py
+++ b/tests/policy/test_account_rates.py
@@ -149,8 +149,8 @@
     ) -> None:
         """A node joins, and nodes learn at different times what it owns.
 
-        An account of 129 calls a second got 875 of 871 allowed in such a
-        window, as both owners granted its whole rate.
+        Both owners granted the whole rate until then, which exceeds what a
+        window allows.
         """
         for rate, burst in ((5.0, 1.0), (50.0, 50.0), (129.0, 129.0)):
             allowed = 1.1 * (burst + 5.0 * rate) + 20.0
