--- a/review/harness_2/stage.py
+++ b/review/harness_2/stage.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import functools
 import json
 import os
 import pathlib
@@ -85,6 +86,7 @@
         )
 
 
+@functools.lru_cache(maxsize=8)
 def build_body(length: int) -> bytes:
     """Return a body in which every place can be told from the others."""
     line = b''.join(b'%09d\n' % number for number in range(length // 10 + 1))
@@ -151,6 +153,7 @@
         services: The service of each node's upstream.
         config: The first configuration.
         slots: Requests that each upstream runs at a time.
+        memory_mb: Memory of each machine.
     """
 
     def __init__(
@@ -159,20 +162,24 @@
         config: bytes,
         *,
         slots: int = 37,
+        memory_mb: int = 300,
     ) -> None:
         self.store = rows.RowsStandin()
         self.nodes: list[Node] = []
         self.record: list[str] = []
+        # Types of upstreams that are no stand-in of the project, by service.
+        self.upstream_types: dict[str, type[Upstream]] = {}
         self._services = services
         self._config = config
         self._slots = slots
+        self._memory_mb = memory_mb
         self._folder = tempfile.TemporaryDirectory()
         self._beating: list[asyncio.Task[None]] = []
-        self._started_at = time.monotonic()
+        self.started_at = time.monotonic()
 
     def note(self, text: str) -> None:
         """Add a line to the record."""
-        line = f'{time.monotonic() - self._started_at:8.3f} {text}'
+        line = f'{time.monotonic() - self.started_at:8.3f} {text}'
         self.record.append(line)
         print(line, flush=True)
 
@@ -182,7 +189,8 @@
         self.store.put('op', 'config', self._config)
         folder = pathlib.Path(self._folder.name)
         for index, service in enumerate(self._services):
-            upstream = Upstream(f'i-{index}', service, slots=self._slots)
+            build = self.upstream_types.get(service, Upstream)
+            upstream = build(f'i-{index}', service, slots=self._slots)
             await upstream.start()
             node_id = f'{service}-{index}'
             settings = folder / f'{node_id}.json'
@@ -195,6 +203,7 @@
                 ports=ports,
                 target_port=upstream.port,
                 store_port=store_port,
+                memory_mb=self._memory_mb,
             )
             self.nodes.append(
                 Node(
@@ -274,6 +283,7 @@
     ports: collections.abc.Sequence[int],
     target_port: int,
     store_port: int,
+    memory_mb: int,
 ) -> None:
     """Write the settings file of a node as the platform does."""
     deployment.write_settings(
@@ -287,7 +297,7 @@
         bounds=BOUNDS,
     )
     fields = json.loads(path.read_text())
-    fields['limits'] = LIMITS
+    fields['limits'] = {**LIMITS, 'memory_mb': memory_mb}
     path.write_text(json.dumps(fields))
 
 
