--- a/review/harness_2/stage.py
+++ b/review/harness_2/stage.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -28,6 +29,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 CHECK_IN_INTERVAL_S = 1.5
 START_LIMIT_S = 25.0
+PORTS = range(20_000, 30_000, 5)
 # Exit statuses of a case.
 HELD = 0
 BROKEN = 1
@@ -309,37 +311,28 @@
 
 
 def find_ports() -> list[int]:
-    """Return five free ports; the last two follow each other."""
-    held: list[socket.socket] = []
-    ports: list[int] = []
-    try:
-        while len(ports) < 3:
-            holder = _bind(0)
-            held.append(holder)
-            ports.append(holder.getsockname()[1])
-        for _ in range(1000):
-            first = _bind(0)
-            held.append(first)
-            port = first.getsockname()[1]
-            try:
-                held.append(_bind(port + 1))
-            except OSError:
-                continue
-            return [*ports, port, port + 1]
-    finally:
-        for holder in held:
-            holder.close()
+    """Return five free ports that follow each other.
+
+    They lie below those that the system gives to outgoing connections, which
+    would otherwise take the port of a node while it is restarted.
+    """
+    source = random.SystemRandom()
+    for _ in range(1000):
+        first = source.randrange(PORTS.start, PORTS.stop, PORTS.step)
+        ports = list(range(first, first + PORTS.step))
+        if all(map(_is_free, ports)):
+            return ports
     raise NotRunError('no free ports')
 
 
-def _bind(port: int) -> socket.socket:
-    holder = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        holder.bind(('127.0.0.1', port))
-    except OSError:
-        holder.close()
-        raise
-    return holder
+def _is_free(port: int) -> bool:
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as holder:
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            holder.bind(('127.0.0.1', port))
+        except OSError:
+            return False
+    return True
 
 
 def build_request(
