--- a/review/harness_2/stage.py
+++ b/review/harness_2/stage.py
@@ -29,6 +29,8 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 CHECK_IN_INTERVAL_S = 1.5
 START_LIMIT_S = 25.0
+# A little longer than `stability_ms`.
+STABILITY_S = 3.2
 PORTS = range(20_000, 30_000, 5)
 # Exit statuses of a case.
 HELD = 0
@@ -223,6 +225,8 @@
             self._beating.append(asyncio.create_task(self._beat(node)))
         await self.wait_until_serving(self.nodes)
         self.note(f'{len(self.nodes)} nodes serve all services')
+        # From now on the machines are in touch.
+        await asyncio.sleep(STABILITY_S)
 
     async def wait_until_serving(
         self, nodes: collections.abc.Sequence[Node]
@@ -374,6 +378,9 @@
     except NotRunError as error:
         status, lines = NOT_RUN, [f'not run: {error}']
         print(lines[0])
+    except KeyboardInterrupt:
+        # The script took too long; everything that it started has ended.
+        status, lines = NOT_RUN, ['not run: interrupted']
     text = '\n'.join([*lines, f'exit status {status}', ''])
     (pathlib.Path(folder) / 'record.txt').write_text(text)
     sys.exit(status)
