--- a/review/harness_2/stage.py
+++ b/review/harness_2/stage.py
@@ -79,6 +79,16 @@
     The last part of the path is the number of bytes of the answer's body.
     """
 
+    zone = ''
+
+    async def _call(
+        self, port: int, name: str, fields: dict[str, typing.Any], *, of: str
+    ) -> bool:
+        """Call the node with all the fields that the pages list."""
+        if name == 'heartbeat':
+            fields = {**fields, 'zone': self.zone, 'version': 'v1'}
+        return await super()._call(port, name, fields, of=of)
+
     async def handle(self, request: message.Request) -> verdict.Response:
         """Answer one request."""
         answer = await super().handle(request)
@@ -180,6 +190,7 @@
         self._slots = slots
         self._memory_mb = memory_mb
         self._folder = tempfile.TemporaryDirectory()
+        self._upstreams: list[Upstream] = []
         self._beating: list[asyncio.Task[None]] = []
         self.started_at = time.monotonic()
 
@@ -197,6 +208,8 @@
         for index, service in enumerate(self._services):
             build = self.upstream_types.get(service, Upstream)
             upstream = build(f'i-{index}', service, slots=self._slots)
+            upstream.zone = f'zone-{index}'
+            self._upstreams.append(upstream)
             await upstream.start()
             node_id = f'{service}-{index}'
             settings = folder / f'{node_id}.json'
@@ -276,8 +289,8 @@
             task.cancel()
         for node in self.nodes:
             node.kill()
-        for node in self.nodes:
-            await node.upstream.stop()
+        for upstream in self._upstreams:
+            await upstream.stop()
         await self.store.stop()
         self._folder.cleanup()
 
@@ -374,13 +387,34 @@
         play: Returns a coroutine; its result is the status and the lines.
     """
     try:
-        status, lines = asyncio.run(play())
+        status, lines = asyncio.run(_play_until_signal(play))
     except NotRunError as error:
         status, lines = NOT_RUN, [f'not run: {error}']
-        print(lines[0])
-    except KeyboardInterrupt:
-        # The script took too long; everything that it started has ended.
+    except asyncio.CancelledError:
+        # Everything that the script had started has ended.
         status, lines = NOT_RUN, ['not run: interrupted']
+    if status == NOT_RUN:
+        print(lines[-1])
     text = '\n'.join([*lines, f'exit status {status}', ''])
     (pathlib.Path(folder) / 'record.txt').write_text(text)
     sys.exit(status)
+
+
+async def _play_until_signal(
+    play: collections.abc.Callable[[], typing.Any],
+) -> typing.Any:
+    """Play a case; the first signal cancels it, and it cleans up."""
+    loop = asyncio.get_running_loop()
+    task = asyncio.current_task()
+    assert task is not None
+    interrupted = False
+
+    def interrupt() -> None:
+        nonlocal interrupted
+        if not interrupted:
+            interrupted = True
+            task.cancel()
+
+    for number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
+        loop.add_signal_handler(number, interrupt)
+    return await play()
