Test crowds across a link, single requests at the limits, steady readers

The crowd tests had one node, clients whose connections the kernel holds much for, and no single request with more header lines than 240. The new ones have a second node beside the target, clients that read steadily, and requests and answers of every form at the limits. crowd_case has the checks, unchanged: growth below 0.7 of memory_mb, descriptors, one ordinary call. Crowd modules run after all others, one at a time.

--- a/tests/integration/test_crowds.py
+++ b/tests/integration/test_crowds.py
@@ -1,107 +1,30 @@
 """Crowds of clients without limits: memory, descriptors, other calls."""
 
 import asyncio
-import collections.abc
 import itertools
-import json
-import logging
-import typing
-import unittest.mock
 
+from tests.integration import crowd_case
 from tests.integration import crowds
-from tests.integration import floods
-from tests.integration import sidecars
-
-# Low enough for a small crowd to fill it. The process itself, some 36 MB, is
-# not part of the growth.
-MEMORY_MB = 40
-# Most growth of the resident peak under a crowd.
-GROWTH_MB = 28.0
-MAX_FDS = 2_000
+
 FEW_FDS = 520
-HEADER_BYTES = 16_384
+HEADER_BYTES = crowd_case.HEADER_BYTES
 HEADER_LINES = 240
 # Pieces that are sent of what has no end.
 ENDLESS_PIECES = 400
 PIECE_BYTES = 16_384
-_LOGGER = logging.getLogger(__name__)
-
-Pieces: typing.TypeAlias = typing.Callable[
-    [int], collections.abc.Iterable[bytes]
-]
-
 
-def _build_head(lines: int) -> bytes:
-    """Return the beginning of a call, with as many short header lines."""
-    call = crowds.build_call('/back/safe/')
-    return call[:-2] + b''.join(b'h%d:\r\n' % each for each in range(lines))
 
+def build_longest_head(call: bytes) -> bytes:
+    """Return a call whose head is filled up with the shortest lines."""
+    line = b'a:\r\n'
+    return (
+        call[:-2] + line * ((HEADER_BYTES - len(call)) // len(line)) + b'\r\n'
+    )
 
-class CrowdTestCase(sidecars.SidecarTestCase):
-    services = ('back',)
-    max_fds = MAX_FDS
 
-    async def asyncSetUp(self) -> None:
-        with unittest.mock.patch.object(
-            sidecars.app, 'AppStandin', crowds.LongAnswers
-        ):
-            await super().asyncSetUp()
-        (self.node,) = self.nodes
-        fields = json.loads(self.node.settings.read_text())
-        fields['limits'] = {'memory_mb': MEMORY_MB, 'max_fds': self.max_fds}
-        self.node.settings.write_text(json.dumps(fields))
-        config = json.loads(sidecars.build_config(1, self.services))
-        # Long enough for a crowd to be there as a whole.
-        config['limits'] = {
-            'max_header_bytes': HEADER_BYTES,
-            'max_body_bytes': 4_000_000,
-            'header_timeout_ms': 30_000,
-            'idle_timeout_ms': 30_000,
-        }
-        await self.start_all(json.dumps(config).encode())
-        # What the page loads is no part of a crowd.
-        await self.ask(self.node.ports[4], '/metrics')
-
-    async def check_crowd(
-        self, count: int, pieces: Pieces, *, read_bytes: int = 0
-    ) -> None:
-        """Check the node while a crowd is there, and after it has gone."""
-        assert self.node.process is not None
-        pid = self.node.process.pid
-        before = floods.read_peak_mb(pid)
-        crowd = crowds.Crowd(self.node.ports[0], pieces, read_bytes=read_bytes)
-        served = False
-        try:
-            await crowd.start(count)
-            descriptors = crowds.count_descriptors(pid)
-            try:
-                async with asyncio.timeout(sidecars.WAIT_S / 3):
-                    while not await self.is_served(self.node, 'back'):
-                        await asyncio.sleep(sidecars.POLL_S)
-                served = True
-            except TimeoutError:
-                pass
-        finally:
-            await crowd.close()
-        growth = floods.read_peak_mb(pid) - before
-        _LOGGER.info(
-            '%s: before %.1f MB, growth %.1f MB, %d descriptors, served %s',
-            self.id().rpartition('.')[2],
-            before,
-            growth,
-            descriptors,
-            served,
-        )
-        self.assertIsNone(self.node.process.poll())
-        self.assertLess(growth, GROWTH_MB)
-        self.assertLessEqual(descriptors, self.max_fds)
-        self.assertTrue(served)
-        await self.wait_for(lambda: self.is_served(self.node, 'back'))
-
-
-class CrowdTest(CrowdTestCase):
+class CrowdTest(crowd_case.CrowdTestCase):
     async def test_unfinished_heads_of_many_lines(self) -> None:
-        head = _build_head(HEADER_LINES)
+        head = crowd_case.build_head(HEADER_LINES)
         await self.check_crowd(1_000, lambda number: (head,))
 
     async def test_whole_requests_of_many_lines(self) -> None:
@@ -118,7 +41,7 @@
         )
 
     async def test_heads_with_too_many_lines(self) -> None:
-        head = _build_head(2_000) + b'\r\n'
+        head = crowd_case.build_head(2_000) + b'\r\n'
         await self.check_crowd(1_000, lambda number: (head,))
 
     async def test_long_answers_read_slowly(self) -> None:
@@ -147,14 +70,14 @@
         )
 
     async def test_heads_over_the_limit(self) -> None:
-        head = _build_head(1) + b'long: ' + b'x' * 2 * HEADER_BYTES
+        head = crowd_case.build_head(1) + b'long: ' + b'x' * 2 * HEADER_BYTES
         await self.check_crowd(1_000, lambda number: (head,))
 
     async def test_heads_without_end(self) -> None:
         await self.check_crowd(
             400,
             lambda number: itertools.chain(
-                (_build_head(1) + b'long: ',),
+                (crowd_case.build_head(1) + b'long: ',),
                 itertools.repeat(b'x' * PIECE_BYTES, ENDLESS_PIECES),
             ),
         )
@@ -164,7 +87,8 @@
         await self.check_crowd(
             400,
             lambda number: itertools.chain(
-                (_build_head(1),), itertools.repeat(piece, ENDLESS_PIECES)
+                (crowd_case.build_head(1),),
+                itertools.repeat(piece, ENDLESS_PIECES),
             ),
         )
 
@@ -189,6 +113,81 @@
         )
         await self.check_crowd(480, lambda number: (head, b'x' * 64_000))
 
+    async def test_long_answers_to_pipelined_requests(self) -> None:
+        await self.check_crowd(
+            100,
+            lambda number: (
+                b''.join(
+                    crowds.build_call(
+                        '/back/safe/long/400000/', number=number * 64 + each
+                    )
+                    for each in range(12)
+                ),
+            ),
+            read_bytes=4_096,
+        )
+
+    async def test_long_answers_that_nobody_reads(self) -> None:
+        await self.check_crowd(
+            200,
+            lambda number: (
+                crowds.build_call('/back/safe/long/400000/', number=number),
+            ),
+        )
+
+    async def test_bodies_in_chunks_of_one_byte(self) -> None:
+        head = crowds.build_call(
+            '/back/safe/', headers=((b'transfer-encoding', b'chunked'),)
+        )
+        piece = b'1\r\nx\r\n' * 4_000
+        await self.check_crowd(
+            200, lambda number: itertools.chain((head,), [piece] * 8)
+        )
+
+    async def test_bodies_that_are_announced_and_not_sent(self) -> None:
+        head = crowds.build_call(
+            '/back/safe/',
+            headers=(
+                (b'content-length', b'1000000'),
+                (b'expect', b'100-continue'),
+            ),
+        )
+        await self.check_crowd(1_000, lambda number: (head,))
+
+    async def test_requests_of_half_closed_connections(self) -> None:
+        await self.check_crowd(
+            400,
+            lambda number: (
+                crowds.build_call('/back/safe/long/400000/', number=number),
+            ),
+            read_bytes=4_096,
+            half_close=True,
+        )
+
+    async def test_upgrades(self) -> None:
+        headers = ((b'connection', b'upgrade'), (b'upgrade', b'websocket'))
+        await self.check_crowd(
+            400,
+            lambda number: itertools.chain(
+                (
+                    crowds.build_call(
+                        '/back/safe/', number=number, headers=headers
+                    ),
+                ),
+                itertools.repeat(b'x' * PIECE_BYTES, ENDLESS_PIECES),
+            ),
+        )
+
+    async def test_whole_heads_of_the_shortest_lines(self) -> None:
+        """They are as long as is allowed."""
+        self.node.app.behaviour.work_s = 0.3
+        await self.check_crowd(
+            200,
+            lambda number: (
+                build_longest_head(crowds.build_call('/back/safe/')),
+            ),
+        )
+
     async def test_single_calls_are_served_without_a_crowd(self) -> None:
         """Each is as long as the limits allow."""
         headers = tuple(
@@ -204,17 +203,88 @@
             )
             + b'x' * 4_000_000,
         ):
-            reader, writer = await asyncio.open_connection(
-                '127.0.0.1', self.node.ports[0]
-            )
-            writer.write(call)
-            status = await reader.readline()
-            self.assertIn(b' 200 ', status)
-            writer.close()
-            await writer.wait_closed()
+            self.assertIn(b' 200 ', await self.send_one(call))
+
+    async def test_single_heads_of_many_lines_are_served(self) -> None:
+        call = crowds.build_call('/back/safe/')
+        for lines in (300, 1_000):
+            head = call[:-2] + b'a: b\r\n' * lines + b'\r\n'
+            self.assertIn(b' 200 ', await self.send_one(head))
+        self.assertIn(b' 200 ', await self.send_one(build_longest_head(call)))
+
+    async def test_answers_of_many_lines_are_passed_on(self) -> None:
+        for lines in (300, 1_000):
+            call = crowds.build_call(f'/back/safe/lines/{lines}/')
+            self.assertIn(b' 200 ', await self.send_one(call))
+
+    async def send_one(self, call: bytes) -> bytes:
+        """Send a call and return the status line of its answer."""
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', self.node.ports[0]
+        )
+        writer.write(call)
+        status = await reader.readline()
+        writer.close()
+        await writer.wait_closed()
+        return status
+
+
+class SmallMachineTest(crowd_case.CrowdTestCase):
+    """The usual limits of the smallest machines."""
+
+    memory_mb = 200
+    max_fds = 4_100
+    timeout_ms = 10_000
+
+    async def test_long_answers_to_pipelined_requests(self) -> None:
+        await self.check_crowd(
+            800,
+            lambda number: (
+                b''.join(
+                    crowds.build_call(
+                        '/back/safe/long/400000/', number=number * 64 + each
+                    )
+                    for each in range(12)
+                ),
+            ),
+            read_bytes=4_096,
+            is_distant=True,
+            stay_s=6.0,
+        )
+
+
+class SteadyReaderTest(crowd_case.CrowdTestCase):
+    """Clients that read slowly all the time, inside every limit."""
+
+    header_timeout_ms = 500
+    timeout_ms = 10_000
+
+    async def test_few_steady_readers_get_all_answers(self) -> None:
+        await self.check_readers(7)
+
+    async def test_more_steady_readers_get_all_answers(self) -> None:
+        """These are enough to be a crowd; the memory allows for them."""
+        await self.check_readers(12)
+
+    async def check_readers(self, count: int) -> None:
+        """Check that each client gets all answers to pipelined requests."""
+        calls = [
+            crowds.build_call(f'/back/safe/long/{size}/', number=number)
+            for number, size in enumerate((300_000, 100, 100))
+        ]
+        clients = [
+            crowds.SteadyReader(self.node.ports[0], number)
+            for number in range(count)
+        ]
+        received = await asyncio.gather(
+            *(client.ask(b''.join(calls)) for client in clients)
+        )
+        for each in received:
+            self.assertEqual(3, each.count(b'HTTP/1.1 200 '))
+            self.assertEqual(300_200, each.count(b'x' * 100) * 100)
 
 
-class DescriptorTest(CrowdTestCase):
+class DescriptorTest(crowd_case.CrowdTestCase):
     max_fds = FEW_FDS
 
     async def test_idle_connections(self) -> None:
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -16,6 +16,9 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
 WORKERS = 4
+# Modules that measure processes under load run after the others, one at a
+# time.
+ALONE_SUFFIX = '_crowds'
 SLOWEST_SHOWN = 8
 
 
@@ -100,7 +103,12 @@
     parser.add_argument('names', nargs='*', help='Test modules.')
     parser.add_argument('--workers', type=int, default=WORKERS)
     options = parser.parse_args()
-    outcomes = run_all(options.names or list_modules(), options.workers)
+    names = options.names or list_modules()
+    alone = [name for name in names if name.endswith(ALONE_SUFFIX)]
+    outcomes = run_all(
+        [name for name in names if name not in alone], options.workers
+    )
+    outcomes += run_all(alone, 1)
     slowest = sorted(outcomes, key=lambda item: -item.seconds)
     for item in slowest[:SLOWEST_SHOWN]:
         print(f'{item.seconds:6.1f} s {item.module}')
