Forget attempts that are cancelled as they arrive

Callers that left at once made the target's node grow (36 MB after 73,000 of them), and its planned stop took as long as a drain may.

Cause: the record of an attempt was removed by its task. A task that is cancelled before its first step runs no code of its own, so the record stayed as running for good, and the drain waited for it.

Now a callback of the task removes the record however the task ends. The drain also gives those callbacks their turn; it went round without a pause before.

tests.transport.test_links, test_attempt_cancelled_as_it_arrives_is_forgotten: before, the drain never returned and blocked the event loop; now it passes.

--- a/src/eelgrasswalk/transport/acceptor.py
+++ b/src/eelgrasswalk/transport/acceptor.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import typing
 
 from .. import verdict
@@ -35,7 +36,7 @@
     identity: link.Identity
     current: link.Link | None = None
     sequence: int = 0
-    tasks: dict[bytes, asyncio.Task[None]] = dataclasses.field(
+    tasks: dict[bytes, asyncio.Task[dialler.Reply]] = dataclasses.field(
         default_factory=dict
     )
     orphan_timer: asyncio.TimerHandle | None = None
@@ -97,6 +98,8 @@
             if not tasks:
                 return
             await asyncio.wait(tasks)
+            # Lets the callbacks of the tasks run.
+            await asyncio.sleep(0)
 
     async def stop(self) -> None:
         """Close the listener, part from every peer, then close every link."""
@@ -233,22 +236,28 @@
             call.attempt, expires_at=self._loop.time() + call.remaining_s
         )
         if arrival is attempts.Arrival.NEW:
-            peer.tasks[call.attempt] = self._loop.create_task(
-                self._run(peer, call)
+            task = self._loop.create_task(self._runner.run(call))
+            peer.tasks[call.attempt] = task
+            # A task that is cancelled before its first step runs no code of
+            # its own.
+            task.add_done_callback(
+                functools.partial(self._finish, peer, call.attempt)
             )
         elif arrival is attempts.Arrival.FENCED:
             self._send(peer, call.attempt, _build_fenced_reply())
 
-    async def _run(self, peer: _Peer, call: frames.Call) -> None:
-        try:
-            reply = await self._runner.run(call)
-        except asyncio.CancelledError:
+    def _finish(
+        self, peer: _Peer, attempt: bytes, task: asyncio.Task[dialler.Reply]
+    ) -> None:
+        peer.tasks.pop(attempt, None)
+        if task.cancelled():
             reply = _build_unknown(verdict.Reason.CALLER_GONE)
-        except Exception as error:
+        elif (error := task.exception()) is not None:
             reply = _build_unknown(verdict.Reason.INTERNAL, repr(error))
-        peer.tasks.pop(call.attempt, None)
-        self._table.finish(call.attempt, reply.outcome)
-        self._send(peer, call.attempt, reply)
+        else:
+            reply = task.result()
+        self._table.finish(attempt, reply.outcome)
+        self._send(peer, attempt, reply)
 
     def _cancel(self, peer: _Peer, attempt: bytes) -> None:
         if peer.current is not None:
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -267,6 +267,18 @@
         task.cancel()
         await asyncio.wait_for(self.runner.cancelled.wait(), WAIT_S)
 
+    async def test_attempt_cancelled_as_it_arrives_is_forgotten(self) -> None:
+        """Its task is cancelled before its first step."""
+        await self.start_call(self.build_call())
+        source = next(iter(self.acceptor._links))
+        call = self.build_call()
+        self.acceptor.on_message(source, call)
+        self.acceptor.on_message(source, frames.Cancel(call.attempt))
+        async with asyncio.timeout(WAIT_S):
+            await self.acceptor.drain()
+        self.assertEqual(0, self.acceptor.count_running())
+        self.assertEqual(1, len(self.runner.runs))
+
     async def test_link_lost_before_the_first_call_is_no_doubt(self) -> None:
         dial = unittest.mock.AsyncMock(return_value=True)
         with unittest.mock.patch.object(dialler._Peer, '_dial', dial):
