Let a cancelled wait for memory end as cancelled

A caller that left while a long body waited for memory, in the same turn in which memory was released, ended the waiting task with a ValueError.

Cause: the release had taken the cancelled waiter out of the queue, and the waiter then tried to take itself out again. Now it tolerates that it is gone.

Found by a new test of links, which cancels 40 calls with long answers one after the other. tests.transport.test_budget, test_waiter_cancelled_as_memory_is_released: ValueError before, passes now. The other two tests there passed before.

--- a/src/eelgrasswalk/transport/budget.py
+++ b/src/eelgrasswalk/transport/budget.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import weakref
 
 # Calls are refused from this share on, which leaves the rest to bodies of
@@ -83,7 +84,9 @@
             if waiter.done() and not waiter.cancelled():
                 self.release(length)
             else:
-                self._waiters.remove(entry)
+                # Memory that was released meanwhile has taken it out already.
+                with contextlib.suppress(ValueError):
+                    self._waiters.remove(entry)
                 self._serve_waiters()
             raise
 
