Release the bodies of an attempt however it ends

Cause: who released a body depended on the way out. A caller that left or whose deadline passed dropped what was left to send, not what had begun to arrive; a verdict that came before the whole body was sent dropped nothing; an answer under way when the caller left was taken in and never completed.

Now the end of a call, whatever it is, drops both from its link, and a link takes an answer only while somebody waits for it.

--- a/src/eelgrasswalk/transport/acceptor.py
+++ b/src/eelgrasswalk/transport/acceptor.py
@@ -207,6 +207,9 @@
         elif isinstance(item, frames.Control):
             self._on_control(source.peer.node_id, item.topic, item.payload)
 
+    def is_awaited(self, attempt: bytes) -> bool:
+        return False
+
     def _find_peer(self, identity: link.Identity) -> _Peer | None:
         """Return the peer, or None when a later incarnation has been seen."""
         known = self._peers.get(identity.node_id)
@@ -261,7 +264,7 @@
 
     def _cancel(self, peer: _Peer, attempt: bytes) -> None:
         if peer.current is not None:
-            peer.current.stop_sending(attempt)
+            peer.current.forget(attempt)
         task = peer.tasks.get(attempt)
         if task is not None:
             task.cancel()
--- a/src/eelgrasswalk/transport/dialler.py
+++ b/src/eelgrasswalk/transport/dialler.py
@@ -271,9 +271,17 @@
                 source.peer.node_id, item.topic, item.payload
             )
 
+    def is_awaited(self, attempt: bytes) -> bool:
+        pending = self._pending.get(attempt)
+        return pending is not None and not pending.future.done()
+
     def _forget(self, attempt: bytes) -> None:
+        """Drop everything of an attempt that has ended in any way."""
         self._pending.pop(attempt, None)
         if self._link is not None:
+            # A verdict may come before the whole body was sent, and nobody
+            # may wait any more for an answer that has begun to arrive.
+            self._link.forget(attempt)
             self._link.outstanding = len(self._pending)
         if self._retired and not self._pending:
             self._close_retired()
@@ -324,7 +332,7 @@
 
     def _abandon(self, attempt: bytes) -> None:
         if self._link is not None:
-            self._link.stop_sending(attempt)
+            self._link.forget(attempt)
             self._link.send(frames.Cancel(attempt))
 
     # Dialling
--- a/src/eelgrasswalk/transport/link.py
+++ b/src/eelgrasswalk/transport/link.py
@@ -59,6 +59,9 @@
     def on_message(self, link: 'Link', item: frames.Message) -> None:
         """A message has arrived, with its whole body."""
 
+    def is_awaited(self, attempt: bytes) -> bool:
+        """Tell whether the answer to an attempt is still wanted."""
+
     def on_closed(self, link: 'Link') -> None:
         """The link is gone."""
 
@@ -137,9 +140,10 @@
     def _is_writable(self) -> bool:
         return self._transport is not None and not self._paused
 
-    def stop_sending(self, attempt: bytes) -> None:
-        """Drop what is left to send of an attempt's body."""
+    def forget(self, attempt: bytes) -> None:
+        """Drop what is left to send or has arrived of an attempt's bodies."""
         self._outbox.drop(attempt)
+        self._inbox.drop(attempt)
 
     def close(self) -> None:
         """Close the link at once."""
@@ -198,8 +202,12 @@
     # Receiving
 
     def _handle_message(self, item: frames.Message) -> None:
-        if isinstance(item, frames.Call | frames.Answer):
+        if isinstance(item, frames.Call):
             self._inbox.receive(item)
+        elif isinstance(item, frames.Answer):
+            # Otherwise its sender has been told to send no more of it.
+            if self._owner.is_awaited(item.attempt):
+                self._inbox.receive(item)
         elif isinstance(item, frames.Data):
             self._inbox.receive_part(item)
         elif isinstance(item, frames.Credit):
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -54,6 +54,7 @@
     async def asyncSetUp(self) -> None:
         self.runner = Runner()
         self.received: list[str] = []
+        self.acceptor_bodies = budget.ByteBudget(MEMORY)
         self.acceptor = self.build_acceptor(incarnation=1)
         host, port = await self.acceptor.start('127.0.0.1', 0)
         self.far_address = (host, port)
@@ -69,7 +70,7 @@
             link.Identity('up', incarnation),
             secret=SECRET,
             runner=self.runner,
-            bodies=budget.ByteBudget(MEMORY),
+            bodies=self.acceptor_bodies,
             table=attempts.AttemptTable(max_answer_bytes=10_000_000),
             on_control=lambda node_id, topic, payload: self.received.append(
                 topic
@@ -279,6 +280,38 @@
         self.assertEqual(0, self.acceptor.count_running())
         self.assertEqual(1, len(self.runner.runs))
 
+    async def test_long_answer_whose_caller_leaves_is_released(self) -> None:
+        """The nodes would refuse every call once the budget is used up."""
+        body = bytes(3_000_000)
+        for turns in range(40):
+            task = self.start_call(self.build_call(body))
+            runs = len(self.runner.runs)
+            while len(self.runner.runs) == runs:
+                await asyncio.sleep(0)
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+        await self.wait_until_released()
+
+    async def test_call_refused_before_its_body_has_arrived(self) -> None:
+        """Its node would hold the rest for as long as the link is open."""
+        reply = await self.start_call(self.build_call(bytes(MEMORY + 1)))
+        self.assertIsInstance(reply.outcome, verdict.NotRun)
+        for opened in self.acceptor._links:
+            self.assertEqual(0, len(opened._outbox))
+        (peer,) = self.dialler._peers.values()
+        assert peer._link is not None
+        self.assertEqual(0, len(peer._link._outbox))
+
+    async def wait_until_released(self) -> None:
+        """Wait until neither side holds any body."""
+        async with asyncio.timeout(WAIT_S):
+            while self.dialler.bodies.used or self.acceptor_bodies.used:
+                # Answers are kept until they have been acknowledged.
+                await asyncio.sleep(0.02)
+
     async def test_link_lost_before_the_first_call_is_no_doubt(self) -> None:
         dial = unittest.mock.AsyncMock(return_value=True)
         with unittest.mock.patch.object(dialler._Peer, '_dial', dial):
