Take the time that a body needs from the time left of its call

A target was handed a Request-Deadline that ended later than the client's, by as long as the body waited for memory or was under way between two nodes.

Cause: the time left was stated when the call was sent, and counted by the target's node from when the body was whole.

tests.transport.test_links, test_time_that_a_body_takes_is_not_left_to_its_ call: 20.0 s were left after 0.2 s of waiting; now less than 19.85 s are.

--- a/src/eelgrasswalk/transport/bodies.py
+++ b/src/eelgrasswalk/transport/bodies.py
@@ -118,6 +118,7 @@
     item: Carrier
     body: bytearray
     hasher: typing.Any
+    began_at: float
     reserved: int = 0
     granted: int = 0
     waiter: asyncio.Task[None] | None = None
@@ -158,11 +159,12 @@
         if item.body_length > self._memory.limit:
             self._turn_away(item)
             return
-        incoming = _Incoming(item, bytearray(body), xxhash.xxh3_64(body))
-        self._bodies[item.attempt] = incoming
-        incoming.waiter = asyncio.get_running_loop().create_task(
-            self._reserve(incoming)
+        loop = asyncio.get_running_loop()
+        incoming = _Incoming(
+            item, bytearray(body), xxhash.xxh3_64(body), loop.time()
         )
+        self._bodies[item.attempt] = incoming
+        incoming.waiter = loop.create_task(self._reserve(incoming))
 
     def receive_part(self, item: frames.Data) -> None:
         """Take the next part of a body.
@@ -222,6 +224,9 @@
             self._memory.release(incoming.reserved)
             raise BadBodyError('the digest of a body is wrong')
         item = _replace_body(incoming.item, bytes(incoming.body))
+        if isinstance(item, frames.Call):
+            took_s = asyncio.get_running_loop().time() - incoming.began_at
+            item = _reduce_time(item, took_s)
         holder = (
             item.request if isinstance(item, frames.Call) else item.response
         )
@@ -245,6 +250,15 @@
         )
 
 
+def _reduce_time(call: frames.Call, took_s: float) -> frames.Call:
+    """Return a call with the time left that its body has not taken."""
+    return msgspec.structs.replace(
+        call,
+        remaining_s=max(0.0, call.remaining_s - took_s),
+        objective_s=max(0.0, call.objective_s - took_s),
+    )
+
+
 def _replace_body(item: Carrier, body: bytes) -> Carrier:
     if isinstance(item, frames.Call):
         request = msgspec.structs.replace(item.request, body=body)
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -29,6 +29,7 @@
 
     def __init__(self) -> None:
         self.runs: list[bytes] = []
+        self.remaining_s: list[float] = []
         self.started = asyncio.Event()
         self.gate = asyncio.Event()
         self.gate.set()
@@ -36,6 +37,7 @@
 
     async def run(self, call: frames.Call) -> dialler.Reply:
         self.runs.append(call.attempt)
+        self.remaining_s.append(call.remaining_s)
         self.started.set()
         try:
             await self.gate.wait()
@@ -305,6 +307,18 @@
         assert peer._link is not None
         self.assertEqual(0, len(peer._link._outbox))
 
+    async def test_time_that_a_body_takes_is_not_left_to_its_call(
+        self,
+    ) -> None:
+        call = self.build_call(bytes(MEMORY // 2))
+        await self.acceptor_bodies.reserve(MEMORY)
+        task = self.start_call(call)
+        await asyncio.sleep(0.2)
+        self.acceptor_bodies.release(MEMORY)
+        await task
+        (remaining_s,) = self.runner.remaining_s
+        self.assertLess(remaining_s, call.remaining_s - 0.15)
+
     async def wait_until_released(self) -> None:
         """Wait until neither side holds any body."""
         async with asyncio.timeout(WAIT_S):
