Take heads of any number of lines within their length

A request with 300 short header lines, far below max_header_bytes, got 431, alone and in calm.

Cause: the sidecar bounded the number of lines by a constant, 256, which no page tells clients. It was there for memory, which the account of clients bounds since: it counts the objects of each line, refuses whole requests when they don't fit, and closes connections that hold most.

The constant goes. Lines that are read in later turns, after the bytes have arrived, are counted after each turn; before, only when more bytes arrived.

--- a/src/eelgrasswalk/sidecar/node.py
+++ b/src/eelgrasswalk/sidecar/node.py
@@ -18,7 +18,6 @@
 from . import wiring
 from . import wiring_control
 
-MAX_HEADERS = 256
 # Check-ins, questions of the platform and of operators are short.
 _CONTROL_LIMITS = http_server.Limits(body_bytes=262_144)
 # The platform probes readiness every second and takes a host out of rotation
@@ -109,7 +108,7 @@
         )
         self._callers = http_server.HttpServer(
             self._handle_call,
-            limits=http_server.Limits(headers=MAX_HEADERS),
+            limits=http_server.Limits(headers=None),
             bodies=self._control_plane.bodies,
             may_overlap=self._may_overlap,
             account=self._control_plane.clients,
@@ -301,7 +300,9 @@
         self._callers.limits = http_server.Limits(
             body_bytes=limits.body_bytes,
             header_bytes=limits.header_bytes,
-            headers=MAX_HEADERS,
+            # The length of heads bounds them, and the account of clients what
+            # many of them take.
+            headers=None,
             request_timeout_s=limits.header_timeout_s,
             idle_timeout_s=limits.idle_timeout_s,
         )
--- a/src/eelgrasswalk/transport/pacing.py
+++ b/src/eelgrasswalk/transport/pacing.py
@@ -76,6 +76,7 @@
         feed: Passes bytes to the parser; without effect when the connection
             has been closed.
         memory: Budget for bytes that wait; None for no bound.
+        after_turn: Called after each turn in which bytes were fed.
 
     Attributes:
         parts: Counts the calls of the parser; increased by its callbacks.
@@ -86,7 +87,12 @@
     """
 
     def __init__(
-        self, turns: Turns, feed: Feed, memory: budget.ByteBudget | None
+        self,
+        turns: Turns,
+        feed: Feed,
+        memory: budget.ByteBudget | None,
+        *,
+        after_turn: typing.Callable[[], None] | None = None,
     ) -> None:
         self.parts = 0
         self.is_blocked = False
@@ -94,6 +100,7 @@
         self._turns = turns
         self._feed = feed
         self._memory = memory
+        self._after_turn = after_turn
         self._step = STEP_BYTES
         self._held: collections.deque[memoryview] = collections.deque()
         self.reserved = 0
@@ -187,6 +194,7 @@
         """
         self.drop()
         self._feed = _ignore
+        self._after_turn = None
 
     def _release(self) -> None:
         self._held.clear()
@@ -200,6 +208,8 @@
             # Nothing waits any more if feeding has closed the connection.
             if rest and self._paused is not None:
                 self._held.appendleft(rest)
+            if self._after_turn is not None:
+                self._after_turn()
         if self._held and not self.is_blocked:
             return True
         self._has_turn = False
--- a/src/eelgrasswalk/transport/request_reader.py
+++ b/src/eelgrasswalk/transport/request_reader.py
@@ -30,14 +30,14 @@
     Args:
         body_bytes: Longest body of a request.
         header_bytes: Longest request line and headers together.
-        headers: Most headers in a request.
+        headers: Most headers in a request; None for as many as fit.
         request_timeout_s: Seconds in which a request must arrive whole.
         idle_timeout_s: Seconds a connection may stay without a request.
     """
 
     body_bytes: int = 8_388_608
     header_bytes: int = MAX_HEADER_BYTES
-    headers: int = MAX_HEADERS
+    headers: int | None = MAX_HEADERS
     request_timeout_s: float = REQUEST_TIMEOUT_S
     idle_timeout_s: float = IDLE_TIMEOUT_S
 
@@ -81,7 +81,10 @@
             httptools.HttpRequestParser(self)
         )
         self._paced = pacing.PacedFeed(
-            server.turns, self._parse, server.bodies
+            server.turns,
+            self._parse,
+            server.bodies,
+            after_turn=self._update_account,
         )
         self._body = body_buffer.BodyBuffer(server.bodies)
         self._began_at = loop.time()
@@ -131,6 +134,10 @@
     def _discard(self) -> None:
         """Note that bytes behind the last request were dropped."""
 
+    @abc.abstractmethod
+    def _update_account(self) -> None:
+        """Count what the connection holds, as that has changed."""
+
     # Parsing
 
     def _parse(self, data: memoryview) -> None:
@@ -192,7 +199,8 @@
             # A trailer; what it says came too late to be relied on.
             return
         self._headers.append((name.lower(), value))
-        if len(self._headers) > self._server.limits.headers:
+        limit = self._server.limits.headers
+        if limit is not None and len(self._headers) > limit:
             raise _Rejected(problem.describe_headers_too_large())
 
     def on_headers_complete(self) -> None:
--- a/tests/integration/test_crowds.py
+++ b/tests/integration/test_crowds.py
@@ -178,6 +178,10 @@
             ),
         )
 
+    async def test_unfinished_heads_of_the_shortest_lines(self) -> None:
+        head = build_longest_head(crowds.build_call('/back/safe/'))
+        await self.check_crowd(400, lambda number: (head[:-2],))
+
     async def test_whole_heads_of_the_shortest_lines(self) -> None:
         """They are as long as is allowed."""
         self.node.app.behaviour.work_s = 0.3
