Pass on answers of any number of header lines

An answer with more than 256 header lines ended as 502, "the target sent bad HTTP", whatever its length.

Cause: a constant stood in for the memory that lines take. Nothing counted that: neither the budget of bodies, nor the answers kept for questions of a lost link, nor those that wait for their turn on a connection.

The length of a head, 64 KB, remains the bound. The objects of its lines are reserved in the budget, 128 lines at a time, until the answer is freed, and counted in the other two places.

--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -18,6 +18,7 @@
 from ..policy import target_failures
 from ..policy.capacity import slot_queue
 from ..transport import budget
+from ..transport import client_connection
 from ..transport import dialler
 from ..transport import frames
 from ..transport import http_client
@@ -425,7 +426,10 @@
         classified = self._dialect.judge(outcome.response)
         if isinstance(classified, verdict.Answered):
             answer = classified.response
-            if len(answer.body) > budget.UNCOUNTED_BYTES:
+            if (
+                len(answer.body) > budget.UNCOUNTED_BYTES
+                or len(answer.headers) >= client_connection.COUNTED_HEADERS
+            ):
                 # Share the body memory already charged for the original
                 # response.
                 budget.keep_alive(answer, outcome.response)
--- a/src/eelgrasswalk/policy/attempts.py
+++ b/src/eelgrasswalk/policy/attempts.py
@@ -11,6 +11,7 @@
 import typing
 
 from .. import verdict
+from . import client_load
 
 # Time for which a record is kept beyond the deadline of its attempt.
 RETENTION_MARGIN_S = 10.0
@@ -101,7 +102,7 @@
             return
         record.status = Ended(outcome)
         if isinstance(outcome, verdict.Answered):
-            record.length = len(outcome.response.body)
+            record.length = client_load.compute_answer_cost(outcome.response)
             self.answer_bytes += record.length
             self._drop_oldest_answers()
 
--- a/src/eelgrasswalk/policy/client_load.py
+++ b/src/eelgrasswalk/policy/client_load.py
@@ -18,6 +18,8 @@
 import dataclasses
 import typing
 
+from .. import verdict
+
 Key = typing.TypeVar('Key')
 
 # Approximate resident size of a connection without a request; 1,500 idle ones
@@ -83,6 +85,12 @@
     return length + lines * HEADER_LINE_BYTES
 
 
+def compute_answer_cost(answer: verdict.Response) -> int:
+    """Return the bytes that an answer takes."""
+    length = sum(len(name) + len(value) for name, value in answer.headers)
+    return len(answer.body) + compute_head_cost(length, len(answer.headers))
+
+
 def compute_excess(used: int, limit: int) -> int:
     """Return how much has to be freed; 0 while the limit is kept."""
     return used - int(limit * TARGET_SHARE) if used > limit else 0
--- a/src/eelgrasswalk/transport/body_buffer.py
+++ b/src/eelgrasswalk/transport/body_buffer.py
@@ -29,6 +29,7 @@
         self._memory = memory
         self._guaranteed = guaranteed
         self._reserved = 0
+        self._head_bytes = 0
         self._first = b''
         self._buffer = bytearray()
 
@@ -42,7 +43,7 @@
             Whether the budget allows for it; if not, the body is unchanged.
         """
         length = len(self) + len(part)
-        if not self._reserve(length):
+        if not self._reserve(length + self._head_bytes):
             return False
         if length == len(part):
             # Most bodies arrive in one part, which needs no copy.
@@ -54,16 +55,28 @@
         self._buffer += part
         return True
 
+    def add_head(self, length: int) -> bool:
+        """Count bytes of the message's head as well.
+
+        Returns:
+            Whether the budget allows for them.
+        """
+        if not self._reserve(len(self) + self._head_bytes + length):
+            return False
+        self._head_bytes += length
+        return True
+
     def take(self, build: typing.Callable[[bytes], Holder]) -> Holder:
         """Return an object with the body, and drop the body here.
 
         Args:
             build: Returns the object, which holds the body for as long as it
-                lives. The memory of a long body stays reserved until then.
+                lives. The memory of a long message stays reserved until then.
         """
         body = self._first or bytes(self._buffer)
         holder = build(body)
-        if self._memory is not None and len(body) > budget.UNCOUNTED_BYTES:
+        length = len(body) + self._head_bytes
+        if self._memory is not None and length > budget.UNCOUNTED_BYTES:
             self._memory.hold(holder, self._reserved)
             self._reserved = 0
         self.drop()
@@ -76,6 +89,7 @@
         if self._memory is not None and self._reserved:
             self._memory.release(self._reserved)
         self._reserved = 0
+        self._head_bytes = 0
 
     def _reserve(self, length: int) -> bool:
         missing = length - self._reserved
--- a/src/eelgrasswalk/transport/client_connection.py
+++ b/src/eelgrasswalk/transport/client_connection.py
@@ -10,15 +10,18 @@
 import httptools
 
 from .. import verdict
+from ..policy import client_load
 from . import body_buffer
 from . import budget
 from . import message
 from . import pacing
 
-MAX_ANSWER_HEADERS = 256
 # Bytes of an answer that are not its body: head, interim answers, extensions
 # of chunks, trailers.
 MOST_FRAMING_BYTES = 65_536
+# Headers of an answer whose memory is reserved at a time. Fewer are not worth
+# counting; the number of calls bounds them.
+COUNTED_HEADERS = 128
 # Answers to other requests that are dropped while one is awaited.
 MOST_DROPPED_ANSWERS = 8
 # A target may close an idle connection at any moment; a connection that has
@@ -249,8 +252,12 @@
             # A trailer; what it says came too late to be relied on.
             return
         self._headers.append((name.lower(), value))
-        if len(self._headers) > MAX_ANSWER_HEADERS:
-            raise ValueError('too many headers')
+        if len(self._headers) % COUNTED_HEADERS == 0 and not (
+            self._body.add_head(
+                COUNTED_HEADERS * client_load.HEADER_LINE_BYTES
+            )
+        ):
+            self._fail('the node holds too many bodies', verdict.Reason.MEMORY)
 
     def on_headers_complete(self) -> None:
         status = self._parser.get_status_code()
@@ -288,6 +295,7 @@
     def on_message_complete(self) -> None:
         if self._parser.get_status_code() < 200:
             self._headers.clear()
+            self._body.drop()
             return
         if not self._parser.should_keep_alive():
             self.usable = False
--- a/src/eelgrasswalk/transport/response_order.py
+++ b/src/eelgrasswalk/transport/response_order.py
@@ -8,6 +8,7 @@
 import typing
 
 from .. import verdict
+from ..policy import client_load
 from . import budget
 from . import message
 
@@ -178,7 +179,7 @@
         if exchange.overlaps is not None:
             # Otherwise the next request may still ask whether it overlaps.
             exchange.request = None
-        size = _count_bytes(response)
+        size = client_load.compute_answer_cost(response)
         if len(response.body) > budget.UNCOUNTED_BYTES:
             exchange.body_bytes = len(response.body)
             self.body_bytes += exchange.body_bytes
@@ -236,9 +237,3 @@
         for exchange in self._started:
             exchange.request = None
             exchange.response = None
-
-
-def _count_bytes(response: verdict.Response) -> int:
-    return len(response.body) + sum(
-        len(name) + len(value) for name, value in response.headers
-    )
--- a/tests/integration/test_link_crowds.py
+++ b/tests/integration/test_link_crowds.py
@@ -105,6 +105,28 @@
             read_bytes=4_096,
         )
 
+    async def test_answers_of_many_lines_read_slowly(self) -> None:
+        await self.check_crowd(
+            200,
+            lambda number: (
+                b''.join(
+                    crowds.build_call(
+                        '/back/safe/lines/4000/', number=number * 64 + each
+                    )
+                    for each in range(8)
+                ),
+            ),
+            read_bytes=4_096,
+        )
+
+    async def test_whole_heads_of_the_shortest_lines(self) -> None:
+        self.nodes[1].app.behaviour.work_s = 0.3
+        call = crowds.build_call('/back/safe/')
+        lines = b'a:\r\n' * ((crowd_case.HEADER_BYTES - len(call)) // 4)
+        await self.check_crowd(
+            200, lambda number: (call[:-2] + lines + b'\r\n',)
+        )
+
     async def test_answers_that_nobody_reads(self) -> None:
         await self.check_crowd(
             100,
--- a/tests/policy/test_attempts.py
+++ b/tests/policy/test_attempts.py
@@ -47,6 +47,17 @@
         self.assertIsInstance(status.outcome, verdict.MayHaveRun)
         self.assertEqual(80, self.table.answer_bytes)
 
+    def test_header_lines_of_an_answer_count(self) -> None:
+        """Thousands of them take far more than a short body."""
+        lines = ((b'a', b'b'),) * 4
+        self.table.begin(ATTEMPT, expires_at=5.0)
+        self.table.finish(
+            ATTEMPT, verdict.Answered(verdict.Response(200, lines, b''))
+        )
+        status = self.table.query(ATTEMPT, now=1.0, fence_s=60.0)
+        assert isinstance(status, attempts.Ended)
+        self.assertIsInstance(status.outcome, verdict.MayHaveRun)
+
     def test_record_outlives_the_deadline_of_its_attempt(self) -> None:
         self.table.begin(ATTEMPT, expires_at=5.0)
         self.table.finish(ATTEMPT, answer(1))
--- a/tests/transport/test_body_buffer.py
+++ b/tests/transport/test_body_buffer.py
@@ -51,6 +51,16 @@
         self.assertTrue(self.append_all(b'x', 10_000))
         self.assertGreaterEqual(self.memory.used, 10_000)
 
+    def test_long_head_counts_as_long_as_its_message_lives(self) -> None:
+        """An answer of a few bytes may have thousands of header lines."""
+        self.assertTrue(self.body.add_head(600_000))
+        self.assertFalse(self.body.add_head(600_000))
+        self.assertTrue(self.body.append(b'x'))
+        answer = self.body.take(build_answer)
+        self.assertGreaterEqual(self.memory.used, 600_000)
+        del answer
+        self.assertEqual(0, self.memory.used)
+
     def test_body_past_the_budget_is_refused(self) -> None:
         part = b'x' * 10_000
         self.assertFalse(self.append_all(part, 101))
