Count a long answer until it was sent over the link

A crowd that reads long answers slowly made the node beside their target, which no client of the crowd is connected to, outgrow its machine.

Cause: the place in the budget of bodies goes with the object of an answer. What was left to send kept a view of the bytes alone, so once the answer was no longer kept for questions of a lost link, its place was free and its bytes were not. The budget let in the next ones.

Now what is left to send keeps the request or answer itself.

tests.transport.test_links, test_answer_counts_until_it_was_sent: 0 of 3,000,000 bytes counted before.

--- a/src/eelgrasswalk/transport/bodies.py
+++ b/src/eelgrasswalk/transport/bodies.py
@@ -12,6 +12,7 @@
 from .. import verdict
 from . import budget
 from . import frames
+from . import message
 
 WINDOW_BYTES = 262_144
 
@@ -31,6 +32,11 @@
     return b''
 
 
+def _get_holder(item: Carrier) -> message.Request | verdict.Response:
+    """Return the object of a message that holds its body."""
+    return item.request if isinstance(item, frames.Call) else item.response
+
+
 def compute_digest(body: bytes) -> int:
     """Return the digest that travels with a body sent in parts."""
     if len(body) <= frames.INLINE_BYTES:
@@ -40,6 +46,8 @@
 
 @dataclasses.dataclass(slots=True)
 class _Outgoing:
+    # Its place in the budget is kept as long as the request or answer lives.
+    holder: message.Request | verdict.Response
     body: memoryview
     offset: int
     credit: int = 0
@@ -72,7 +80,7 @@
             return
         assert isinstance(item, frames.Call | frames.Answer)
         self._bodies[item.attempt] = _Outgoing(
-            memoryview(body), frames.INLINE_BYTES
+            _get_holder(item), memoryview(body), frames.INLINE_BYTES
         )
 
     def drop(self, attempt: bytes) -> None:
@@ -227,10 +235,7 @@
         if isinstance(item, frames.Call):
             took_s = asyncio.get_running_loop().time() - incoming.began_at
             item = _reduce_time(item, took_s)
-        holder = (
-            item.request if isinstance(item, frames.Call) else item.response
-        )
-        self._memory.hold(holder, incoming.reserved)
+        self._memory.hold(_get_holder(item), incoming.reserved)
         self._deliver(item)
 
     def _turn_away(self, item: Carrier) -> None:
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -30,6 +30,8 @@
     def __init__(self) -> None:
         self.runs: list[bytes] = []
         self.remaining_s: list[float] = []
+        # Counts the answers as those of a target; None for no count.
+        self.memory: budget.ByteBudget | None = None
         self.started = asyncio.Event()
         self.gate = asyncio.Event()
         self.gate.set()
@@ -45,6 +47,10 @@
             self.cancelled.set()
             raise
         response = verdict.Response(200, (), call.request.body)
+        if self.memory is not None:
+            response = verdict.Response(200, (), bytes(call.body_length))
+            self.memory.reserve_anyway(call.body_length)
+            self.memory.hold(response, call.body_length)
         return dialler.Reply(verdict.Answered(response), None)
 
 
@@ -307,6 +313,22 @@
         assert peer._link is not None
         self.assertEqual(0, len(peer._link._outbox))
 
+    async def test_answer_counts_until_it_was_sent(self) -> None:
+        """The target's node held far more than its budget allowed."""
+        length = 3_000_000
+        await self.dialler.bodies.reserve(MEMORY)
+        self.runner.memory = self.acceptor_bodies
+        task = self.start_call(self.build_call(bytes(length)))
+        async with asyncio.timeout(WAIT_S):
+            while not any(
+                len(opened._outbox) for opened in self.acceptor._links
+            ):
+                await asyncio.sleep(0.01)
+        self.acceptor._table.purge(1e9)
+        self.assertGreaterEqual(self.acceptor_bodies.used, length)
+        self.dialler.bodies.release(MEMORY)
+        self.assertEqual(length, len(self.get_body(await task)))
+
     async def test_time_that_a_body_takes_is_not_left_to_its_call(
         self,
     ) -> None:
