Send nothing of a long body before the receiver has room

A crowd that asks for long answers made its own node outgrow its machine, though the node waited for memory before it took the answers.

Cause: the first 64 KB of a long body travelled inside its message, before any room was reserved, and were kept twice while it waited: in the message and in the buffer for the whole. With 1,200 answers under way that is 150 MB.

Now a body over 64 KB follows in parts from its first byte. The receiver's credit comes after one turn over the link, as it did for the rest before.

--- a/src/eelgrasswalk/transport/bodies.py
+++ b/src/eelgrasswalk/transport/bodies.py
@@ -39,7 +39,7 @@
 
 def compute_digest(body: bytes) -> int:
     """Return the digest that travels with a body sent in parts."""
-    if len(body) <= frames.INLINE_BYTES:
+    if frames.is_inline(body):
         return 0
     return xxhash.xxh3_64_intdigest(body)
 
@@ -49,12 +49,12 @@
     # Its place in the budget is kept as long as the request or answer lives.
     holder: message.Request | verdict.Response
     body: memoryview
-    offset: int
+    offset: int = 0
     credit: int = 0
 
 
 class Outbox:
-    """Sends the rest of long bodies as far as the receiver gives credit.
+    """Sends long bodies as far as the receiver gives credit.
 
     Args:
         send: Sends one message.
@@ -74,13 +74,13 @@
         return len(self._bodies)
 
     def add(self, item: frames.Message) -> None:
-        """Keep the rest of a message's body, if there is one."""
+        """Keep the body of a message if it follows in parts."""
         body = get_body(item)
-        if len(body) <= frames.INLINE_BYTES:
+        if frames.is_inline(body):
             return
         assert isinstance(item, frames.Call | frames.Answer)
         self._bodies[item.attempt] = _Outgoing(
-            _get_holder(item), memoryview(body), frames.INLINE_BYTES
+            _get_holder(item), memoryview(body)
         )
 
     def drop(self, attempt: bytes) -> None:
--- a/src/eelgrasswalk/transport/codec.py
+++ b/src/eelgrasswalk/transport/codec.py
@@ -24,7 +24,7 @@
 
 
 def encode_message(item: frames.Message) -> bytes:
-    """Encode one message; the part of a body beyond the inline part stays."""
+    """Encode one message; a body that is not inline stays."""
     return _ENCODER.encode(_cut_body(item))
 
 
@@ -107,15 +107,16 @@
 
 
 def _cut_body(item: frames.Message) -> frames.Message:
-    """Return the message with the part of its body that travels inline."""
-    limit = frames.INLINE_BYTES
+    """Return the message without its body if that follows in parts."""
     replace = msgspec.structs.replace
-    if isinstance(item, frames.Call) and len(item.request.body) > limit:
-        request = replace(item.request, body=item.request.body[:limit])
-        return replace(item, request=request)
-    if isinstance(item, frames.Answer) and len(item.response.body) > limit:
-        response = replace(item.response, body=item.response.body[:limit])
-        return replace(item, response=response)
+    if isinstance(item, frames.Call):
+        if not frames.is_inline(item.request.body):
+            request = replace(item.request, body=b'')
+            return replace(item, request=request)
+    elif isinstance(item, frames.Answer):
+        if not frames.is_inline(item.response.body):
+            response = replace(item.response, body=b'')
+            return replace(item, response=response)
     return item
 
 
--- a/src/eelgrasswalk/transport/frames.py
+++ b/src/eelgrasswalk/transport/frames.py
@@ -1,7 +1,8 @@
 """Typed messages between nodes.
 
-Bodies up to INLINE_BYTES travel inside Call and Answer; the rest follows in
-Data messages as far as the receiver has given credit.
+Bodies up to INLINE_BYTES travel inside Call and Answer. Longer ones follow in
+Data messages as far as the receiver has given credit, so that it holds nothing
+of them before it has room for the whole.
 
 They are structs of the codec's library: it checks every field's type and
 bounds while it decodes, so that no step in Python is needed for a field.
@@ -42,6 +43,11 @@
 ]
 
 
+def is_inline(body: bytes) -> bool:
+    """Tell whether a body travels inside its Call or Answer."""
+    return len(body) <= INLINE_BYTES
+
+
 class Challenge(msgspec.Struct, frozen=True, array_like=True, gc=False, tag=1):
     """First message of the accepting side."""
 
@@ -141,7 +147,7 @@
         remaining_s: Seconds left until the deadline.
         allowance: Extra attempts lent to the call's own tree.
         idempotency_key: The caller's own, or an empty string.
-        request: The request; its body is cut to INLINE_BYTES on the wire.
+        request: The request; a body over INLINE_BYTES follows on the wire.
         body_length: Length of the whole body.
         digest: Digest of the whole body, 0 when the body is inline.
         objective_s: Seconds left in which an answer has its full worth; 0
