Hold no whole answer for its last part

20 clients that read all of answers of 3 MB but the last 600 kB let a node of memory_mb 40 grow by 51.8 MB, though it counted next to nothing.

Cause: parts were written as views of the body. The transport keeps the last one until the caller reads on, and with it the whole body, whose place in the budget was free by then: the answer had been written.

Parts are copies now, so that what the transport keeps is what it counts.

--- a/src/eelgrasswalk/transport/codec.py
+++ b/src/eelgrasswalk/transport/codec.py
@@ -109,14 +109,14 @@
 def _cut_body(item: frames.Message) -> frames.Message:
     """Return the message without its body if that follows in parts."""
     replace = msgspec.structs.replace
-    if isinstance(item, frames.Call):
-        if not frames.is_inline(item.request.body):
-            request = replace(item.request, body=b'')
-            return replace(item, request=request)
-    elif isinstance(item, frames.Answer):
-        if not frames.is_inline(item.response.body):
-            response = replace(item.response, body=b'')
-            return replace(item, response=response)
+    if isinstance(item, frames.Call) and not frames.is_inline(
+        item.request.body
+    ):
+        return replace(item, request=replace(item.request, body=b''))
+    if isinstance(item, frames.Answer) and not frames.is_inline(
+        item.response.body
+    ):
+        return replace(item, response=replace(item.response, body=b''))
     return item
 
 
--- a/src/eelgrasswalk/transport/server_connection.py
+++ b/src/eelgrasswalk/transport/server_connection.py
@@ -317,14 +317,18 @@
         self._is_writing = False
 
     async def _write_parts(self, body: bytes) -> None:
-        """Write a long body in parts, as fast as the caller reads it."""
+        """Write a long body in parts, as fast as the caller reads it.
+
+        Each is a copy: a view that the transport keeps would hold the whole
+        body, which nothing counts any more after its last part.
+        """
         view = memoryview(body)
         for start in range(0, len(body), PART_BYTES):
             if self._writable is not None:
                 await self._writable
             if self._transport is None or self._is_closed:
                 return
-            self._transport.write(view[start : start + PART_BYTES])
+            self._transport.write(bytes(view[start : start + PART_BYTES]))
             self._written += PART_BYTES
             self._last_activity = self._loop.time()
             # Other connections have their turn between two parts.
--- a/tests/transport/test_pipelining.py
+++ b/tests/transport/test_pipelining.py
@@ -269,6 +269,19 @@
         self.assertEqual(1, self.transport.written.count(large))
         self.assertEqual(['<b>', '<c>', '<d>'], self.bodies[1:])
 
+    async def test_parts_of_a_large_answer_do_not_hold_the_whole(self) -> None:
+        """A caller that leaves the last part unread kept all of it."""
+        large = bytes(3 * server_connection.PART_BYTES)
+        await self.send(get('a'))
+        with unittest.mock.patch.object(self.transport, 'write') as write:
+            self.handler.answer('a', large)
+            await settle()
+        parts = [call.args[0] for call in write.call_args_list]
+        self.assertGreater(len(parts), 3)
+        for part in parts:
+            self.assertIsInstance(part, bytes)
+            self.assertLessEqual(len(part), server_connection.PART_BYTES)
+
     async def test_small_answers_wait_for_a_caller_that_does_not_read(
         self,
     ) -> None:
