Keep connections whose callers read steadily

Seven clients that read 30 kB/s, inside every limit and alone, were reset in the middle of the first answer; the pipelined ones, which had run, were lost.

The kernel takes bytes in large steps too, so a transport alone does not show a slow reader's progress.

Where connections have to be closed for memory, the time that an answer will still wait, at the rate at which it is read, takes the place of its age: who reads least goes first. Callers below 16 kB/s are closed also when there are few of them, as one answer of the longest kind fills half of a small machine's memory for bodies and all calls are refused meanwhile.

--- a/src/eelgrasswalk/transport/client_account.py
+++ b/src/eelgrasswalk/transport/client_account.py
@@ -30,6 +30,10 @@
     def is_reading_slowly(self) -> bool:
         """Whether its caller reads a long answer slowly."""
 
+    @property
+    def is_stalled(self) -> bool:
+        """Whether its caller hardly reads an answer, or not at all."""
+
     @property
     def held_bytes(self) -> int:
         """Bytes that it holds, without those of bodies in the budget."""
@@ -203,7 +207,9 @@
         holdings = self._list_holdings(now, bodies_only=True)
         limit = int(self._bodies.limit * UNFINISHED_BODY_SHARE)
         excess = sum(each.held_bytes for each in holdings) - limit
-        if excess > 0 and self._are_crowd(holdings):
+        if not self._are_crowd(holdings):
+            holdings = [each for each in holdings if each.key.is_stalled]
+        if excess > 0:
             self._close_chosen(
                 client_load.choose_closed(holdings, excess_bytes=excess)
             )
--- a/src/eelgrasswalk/transport/server_connection.py
+++ b/src/eelgrasswalk/transport/server_connection.py
@@ -8,6 +8,7 @@
 from ..policy import client_load
 from . import message
 from . import problem
+from . import read_progress
 from . import request_reader
 from . import response_head
 from . import response_order
@@ -16,9 +17,14 @@
 LINGER_S = 2.0
 # Most that is still read of a request after its refusal was written.
 LINGER_BYTES = 8_388_608
-# A connection with a running request is closed for what it holds only when
-# its caller has read nothing of an earlier answer for so long.
+# A connection with a running request is closed for what it holds only when an
+# earlier answer has waited for its caller for so long.
 MIN_BLOCKED_S = 1.0
+# A caller that reads an answer more slowly than this is the first to be closed
+# while answers fill the budget of bodies, even when it is the only one.
+MIN_STEADY_BYTES_S = 16_384
+# Most time for which an answer is taken to go on waiting for its caller.
+MAX_WAIT_S = 60.0
 # A long answer counts against its connection unless its caller reads at least
 # this fast. The budget of bodies bounds a few answers that are read slowly as
 # well, but calls are refused for as long as they fill it.
@@ -63,8 +69,10 @@
         self._is_closed = False
         self._last_activity = self._began_at
         self._blocked_at = 0.0
+        self._paused_at = 0.0
         self._answer_began_at = self._began_at
         self._written = 0
+        self._progress = read_progress.ReadProgress(self._began_at)
         self._account = server.account
         self.charged = 0
         self._writable: asyncio.Future[None] | None = None
@@ -105,6 +113,7 @@
         self._note_finished()
 
     def pause_writing(self) -> None:
+        self._paused_at = self._loop.time()
         self._writable = self._loop.create_future()
 
     def resume_writing(self) -> None:
@@ -161,21 +170,36 @@
             held += self._order.body_bytes
         return held
 
+    @property
+    def is_stalled(self) -> bool:
+        """Whether its caller hardly reads an answer, or not at all."""
+        return (
+            self._writable is not None
+            and self._loop.time() - self._paused_at
+            > self._server.limits.request_timeout_s
+            and (self._progress.bytes_per_s or 0.0) < MIN_STEADY_BYTES_S
+        )
+
     def measure_age(self, now: float) -> float | None:
-        """Return for how long the present message has been under way.
+        """Return for how long the present message is under way.
 
         Returns:
-            Seconds; None while a request runs, unless the caller does not
-            read the answer before it.
+            Seconds that have passed, or that its caller will take to read an
+            answer; None while a request runs, unless the caller does not read
+            the answer before it.
         """
         if self._transport is None:
             return None
         if self._tasks and (
-            self._writable is None or now - self._last_activity < MIN_BLOCKED_S
+            self._writable is None or now - self._paused_at < MIN_BLOCKED_S
         ):
             return None
         if self._writable is not None:
-            return now - self._answer_began_at
+            rate = self._progress.bytes_per_s
+            if rate is None:
+                return now - self._answer_began_at
+            unread = self._transport.get_write_buffer_size()
+            return min(MAX_WAIT_S, unread / max(rate, 1.0))
         if self._receiving:
             return now - self._began_at
         return now - self._last_activity
@@ -238,7 +262,7 @@
 
     def _invite_body(self) -> None:
         if self._order.is_empty and self._transport is not None:
-            self._transport.write(response_head.CONTINUE)
+            self._write(response_head.CONTINUE)
 
     def _discard(self) -> None:
         """Close when a caller that is answered sends on and on."""
@@ -328,7 +352,7 @@
                 await self._writable
             if self._transport is None or self._is_closed:
                 return
-            self._transport.write(bytes(view[start : start + PART_BYTES]))
+            self._write(bytes(view[start : start + PART_BYTES]))
             self._written += PART_BYTES
             self._last_activity = self._loop.time()
             # Other connections have their turn between two parts.
@@ -344,9 +368,14 @@
         """
         rest = self._write_head(exchange)
         if rest and self._transport is not None:
-            self._transport.write(rest)
+            self._write(rest)
         return self._end_exchange(exchange)
 
+    def _write(self, data: bytes) -> None:
+        assert self._transport is not None
+        self._progress.written += len(data)
+        self._transport.write(data)
+
     def _write_head(self, exchange: response_order.Exchange) -> bytes:
         """Write the head of an answer, with its body unless that is long.
 
@@ -367,12 +396,12 @@
             keep_alive=exchange.keep_alive,
         )
         if exchange.is_head:
-            self._transport.write(head)
+            self._write(head)
             return b''
         if len(response.body) > PART_BYTES:
-            self._transport.write(head)
+            self._write(head)
             return response.body
-        self._transport.write(head + response.body)
+        self._write(head + response.body)
         return b''
 
     def _end_exchange(
@@ -440,9 +469,11 @@
         idle = now - self._last_activity
         limits = self._server.limits
         # A transport that is closed waits until its caller has read the rest.
-        is_unread = self._writable is not None or self._is_closed
-        if is_unread and idle > limits.request_timeout_s:
-            self._transport.abort()
+        if self._writable is not None or self._is_closed:
+            self._progress.observe(self._transport, now)
+            unread_s = now - max(self._last_activity, self._progress.at)
+            if unread_s > limits.request_timeout_s:
+                self._transport.abort()
         if self._paced.is_paused and _has_caller_left(self._transport):
             # As when the transport sees the end itself.
             self.close()
--- a/tests/integration/test_crowds.py
+++ b/tests/integration/test_crowds.py
@@ -270,6 +270,18 @@
         """These are enough to be a crowd; the memory allows for them."""
         await self.check_readers(12)
 
+    async def test_two_callers_that_hardly_read_a_long_answer(self) -> None:
+        """They fill the budget of bodies, and calls are refused meanwhile."""
+        await self.check_crowd(
+            2,
+            lambda number: (
+                crowds.build_call('/back/safe/long/4000000/', number=number),
+            ),
+            read_bytes=64,
+            is_distant=True,
+            stay_s=1.0,
+        )
+
     async def check_readers(self, count: int) -> None:
         """Check that each client gets all answers to pipelined requests."""
         calls = [
--- a/tests/transport/fakes.py
+++ b/tests/transport/fakes.py
@@ -26,6 +26,10 @@
     def write(self, data: typing.Any) -> None:
         self.written += data
 
+    def get_write_buffer_size(self) -> int:
+        """Return what was written, as nobody reads it."""
+        return len(self.written)
+
     def write_eof(self) -> None:
         pass
 
