Serve a single long body on small machines

A body of 40 MB got 503 on machines of 200 MB, one of 62 MB on machines of 300 MB, and 413 where the target's machine has 200 MB. max_body_bytes allows 67 MB, and there was no other load.

A call was refused when half of the budget of bodies was in use, and its own body counted. And the budget, 0.3 of the memory, is made for many bodies and is less than one of the longest on a small machine.

Now a call's own body does not count against it. One body may go beyond the budget by half of it (0.15 of the memory) while the others take less than half of it; what clients make the node hold beside bodies gives way by as much. Short bodies use that room as well, so that ordinary requests pass a long one.

That the target's node passes a body on as it comes was weighed, see docs/design/hard-load.md: the digest by which a request that crashes targets is recognised needs all of it, a slot would be held while it arrives, and a lost link would leave in doubt what is certainly not run today.

--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -297,7 +297,7 @@
             return attempt_outcomes.refuse(verdict.Reason.TARGET_UNREACHABLE)
         if self._is_stopping or clock.read_boot_time() >= self._accepts_until:
             return attempt_outcomes.refuse(verdict.Reason.LEAVING)
-        if not self._bodies.admits_calls():
+        if not self._bodies.admits_calls(call.request.body):
             return attempt_outcomes.refuse(verdict.Reason.MEMORY)
         return self._check_share(call)
 
--- a/src/eelgrasswalk/filters/guard.py
+++ b/src/eelgrasswalk/filters/guard.py
@@ -109,7 +109,7 @@
             return verdict.NotRun(verdict.Reason.DEADLINE)
         if self.draining:
             return verdict.NotRun(verdict.Reason.LEAVING, retry_elsewhere=True)
-        if not self._bodies.admits_calls():
+        if not self._bodies.admits_calls(call.request.body):
             return verdict.NotRun(
                 verdict.Reason.MEMORY, retry_after_s=1.0, retry_elsewhere=True
             )
--- a/src/eelgrasswalk/sidecar/wiring.py
+++ b/src/eelgrasswalk/sidecar/wiring.py
@@ -100,8 +100,12 @@
             control_plane.fresh.limit_s, apply_s=bounds.apply_s
         )
     )
+    memory_bytes = control_plane.config.memory_bytes
     control_plane.bodies.limit = int(
-        control_plane.config.memory_bytes * wiring_control.BODY_MEMORY_SHARE
+        memory_bytes * wiring_control.BODY_MEMORY_SHARE
+    )
+    control_plane.bodies.extra = int(
+        memory_bytes * wiring_control.EXTRA_BODY_MEMORY_SHARE
     )
     control_plane.clients.bounds = wiring_control.build_client_bounds(
         control_plane.config
--- a/src/eelgrasswalk/sidecar/wiring_control.py
+++ b/src/eelgrasswalk/sidecar/wiring_control.py
@@ -44,6 +44,9 @@
 # because the store's feed may hide a change for 1 s and its answer takes time.
 FRESHNESS_MARGIN_S = 1.25
 BODY_MEMORY_SHARE = 0.3
+# What one long body may take beyond that: a machine of 200 MB holds one of the
+# usual max_body_bytes, 67 MB.
+EXTRA_BODY_MEMORY_SHARE = 0.15
 # What clients may make the process hold beside the bodies above. A crowd that
 # reads slowly took twice as much in resident memory as is counted.
 CLIENT_MEMORY_SHARE = 0.2
@@ -232,7 +235,10 @@
         settle_s=STARTUP_SETTLE_S,
         gather_s=PLACEMENT_DELAY_S,
     )
-    bodies = budget.ByteBudget(int(config.memory_bytes * BODY_MEMORY_SHARE))
+    bodies = budget.ByteBudget(
+        int(config.memory_bytes * BODY_MEMORY_SHARE),
+        extra=int(config.memory_bytes * EXTRA_BODY_MEMORY_SHARE),
+    )
     router.register(relay.TOPIC, node_relay.receive)
     router.register(relay.TOPIC_ASK, node_relay.receive_ask)
     node_roster.list_neighbours = node_relay.list_neighbours
--- a/src/eelgrasswalk/transport/bodies.py
+++ b/src/eelgrasswalk/transport/bodies.py
@@ -167,7 +167,7 @@
             return
         if item.attempt in self._bodies or item.body_length < len(body):
             raise BadBodyError('a body is announced twice or too short')
-        if item.body_length > self._memory.limit:
+        if item.body_length > self._memory.capacity:
             self._turn_away(item)
             return
         loop = asyncio.get_running_loop()
@@ -252,7 +252,7 @@
             return
         refusal = verdict.NotRun(
             verdict.Reason.BODY_TOO_LARGE,
-            detail=f'the upstream holds at most {self._memory.limit} bytes',
+            detail=f'the upstream holds at most {self._memory.capacity} bytes',
         )
         self._send(
             frames.Failure(item.attempt, frames.SILENT_FEEDBACK, refusal)
--- a/src/eelgrasswalk/transport/body_buffer.py
+++ b/src/eelgrasswalk/transport/body_buffer.py
@@ -108,7 +108,9 @@
         is_short = length <= budget.UNCOUNTED_BYTES
         if length <= self._guaranteed:
             self._memory.reserve_anyway(missing)
-        elif not self._memory.try_reserve(missing, is_short=is_short):
+        elif not self._memory.try_reserve(
+            missing, own=self._reserved, is_short=is_short
+        ):
             return False
         self._reserved += missing
         return True
--- a/src/eelgrasswalk/transport/budget.py
+++ b/src/eelgrasswalk/transport/budget.py
@@ -21,26 +21,66 @@
 class ByteBudget:
     """Counts the bytes of bodies held, and makes the next ones wait.
 
+    A body may go beyond the limit while the others are well below it: one as
+    long as is allowed may take more than a small machine has for many.
+
     Args:
         limit: Most bytes held at a time.
+        extra: Bytes beyond the limit that such a body may take.
+
+    Attributes:
+        limit: As above; may be changed at any time.
+        extra: As above; may be changed at any time.
+        used: Bytes held.
     """
 
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit: int, *, extra: int = 0) -> None:
         self.limit = limit
+        self.extra = extra
         self.used = 0
         self._waiters: collections.deque[tuple[int, asyncio.Future[None]]] = (
             collections.deque()
         )
 
-    def admits_calls(self) -> bool:
-        """Tell whether a new call may start; its own body is held already."""
-        return not self._waiters and self.used <= self.limit * ADMIT_SHARE
+    @property
+    def capacity(self) -> int:
+        """Most bytes held at a time with a body beyond the limit."""
+        return self.limit + self.extra
+
+    @property
+    def excess(self) -> int:
+        """Bytes held beyond the limit."""
+        return max(0, self.used - self.limit)
 
-    def try_reserve(self, length: int, *, is_short: bool = False) -> bool:
+    def admits_calls(self, body: bytes = b'') -> bool:
+        """Tell whether a new call may start.
+
+        Args:
+            body: Body of the call, which is held already.
+        """
+        if self._waiters:
+            return False
+        share = self.limit * ADMIT_SHARE
+        own = len(body) if len(body) > UNCOUNTED_BYTES else 0
+        return self.used - own <= share or self.capacity - self.used >= share
+
+    def _fits(self, length: int, *, own: int = 0) -> bool:
+        """Tell whether bytes are free for a body that has others already."""
+        if self.used + length <= self.limit:
+            return True
+        return (
+            self.used + length <= self.capacity
+            and self.used - own <= self.limit * ADMIT_SHARE
+        )
+
+    def try_reserve(
+        self, length: int, *, own: int = 0, is_short: bool = False
+    ) -> bool:
         """Reserve bytes if they are free.
 
         Args:
             length: Number of bytes.
+            own: Bytes that are reserved for the same body already.
             is_short: Whether the whole body is short; longer ones give way to
                 those that wait.
 
@@ -49,10 +89,13 @@
         """
         if self._waiters and not is_short:
             return False
-        if self.used + length > self.limit:
-            return False
-        self.used += length
-        return True
+        if is_short:
+            fits = self.used + length <= self.capacity
+        else:
+            fits = self._fits(length, own=own)
+        if fits:
+            self.used += length
+        return fits
 
     def reserve_anyway(self, length: int) -> None:
         """Reserve bytes, beyond the limit if they are not free.
@@ -66,11 +109,11 @@
         """Reserve bytes, first come first served.
 
         Raises:
-            ValueError: The length is over the whole limit.
+            ValueError: The length is over the whole capacity.
         """
-        if length > self.limit:
+        if length > self.capacity:
             raise ValueError(
-                f'{length} bytes are over the limit of {self.limit}; '
+                f'{length} bytes are over the limit of {self.capacity}; '
                 'raise memory.body_bytes or lower max_answer_bytes'
             )
         if self.try_reserve(length):
@@ -102,9 +145,11 @@
     def _serve_waiters(self) -> None:
         while self._waiters:
             length, waiter = self._waiters[0]
-            if self.used + length > self.limit:
+            if waiter.done():
+                self._waiters.popleft()
+                continue
+            if not self._fits(length):
                 return
             self._waiters.popleft()
-            if not waiter.done():
-                self.used += length
-                waiter.set_result(None)
+            self.used += length
+            waiter.set_result(None)
--- a/src/eelgrasswalk/transport/client_account.py
+++ b/src/eelgrasswalk/transport/client_account.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import typing
 
 from .. import events
@@ -14,6 +15,8 @@
 # Part of the budget of bodies that is left to bodies of unfinished requests
 # and unread answers of a crowd, half of what new calls may find in use.
 UNFINISHED_BODY_SHARE = budget.ADMIT_SHARE / 2
+# Part of the limit on what clients hold that a long body never takes.
+MIN_HELD_SHARE = 0.25
 
 
 class Holder(typing.Protocol):
@@ -94,11 +97,17 @@
         """Number of open connections."""
         return len(self._holders)
 
+    @property
+    def held_limit(self) -> int:
+        """Most bytes held; bodies beyond their own limit are taken from it."""
+        most = self.bounds.held_bytes
+        return max(int(most * MIN_HELD_SHARE), most - self._bodies.excess)
+
     @property
     def is_full(self) -> bool:
         """Whether clients hold all that is allowed."""
         return (
-            self.used > self.bounds.held_bytes
+            self.used > self.held_limit
             and len(self._holders) >= client_load.MIN_CROWD
         )
 
@@ -135,7 +144,7 @@
 
         A connection asks for it when it holds more than before.
         """
-        if self.used > self.bounds.held_bytes:
+        if self.used > self.held_limit:
             self._close_some()
         if self._bodies.used > self._bodies.limit * budget.ADMIT_SHARE:
             self.relieve_bodies()
@@ -179,9 +188,7 @@
         ]
         excess = max(
             cost,
-            client_load.compute_excess(
-                self.used + cost, self.bounds.held_bytes
-            ),
+            client_load.compute_excess(self.used + cost, self.held_limit),
         )
         if sum(each.held_bytes for each in holdings) < excess:
             self._room_scan_after = now + SCAN_INTERVAL_S
@@ -195,7 +202,9 @@
             cost,
             used=self.used,
             connections=len(self._holders),
-            bounds=self.bounds,
+            bounds=dataclasses.replace(
+                self.bounds, held_bytes=self.held_limit
+            ),
         )
 
     def relieve_bodies(self) -> None:
@@ -247,7 +256,7 @@
         self._refresh()
         excess_bytes = max(
             excess_bytes,
-            client_load.compute_excess(self.used, self.bounds.held_bytes),
+            client_load.compute_excess(self.used, self.held_limit),
         )
         before = self.used, len(self._holders)
         self._close_chosen(
@@ -297,7 +306,7 @@
         events.log(
             events.CLIENTS_SHED,
             held_bytes=self.used,
-            held_limit=self.bounds.held_bytes,
+            held_limit=self.held_limit,
             connections=len(self._holders),
             connections_limit=self.bounds.connections,
             shed=self.shed,
--- a/src/eelgrasswalk/transport/pacing.py
+++ b/src/eelgrasswalk/transport/pacing.py
@@ -128,7 +128,7 @@
         if not rest:
             return True
         if self._memory is not None:
-            if not self._memory.try_reserve(len(rest)):
+            if not self._memory.try_reserve(len(rest), is_short=True):
                 return False
             self.reserved += len(rest)
         self._held.append(rest)
--- a/src/eelgrasswalk/transport/request_reader.py
+++ b/src/eelgrasswalk/transport/request_reader.py
@@ -270,7 +270,7 @@
             # Most requests are small, and there is room for them.
             and (
                 cost > client_load.LARGE_REQUEST_BYTES
-                or account.used + cost > account.bounds.held_bytes
+                or account.used + cost > account.held_limit
             )
             and not account.admits(cost)
         ):
--- a/tests/integration/crowds.py
+++ b/tests/integration/crowds.py
@@ -27,6 +27,7 @@
 SEGMENT_BYTES = 1_460
 
 MAX_TARGET_HEADERS = 5_000
+MAX_TARGET_BODY_BYTES = 67_108_864
 
 
 class LongAnswers(app.AppStandin):
@@ -39,7 +40,9 @@
     def _build_server(self) -> http_server.HttpServer:
         return http_server.HttpServer(
             self.handle,
-            limits=http_server.Limits(headers=MAX_TARGET_HEADERS),
+            limits=http_server.Limits(
+                body_bytes=MAX_TARGET_BODY_BYTES, headers=MAX_TARGET_HEADERS
+            ),
         )
 
     async def handle(self, request: message.Request) -> verdict.Response:
