Map large blocks of memory by themselves

Under crowds that ask for long answers the resident memory of the target's node was up to twice what it counted, and differed from run to run.

Cause: the C library raises the size from which it maps blocks by themselves whenever such a block is freed, up to 32 MB. Bodies that grow side by side then move within the heap, and the holes that they leave stay resident.

The processes fix that size at 128 KB at their start. A larger block is returned when it is freed, and grows without being copied.

--- a/src/eelgrasswalk/cli/node.py
+++ b/src/eelgrasswalk/cli/node.py
@@ -9,6 +9,7 @@
 
 import click
 
+from .. import allocator
 from .. import app
 from .. import collector
 from .. import events
@@ -38,6 +39,7 @@
         sys.exit(EXIT_BAD_SETTINGS)
     events.configure_logging(config.log_level, node_id=config.node_id)
 
+    allocator.map_large_blocks()
     collector.tune_collector()
 
     def build() -> tuple[app.Application, typing.Callable[[], None]]:
--- a/src/eelgrasswalk/cli/sidecar.py
+++ b/src/eelgrasswalk/cli/sidecar.py
@@ -3,6 +3,7 @@
 import os
 import sys
 
+from .. import allocator
 from .. import app
 from .. import collector
 from .. import events
@@ -42,6 +43,7 @@
         stream=log_stream.LogStream(sys.stdout.fileno()),
         budget=budget,
     )
+    allocator.map_large_blocks()
     collector.tune_collector()
     app.run_application(
         lambda: (build_application(config, budget), lambda: None)
