Bound what calls of other nodes hold at the target's node

Crowds at five callers' nodes, each within its limits, let the node of their target outgrow its machine: by 33.5 MB (bodies of 60 kB), 36.3 MB (pipelined requests for 65 kB) and 30.0 MB (for 400 kB), where 28 are allowed.

Cause: a callers' node counts what its own clients make it hold. Nobody counted what arrives over links, but for bodies over 64 KB; the more nodes there are, the more a target's node held.

Each call that comes over a link now counts there with its head, its header lines and its short body, from its arrival until it has ended in any way: the count is a block around its run, which a cancellation leaves as well. Above a tenth of the memory new calls are refused, large ones from 0.75 of that on; the refusal says not run and may go to another target. A call that finds nothing else there is always taken.

--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -194,6 +194,14 @@
                 self._admitter.policy.refuse_waiting(verdict.Reason.EVACUATED)
             )
 
+    def refuse(
+        self, call: frames.Call, refusal: verdict.NotRun
+    ) -> dialler.Reply:
+        """Refuse a call before anything else is decided on it."""
+        reply = dialler.Reply(refusal, None)
+        self._record(call, reply, self._loop.time())
+        return reply
+
     async def run(self, call: frames.Call) -> dialler.Reply:
         """Run one attempt; the reply reports the target's load."""
         started_at = self._loop.time()
--- a/src/eelgrasswalk/policy/client_load.py
+++ b/src/eelgrasswalk/policy/client_load.py
@@ -113,6 +113,23 @@
     return used + cost <= bounds.held_bytes * share
 
 
+def admits_peer_call(cost: int, *, used: int, limit: int) -> bool:
+    """Tell whether a call of another node may be held.
+
+    Many nodes may each hold what their own clients are allowed, and all of it
+    for one target.
+
+    Args:
+        cost: Bytes that the call takes.
+        used: Bytes that calls of other nodes and their answers take already.
+        limit: Most bytes that they may take.
+    """
+    if not used:
+        return True
+    share = LARGE_SHARE if cost > LARGE_REQUEST_BYTES else 1.0
+    return used + cost <= limit * share
+
+
 def choose_closed(
     holdings: collections.abc.Sequence[Holding[Key]],
     *,
--- a/src/eelgrasswalk/sidecar/gauges.py
+++ b/src/eelgrasswalk/sidecar/gauges.py
@@ -63,6 +63,10 @@
     if call_path is not None:
         policy = call_path.admitter.policy
         gauges |= {
+            'eelgrasswalk_peer_call_bytes': (
+                'Bytes that calls of other nodes make the node hold',
+                call_path.peer_calls.memory.used,
+            ),
             'eelgrasswalk_target_running': (
                 'Calls that the target runs',
                 policy.in_flight,
@@ -123,6 +127,10 @@
         return counters
     coldness = call_path.gate.coldness
     return counters | {
+        'eelgrasswalk_peer_calls_refused': (
+            'Calls of other nodes refused as they held too much',
+            call_path.peer_calls.refused,
+        ),
         'eelgrasswalk_cold_refusals': (
             'Calls refused because the target is or may be cold',
             coldness.refused,
--- a/src/eelgrasswalk/sidecar/wiring.py
+++ b/src/eelgrasswalk/sidecar/wiring.py
@@ -21,6 +21,7 @@
 from ..filters import front
 from ..filters import gate
 from ..filters import isolation
+from ..filters import peer_calls
 from ..filters import transmit
 from ..policy import attempts
 from ..policy import retry_budget
@@ -31,6 +32,7 @@
 from ..policy.capacity import slot_queue
 from ..policy.placement import spread
 from ..transport import acceptor
+from ..transport import budget
 from ..transport import dialler
 from ..transport import http_client
 from ..transport import link
@@ -51,6 +53,7 @@
     Args:
         front: Handles requests from callers.
         gate: Admits and delivers calls to the target.
+        peer_calls: Bounds what calls of other nodes make this one hold.
         admitter: Queue of calls for the target.
         pool: Connections to the target.
         dialler: Links that this node opens.
@@ -65,6 +68,7 @@
 
     front: front.Frontend
     gate: gate.Gate
+    peer_calls: peer_calls.PeerCalls
     admitter: admit.Admitter[slot_queue.SlotQueue]
     pool: http_client.TargetPool
     dialler: dialler.Dialler
@@ -112,6 +116,9 @@
     )
     control_plane.homes.set_regions(control_plane.config.regions)
     if call_path is not None:
+        call_path.peer_calls.memory.limit = int(
+            memory_bytes * wiring_control.PEER_MEMORY_SHARE
+        )
         call_path.gate.drain_s = bounds.drain_s
         call_path.call_retry_budget.bounds = (
             policy_settings.build_retry_bounds(bounds)
@@ -205,13 +212,20 @@
             control_plane.homes, control_plane.rules.get_table
         ).find,
     )
+    held_calls = peer_calls.PeerCalls(
+        target_gate,
+        budget.ByteBudget(
+            int(config.memory_bytes * wiring_control.PEER_MEMORY_SHARE)
+        ),
+    )
     call_path = CallPath(
         front=_build_front(control_plane, forwarder, quotas),
         gate=target_gate,
+        peer_calls=held_calls,
         admitter=admitter,
         pool=pool,
         dialler=link_dialler,
-        acceptor=_build_acceptor(control_plane, identity, secret, target_gate),
+        acceptor=_build_acceptor(control_plane, identity, secret, held_calls),
         check_ins=check_ins.CheckInKeeper(
             control_plane.platform.check_in_format,
             target_lifecycle.TargetLifecycle(),
@@ -375,12 +389,12 @@
     control_plane: wiring_control.ControlPlane,
     identity: link.Identity,
     secret: bytes,
-    target_gate: gate.Gate,
+    held_calls: peer_calls.PeerCalls,
 ) -> acceptor.Acceptor:
     return acceptor.Acceptor(
         identity,
         secret=secret,
-        runner=target_gate,
+        runner=held_calls,
         bodies=control_plane.bodies,
         table=attempts.AttemptTable(
             max_answer_bytes=int(
--- a/src/eelgrasswalk/sidecar/wiring_control.py
+++ b/src/eelgrasswalk/sidecar/wiring_control.py
@@ -50,6 +50,8 @@
 # What clients may make the process hold beside the bodies above. A crowd that
 # reads slowly took twice as much in resident memory as is counted.
 CLIENT_MEMORY_SHARE = 0.2
+# What calls of other nodes and their answers may take at the target's node.
+PEER_MEMORY_SHARE = 0.1
 # Descriptors that the platform reserves for files, and the part of the others
 # that clients may use; the rest is for targets, links and the store.
 FILE_DESCRIPTORS = 200
--- a/tests/integration/test_link_crowds.py
+++ b/tests/integration/test_link_crowds.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import itertools
 import re
 
@@ -23,6 +24,8 @@
 MAX_BODY_BYTES = 67_108_864
 LONG_BODIES = (40_000_000, 62_000_000, MAX_BODY_BYTES)
 MIXED_CLIENTS = 60
+# Time for which the crowds at many nodes stay.
+STAY_S = 3.0
 
 
 def build_post(number: int, length: int) -> bytes:
@@ -291,3 +294,85 @@
             await self.send_body(LONG_BODIES[-2])
         self.check_memory()
         await self.check_nodes_recover()
+
+
+class ManyNodesTest(crowd_case.CrowdTestCase):
+    """Each callers' node is within its limits; one node has their target."""
+
+    services = ('front',) * 5 + ('back',)
+
+    async def check_crowds(
+        self,
+        count: int,
+        pieces: crowd_case.Pieces,
+        *,
+        read_bytes: int = 0,
+    ) -> None:
+        """Check all nodes while there is a crowd at each of the first."""
+        before = self.read_peaks()
+        served = False
+        async with contextlib.AsyncExitStack() as stack:
+            starting = []
+            for node in self.nodes[:-1]:
+                crowd = crowds.Crowd(
+                    node.ports[0], pieces, read_bytes=read_bytes
+                )
+                stack.push_async_callback(crowd.close)
+                starting.append(crowd.start(count))
+            await asyncio.gather(*starting)
+            await asyncio.sleep(STAY_S)
+            descriptors = self.count_descriptors()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(sidecars.WAIT_S / 3):
+                    while not await self.is_served(self.node, 'back'):
+                        await asyncio.sleep(sidecars.POLL_S)
+                served = True
+        self.check_nodes(before, descriptors, served=served)
+        await self.wait_for(lambda: self.is_served(self.node, 'back'))
+
+    async def test_short_whole_bodies(self) -> None:
+        self.nodes[-1].app.behaviour.work_s = 2.0
+        await self.check_crowds(
+            150, lambda number: (build_post(number, 60_000), b'x' * 60_000)
+        )
+
+    async def test_whole_requests_of_many_lines(self) -> None:
+        self.nodes[-1].app.behaviour.work_s = 2.0
+        headers = tuple((b'h%d' % each, b'') for each in range(1_800))
+        await self.check_crowds(
+            150,
+            lambda number: (
+                crowds.build_call(
+                    '/back/safe/', number=number, headers=headers
+                ),
+            ),
+        )
+
+    async def test_short_answers_to_pipelined_requests(self) -> None:
+        await self.check_crowds(
+            150,
+            lambda number: (
+                b''.join(
+                    crowds.build_call(
+                        f'/back/safe/long/{MIDDLE_BYTES}/',
+                        number=number * 64 + each,
+                    )
+                    for each in range(60)
+                ),
+            ),
+            read_bytes=4_096,
+        )
+
+    async def test_long_answers_to_pipelined_requests(self) -> None:
+        await self.check_crowds(
+            60,
+            lambda number: (
+                b''.join(
+                    crowds.build_call(
+                        '/back/safe/long/400000/', number=number * 64 + each
+                    )
+                    for each in range(12)
+                ),
+            ),
+            read_bytes=4_096,
+        )
