Keep answers that a link's socket does not take, and count them

Short answers were written to a link whatever its socket took. When a caller's node reads slowly, the transport held any number of them, 64 KB each, that no account knew; a caller that had left did not free its answer.

Now calls and answers wait in the link while its socket takes no more. Answers count with the calls of other nodes, which are refused before there are too many. An attempt that has ended takes its message out of the queue, and a link that is closed on purpose sends what waits first.

tests.transport.test_links, OutboxTest, covers each way out; there was no queue before.

--- a/src/eelgrasswalk/sidecar/wiring.py
+++ b/src/eelgrasswalk/sidecar/wiring.py
@@ -395,6 +395,7 @@
         identity,
         secret=secret,
         runner=held_calls,
+        backlog=held_calls.memory,
         bodies=control_plane.bodies,
         table=attempts.AttemptTable(
             max_answer_bytes=int(
--- a/src/eelgrasswalk/transport/acceptor.py
+++ b/src/eelgrasswalk/transport/acceptor.py
@@ -52,6 +52,8 @@
         bodies: Budget for bodies that arrive in parts.
         table: Records of attempts.
         on_control: Receives controllers' messages.
+        backlog: Counts answers that wait until their callers' nodes read;
+            None for no count.
     """
 
     def __init__(
@@ -63,7 +65,9 @@
         bodies: budget.ByteBudget,
         table: attempts.AttemptTable,
         on_control: dialler.ControlHandler,
+        backlog: budget.ByteBudget | None = None,
     ) -> None:
+        self._backlog = backlog
         self._identity = identity
         self._secret = secret
         self._runner = runner
@@ -155,6 +159,7 @@
             memory=self._bodies,
             watch=self._watch,
             dialled=False,
+            backlog=self._backlog,
         )
 
     def _purge(self) -> None:
--- a/src/eelgrasswalk/transport/bodies.py
+++ b/src/eelgrasswalk/transport/bodies.py
@@ -11,6 +11,7 @@
 import xxhash
 
 from .. import verdict
+from ..policy import client_load
 from . import budget
 from . import frames
 from . import message
@@ -54,25 +55,59 @@
     credit: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Waiting:
+    item: Carrier
+    length: int
+
+
 class Outbox:
     """Sends long bodies as far as the receiver gives credit.
 
     Args:
         send: Sends one message.
         is_writable: Tells whether the socket takes more.
+        memory: Counts answers that wait until the socket takes them, without
+            long bodies; None for no count.
     """
 
     def __init__(
         self,
         send: collections.abc.Callable[[frames.Message], None],
         is_writable: collections.abc.Callable[[], bool],
+        memory: budget.ByteBudget | None = None,
     ) -> None:
         self._send = send
         self._is_writable = is_writable
+        self._memory = memory
         self._bodies: dict[bytes, _Outgoing] = {}
+        # A dictionary keeps the order in which they were sent.
+        self._waiting: dict[bytes, _Waiting] = {}
 
     def __len__(self) -> int:
-        return len(self._bodies)
+        return len(self._bodies) + len(self._waiting)
+
+    def queue(self, item: Carrier) -> bool:
+        """Keep a whole message while the socket takes no more.
+
+        Otherwise the transport would hold any number of them, which nothing
+        counts.
+
+        Returns:
+            Whether it is kept; it is to be sent now if not.
+        """
+        if self._is_writable() and not self._waiting:
+            return False
+        length = 0
+        if isinstance(item, frames.Answer):
+            length = client_load.compute_answer_cost(item.response)
+            if not frames.is_inline(item.response.body):
+                length -= len(item.response.body)
+        self._take_waiting(item.attempt)
+        self._waiting[item.attempt] = _Waiting(item, length)
+        if self._memory is not None:
+            self._memory.reserve_anyway(length)
+        return True
 
     def add(self, item: frames.Message) -> None:
         """Keep the body of a message if it follows in parts."""
@@ -85,12 +120,23 @@
         )
 
     def drop(self, attempt: bytes) -> None:
-        """Send no more of an attempt's body."""
+        """Send no more of an attempt's message and body."""
         self._bodies.pop(attempt, None)
+        self._take_waiting(attempt)
 
     def clear(self) -> None:
-        """Send no more of any body."""
+        """Send no more of anything."""
         self._bodies.clear()
+        for attempt in list(self._waiting):
+            self._take_waiting(attempt)
+
+    def _take_waiting(self, attempt: bytes) -> Carrier | None:
+        waiting = self._waiting.pop(attempt, None)
+        if waiting is None:
+            return None
+        if self._memory is not None:
+            self._memory.release(waiting.length)
+        return waiting.item
 
     def add_credit(self, item: frames.Credit) -> None:
         """Take the receiver's word for more."""
@@ -100,7 +146,12 @@
             self.pump()
 
     def pump(self) -> None:
-        """Send one part of each body in turn while the socket takes them."""
+        """Send what waits while the socket takes it.
+
+        Whole messages go first, then one part of each body in turn.
+        """
+        while self._waiting and self._is_writable():
+            self._send_waiting()
         ready = collections.deque(self._bodies)
         while ready and self._is_writable():
             attempt = ready.popleft()
@@ -108,6 +159,17 @@
             if outgoing is not None and self._send_part(attempt, outgoing):
                 ready.append(attempt)
 
+    def flush(self) -> None:
+        """Send all messages that wait, as the link is to be closed."""
+        while self._waiting:
+            self._send_waiting()
+
+    def _send_waiting(self) -> None:
+        item = self._take_waiting(next(iter(self._waiting)))
+        assert item is not None
+        self.add(item)
+        self._send(item)
+
     def _send_part(self, attempt: bytes, outgoing: _Outgoing) -> bool:
         length = min(outgoing.credit, frames.DATA_BYTES)
         if length <= 0:
--- a/src/eelgrasswalk/transport/link.py
+++ b/src/eelgrasswalk/transport/link.py
@@ -78,6 +78,8 @@
         dialled: Whether this side opened the connection.
         peer_id: The node that was dialled; empty on the accepting side.
         sequence: Number of this link among those dialled to the peer.
+        backlog: Counts answers that wait until the peer reads; None for no
+            count.
 
     Attributes:
         silent_since: Loop time of the probe without an answer for which the
@@ -95,6 +97,7 @@
         dialled: bool,
         peer_id: str = '',
         sequence: int = 0,
+        backlog: budget.ByteBudget | None = None,
     ) -> None:
         self.peer = Identity(peer_id, 0)
         self.sequence = sequence
@@ -113,7 +116,7 @@
         self._probed_at: float | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._paused = False
-        self._outbox = bodies.Outbox(self.send, self._is_writable)
+        self._outbox = bodies.Outbox(self._write, self._is_writable, backlog)
         self._inbox = bodies.Inbox(memory, self.send, self._deliver)
         self._reader = codec.FrameReader(MAX_HANDSHAKE_BYTES)
         # The peer has ended its side and reads no more.
@@ -124,15 +127,22 @@
     def send(self, item: frames.Message) -> None:
         """Send a message; without effect once the link is closed.
 
-        The part of a body that does not fit inline follows as the receiver
-        gives credit.
+        Calls and answers wait while the socket takes no more. A body that does
+        not fit inline follows as the receiver gives credit.
         """
         if self._transport is None or self._ended:
             return
-        self._outbox.add(item)
         if isinstance(item, frames.Call):
             self._probe_after(SILENCE_S)
-        self._transport.write(codec.encode_frame(item))
+        if isinstance(item, frames.Call | frames.Answer):
+            if self._outbox.queue(item):
+                return
+            self._outbox.add(item)
+        self._write(item)
+
+    def _write(self, item: frames.Message) -> None:
+        if self._transport is not None:
+            self._transport.write(codec.encode_frame(item))
 
     def _deliver(self, item: frames.Message) -> None:
         self._owner.on_message(self, item)
@@ -153,6 +163,7 @@
     def close_gracefully(self) -> None:
         """Close after what was written has been sent."""
         if self._transport is not None:
+            self._outbox.flush()
             self._transport.close()
 
     # asyncio.Protocol
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -410,6 +410,65 @@
         await asyncio.wait_for(self.runner.cancelled.wait(), WAIT_S)
 
 
+class OutboxTest(unittest.TestCase):
+    """Messages of a link whose socket takes no more for a while."""
+
+    def setUp(self) -> None:
+        self.sent: list[frames.Message] = []
+        self.is_writable = False
+        self.memory = budget.ByteBudget(MEMORY)
+        self.outbox = bodies.Outbox(
+            self.sent.append, lambda: self.is_writable, self.memory
+        )
+
+    def build_answer(self, length: int) -> frames.Answer:
+        body = bytes(length)
+        return frames.Answer(
+            attempt=secrets.token_bytes(16),
+            feedback=frames.SILENT_FEEDBACK,
+            response=verdict.Response(200, (), body),
+            body_length=length,
+            digest=bodies.compute_digest(body),
+        )
+
+    def test_answers_wait_in_order_and_count(self) -> None:
+        """Any number of them was written to the transport."""
+        answers = [self.build_answer(length) for length in (1_000, 2_000)]
+        for answer in answers:
+            self.assertTrue(self.outbox.queue(answer))
+        self.assertEqual(3_000, self.memory.used)
+        self.is_writable = True
+        self.outbox.pump()
+        self.assertEqual(answers, self.sent)
+        self.assertEqual(0, self.memory.used)
+
+    def test_none_overtakes_those_that_wait(self) -> None:
+        self.outbox.queue(self.build_answer(1))
+        self.is_writable = True
+        self.assertTrue(self.outbox.queue(self.build_answer(1)))
+
+    def test_answer_that_nobody_waits_for_is_dropped(self) -> None:
+        answer = self.build_answer(1_000)
+        self.outbox.queue(answer)
+        self.outbox.drop(answer.attempt)
+        self.assertEqual(0, self.memory.used)
+        self.is_writable = True
+        self.outbox.pump()
+        self.assertEqual([], self.sent)
+
+    def test_lost_link_holds_nothing(self) -> None:
+        self.outbox.queue(self.build_answer(1_000))
+        self.outbox.clear()
+        self.assertEqual(0, self.memory.used)
+        self.assertEqual(0, len(self.outbox))
+
+    def test_closing_link_sends_what_waits(self) -> None:
+        answer = self.build_answer(1_000)
+        self.outbox.queue(answer)
+        self.outbox.flush()
+        self.assertEqual([answer], self.sent)
+
+
 class ClosedLinkTest(unittest.IsolatedAsyncioTestCase):
     async def test_message_on_a_link_that_the_peer_has_ended(self) -> None:
         """Nodes that stop together end their links at the same moment."""
