Find no request guilty by runs from before it was suspected

A request that many callers send could be quarantined, 400 for all of them, when two targets ended within milliseconds of each other while both ran it.

Cause: at the second crash the request was a suspect already, and the only one, so the crash counted as one under a suspect that runs apart. But its run there had begun before the first crash, beside others that may have ended the target and that nobody had reason to suspect.

Such a run counts as proof now only when nothing else ran at the target. A request that is deadly crashes one target more in that case; the next run is one apart.

tests.filters.test_isolation, test_run_from_before_the_first_crash_proves_ nothing: quarantined before. tests.integration.test_deadly_request passes.

--- a/src/eelgrasswalk/filters/isolation.py
+++ b/src/eelgrasswalk/filters/isolation.py
@@ -217,7 +217,12 @@
         self._record_ended(self._node_id, run_id)
         changed += self._withdraw_doubtful(subjects)
         guilty = None
-        if len(suspected) == 1 and not changed:
+        is_alone = len(subjects) == 1
+        if (
+            len(suspected) == 1
+            and not changed
+            and (is_alone or self._began_as_suspect(suspected[0]))
+        ):
             guilty = self._judge(suspected[0], subjects[suspected[0]])
         self._reporter.report_crash(
             Crash(self._node_id, run_id, tuple(subjects), guilty)
@@ -327,6 +332,17 @@
             return running_at
         return max(found, default='', key=lambda name: _rank(digest, name))
 
+    def _began_as_suspect(self, digest: bytes) -> bool:
+        """Return whether a run of a suspect began after it was suspected.
+
+        An earlier run says little of what ran beside it: targets that end
+        together, under a request that many callers send, would be put down to
+        that one.
+        """
+        return all(
+            ticket.digest != digest for ticket in self._adopted.values()
+        )
+
     def _judge(
         self, digest: bytes, subject: quarantine.Subject
     ) -> quarantine.Record | None:
--- a/tests/filters/test_isolation.py
+++ b/tests/filters/test_isolation.py
@@ -220,6 +220,24 @@
                 passed = await node.start(self.build_call(target))
                 self.assertIsInstance(passed, isolation.Pass)
 
+    async def test_run_from_before_the_first_crash_proves_nothing(
+        self,
+    ) -> None:
+        """Two targets end within milliseconds under one popular request.
+
+        Its runs at both began before either ended, so that it did not run
+        apart from what has ended them. All its callers had 400.
+        """
+        first, second, third, _ = self.nodes
+        for node in (first, second):
+            await node.start(self.build_call('/popular'))
+            await node.start(self.build_call(f'/other/{node.node_id}'))
+        first.crash()
+        second.crash()
+        decision = await third.start(self.build_call('/popular'))
+        if isinstance(decision, isolation.Refused):
+            self.assertIs(verdict.Reason.ISOLATED, decision.outcome.reason)
+
     async def test_verdict_is_withdrawn_if_targets_go_on_to_crash(
         self,
     ) -> None:
