Free an answer once it was written

A caller that pipelines and reads slowly held its first answer in the budget of bodies for as long as later ones waited behind it.

Cause: the task that writes the answer whose turn it is goes on to write those ready behind it, and kept the first one, and the bytes of the last long one, in variables of its own.

tests.transport.test_pipelining, test_written_answer_is_free_while_the_next_ ones_wait: 1,000 of 1,000 bytes were still reserved before.

--- a/src/eelgrasswalk/transport/response_order.py
+++ b/src/eelgrasswalk/transport/response_order.py
@@ -208,6 +208,8 @@
         self.cost -= exchange.cost
         self.body_bytes -= exchange.body_bytes
         self.held_bytes -= exchange.held_bytes
+        exchange.request = None
+        exchange.response = None
         return bool(self._started or self._waiting)
 
     def is_last(self, exchange: Exchange) -> bool:
--- a/src/eelgrasswalk/transport/server_connection.py
+++ b/src/eelgrasswalk/transport/server_connection.py
@@ -318,7 +318,11 @@
             response = problem.describe_internal_error(error)
         if self._tasks.pop(exchange, None) is None or self._transport is None:
             return
-        if self._order.respond(exchange, response):
+        is_next = self._order.respond(exchange, response)
+        # Its place in the budget is free once it was written, though this
+        # task may go on to write others.
+        del response
+        if is_next:
             await self._write_answers(exchange)
         else:
             self._update_account()
@@ -337,6 +341,7 @@
             if rest:
                 self._update_account()
                 await self._write_parts(rest)
+            del rest
             exchange = self._end_exchange(exchange)
         self._is_writing = False
 
--- a/tests/transport/test_pipelining.py
+++ b/tests/transport/test_pipelining.py
@@ -282,6 +282,27 @@
             self.assertIsInstance(part, bytes)
             self.assertLessEqual(len(part), server_connection.PART_BYTES)
 
+    async def test_written_answer_is_free_while_the_next_ones_wait(
+        self,
+    ) -> None:
+        """The task that had written it kept it until it had written all."""
+        large = verdict.Response(
+            200, (), bytes(2 * server_connection.PART_BYTES)
+        )
+        self.memory.reserve_anyway(1_000)
+        self.memory.hold(large, 1_000)
+        await self.send(get('a'), get('b'), get('c'))
+        self.connection.pause_writing()
+        self.handler.give('a', large)
+        del large
+        await self.answer('b', 'c')
+        self.handler.forget()
+        while self.transport.written.count(b'HTTP/1.1') < 2:
+            self.connection.resume_writing()
+            self.connection.pause_writing()
+            await settle()
+        self.assertEqual(0, self.memory.used)
+
     async def test_small_answers_wait_for_a_caller_that_does_not_read(
         self,
     ) -> None:
