Invite a body once the requests before it are answered

A request with Expect: 100-continue that was sent behind a running one never got its 100, and ended with 408 after the time limit of heads.

Cause: the 100 was written only if no other request was under way when the head arrived, and was not thought of again.

It is written now when the answers before it have been, and the time until then is not the caller's. A body that comes without it is taken as before.

--- a/src/eelgrasswalk/transport/server_connection.py
+++ b/src/eelgrasswalk/transport/server_connection.py
@@ -64,6 +64,9 @@
         # Tasks of the started requests whose handlers run.
         self._tasks: dict[response_order.Exchange, asyncio.Task[None]] = {}
         self._is_writing = False
+        # The caller waits for an invitation to send a body, and that for the
+        # answers before it.
+        self._is_uninvited = False
         # The caller may have sent more than was read.
         self._has_pipelined = False
         self._is_closed = False
@@ -237,6 +240,7 @@
         length: int,
         cost: int,
     ) -> None:
+        self._is_uninvited = False
         exchange = response_order.Exchange(
             request, keep_alive=keep_alive, length=length, cost=cost
         )
@@ -252,6 +256,7 @@
         if self._is_sealed:
             return
         self._is_sealed = True
+        self._is_uninvited = False
         self._receiving = False
         self._body.drop()
         refused = response_order.Exchange(
@@ -263,6 +268,16 @@
     def _invite_body(self) -> None:
         if self._order.is_empty and self._transport is not None:
             self._write(response_head.CONTINUE)
+        else:
+            # Its turn comes when those before it are answered.
+            self._is_uninvited = True
+
+    def _invite_late(self) -> None:
+        """Tell a caller that had to wait for its turn to send the body."""
+        if self._is_uninvited:
+            self._is_uninvited = False
+            self._began_at = self._loop.time()
+            self._write(response_head.CONTINUE)
 
     def _discard(self) -> None:
         """Close when a caller that is answered sends on and on."""
@@ -428,6 +443,7 @@
             self._end(must_linger=exchange.is_refusal)
             return None
         if not has_more:
+            self._invite_late()
             return None
         self._start_waiting()
         if self._paced.is_blocked and not self._order.must_pause:
@@ -486,7 +502,8 @@
         if self._paced.is_blocked:
             return
         # Counted from the first byte: one that trickles in is as slow.
-        if self._receiving and now - self._began_at > limits.request_timeout_s:
+        began_at = now if self._is_uninvited else self._began_at
+        if self._receiving and now - began_at > limits.request_timeout_s:
             self._reject(problem.describe_request_timeout())
         elif (
             not self._receiving
--- a/tests/transport/test_pipelining.py
+++ b/tests/transport/test_pipelining.py
@@ -11,6 +11,7 @@
 from eelgrasswalk.transport import budget
 from eelgrasswalk.transport import http_server
 from eelgrasswalk.transport import message
+from eelgrasswalk.transport import response_head
 from eelgrasswalk.transport import response_order
 from eelgrasswalk.transport import server_connection
 from tests.transport import fakes
@@ -315,6 +316,35 @@
         await settle()
         self.assertEqual(['<a>', '<b>'], self.bodies)
 
+    async def test_body_is_invited_when_those_before_are_answered(
+        self,
+    ) -> None:
+        """The caller waited for it until the time limit of heads, for 408."""
+        head, _, body = post('b', b'body').partition(b'\r\n\r\n')
+        await self.send(get('a'), head + b'\r\nexpect: 100-continue\r\n\r\n')
+        self.assertNotIn(b'100 Continue', self.transport.written)
+        loop = asyncio.get_running_loop()
+        self.server.check_timeouts(
+            loop.time() + LIMITS.request_timeout_s + 1.0
+        )
+        await self.answer('a')
+        self.assertTrue(
+            self.transport.written.endswith(response_head.CONTINUE)
+        )
+        await self.send(body)
+        await self.answer('b')
+        self.assertEqual(1, self.transport.written.count(b'<b>'))
+        self.assertNotIn(b' 408 ', self.transport.written)
+
+    async def test_uninvited_body_is_taken_as_well(self) -> None:
+        head, _, body = post('b', b'body').partition(b'\r\n\r\n')
+        await self.send(
+            get('a'), head + b'\r\nexpect: 100-continue\r\n\r\n' + body
+        )
+        await self.answer('a', 'b')
+        self.assertNotIn(b'100 Continue', self.transport.written)
+        self.assertEqual(['<a>', '<b>'], self.bodies)
+
     # Closing
 
     async def test_nothing_runs_behind_a_request_that_closes(self) -> None:
