Test that who reads least is closed first

The age of an answer that is being read is the time that it will still wait, at the rate at which its caller reads. No test had it.

--- a/tests/transport/test_pipelining.py
+++ b/tests/transport/test_pipelining.py
@@ -345,6 +345,33 @@
         self.assertNotIn(b'100 Continue', self.transport.written)
         self.assertEqual(['<a>', '<b>'], self.bodies)
 
+    async def test_age_of_an_answer_is_the_time_that_it_will_wait(
+        self,
+    ) -> None:
+        """Who reads least goes first when connections have to be closed."""
+        await self.send(get('a'))
+        self.connection.pause_writing()
+        self.handler.answer('a', bytes(3 * server_connection.PART_BYTES))
+        await settle()
+        # The head, then a part.
+        for _ in range(2):
+            self.connection.resume_writing()
+            self.connection.pause_writing()
+            await settle()
+        loop = asyncio.get_running_loop()
+        ages = []
+        for read in (0, 1_000, 100_000):
+            del self.transport.written[:read]
+            now = loop.time() + 10.0 * (len(ages) + 1)
+            self.connection.check_timeouts(now)
+            age_s = self.connection.measure_age(now)
+            assert age_s is not None
+            ages.append(age_s)
+        # No rate is known yet at the first look.
+        self.assertGreater(ages[0], 9.0)
+        self.assertEqual(server_connection.MAX_WAIT_S, ages[1])
+        self.assertLess(ages[2], ages[1])
+
     # Closing
 
     async def test_nothing_runs_behind_a_request_that_closes(self) -> None:
