Cancel an attempt whose answer comes when nobody awaits it

A node of a target kept a long answer, and its place in the budget of bodies, until the link was closed: clients that leave within long answers filled the budget again, one answer at a time.

Cause: a link takes an answer only while somebody waits for it, and dropped others without a word. Its sender then waits for credit for good. That happens when a cancellation arrives between the end of an attempt and the callback that sends its answer, and when a call had ended in doubt, which cancels nothing.

An answer that nobody awaits is answered by a cancellation now, which frees it at its sender.

--- a/src/eelgrasswalk/transport/link.py
+++ b/src/eelgrasswalk/transport/link.py
@@ -216,9 +216,11 @@
         if isinstance(item, frames.Call):
             self._inbox.receive(item)
         elif isinstance(item, frames.Answer):
-            # Otherwise its sender has been told to send no more of it.
             if self._owner.is_awaited(item.attempt):
                 self._inbox.receive(item)
+            else:
+                # Its sender would keep the body until the link is closed.
+                self.send(frames.Cancel(item.attempt))
         elif isinstance(item, frames.Data):
             self._inbox.receive_part(item)
         elif isinstance(item, frames.Credit):
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -303,6 +303,46 @@
                 await task
         await self.wait_until_released()
 
+    async def test_long_answer_that_nobody_awaits_any_more(self) -> None:
+        """A call that ended in doubt cancels nothing at its target's node.
+
+        Its answer stayed there for as long as the link was open.
+        """
+        self.runner.gate.clear()
+        task = self.start_call(self.build_call(bytes(3_000_000)))
+        async with asyncio.timeout(WAIT_S):
+            await self.runner.started.wait()
+        (peer,) = self.dialler._peers.values()
+        (pending,) = peer._pending.values()
+        peer._fail_as_unknown(pending, 'the link was lost')
+        await task
+        self.runner.gate.set()
+        await self.wait_until_sent()
+        await self.wait_until_released()
+
+    async def test_cancel_that_crosses_the_end_of_its_attempt(self) -> None:
+        await self.start_call(self.build_call())
+        source = next(iter(self.acceptor._links))
+        call = self.build_call(bytes(3_000_000))
+        self.acceptor.on_message(source, call)
+        (task,) = self.acceptor._peers['down'].tasks.values()
+        while not task.done():
+            await asyncio.sleep(0)
+        # The callback of the task has not run yet.
+        self.acceptor.on_message(source, frames.Cancel(call.attempt))
+        await asyncio.sleep(0.05)
+        await self.wait_until_sent()
+
+    async def wait_until_sent(self) -> None:
+        """Wait until the target's node has nothing left to send."""
+        async with asyncio.timeout(WAIT_S):
+            while (
+                self.acceptor.count_running()
+                or not self.acceptor._links
+                or any(len(each._outbox) for each in self.acceptor._links)
+            ):
+                await asyncio.sleep(0.02)
+
     async def test_call_refused_before_its_body_has_arrived(self) -> None:
         """Its node would hold the rest for as long as the link is open."""
         reply = await self.start_call(self.build_call(bytes(MEMORY + 1)))
