Count no call of an ended run at the next crash

Traced in the logs of the soak: a target ended at 28.256 under four requests, and its successor at 28.997 under a deadly one. The report of the second crash names the four as well. Cause: callers that leave between the end of a target and the answer to their calls were remembered as abandoned, as if the target might still run them, and counted for as long as they had time. The popular request, which was in quarantine after two crashes, was confirmed by that third one, and the deadly one went free.

Calls of a run that has been reported as ended are not remembered.

tests.filters.test_deliveries, test_call_of_an_ended_run_did_not_run_at_the_ next_crash: before, the next crash had both.

--- a/src/eelgrasswalk/filters/deliveries.py
+++ b/src/eelgrasswalk/filters/deliveries.py
@@ -74,12 +74,19 @@
         """Record that a call has ended, or certainly did not begin."""
         self._calls.pop(call.attempt, None)
 
-    def abandon(self, call: frames.Call) -> None:
+    def abandon(self, call: frames.Call, run_id: str) -> None:
         """Record that nobody waits for a call any more.
 
-        The target may go on with it for as long as it was given.
+        The target may go on with it for as long as it was given, unless it
+        has ended.
+
+        Args:
+            call: The call.
+            run_id: Id of the run of the target that the call was sent to.
         """
         self._calls.pop(call.attempt, None)
+        if run_id == self._ended_run:
+            return
         ends_at = self._loop.time() + call.remaining_s
         self._abandoned.append((ends_at, describe_call(call)))
 
--- a/src/eelgrasswalk/filters/gate.py
+++ b/src/eelgrasswalk/filters/gate.py
@@ -366,10 +366,10 @@
             self._deliveries.end(call)
             return verdict.MayHaveRun(verdict.Reason.DEADLINE)
         except asyncio.CancelledError:
-            self._deliveries.abandon(call)
+            self._deliveries.abandon(call, run_id)
             raise
         if isinstance(outcome, http_client.Broken):
-            self._deliveries.abandon(call)
+            self._deliveries.abandon(call, run_id)
             if attempt_outcomes.is_excess(outcome):
                 self._log.record_given_up(call, outcome, self._target_id)
         else:
--- a/tests/filters/test_deliveries.py
+++ b/tests/filters/test_deliveries.py
@@ -79,13 +79,29 @@
         """A target goes on with what it has begun when its caller leaves."""
         for number in range(2):
             self.deliveries.begin(build_call(number))
-        self.deliveries.abandon(build_call(0))
+        self.deliveries.abandon(build_call(0), 'i-1@1')
         await self.deliveries.has_target_ended('i-1@1')
         self.assertEqual([('i-1@1', ['/0', '/1'])], self.crashes)
 
+    async def test_call_of_an_ended_run_did_not_run_at_the_next_crash(
+        self,
+    ) -> None:
+        """Its caller leaves between the end of its target and its answer.
+
+        A popular request was found guilty of the next crash.
+        """
+        for number in range(2):
+            self.deliveries.begin(build_call(number))
+        await self.deliveries.has_target_ended('i-1@1')
+        self.deliveries.abandon(build_call(0), 'i-1@1')
+        self.deliveries.end(build_call(1))
+        self.deliveries.begin(build_call(2))
+        await self.deliveries.has_target_ended('i-1@2')
+        self.assertEqual(('i-1@2', ['/2']), self.crashes[-1])
+
     async def test_abandoned_calls_are_bounded(self) -> None:
         for _ in range(2 * deliveries.MAX_ABANDONED):
-            self.deliveries.abandon(build_call(1))
+            self.deliveries.abandon(build_call(1), 'i-1@1')
         self.deliveries.handle_end('i-1@1')
         ((_, targets),) = self.crashes
         self.assertEqual(deliveries.MAX_ABANDONED, len(targets))
